--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/wire/schema/peer.capnp
@@ -0,0 +1,136 @@
+@0xc1d5a9f0b7e34a61;
+
+# Protocol between medlarpind daemons. Deadlines travel as time left, because the
+# daemons' clocks are not synchronised.
+
+struct ShardTask {
+  shard @0 :UInt32;
+  leaf @1 :Text;
+  # Other leafs that hold the shard at this index version, in order of preference.
+  alternatives @2 :List(Text);
+}
+
+struct Batch {
+  requestIdHigh @0 :UInt64;
+  requestIdLow @1 :UInt64;
+  team @2 :Text;
+  service @3 :Text;
+  query @4 :Text;
+  indexVersion @5 :UInt64;
+  timeLeftUs @6 :UInt64;
+  idempotent @7 :Bool;
+  # A canary batch has one task and runs under the fingerprint's canary lock.
+  canary @8 :Bool;
+  # A batch of hedges or retries of another gatherer; it is never hedged again.
+  extra @9 :Bool;
+  tasks @10 :List(ShardTask);
+  # First attempt number that the gatherer may use in leaf request ids.
+  firstAttempt @11 :UInt32;
+}
+
+struct ShardResult {
+  shard @0 :UInt32;
+  union {
+    rows @1 :List(Text);
+    uncovered @2 :UncoveredReason;
+  }
+  # True if a leaf may have started to run this shard's request.
+  mayHaveRun @3 :Bool;
+}
+
+enum UncoveredReason {
+  versionGone @0;
+  noReplica @1;
+  deadlinePassed @2;
+  leafRefused @3;
+  leafLost @4;
+  gathererLost @5;
+  quarantined @6;
+  invalidReply @7;
+  queueFull @8;
+  paused @9;
+  noConnection @10;
+}
+
+struct BatchReply {
+  results @0 :List(ShardResult);
+  # Leaf requests beyond the first one of each shard.
+  extraLeafRequests @1 :UInt32;
+  # Leafs that answered that they no longer hold the version.
+  versionGoneLeafs @2 :List(Text);
+  quarantine @3 :Quarantine;
+  # Leaf requests sent in all.
+  leafRequests @4 :UInt32;
+}
+
+struct Quarantine {
+  # Zero means that there is none.
+  fingerprint @0 :UInt64;
+  timeLeftMs @1 :UInt64;
+}
+
+struct CallerQuery {
+  requestIdHigh @0 :UInt64;
+  requestIdLow @1 :UInt64;
+  team @2 :Text;
+  service @3 :Text;
+  query @4 :Text;
+  # Empty means all shards.
+  shards @5 :List(UInt32);
+  timeLeftUs @6 :UInt64;
+  ticket @7 :Text;
+}
+
+# The answer to a forwarded query, as the JSON body that the caller receives.
+struct CallerAnswer {
+  httpStatus @0 :UInt16;
+  body @1 :Data;
+}
+
+enum MemberState {
+  alive @0;
+  suspect @1;
+  dead @2;
+  leaving @3;
+}
+
+struct MemberUpdate {
+  vm @0 :Text;
+  incarnation @1 :UInt64;
+  refutation @2 :UInt32;
+  state @3 :MemberState;
+}
+
+struct Heartbeat {
+  sender @0 :MemberUpdate;
+  vmListRevision @1 :UInt64;
+  settingsRevision @2 :UInt64;
+  settingsDigest @3 :UInt64;
+  updates @4 :List(MemberUpdate);
+  quarantines @5 :List(Quarantine);
+}
+
+struct SettingsText {
+  path @0 :Text;
+  revision @1 :UInt64;
+  text @2 :Text;
+  # A later text of the same path that did not parse; revision 0 means that there is none.
+  rejectedRevision @3 :UInt64;
+  rejectedText @4 :Text;
+}
+
+struct SettingsTree {
+  # Zero means that the peer has nothing above the revision asked for.
+  revision @0 :UInt64;
+  digest @1 :UInt64;
+  texts @2 :List(SettingsText);
+}
+
+interface Peer {
+  gather @0 (batch :Batch) -> (reply :BatchReply);
+  run @1 (query :CallerQuery) -> (answer :CallerAnswer);
+  exchange @2 (heartbeat :Heartbeat) -> (heartbeat :Heartbeat);
+  fetchSettings @3 (aboveRevision :UInt64) -> (tree :SettingsTree);
+  borrowShare @4 (team :Text, borrower :Text, units :UInt64) -> (grantedUnits :UInt64, leaseMs :UInt64);
+  cancel @5 (requestIdHigh :UInt64, requestIdLow :UInt64) -> ();
+}
