--- /dev/null
+++ b/crates/medlarpin-core/src/answer.rs
@@ -0,0 +1,178 @@
+//! Outcomes of shards and of whole queries.
+
+use std::time::Duration;
+
+/// Why a shard is not covered by an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum UncoveredReason {
+    /// No usable replica holds the pinned index version any more.
+    VersionGone,
+    /// The shard map names no usable replica.
+    NoReplica,
+    /// The deadline passed first.
+    DeadlinePassed,
+    /// Every replica that was tried refused the request.
+    LeafRefused,
+    /// The connection to the leaf was lost.
+    LeafLost,
+    /// The daemon that holds the leaf did not answer.
+    GathererLost,
+    /// The query is quarantined because it crashed leafs.
+    Quarantined,
+    /// The leaf's reply belonged to another request, version or shard.
+    InvalidReply,
+    /// The leaf's queue could not serve the request in time.
+    QueueFull,
+    /// The daemon that holds the leaf had been paused and has not rejoined yet.
+    Paused,
+    /// No connection to the leaf could be opened.
+    NoConnection,
+}
+
+impl UncoveredReason {
+    /// Returns the name used in answers and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::VersionGone => "version_gone",
+            Self::NoReplica => "no_replica",
+            Self::DeadlinePassed => "deadline_passed",
+            Self::LeafRefused => "leaf_refused",
+            Self::LeafLost => "leaf_lost",
+            Self::GathererLost => "gatherer_lost",
+            Self::Quarantined => "quarantined",
+            Self::InvalidReply => "invalid_reply",
+            Self::QueueFull => "queue_full",
+            Self::Paused => "paused",
+            Self::NoConnection => "no_connection",
+        }
+    }
+}
+
+/// Result of one shard.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ShardOutcome {
+    /// The shard's rows at the pinned index version.
+    Covered {
+        /// Rows in the order in which the leaf gave them.
+        rows: Vec<String>,
+    },
+    /// The shard is not part of the answer.
+    Uncovered {
+        /// Why it is not.
+        reason: UncoveredReason,
+        /// True if a leaf may have started to run the request.
+        may_have_run: bool,
+    },
+}
+
+impl ShardOutcome {
+    /// Returns true if no leaf can have run the shard's request.
+    #[must_use]
+    pub fn surely_not_run(&self) -> bool {
+        matches!(
+            self,
+            Self::Uncovered {
+                may_have_run: false,
+                ..
+            }
+        )
+    }
+}
+
+/// Why a query was not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum NotRunReason {
+    /// The team is above its rate limit.
+    RateLimit,
+    /// The team is above its concurrency limit.
+    ConcurrencyLimit,
+    /// The fair queues cannot serve the query in time.
+    Overloaded,
+    /// The deadline passed before anything was sent.
+    DeadlinePassed,
+    /// The query is quarantined because it crashed leafs.
+    Quarantined,
+    /// No published index version of the service can be served.
+    NoVersion,
+    /// No shard has a usable replica.
+    NoReplica,
+    /// The daemon has been paused and has not rejoined yet.
+    Paused,
+    /// The daemon has no settings yet.
+    Starting,
+    /// The daemon is shutting down.
+    ShuttingDown,
+    /// The ticket has expired or its issuer never issued it.
+    TicketInvalid,
+    /// Too many tickets are outstanding.
+    TicketLimit,
+}
+
+impl NotRunReason {
+    /// Returns the name used in answers and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::RateLimit => "rate_limit",
+            Self::ConcurrencyLimit => "concurrency_limit",
+            Self::Overloaded => "overloaded",
+            Self::DeadlinePassed => "deadline_passed",
+            Self::Quarantined => "quarantined",
+            Self::NoVersion => "no_version",
+            Self::NoReplica => "no_replica",
+            Self::Paused => "paused",
+            Self::Starting => "starting",
+            Self::ShuttingDown => "shutting_down",
+            Self::TicketInvalid => "ticket_invalid",
+            Self::TicketLimit => "ticket_limit",
+        }
+    }
+}
+
+/// Why it is unknown whether a query ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum UnknownReason {
+    /// The ticket's issuer cannot be reached or has restarted.
+    IssuerLost,
+    /// The ticket was used and its outcome is no longer kept.
+    OutcomeForgotten,
+    /// Requests were sent and no leaf answered.
+    NoAnswer,
+    /// The query is quarantined and a leaf may have run it in this attempt.
+    Quarantined,
+}
+
+impl UnknownReason {
+    /// Returns the name used in answers and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::IssuerLost => "issuer_lost",
+            Self::OutcomeForgotten => "outcome_forgotten",
+            Self::NoAnswer => "no_answer",
+            Self::Quarantined => "quarantined",
+        }
+    }
+}
+
+/// Outcome of a whole query; there is no fifth one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// All shards asked are covered.
+    Complete,
+    /// Some shards are covered.
+    Partial,
+    /// No leaf ran the query.
+    NotRun {
+        /// Why it was not run.
+        reason: NotRunReason,
+        /// When the caller may try again.
+        retry_after: Duration,
+    },
+    /// A leaf may have run the query.
+    Unknown {
+        /// Why it is unknown.
+        reason: UnknownReason,
+    },
+}
--- a/crates/medlarpin-core/src/lib.rs
+++ b/crates/medlarpin-core/src/lib.rs
@@ -1,1 +1,10 @@
-//! Placeholder.
+//! Decisions of the query tier, free of sockets and of any runtime.
+//!
+//! Every function that depends on time takes it as an argument, so that tests, the specification
+//! and trace replay run the code that ships.
+
+pub mod answer;
+pub mod catalog;
+pub mod clock;
+pub mod ids;
+pub mod prelude;
--- /dev/null
+++ b/crates/medlarpin-core/src/prelude.rs
@@ -0,0 +1,13 @@
+//! The types that most modules need.
+
+pub use std::time::{Duration, Instant};
+
+pub use crate::answer::{NotRunReason, Outcome, ShardOutcome, UncoveredReason, UnknownReason};
+pub use crate::catalog::{
+    CoverageWanted, Leaf, Service, ShardMap, TeamSettings, Vm, VmList, VmState,
+};
+pub use crate::clock::{Clock, ManualClock, SystemClock};
+pub use crate::ids::{
+    FailureDomain, Fingerprint, Incarnation, IndexVersion, LeafId, Region, RequestId, Revision,
+    ServiceName, ShardId, TeamName, VmName,
+};
