--- /dev/null
+++ b/crates/daemon/src/entry/answer.rs
@@ -0,0 +1,149 @@
+//! Bodies of answers.
+
+use axum::http::StatusCode;
+use medlarpin_core::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// One row of an answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RowBody {
+    /// Shard that the row comes from.
+    pub shard: u32,
+    /// The row.
+    pub row: String,
+}
+
+/// A shard that the answer does not cover.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UncoveredBody {
+    /// The shard.
+    pub shard: u32,
+    /// Why it is not covered.
+    pub reason: String,
+}
+
+/// Name of an outcome in a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OutcomeName {
+    /// All shards asked are covered.
+    Complete,
+    /// Some shards are covered.
+    Partial,
+    /// No leaf ran this submission.
+    NotRun,
+    /// A leaf may have run the query.
+    Unknown,
+}
+
+impl OutcomeName {
+    /// Returns the HTTP status.
+    #[must_use]
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::Complete => StatusCode::OK,
+            Self::Partial => StatusCode::PARTIAL_CONTENT,
+            Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Unknown => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Returns the name used in bodies and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::Partial => "partial",
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Body of the answer to a query.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnswerBody {
+    /// Identifier of the query.
+    pub request_id: String,
+    /// The outcome.
+    pub outcome: OutcomeName,
+    /// Team that asked.
+    pub team: String,
+    /// Service searched.
+    pub service: String,
+    /// Index version of every row.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub index_version: Option<u64>,
+    /// Shards covered, sorted.
+    pub covered: Vec<u32>,
+    /// Shards not covered, sorted.
+    pub uncovered: Vec<UncoveredBody>,
+    /// Rows, sorted by shard.
+    pub rows: Vec<RowBody>,
+    /// Time from the query's arrival to its answer.
+    pub elapsed_ms: u64,
+    /// Why the query was not run or why that is unknown.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub reason: Option<String>,
+    /// When a query that was not run may be tried again.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+    /// Leaf requests beyond the first one of each shard.
+    pub extra_leaf_requests: u32,
+    /// True if a ticket's recorded outcome is returned and nothing was run.
+    pub replayed: bool,
+}
+
+impl AnswerBody {
+    /// Creates the body of an outcome without rows.
+    #[must_use]
+    pub fn without_rows(
+        request: RequestId,
+        team: &TeamName,
+        service: &ServiceName,
+        outcome: Outcome,
+    ) -> Self {
+        let (reason, retry_after_ms) = match outcome {
+            Outcome::Complete | Outcome::Partial => (None, None),
+            Outcome::NotRun {
+                reason,
+                retry_after,
+            } => {
+                let retry_after_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
+                (Some(reason.as_str().to_owned()), Some(retry_after_ms))
+            }
+            Outcome::Unknown { reason } => (Some(reason.as_str().to_owned()), None),
+        };
+        Self {
+            request_id: request.to_string(),
+            outcome: outcome_name(outcome),
+            team: team.as_str().to_owned(),
+            service: service.as_str().to_owned(),
+            index_version: None,
+            covered: Vec::new(),
+            uncovered: Vec::new(),
+            rows: Vec::new(),
+            elapsed_ms: 0,
+            reason,
+            retry_after_ms,
+            extra_leaf_requests: 0,
+            replayed: false,
+        }
+    }
+
+    /// Serialises the body.
+    #[must_use]
+    pub fn to_json(&self) -> Vec<u8> {
+        // The body holds only strings, numbers and lists, which always serialise.
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+}
+
+fn outcome_name(outcome: Outcome) -> OutcomeName {
+    match outcome {
+        Outcome::Complete => OutcomeName::Complete,
+        Outcome::Partial => OutcomeName::Partial,
+        Outcome::NotRun { .. } => OutcomeName::NotRun,
+        Outcome::Unknown { .. } => OutcomeName::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/http.rs
@@ -0,0 +1,238 @@
+//! HTTP endpoints for callers.
+
+use std::sync::Arc;
+
+use axum::Router;
+use axum::body::Bytes;
+use axum::extract::rejection::BytesRejection;
+use axum::extract::{DefaultBodyLimit, State};
+use axum::http::{HeaderMap, HeaderValue, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::post;
+use medlarpin_core::prelude::*;
+use serde::Serialize;
+use tokio::sync::oneshot;
+
+use crate::entry::answer::AnswerBody;
+use crate::entry::request::{
+    Query, QueryBody, RequestError, TicketBody, check_query, parse_body,
+};
+use crate::entry::{run, ticketed};
+use crate::shared::{Node, Shared};
+use crate::view::FleetView;
+
+/// Builds the callers' endpoints.
+pub fn router(node: Arc<Node>) -> Router {
+    let body_limit = node.shared.settings.body_limit_bytes;
+    Router::new()
+        .route("/v1/query", post(post_query).fallback(refuse_method))
+        .route("/v1/tickets", post(post_ticket).fallback(refuse_method))
+        .fallback(refuse_path)
+        .layer(DefaultBodyLimit::max(body_limit))
+        .with_state(node)
+}
+
+async fn post_query(
+    State(node): State<Arc<Node>>,
+    headers: HeaderMap,
+    body: Result<Bytes, BytesRejection>,
+) -> Response {
+    let shared = &node.shared;
+    let arrived_at = shared.clock.now();
+    match parse_query(shared, &headers, body, arrived_at) {
+        Ok((query, ticket)) => answer_query(&node, query, ticket, arrived_at).await,
+        Err(Refusal::Invalid(error)) => invalid(shared, &error),
+        Err(Refusal::NotRun(body)) => answer(shared, &body),
+    }
+}
+
+async fn post_ticket(
+    State(node): State<Arc<Node>>,
+    headers: HeaderMap,
+    body: Result<Bytes, BytesRejection>,
+) -> Response {
+    let shared = &node.shared;
+    let parsed = check_body(shared, &headers, body)
+        .and_then(|body| parse_body::<TicketBody>(&body))
+        .and_then(|body| {
+            let view = shared.view();
+            view.team(&body.team)
+                .map(|team| team.name.clone())
+                .ok_or(RequestError::UnknownTeam(body.team))
+        });
+    match parsed {
+        Ok(team) => ticketed::issue(shared, &team),
+        Err(error) => invalid(shared, &error),
+    }
+}
+
+async fn refuse_path(State(node): State<Arc<Node>>) -> Response {
+    invalid(&node.shared, &RequestError::UnknownPath)
+}
+
+async fn refuse_method(State(node): State<Arc<Node>>) -> Response {
+    invalid(&node.shared, &RequestError::Method)
+}
+
+enum Refusal {
+    Invalid(RequestError),
+    NotRun(Box<AnswerBody>),
+}
+
+impl From<RequestError> for Refusal {
+    fn from(error: RequestError) -> Self {
+        Self::Invalid(error)
+    }
+}
+
+fn parse_query(
+    shared: &Shared,
+    headers: &HeaderMap,
+    body: Result<Bytes, BytesRejection>,
+    now: Instant,
+) -> Result<(Query, Option<String>), Refusal> {
+    let body = check_body(shared, headers, body)?;
+    let body: QueryBody = parse_body(&body)?;
+    let request = shared.draw_request_id();
+    let view = shared.view();
+    check_serving(shared, &view, &body, request)?;
+    let Some(team) = view.team(&body.team) else {
+        return Err(RequestError::UnknownTeam(body.team).into());
+    };
+    if view.service(&body.service).is_none() {
+        return Err(RequestError::UnknownService(body.service).into());
+    }
+    Ok(check_query(body, team, request, now)?)
+}
+
+/// Refuses queries while the daemon has no settings; without them no team or service is known.
+fn check_serving(
+    shared: &Shared,
+    view: &FleetView,
+    body: &QueryBody,
+    request: RequestId,
+) -> Result<(), Refusal> {
+    if view.has_settings() {
+        return Ok(());
+    }
+    let outcome = Outcome::NotRun {
+        reason: NotRunReason::Starting,
+        retry_after: shared.settings.probe_interval(),
+    };
+    Err(Refusal::NotRun(Box::new(AnswerBody::without_rows(
+        request,
+        &TeamName::new(&body.team),
+        &ServiceName::new(&body.service),
+        outcome,
+    ))))
+}
+
+fn check_body(
+    shared: &Shared,
+    headers: &HeaderMap,
+    body: Result<Bytes, BytesRejection>,
+) -> Result<Bytes, RequestError> {
+    let is_json = headers
+        .get(header::CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.split(';').next())
+        .is_some_and(|value| value.trim().eq_ignore_ascii_case("application/json"));
+    if !is_json {
+        return Err(RequestError::ContentType);
+    }
+    body.map_err(|rejection| {
+        if rejection.status() == StatusCode::PAYLOAD_TOO_LARGE {
+            RequestError::BodyTooLarge {
+                limit_bytes: shared.settings.body_limit_bytes,
+            }
+        } else {
+            RequestError::BodyLost
+        }
+    })
+}
+
+async fn answer_query(
+    node: &Node,
+    query: Query,
+    ticket: Option<String>,
+    arrived_at: Instant,
+) -> Response {
+    let shared = &node.shared;
+    let _in_flight = shared.lifecycle.enter();
+    let lost = AnswerBody::without_rows(
+        query.request,
+        &query.team,
+        &query.service,
+        Outcome::Unknown {
+            reason: UnknownReason::NoAnswer,
+        },
+    );
+    let (sender, receiver) = oneshot::channel();
+    node.workers.spawn(move |worker| async move {
+        match ticket {
+            Some(ticket) => ticketed::run(&worker, query, &ticket, sender).await,
+            None => run::run_for_caller(&worker, query, sender).await,
+        }
+    });
+    // The sender is dropped without an answer only if the worker's task failed.
+    let result = receiver.await.unwrap_or(Ok(lost));
+    match result {
+        Ok(mut body) => {
+            let elapsed = shared.clock.now().saturating_duration_since(arrived_at);
+            if !body.replayed {
+                body.elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+            }
+            shared.record_answer(&body, elapsed);
+            answer(shared, &body)
+        }
+        Err(error) => invalid(shared, &error),
+    }
+}
+
+fn answer(shared: &Shared, body: &AnswerBody) -> Response {
+    if let (Some(reason), Some(_)) = (&body.reason, body.retry_after_ms) {
+        let labels = [body.team.as_str(), reason.as_str()];
+        shared.metrics.refusals.with_label_values(&labels).inc();
+    }
+    let mut response = json(body.outcome.status(), body.to_json());
+    if let Some(retry_after_ms) = body.retry_after_ms {
+        // The header counts whole seconds, so a short wait is rounded up to one.
+        let seconds = retry_after_ms.div_ceil(1000).max(1);
+        if let Ok(value) = HeaderValue::from_str(&seconds.to_string()) {
+            response.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+#[derive(Debug, Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorDetail<'a>,
+}
+
+#[derive(Debug, Serialize)]
+struct ErrorDetail<'a> {
+    code: &'a str,
+    message: String,
+}
+
+pub(super) fn invalid(shared: &Shared, error: &RequestError) -> Response {
+    let labels = [error.code()];
+    shared
+        .metrics
+        .invalid_requests
+        .with_label_values(&labels)
+        .inc();
+    let body = ErrorBody {
+        error: ErrorDetail {
+            code: error.code(),
+            message: error.to_string(),
+        },
+    };
+    // The body holds only strings, which always serialise.
+    json(error.status(), serde_json::to_vec(&body).unwrap_or_default())
+}
+
+pub(super) fn json(status: StatusCode, body: Vec<u8>) -> Response {
+    (status, [(header::CONTENT_TYPE, "application/json")], body).into_response()
+}
--- /dev/null
+++ b/crates/daemon/src/leafs/protocol.rs
@@ -0,0 +1,242 @@
+//! The leaf protocol: bodies, their checks and one exchange on a connection.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use displaydoc::Display;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::SendRequest;
+use hyper::{Method, Request, StatusCode};
+use medlarpin_core::prelude::*;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Largest reply accepted from a leaf.
+const REPLY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+
+/// One request to a leaf.
+#[derive(Debug, Clone)]
+pub struct LeafRequest {
+    /// Query that the request belongs to.
+    pub request: RequestId,
+    /// Number of the attempt, unique within the query.
+    pub attempt: u32,
+    /// Team that asks.
+    pub team: TeamName,
+    /// Query text.
+    pub query: String,
+    /// Index version to search.
+    pub version: IndexVersion,
+    /// Shard to search.
+    pub shard: ShardId,
+}
+
+impl LeafRequest {
+    /// Returns the identifier that the leaf echoes.
+    #[must_use]
+    pub fn id(&self) -> String {
+        format!("{}-{}", self.request, self.attempt)
+    }
+
+    /// Writes the body of `POST /search`.
+    #[must_use]
+    pub fn to_json(&self, time_left: Duration) -> Bytes {
+        let body = SearchBody {
+            request_id: &self.id(),
+            team: self.team.as_str(),
+            query: &self.query,
+            index_version: self.version.0,
+            shard: self.shard.0,
+            deadline_ms: u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX),
+        };
+        // The body holds only strings and numbers, which always serialise.
+        serde_json::to_vec(&body).unwrap_or_default().into()
+    }
+
+    /// Parses a leaf's reply and checks that it belongs to this request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the reply is malformed or belongs to another request, version or shard.
+    pub fn parse_reply(&self, status: StatusCode, body: &[u8]) -> Result<LeafReply, ReplyError> {
+        match status {
+            StatusCode::OK => self.parse_rows(body),
+            StatusCode::CONFLICT => {
+                let gone: VersionGoneBody = serde_json::from_slice(body)?;
+                Ok(LeafReply::VersionGone {
+                    versions: gone.versions.into_iter().map(IndexVersion).collect(),
+                })
+            }
+            StatusCode::SERVICE_UNAVAILABLE => {
+                let refusal: RefusalBody = serde_json::from_slice(body)?;
+                let retry_after = Duration::from_millis(refusal.retry_after_ms.unwrap_or(0));
+                Ok(match refusal.error {
+                    RefusalName::Shedding => LeafReply::Shedding { retry_after },
+                    RefusalName::Draining => LeafReply::Draining,
+                })
+            }
+            other => Err(ReplyError::Status(other.as_u16())),
+        }
+    }
+
+    fn parse_rows(&self, body: &[u8]) -> Result<LeafReply, ReplyError> {
+        let reply: RowsBody = serde_json::from_slice(body)?;
+        if reply.request_id != self.id() {
+            return Err(ReplyError::ForeignRequest);
+        }
+        if reply.index_version != self.version.0 {
+            return Err(ReplyError::ForeignVersion(reply.index_version));
+        }
+        if reply.shard != self.shard.0 {
+            return Err(ReplyError::ForeignShard(reply.shard));
+        }
+        Ok(LeafReply::Rows(reply.rows))
+    }
+}
+
+/// A leaf's reply to a search.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeafReply {
+    /// The shard's rows.
+    Rows(Vec<String>),
+    /// The leaf no longer holds the version and did not run the request.
+    VersionGone {
+        /// Versions that the leaf holds.
+        versions: Vec<IndexVersion>,
+    },
+    /// The leaf is overloaded and did not run the request.
+    Shedding {
+        /// When to try again at the earliest.
+        retry_after: Duration,
+    },
+    /// The leaf is leaving and did not run the request.
+    Draining,
+}
+
+/// Why a leaf's reply cannot be used.
+#[derive(Debug, Display, Error)]
+pub enum ReplyError {
+    /// malformed reply: {0}
+    Malformed(#[from] serde_json::Error),
+    /// unexpected status {0}
+    Status(u16),
+    /// reply belongs to another request
+    ForeignRequest,
+    /// reply is from index version {0}
+    ForeignVersion(u64),
+    /// reply is from shard {0}
+    ForeignShard(u32),
+}
+
+/// Why an exchange with a leaf failed.
+#[derive(Debug, Display, Error)]
+pub enum ExchangeError {
+    /// connection closed before the request was sent
+    NotSent,
+    /// connection lost: {0}
+    Lost(hyper::Error),
+    /// reply is larger than the limit or broke off
+    Body,
+    /// cannot build the request: {0}
+    Request(#[from] hyper::http::Error),
+}
+
+/// Sends one HTTP request on a connection and reads the whole reply.
+///
+/// # Errors
+///
+/// Fails if the connection is lost or the reply is too large.
+pub async fn exchange(
+    connection: &mut SendRequest<Full<Bytes>>,
+    method: Method,
+    path: &'static str,
+    authority: &str,
+    body: Bytes,
+) -> Result<(StatusCode, Bytes), ExchangeError> {
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(hyper::header::HOST, authority)
+        .header(hyper::header::CONTENT_TYPE, "application/json")
+        .body(Full::new(body))?;
+    let response = connection.send_request(request).await.map_err(|error| {
+        // Hyper reports a request that it still held when the connection closed as cancelled.
+        if error.is_canceled() {
+            ExchangeError::NotSent
+        } else {
+            ExchangeError::Lost(error)
+        }
+    })?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), REPLY_LIMIT_BYTES)
+        .collect()
+        .await
+        .map_err(|_error| ExchangeError::Body)?
+        .to_bytes();
+    Ok((status, body))
+}
+
+/// A leaf's report of its own health.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HealthName {
+    /// The leaf has not warmed up yet.
+    Starting,
+    /// The leaf serves.
+    Ready,
+    /// The leaf is leaving.
+    Draining,
+}
+
+/// Body of `GET /health`.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct HealthBody {
+    /// State of the leaf.
+    pub state: HealthName,
+    /// Index versions that the leaf holds.
+    #[serde(default)]
+    pub versions: Vec<u64>,
+}
+
+#[derive(Debug, Serialize)]
+struct SearchBody<'a> {
+    request_id: &'a str,
+    team: &'a str,
+    query: &'a str,
+    index_version: u64,
+    shard: u32,
+    deadline_ms: u64,
+}
+
+/// Body of `POST /cancel`.
+#[derive(Debug, Serialize)]
+pub struct CancelBody<'a> {
+    /// Identifier of the request to cancel.
+    pub request_id: &'a str,
+}
+
+#[derive(Debug, Deserialize)]
+struct RowsBody {
+    request_id: String,
+    index_version: u64,
+    shard: u32,
+    rows: Vec<String>,
+}
+
+#[derive(Debug, Deserialize)]
+struct VersionGoneBody {
+    versions: Vec<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+struct RefusalBody {
+    error: RefusalName,
+    retry_after_ms: Option<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum RefusalName {
+    Shedding,
+    Draining,
+}
--- /dev/null
+++ b/crates/daemon/src/operators/metrics.rs
@@ -0,0 +1,195 @@
+//! Metrics of the daemon.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
+};
+
+/// Bounds of latency histograms; the target of 300 ms is one of them.
+const LATENCY_BUCKETS_S: [f64; 13] = [
+    0.001, 0.002, 0.005, 0.010, 0.020, 0.050, 0.100, 0.150, 0.200, 0.300, 0.500, 1.0, 2.0,
+];
+
+/// All metrics of one daemon.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Time from a query's arrival to its answer, by team and outcome.
+    pub query_seconds: HistogramVec,
+    /// Shards asked, by team.
+    pub shards_asked: IntCounterVec,
+    /// Shards covered, by team.
+    pub shards_covered: IntCounterVec,
+    /// Shards not covered, by reason.
+    pub shards_uncovered: IntCounterVec,
+    /// Queries not run, by team and reason.
+    pub refusals: IntCounterVec,
+    /// Invalid requests, by error code.
+    pub invalid_requests: IntCounterVec,
+    /// Leaf requests sent, by kind: first, hedge or retry.
+    pub leaf_requests: IntCounterVec,
+    /// Leaf replies that belonged to another request, version or shard.
+    pub invalid_replies: IntCounter,
+    /// Time that leaf requests waited in the fair queues.
+    pub queue_wait_seconds: HistogramVec,
+    /// Batches sent to other daemons, and their failures.
+    pub batches: IntCounterVec,
+    /// Revision of the settings in force.
+    pub settings_revision: IntGauge,
+    /// Age of the settings in force.
+    pub settings_age_seconds: IntGauge,
+    /// Paths whose newest text was rejected.
+    pub settings_rejected: IntGauge,
+    /// Settings trees with a known revision and another digest.
+    pub settings_conflicts: IntCounter,
+    /// Calls made to the platform.
+    pub platform_calls: IntGauge,
+    /// Members by state.
+    pub members: IntGaugeVec,
+    /// Open connections to leafs and their limit.
+    pub leaf_connections: IntGaugeVec,
+    /// Quarantined fingerprints.
+    pub quarantined: IntGauge,
+    /// Canary requests sent.
+    pub canaries: IntCounter,
+    /// Tickets by event.
+    pub tickets: IntCounterVec,
+    /// Heartbeat exchanges, by result.
+    pub exchanges: IntCounterVec,
+    /// Pauses of this process that the daemon detected.
+    pub pauses: IntCounter,
+    /// Extra-load tokens left, in thousandths, by team.
+    pub extra_budget_milli: IntGaugeVec,
+}
+
+impl Metrics {
+    /// Creates and registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails if two metrics share a name, which is a programming error.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let r = &registry;
+        Ok(Self {
+            query_seconds: histogram(r, "query_seconds", "Query latency.", &["team", "outcome"])?,
+            shards_asked: counters(r, "shards_asked_total", "Shards asked.", &["team"])?,
+            shards_covered: counters(r, "shards_covered_total", "Shards covered.", &["team"])?,
+            shards_uncovered: counters(
+                r,
+                "shards_uncovered_total",
+                "Shards not covered.",
+                &["reason"],
+            )?,
+            refusals: counters(r, "refusals_total", "Queries not run.", &["team", "reason"])?,
+            invalid_requests: counters(
+                r,
+                "invalid_requests_total",
+                "Invalid requests.",
+                &["code"],
+            )?,
+            leaf_requests: counters(r, "leaf_requests_total", "Leaf requests sent.", &["kind"])?,
+            invalid_replies: counter(r, "invalid_replies_total", "Leaf replies not used.")?,
+            queue_wait_seconds: histogram(
+                r,
+                "queue_wait_seconds",
+                "Wait in the fair queues.",
+                &["service"],
+            )?,
+            batches: counters(r, "batches_total", "Batches sent to daemons.", &["result"])?,
+            settings_revision: gauge(r, "settings_revision", "Settings revision in force.")?,
+            settings_age_seconds: gauge(
+                r,
+                "settings_age_seconds",
+                "Time since the settings were accepted.",
+            )?,
+            settings_rejected: gauge(r, "settings_rejected_paths", "Paths with a rejected text.")?,
+            settings_conflicts: counter(
+                r,
+                "settings_conflicts_total",
+                "Trees with a known revision and another digest.",
+            )?,
+            platform_calls: gauge(r, "platform_calls", "Calls made to the platform.")?,
+            members: gauges(r, "members", "Members by state.", &["state"])?,
+            leaf_connections: gauges(
+                r,
+                "leaf_connections",
+                "Connections to held leafs.",
+                &["kind"],
+            )?,
+            quarantined: gauge(r, "quarantined_fingerprints", "Quarantined fingerprints.")?,
+            canaries: counter(r, "canaries_total", "Canary requests sent.")?,
+            tickets: counters(r, "tickets_total", "Ticket events.", &["event"])?,
+            exchanges: counters(r, "exchanges_total", "Heartbeat exchanges.", &["result"])?,
+            pauses: counter(r, "pauses_total", "Detected pauses of this process.")?,
+            extra_budget_milli: gauges(
+                r,
+                "extra_budget_milli",
+                "Extra-load tokens left, in thousandths.",
+                &["team"],
+            )?,
+            registry,
+        })
+    }
+
+    /// Writes all metrics in the text format.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric cannot be encoded.
+    pub fn encode(&self) -> Result<Vec<u8>, prometheus::Error> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
+
+fn full_name(name: &str) -> String {
+    format!("medlarpin_{name}")
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter, prometheus::Error> {
+    let metric = IntCounter::new(full_name(name), help)?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
+fn counters(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntCounterVec, prometheus::Error> {
+    let metric = IntCounterVec::new(Opts::new(full_name(name), help), labels)?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
+    let metric = IntGauge::new(full_name(name), help)?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
+fn gauges(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntGaugeVec, prometheus::Error> {
+    let metric = IntGaugeVec::new(Opts::new(full_name(name), help), labels)?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
+fn histogram(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<HistogramVec, prometheus::Error> {
+    let options = HistogramOpts::new(full_name(name), help).buckets(LATENCY_BUCKETS_S.to_vec());
+    let metric = HistogramVec::new(options, labels)?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
--- /dev/null
+++ b/crates/daemon/src/peers/mod.rs
@@ -0,0 +1,7 @@
+//! RPC between daemons: the client side with its connection pool, and the served interface.
+
+mod pool;
+mod server;
+
+pub use pool::{PeerError, PeerPool};
+pub use server::serve_peer;
--- /dev/null
+++ b/crates/daemon/src/peers/pool.rs
@@ -0,0 +1,276 @@
+//! RPC client connections of one worker.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use capnp::capability::Promise;
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use displaydoc::Display;
+use futures::AsyncReadExt;
+use medlarpin_core::prelude::*;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::sync::OnceCell;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+use wire::peer_capnp::peer;
+use wire::{
+    Batch, BatchReply, CallerAnswer, CallerQuery, HeartbeatMessage, SettingsTreeMessage, WireError,
+};
+
+/// Longest wait for a TCP connection to a peer; a live peer answers within a few milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Why a call to a peer failed.
+#[derive(Debug, Clone, Display, Error)]
+pub enum PeerError {
+    /// cannot connect to {address}: {kind}
+    Connect {
+        /// Address of the peer.
+        address: SocketAddr,
+        /// Kind of the I/O error.
+        kind: std::io::ErrorKind,
+    },
+    /// no reply within {0:?}
+    Timeout(Duration),
+    /// call failed: {0}
+    Rpc(capnp::Error),
+    /// invalid reply: {0}
+    Wire(#[from] WireError),
+}
+
+impl PeerError {
+    /// Returns true if the peer cannot have received the call.
+    #[must_use]
+    pub fn surely_not_sent(&self) -> bool {
+        matches!(self, Self::Connect { .. })
+    }
+}
+
+impl From<capnp::Error> for PeerError {
+    fn from(error: capnp::Error) -> Self {
+        Self::Rpc(error)
+    }
+}
+
+type ClientCell = Rc<OnceCell<peer::Client>>;
+
+/// Cached RPC connections, one for each peer address.
+#[derive(Default)]
+pub struct PeerPool {
+    /// Sorted by address.
+    cells: RefCell<Vec<(SocketAddr, ClientCell)>>,
+}
+
+impl PeerPool {
+    /// Sends a batch to a gatherer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer cannot be reached or does not answer in time.
+    pub async fn gather(
+        &self,
+        address: SocketAddr,
+        batch: &Batch,
+        timeout: Duration,
+    ) -> Result<BatchReply, PeerError> {
+        self.call(address, timeout, async |client| {
+            let mut request = client.gather_request();
+            batch.write(request.get().init_batch());
+            let response = request.send().promise.await?;
+            Ok(BatchReply::read(response.get()?.get_reply()?)?)
+        })
+        .await
+    }
+
+    /// Passes a ticketed query to its issuer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer cannot be reached or does not answer in time.
+    pub async fn run(
+        &self,
+        address: SocketAddr,
+        query: &CallerQuery,
+        timeout: Duration,
+    ) -> Result<CallerAnswer, PeerError> {
+        self.call(address, timeout, async |client| {
+            let mut request = client.run_request();
+            query.write(request.get().init_query());
+            let response = request.send().promise.await?;
+            Ok(CallerAnswer::read(response.get()?.get_answer()?)?)
+        })
+        .await
+    }
+
+    /// Exchanges heartbeats with a peer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer cannot be reached or does not answer in time.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        message: &HeartbeatMessage,
+        timeout: Duration,
+    ) -> Result<HeartbeatMessage, PeerError> {
+        self.call(address, timeout, async |client| {
+            let mut request = client.exchange_request();
+            wire::write_heartbeat(message, request.get().init_heartbeat());
+            let response = request.send().promise.await?;
+            Ok(wire::read_heartbeat(response.get()?.get_heartbeat()?)?)
+        })
+        .await
+    }
+
+    /// Fetches a peer's settings tree if it is newer than the revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer cannot be reached or does not answer in time.
+    pub async fn fetch_settings(
+        &self,
+        address: SocketAddr,
+        above: Revision,
+        timeout: Duration,
+    ) -> Result<Option<SettingsTreeMessage>, PeerError> {
+        self.call(address, timeout, async |client| {
+            let mut request = client.fetch_settings_request();
+            request.get().set_above_revision(above.0);
+            let response = request.send().promise.await?;
+            Ok(wire::read_settings_tree(response.get()?.get_tree()?)?)
+        })
+        .await
+    }
+
+    /// Fetches a peer's VM list if it is newer than the revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer cannot be reached or does not answer in time.
+    pub async fn fetch_vm_list(
+        &self,
+        address: SocketAddr,
+        above: Revision,
+        timeout: Duration,
+    ) -> Result<Option<VmList>, PeerError> {
+        self.call(address, timeout, async |client| {
+            let mut request = client.fetch_vm_list_request();
+            request.get().set_above_revision(above.0);
+            let response = request.send().promise.await?;
+            Ok(wire::read_vm_list(response.get()?.get_list()?)?)
+        })
+        .await
+    }
+
+    /// Asks a peer for a lease of units of a team's limit; returns the units and the lease time.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer cannot be reached or does not answer in time.
+    pub async fn borrow_share(
+        &self,
+        address: SocketAddr,
+        team: &str,
+        borrower: &VmName,
+        units: u64,
+        timeout: Duration,
+    ) -> Result<(u64, Duration), PeerError> {
+        self.call(address, timeout, async |client| {
+            let mut request = client.borrow_share_request();
+            request.get().set_team(team);
+            request.get().set_borrower(borrower.as_str());
+            request.get().set_units(units);
+            let response = request.send().promise.await?;
+            let reply = response.get()?;
+            let lease = Duration::from_millis(reply.get_lease_ms());
+            Ok((reply.get_granted_units(), lease))
+        })
+        .await
+    }
+
+    async fn call<T>(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+        send: impl AsyncFnOnce(peer::Client) -> Result<T, PeerError>,
+    ) -> Result<T, PeerError> {
+        let cell = self.cell(address);
+        let client = cell.get_or_try_init(|| connect(address)).await;
+        let client = client.inspect_err(|_| self.evict(address, &cell))?.clone();
+        let result = match tokio::time::timeout(timeout, send(client)).await {
+            Ok(result) => result,
+            Err(_elapsed) => Err(PeerError::Timeout(timeout)),
+        };
+        if let Err(PeerError::Rpc(error)) = &result
+            && error.kind == capnp::ErrorKind::Disconnected
+        {
+            self.evict(address, &cell);
+        }
+        result
+    }
+
+    fn cell(&self, address: SocketAddr) -> ClientCell {
+        let mut cells = self.cells.borrow_mut();
+        match cells.binary_search_by_key(&address, |(key, _)| *key) {
+            Ok(index) => Rc::clone(&cells[index].1),
+            Err(index) => {
+                let cell = ClientCell::default();
+                cells.insert(index, (address, Rc::clone(&cell)));
+                cell
+            }
+        }
+    }
+
+    /// Forgets a connection, unless another task has already replaced it.
+    fn evict(&self, address: SocketAddr, cell: &ClientCell) {
+        let mut cells = self.cells.borrow_mut();
+        if let Ok(index) = cells.binary_search_by_key(&address, |(key, _)| *key)
+            && Rc::ptr_eq(&cells[index].1, cell)
+        {
+            cells.remove(index);
+        }
+    }
+}
+
+impl std::fmt::Debug for PeerPool {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("PeerPool")
+            .field("connections", &self.cells.borrow().len())
+            .finish()
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<peer::Client, PeerError> {
+    let failed = |kind| PeerError::Connect { address, kind };
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(|_elapsed| failed(std::io::ErrorKind::TimedOut))?
+        .map_err(|error| failed(error.kind()))?;
+    stream
+        .set_nodelay(true)
+        .map_err(|error| failed(error.kind()))?;
+    let (reader, writer) = stream.compat().split();
+    let network = twoparty::VatNetwork::new(
+        futures::io::BufReader::new(reader),
+        futures::io::BufWriter::new(writer),
+        rpc_twoparty_capnp::Side::Client,
+        capnp::message::ReaderOptions::default(),
+    );
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let client: peer::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+    tokio::task::spawn_local(async move {
+        if let Err(error) = system.await {
+            log::debug!("peers: A connection ended: {error}.");
+        }
+    });
+    Ok(client)
+}
+
+/// Builds the promise that an RPC method returns from an ordinary future.
+pub(super) fn promise(
+    future: impl Future<Output = Result<(), capnp::Error>> + 'static,
+) -> Promise<(), capnp::Error> {
+    Promise::from_future(future)
+}
--- /dev/null
+++ b/crates/daemon/src/workers.rs
@@ -0,0 +1,156 @@
+//! The worker pool.
+//!
+//! A worker is a thread with a current-thread runtime and a local set, because capnp-rpc's types
+//! are not `Send`. RPC connections stay with the worker that opened or accepted them; everything
+//! that workers share lives in [`Shared`](crate::shared::Shared).
+
+use std::fmt;
+use std::net::TcpStream;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread::JoinHandle;
+
+use displaydoc::Display;
+use thiserror::Error;
+use tokio::runtime;
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+
+use crate::peers::{PeerPool, serve_peer};
+use crate::shared::Shared;
+
+/// What one worker's tasks use.
+#[derive(Debug)]
+pub struct Worker {
+    /// Tables shared by all workers.
+    pub shared: Arc<Shared>,
+    /// RPC connections of this worker.
+    pub peers: PeerPool,
+}
+
+type LocalFuture = Pin<Box<dyn Future<Output = ()>>>;
+
+/// A task that a worker starts on its local set.
+type LocalTask = Box<dyn FnOnce(Rc<Worker>) -> LocalFuture + Send>;
+
+enum Job {
+    Run(LocalTask),
+    Accept(TcpStream),
+    Stop,
+}
+
+/// Why the pool could not start.
+#[derive(Debug, Display, Error)]
+pub enum WorkerError {
+    /// cannot start a worker thread: {0}
+    Thread(std::io::Error),
+    /// cannot create a worker's runtime: {0}
+    Runtime(std::io::Error),
+}
+
+/// The threads that run queries, gather from leafs and talk to peers.
+pub struct WorkerPool {
+    senders: Vec<mpsc::UnboundedSender<Job>>,
+    threads: Vec<JoinHandle<()>>,
+    next: AtomicUsize,
+}
+
+impl WorkerPool {
+    /// Starts the threads.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system refuses a thread or a runtime.
+    pub fn start(shared: &Arc<Shared>, workers: usize) -> Result<Self, WorkerError> {
+        let mut senders = Vec::with_capacity(workers);
+        let mut threads = Vec::with_capacity(workers);
+        for index in 0..workers.max(1) {
+            let (sender, receiver) = mpsc::unbounded_channel();
+            let runtime = runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .map_err(WorkerError::Runtime)?;
+            let shared = Arc::clone(shared);
+            let thread = std::thread::Builder::new()
+                .name(format!("worker-{index}"))
+                .spawn(move || run_worker(&runtime, shared, receiver))
+                .map_err(WorkerError::Thread)?;
+            senders.push(sender);
+            threads.push(thread);
+        }
+        Ok(Self {
+            senders,
+            threads,
+            next: AtomicUsize::new(0),
+        })
+    }
+
+    /// Starts a task on the next worker in turn.
+    pub fn spawn<F, T>(&self, task: F)
+    where
+        F: FnOnce(Rc<Worker>) -> T + Send + 'static,
+        T: Future<Output = ()> + 'static,
+    {
+        self.send(Job::Run(Box::new(move |worker| Box::pin(task(worker)))));
+    }
+
+    /// Hands an accepted RPC connection to the next worker in turn.
+    pub fn accept(&self, stream: TcpStream) {
+        self.send(Job::Accept(stream));
+    }
+
+    /// Stops all workers and waits for their threads.
+    pub fn stop(&mut self) {
+        for sender in &self.senders {
+            // A worker that already ended needs no stop.
+            let _ = sender.send(Job::Stop);
+        }
+        for thread in self.threads.drain(..) {
+            if thread.join().is_err() {
+                log::error!("worker: A worker thread panicked.");
+            }
+        }
+    }
+
+    fn send(&self, job: Job) {
+        let index = self.next.fetch_add(1, Ordering::Relaxed) % self.senders.len();
+        if self.senders[index].send(job).is_err() {
+            log::debug!("worker: A job arrived after the stop.");
+        }
+    }
+}
+
+impl fmt::Debug for WorkerPool {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("WorkerPool")
+            .field("workers", &self.threads.len())
+            .finish_non_exhaustive()
+    }
+}
+
+fn run_worker(
+    runtime: &runtime::Runtime,
+    shared: Arc<Shared>,
+    mut jobs: mpsc::UnboundedReceiver<Job>,
+) {
+    let worker = Rc::new(Worker {
+        shared,
+        peers: PeerPool::default(),
+    });
+    let local = LocalSet::new();
+    local.block_on(runtime, async move {
+        while let Some(job) = jobs.recv().await {
+            match job {
+                Job::Run(task) => {
+                    tokio::task::spawn_local(task(Rc::clone(&worker)));
+                }
+                Job::Accept(stream) => {
+                    tokio::task::spawn_local(serve_peer(Rc::clone(&worker), stream));
+                }
+                Job::Stop => break,
+            }
+        }
+    });
+}
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -108,6 +108,28 @@
   settingsDigest @3 :UInt64;
   updates @4 :List(MemberUpdate);
   quarantines @5 :List(Quarantine);
+  # Address of the sender's RPC listener. A daemon that starts while the platform is down
+  # learns from it where to fetch the settings and the VM list.
+  senderAddress @6 :Text;
+}
+
+enum VmState {
+  live @0;
+  leaving @1;
+}
+
+struct Vm {
+  name @0 :Text;
+  rpcAddress @1 :Text;
+  failureDomain @2 :Text;
+  region @3 :Text;
+  state @4 :VmState;
+}
+
+struct VmList {
+  # Zero means that the peer has nothing above the revision asked for.
+  revision @0 :UInt64;
+  vms @1 :List(Vm);
 }
 
 struct SettingsText {
@@ -132,5 +154,5 @@
   exchange @2 (heartbeat :Heartbeat) -> (heartbeat :Heartbeat);
   fetchSettings @3 (aboveRevision :UInt64) -> (tree :SettingsTree);
   borrowShare @4 (team :Text, borrower :Text, units :UInt64) -> (grantedUnits :UInt64, leaseMs :UInt64);
-  cancel @5 (requestIdHigh :UInt64, requestIdLow :UInt64) -> ();
+  fetchVmList @5 (aboveRevision :UInt64) -> (list :VmList);
 }
--- /dev/null
+++ b/crates/wire/src/error.rs
@@ -0,0 +1,38 @@
+//! Errors of the conversions.
+
+use displaydoc::Display;
+use thiserror::Error;
+
+/// Why a received message could not be parsed.
+#[derive(Debug, Clone, Display, Error)]
+pub enum WireError {
+    /// malformed message: {0}
+    Malformed(#[from] capnp::Error),
+    /// text is not UTF-8: {0}
+    Text(#[from] std::str::Utf8Error),
+    /// unknown enum value: {0}
+    Enum(#[from] capnp::NotInSchema),
+    /// invalid address: {0}
+    Address(#[from] std::net::AddrParseError),
+    /// list of {field} has {count} entries, above the limit of {limit}
+    TooLong {
+        /// Name of the field.
+        field: &'static str,
+        /// Entries in the message.
+        count: u32,
+        /// Entries allowed.
+        limit: u32,
+    },
+}
+
+/// Refuses a list that is longer than any valid message holds.
+pub(crate) fn check_length(field: &'static str, count: u32, limit: u32) -> Result<u32, WireError> {
+    if count > limit {
+        return Err(WireError::TooLong {
+            field,
+            count,
+            limit,
+        });
+    }
+    Ok(count)
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,4 +1,12 @@
-//! The daemon-to-daemon protocol: committed generated code and conversions.
+//! The daemon-to-daemon protocol: committed generated code, plain message types and conversions.
+//!
+//! A message is parsed into its plain type as soon as it arrives; nothing else in the system
+//! touches Cap'n Proto readers.
+
+mod batch;
+mod error;
+mod fleet;
+mod query;
 
 #[allow(
     clippy::all,
@@ -15,3 +23,11 @@
 #[rustfmt::skip]
 #[path = "generated/peer_capnp.rs"]
 pub mod peer_capnp;
+
+pub use crate::batch::{Batch, BatchReply, ShardResult, ShardTask};
+pub use crate::error::WireError;
+pub use crate::fleet::{
+    HeartbeatMessage, SettingsText, SettingsTreeMessage, read_heartbeat, read_settings_tree,
+    read_vm_list, write_heartbeat, write_settings_tree, write_vm_list,
+};
+pub use crate::query::{CallerAnswer, CallerQuery};
