Add leaf groups, their holders and the handover gate

Daemons must divide the connections of the leafs without shared state. The ranks of a group's holders depend on the VM list only, and a gate delays a daemon that gains a rank until at most two former holders have yet to acknowledge a list that does not rank them.

--- a/crates/medlarpin-core/src/lib.rs
+++ b/crates/medlarpin-core/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod catalog;
 pub mod clock;
 pub mod ids;
+pub mod ownership;
 pub mod prelude;
--- /dev/null
+++ b/crates/medlarpin-core/tests/ownership.rs
@@ -0,0 +1,335 @@
+//! Tests of leaf groups, their holders and the handover between holders.
+
+use std::net::SocketAddr;
+
+use medlarpin_core::ownership::{
+    HOLDERS, HandoverGate, HolderHistory, LeafGroup, active_holder, connection_share,
+    direct_connection_share, group_leafs, rank_holders,
+};
+use medlarpin_core::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const DOMAINS: [&str; 3] = ["agadir", "tiznit", "essaouira"];
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+fn vm(index: usize, domains: usize) -> Vm {
+    Vm {
+        name: VmName::new(&format!("vm-{index:03}")),
+        rpc_address: address(),
+        failure_domain: FailureDomain::new(DOMAINS[index % domains]),
+        region: Region::new("souss"),
+        state: VmState::Live,
+    }
+}
+
+fn list(revision: u64, vms: impl IntoIterator<Item = Vm>) -> VmList {
+    VmList::new(Revision(revision), vms.into_iter().collect())
+}
+
+fn groups(leafs_per_domain: usize) -> Vec<LeafGroup> {
+    let leafs = (0..leafs_per_domain * DOMAINS.len()).map(|index| Leaf {
+        id: LeafId::new(&format!("leaf-{index:05}")),
+        address: address(),
+        failure_domain: FailureDomain::new(DOMAINS[index % DOMAINS.len()]),
+        slots: 2,
+        connection_limit: 60,
+        new_connection_ms: 6,
+    });
+    group_leafs(&Service::new(
+        ServiceName::new("order-desk"),
+        leafs.collect(),
+    ))
+}
+
+/// Guards against lost, mixed or oversized leaf groups.
+#[test]
+fn groups_hold_each_leaf_once() {
+    let groups = groups(20);
+    let sizes: Vec<usize> = groups.iter().map(|group| group.leafs().len()).collect();
+    assert_eq!(sizes, [16, 4, 16, 4, 16, 4]);
+    assert!(groups.is_sorted_by(|a, b| a.id() < b.id()));
+    assert!(groups[0].contains(&groups[0].leafs()[3]));
+    assert!(!groups[1].contains(&groups[0].leafs()[3]));
+}
+
+/// Guards against holders that fall with one failure domain, are leaving, or are missing.
+#[test]
+fn holders_span_failure_domains() {
+    fn check(counts: [usize; 3], expected_own: usize, expected: usize) {
+        let mut next = 0;
+        let mut vms = Vec::new();
+        for (count, domain) in counts.into_iter().zip(DOMAINS) {
+            for _ in 0..count {
+                let failure_domain = FailureDomain::new(domain);
+                vms.push(Vm {
+                    failure_domain,
+                    ..vm(next, 1)
+                });
+                next += 1;
+            }
+        }
+        let leaving = Vm {
+            state: VmState::Leaving,
+            ..vm(999, 1)
+        };
+        let vms = list(1, vms.into_iter().chain([leaving]));
+        for group in groups(64)
+            .iter()
+            .filter(|g| g.id().failure_domain.as_str() == DOMAINS[0])
+        {
+            let holders = rank_holders(group, &vms);
+            let domain = |name| &vms.get(name).unwrap().failure_domain;
+            let own = holders
+                .iter()
+                .filter(|name| *domain(name) == group.id().failure_domain);
+            assert_eq!(
+                (own.count(), holders.len()),
+                (expected_own, expected),
+                "{counts:?}"
+            );
+            let spread = holders
+                .iter()
+                .any(|name| domain(name) != domain(&holders[0]));
+            assert_eq!(
+                spread,
+                counts.iter().filter(|c| **c > 0).count() > 1,
+                "{counts:?}"
+            );
+        }
+    }
+    check([7, 7, 6], 3, HOLDERS);
+    check([2, 7, 6], 2, HOLDERS);
+    check([0, 7, 1], 0, HOLDERS);
+    check([7, 0, 0], HOLDERS, HOLDERS);
+    check([1, 1, 0], 1, 2);
+    check([0, 0, 0], 0, 0);
+}
+
+/// Guards against a VM change that moves groups which the VM does not hold.
+#[test]
+fn one_vm_moves_its_share_of_groups() {
+    let groups = groups(16 * 700);
+    let all: Vec<Vm> = (0..500).map(|index| vm(index, 3)).collect();
+    let full = list(1, all.clone());
+    let fair_share = groups.len() * HOLDERS / all.len();
+    for removed in [0, 17, 254, 499] {
+        let name = &all[removed].name;
+        let fewer = list(2, all.iter().filter(|vm| vm.name != *name).cloned());
+        let mut moved = 0;
+        for group in &groups {
+            let (with, without) = (rank_holders(group, &full), rank_holders(group, &fewer));
+            assert_eq!(with.contains(name), with != without);
+            let kept = with
+                .iter()
+                .filter(|holder| without.contains(holder))
+                .count();
+            assert!(kept >= HOLDERS - 1);
+            moved += usize::from(with != without);
+        }
+        assert!(
+            (fair_share / 2..fair_share * 2).contains(&moved),
+            "{moved} of {fair_share}"
+        );
+    }
+}
+
+/// Guards against shares whose sum exceeds the limit and against a wrong active holder.
+#[test]
+fn shares_and_active_holder() {
+    assert_eq!([6, 60, 65, 250].map(connection_share), [1, 10, 10, 41]);
+    assert_eq!(
+        [0, 1, 20, 500].map(|n| direct_connection_share(60, n)),
+        [60, 60, 3, 0]
+    );
+    let holders = ["a", "b"].map(VmName::from);
+    assert_eq!(
+        active_holder(&holders, |vm| vm.as_str() != "a"),
+        Some(&holders[1])
+    );
+    assert_eq!(active_holder(&holders, |_| false), None);
+}
+
+const FLEET: usize = 14;
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// The platform publishes a list: 0 and 1 leave a VM out, 2 marks it as leaving.
+    Publish(Vec<u8>),
+    /// The daemon adopts the next list.
+    Adopt(usize),
+    /// The daemon jumps to the newest list that a peer with a full history has.
+    Skip(usize),
+    /// The daemon restarts at the newest list that a peer with a full history has.
+    Restart(usize),
+    /// The first daemon receives a heartbeat of the second.
+    Hear(usize, usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => proptest::collection::vec(0..6u8, FLEET).prop_map(Step::Publish),
+        12 => (0..FLEET).prop_map(Step::Adopt),
+        3 => (0..FLEET).prop_map(Step::Skip),
+        2 => (0..FLEET).prop_map(Step::Restart),
+        30 => (0..FLEET, 0..FLEET).prop_map(|(to, from)| Step::Hear(to, from)),
+    ]
+}
+
+struct Fleet {
+    group: LeafGroup,
+    lists: Vec<VmList>,
+    /// Gate and index of the adopted list of each daemon.
+    daemons: Vec<(HandoverGate, usize)>,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let group = groups(1).remove(0);
+        let lists = vec![list(0, []), list(1, (0..FLEET).map(|index| vm(index, 3)))];
+        let daemons = (0..FLEET).map(|index| {
+            let mut gate = HandoverGate::new(vm(index, 3).name);
+            gate.adopt(&group, &lists[0], &lists[1]);
+            // The first list of the whole fleet: its empty past is a full history.
+            let history = HolderHistory {
+                revision: Revision(1),
+                holders: Vec::new(),
+            };
+            gate.inherit(group.id(), &history);
+            (gate, 1)
+        });
+        Self {
+            daemons: daemons.collect(),
+            group,
+            lists,
+        }
+    }
+
+    fn run(&mut self, step: &Step) {
+        match *step {
+            Step::Publish(ref states) => {
+                let mut vms = Vec::new();
+                for (index, state) in states.iter().enumerate().filter(|(_, state)| **state > 1) {
+                    let state = if *state == 2 {
+                        VmState::Leaving
+                    } else {
+                        VmState::Live
+                    };
+                    vms.push(Vm {
+                        state,
+                        ..vm(index, 3)
+                    });
+                }
+                self.lists.push(list(self.lists.len() as u64, vms));
+            }
+            Step::Adopt(daemon) => {
+                let (gate, at) = &mut self.daemons[daemon];
+                if let Some(next) = self.lists.get(*at + 1) {
+                    gate.adopt(&self.group, &self.lists[*at], next);
+                    *at += 1;
+                }
+            }
+            Step::Skip(daemon) => self.jump(daemon, false),
+            Step::Restart(daemon) => self.jump(daemon, true),
+            Step::Hear(to, from) => {
+                let revision = self.lists[self.daemons[from].1].revision();
+                self.daemons[to].0.acknowledge(&vm(from, 3).name, revision);
+            }
+        }
+    }
+
+    fn jump(&mut self, daemon: usize, restart: bool) {
+        let others = self
+            .daemons
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| *index != daemon);
+        let best = others
+            .map(|(_, (gate, at))| (*at, gate))
+            .max_by_key(|(at, _)| *at);
+        let (newest, peer) = best.unwrap();
+        let history = peer.history(self.group.id()).unwrap();
+        let at = self.daemons[daemon].1;
+        if newest < at || (newest == at && !restart) {
+            return;
+        }
+        let (gate, at) = &mut self.daemons[daemon];
+        if restart {
+            *gate = HandoverGate::new(vm(daemon, 3).name);
+            gate.adopt(&self.group, &self.lists[0], &self.lists[newest]);
+        } else {
+            gate.adopt(&self.group, &self.lists[*at], &self.lists[newest]);
+        }
+        *at = newest;
+        gate.inherit(self.group.id(), &history);
+    }
+
+    fn may_open(&mut self, limit: u32) -> u32 {
+        let id = self.group.id();
+        let open = self
+            .daemons
+            .iter_mut()
+            .filter_map(|(gate, _)| gate.may_open(id).then_some(()));
+        open.map(|()| connection_share(limit)).sum()
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1000,
+        rng_seed: RngSeed::Fixed(42),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against more connections to a leaf than its limit while daemons, listed or not, are
+    /// at different lists; the daemons in `stuck` never adopt another list.
+    #[test]
+    fn connections_stay_within_the_limit(
+        steps in proptest::collection::vec(step(), 1..150),
+        stuck in proptest::collection::vec(0..FLEET, 0..5),
+    ) {
+        let mut fleet = Fleet::new();
+        for step in steps {
+            match step {
+                Step::Adopt(daemon) | Step::Skip(daemon) | Step::Restart(daemon)
+                    if stuck.contains(&daemon) => {}
+                _ => fleet.run(&step),
+            }
+            let opened = fleet.may_open(60);
+            prop_assert!(opened <= 60, "{opened} connections after {step:?}");
+        }
+    }
+}
+
+/// Guards against a handover that never ends or ends too early.
+#[test]
+fn gate_opens_when_displaced_holders_acknowledge() {
+    let group = &groups(1)[0];
+    let old = list(1, (0..8).map(|index| vm(index, 3)));
+    let holders = rank_holders(group, &old);
+    let stay = |vm: &Vm| !holders[..3].contains(&vm.name);
+    let new = list(2, old.vms().iter().filter(|vm| stay(vm)).cloned());
+    let gained = rank_holders(group, &new)[0].clone();
+    let gate_after = |settle: fn(&mut HandoverGate, &VmName)| {
+        let mut gate = HandoverGate::new(gained.clone());
+        gate.adopt(group, &list(0, []), &old);
+        gate.adopt(group, &old, &new);
+        // The stand-ins for unknown former holders have all adopted the new list.
+        new.vms()
+            .iter()
+            .for_each(|vm| gate.acknowledge(&vm.name, new.revision()));
+        assert!(!gate.may_open(group.id()));
+        assert_eq!(gate.awaited(group.id()).len(), 3);
+        settle(&mut gate, &holders[0]);
+        gate.may_open(group.id())
+    };
+    assert!(!gate_after(|gate, vm| gate.acknowledge(vm, Revision(1))));
+    assert!(gate_after(|gate, vm| gate.acknowledge(vm, Revision(2))));
+    assert!(gate_after(HandoverGate::confirm_stopped));
+    // An acknowledgement of a list unknown here may hide a regained rank.
+    assert!(!gate_after(|gate, vm| gate.acknowledge(vm, Revision(3))));
+}
