--- a/crates/medlarpin-core/src/lib.rs
+++ b/crates/medlarpin-core/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod catalog;
 pub mod clock;
 pub mod ids;
+pub mod membership;
 pub mod ownership;
 pub mod prelude;
