--- a/crates/medlarpin-core/src/lib.rs
+++ b/crates/medlarpin-core/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod ids;
 pub mod membership;
 pub mod ownership;
+pub mod pause;
 pub mod prelude;
