--- a/crates/medlarpin-core/src/lib.rs
+++ b/crates/medlarpin-core/src/lib.rs
@@ -7,4 +7,7 @@
 pub mod catalog;
 pub mod clock;
 pub mod ids;
+pub mod membership;
+pub mod ownership;
+pub mod pause;
 pub mod prelude;
