Add the fair queue of a leaf

A leaf's slots are shared by all teams; arrival order lets one team starve the others. FairQueue serves teams by deficit round robin, refuses work that cannot be sent in time and expires entries that cannot finish. The wait estimate counts the team's own entries and what round robin serves before them. FirstCome stays as the baseline of measurements.

--- /dev/null
+++ b/crates/medlarpin-core/src/fair_queue.rs
@@ -0,0 +1,311 @@
+//! Queue of one leaf that divides its slots among teams.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use displaydoc::Display;
+use thiserror::Error;
+
+use crate::ids::TeamName;
+use crate::sliding_window::{SlidingWindow, as_micros};
+
+/// Entries that one team may have in one queue.
+pub const TEAM_CAPACITY: usize = 256;
+
+/// Order in which a queue serves teams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Discipline {
+    /// Deficit round robin over teams by weight.
+    #[default]
+    FairShare,
+    /// Arrival order, whatever the team; the baseline of measurements.
+    FirstCome,
+}
+
+/// Why a queue refused an entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+pub enum QueueRefusal {
+    /// the team's part of the queue is full
+    TeamFull,
+    /// the estimated wait of {estimate:?} exceeds the time left
+    WaitTooLong {
+        /// Estimated time until the entry would be sent.
+        estimate: Duration,
+    },
+    /// the deadline has passed
+    DeadlinePassed,
+}
+
+/// Result of taking an entry from a queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Popped<T> {
+    /// The entry to send now.
+    Ready(T),
+    /// An entry that can no longer finish in time; it was never sent.
+    Expired(T),
+    /// Nothing waits.
+    Empty,
+}
+
+#[derive(Debug)]
+struct Entry<T> {
+    sequence: u64,
+    pushed_at: Instant,
+    deadline: Instant,
+    item: T,
+}
+
+#[derive(Debug)]
+struct TeamQueue<T> {
+    team: TeamName,
+    /// At least 1.
+    weight: u64,
+    /// What the team may still spend in its turn; a team that has no entries keeps none.
+    deficit: u64,
+    /// True once the quantum of the present turn has been added.
+    in_turn: bool,
+    /// Never empty while the team is in the ring.
+    entries: VecDeque<Entry<T>>,
+}
+
+/// Deadline-aware queue of one leaf with deficit round robin over teams.
+#[derive(Debug)]
+pub struct FairQueue<T> {
+    discipline: Discipline,
+    /// Teams with waiting entries, in the order of service; the front has the turn.
+    ring: VecDeque<TeamQueue<T>>,
+    next_sequence: u64,
+    /// Requests that the leaf processes at once; at least 1.
+    parallelism: u32,
+    /// Moving mean of service times; zero until the first one is known.
+    mean_service: Duration,
+    /// Lower estimate of the service time; follows fast answers at once and slow ones gradually.
+    fast_service: Duration,
+    waits: SlidingWindow,
+}
+
+impl<T> Default for FairQueue<T> {
+    fn default() -> Self {
+        Self::new(Discipline::FairShare)
+    }
+}
+
+impl<T> FairQueue<T> {
+    /// Creates an empty queue for a leaf with one slot.
+    #[must_use]
+    pub fn new(discipline: Discipline) -> Self {
+        Self {
+            discipline,
+            ring: VecDeque::new(),
+            next_sequence: 0,
+            parallelism: 1,
+            mean_service: Duration::ZERO,
+            fast_service: Duration::ZERO,
+            waits: SlidingWindow::new(),
+        }
+    }
+
+    /// Adds an entry, or gives it back if it cannot be served in time.
+    ///
+    /// # Errors
+    ///
+    /// Returns the item and the reason if the team's part is full, the deadline has passed, or the
+    /// estimated wait exceeds the time left.
+    pub fn push(
+        &mut self,
+        team: &TeamName,
+        weight: u32,
+        deadline: Instant,
+        item: T,
+        now: Instant,
+    ) -> Result<(), (T, QueueRefusal)> {
+        let weight = u64::from(weight.max(1));
+        if let Err(refusal) = self.check(team, weight, deadline, now) {
+            return Err((item, refusal));
+        }
+        let entry = Entry {
+            sequence: self.next_sequence,
+            pushed_at: now,
+            deadline,
+            item,
+        };
+        self.next_sequence += 1;
+        if let Some(queue) = self.ring.iter_mut().find(|queue| queue.team == *team) {
+            queue.weight = weight;
+            queue.entries.push_back(entry);
+        } else {
+            self.ring.push_back(TeamQueue {
+                team: team.clone(),
+                weight,
+                deficit: 0,
+                in_turn: false,
+                entries: VecDeque::from([entry]),
+            });
+        }
+        Ok(())
+    }
+
+    /// Takes the next entry; an expired one costs its team nothing.
+    pub fn pop(&mut self, now: Instant) -> Popped<T> {
+        let index = match self.discipline {
+            Discipline::FairShare => self.fair_turn(),
+            Discipline::FirstCome => self.oldest(),
+        };
+        let Some(queue) = index.and_then(|index| self.ring.get_mut(index)) else {
+            return Popped::Empty;
+        };
+        let Some(entry) = queue.entries.pop_front() else {
+            return Popped::Empty;
+        };
+        let popped = if now + self.fast_service > entry.deadline {
+            if now <= entry.deadline {
+                // Without this, an estimate above every deadline would expire all entries, no
+                // request would be sent, and the estimate could never fall again.
+                self.fast_service = self.fast_service * 7 / 8;
+            }
+            Popped::Expired(entry.item)
+        } else {
+            Popped::Ready(entry.item)
+        };
+        let wait = now.saturating_duration_since(entry.pushed_at);
+        self.waits.record(as_micros(wait), now);
+        self.settle(index, matches!(popped, Popped::Ready(_)));
+        popped
+    }
+
+    /// Returns the number of waiting entries.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.ring.iter().map(|queue| queue.entries.len()).sum()
+    }
+
+    /// Returns true if nothing waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.ring.is_empty()
+    }
+
+    /// Records how long the leaf took to serve a request.
+    pub fn record_service_time(&mut self, service: Duration) {
+        if self.mean_service.is_zero() {
+            self.mean_service = service;
+            self.fast_service = service;
+            return;
+        }
+        self.mean_service = self.mean_service * 7 / 8 + service / 8;
+        self.fast_service = service.min(self.fast_service * 63 / 64 + service / 64);
+    }
+
+    /// Sets the number of requests that the leaf processes at once.
+    pub fn set_parallelism(&mut self, slots: u32) {
+        self.parallelism = slots.max(1);
+    }
+
+    /// Returns the mean wait of the entries that left the queue in the last second.
+    ///
+    /// If none left, the wait of the oldest entry so far is returned, so that a leaf that takes
+    /// nothing does not look idle.
+    #[must_use]
+    pub fn mean_queue_wait(&self, now: Instant) -> Duration {
+        if let Some(mean) = self.waits.sum(now).checked_div(self.waits.count(now)) {
+            return Duration::from_micros(mean);
+        }
+        let oldest = self.oldest().and_then(|index| self.ring.get(index));
+        oldest
+            .and_then(|queue| queue.entries.front())
+            .map_or(Duration::ZERO, |entry| {
+                now.saturating_duration_since(entry.pushed_at)
+            })
+    }
+
+    /// Estimates how long a new entry of the team would wait.
+    ///
+    /// Counts the team's own entries, and of each other team only what round robin serves before
+    /// the new entry, so a long queue of one team does not cause refusals for another.
+    #[must_use]
+    pub fn estimated_wait(&self, team: &TeamName, weight: u32) -> Duration {
+        self.estimate(team, u64::from(weight.max(1)))
+    }
+
+    fn check(
+        &self,
+        team: &TeamName,
+        weight: u64,
+        deadline: Instant,
+        now: Instant,
+    ) -> Result<(), QueueRefusal> {
+        if deadline <= now {
+            return Err(QueueRefusal::DeadlinePassed);
+        }
+        if self.team_len(team) >= TEAM_CAPACITY {
+            return Err(QueueRefusal::TeamFull);
+        }
+        let estimate = self.estimate(team, weight);
+        if estimate > deadline - now {
+            return Err(QueueRefusal::WaitTooLong { estimate });
+        }
+        Ok(())
+    }
+
+    fn team_len(&self, team: &TeamName) -> usize {
+        let queue = self.ring.iter().find(|queue| queue.team == *team);
+        queue.map_or(0, |queue| queue.entries.len())
+    }
+
+    fn estimate(&self, team: &TeamName, weight: u64) -> Duration {
+        let own = self.team_len(team) as u64;
+        let ahead = match self.discipline {
+            Discipline::FirstCome => self.len() as u64,
+            Discipline::FairShare => {
+                let others = self.ring.iter().filter(|queue| queue.team != *team);
+                let served_before = others.map(|queue| {
+                    let turns = ((own + 1) * queue.weight).div_ceil(weight);
+                    turns.min(queue.entries.len() as u64)
+                });
+                own + served_before.sum::<u64>()
+            }
+        };
+        // Each team holds at most TEAM_CAPACITY entries, so the product stays small.
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        self.mean_service.saturating_mul(ahead) / self.parallelism
+    }
+
+    /// Returns the index of the team whose turn it is, after moving the ring to it.
+    fn fair_turn(&mut self) -> Option<usize> {
+        // One request costs the smallest waiting weight, so each turn serves at least one entry and
+        // weights that are large throughout do not make turns long.
+        let cost = self.ring.iter().map(|queue| queue.weight).min()?;
+        loop {
+            let front = self.ring.front_mut()?;
+            if !front.in_turn {
+                front.in_turn = true;
+                front.deficit += front.weight;
+            }
+            if front.deficit >= cost {
+                return Some(0);
+            }
+            front.in_turn = false;
+            self.ring.rotate_left(1);
+        }
+    }
+
+    fn oldest(&self) -> Option<usize> {
+        let sequence = |queue: &TeamQueue<T>| queue.entries.front().map(|entry| entry.sequence);
+        (0..self.ring.len()).min_by_key(|index| self.ring.get(*index).and_then(sequence))
+    }
+
+    /// Charges the team for an entry that is sent, and removes the team when it has none left.
+    fn settle(&mut self, index: Option<usize>, charged: bool) {
+        let cost = self.ring.iter().map(|queue| queue.weight).min();
+        let Some(index) = index else { return };
+        let Some(queue) = self.ring.get_mut(index) else {
+            return;
+        };
+        if charged {
+            queue.deficit = queue.deficit.saturating_sub(cost.unwrap_or(0));
+        }
+        if queue.entries.is_empty() {
+            self.ring.remove(index);
+        }
+    }
+}
--- a/crates/medlarpin-core/src/lib.rs
+++ b/crates/medlarpin-core/src/lib.rs
@@ -6,5 +6,7 @@
 pub mod answer;
 pub mod catalog;
 pub mod clock;
+pub mod fair_queue;
 pub mod ids;
 pub mod prelude;
+pub mod sliding_window;
