--- a/crates/medlarpin-core/src/lib.rs
+++ b/crates/medlarpin-core/src/lib.rs
@@ -6,7 +6,9 @@
 pub mod answer;
 pub mod catalog;
 pub mod clock;
+pub mod extra_budget;
 pub mod fair_queue;
 pub mod ids;
+pub mod latency_window;
 pub mod prelude;
 pub mod sliding_window;
--- /dev/null
+++ b/crates/medlarpin-core/tests/stragglers.rs
@@ -0,0 +1,118 @@
+//! Tests of the latency window, the hedge delay and the budget of extra requests.
+
+use medlarpin_core::extra_budget::{BURST, ExtraBudget, try_spend_both};
+use medlarpin_core::latency_window::{LatencyWindow, hedge_delay};
+use medlarpin_core::prelude::*;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn window(latencies_ms: impl IntoIterator<Item = u32>, now: Instant) -> LatencyWindow {
+    let mut window = LatencyWindow::new();
+    for latency_ms in latencies_ms {
+        window.record(MS * latency_ms, now);
+    }
+    window
+}
+
+/// Guards against quantiles that are off by more than the precision of a bucket.
+#[test]
+fn quantiles_are_close() {
+    let check = |quantile: f64, exact_ms: f64| {
+        let now = Instant::now();
+        let window = window(1..=1000, now);
+        let found_ms = window.quantile(quantile, now).unwrap().as_secs_f64() * 1000.0;
+        let error = (found_ms - exact_ms).abs() / exact_ms;
+        assert!(error < 1.0 / 16.0, "{quantile}: {found_ms} for {exact_ms}");
+    };
+    check(0.5, 500.0);
+    check(0.95, 950.0);
+    check(0.99, 990.0);
+}
+
+/// Guards against hedging by latencies that are no longer true.
+#[test]
+fn forgets_after_ten_seconds() {
+    let check = |age_ms: u32, expected: u64| {
+        let now = Instant::now();
+        let mut window = window([500; 20], now);
+        window.record(MS, now + MS * age_ms);
+        assert_eq!(
+            window.count(now + MS * age_ms),
+            expected,
+            "after {age_ms} ms"
+        );
+    };
+    check(7_900, 21);
+    check(10_000, 1);
+    check(3_600_000, 1);
+}
+
+/// Guards against hedges that are too early to be useful or too late to finish.
+#[test]
+fn hedge_delay_is_bounded() {
+    let check = |latencies_ms: &[u32], time_left_ms: u32, expected_ms: std::ops::Range<u32>| {
+        let now = Instant::now();
+        let window = window(latencies_ms.iter().copied(), now);
+        let delay = hedge_delay(&window, MS * time_left_ms, now);
+        let expected = MS * expected_ms.start..=MS * expected_ms.end;
+        assert!(expected.contains(&delay), "{delay:?} in {expected:?}");
+    };
+    check(&[], 300, 150..150);
+    check(&[1; 50], 300, 5..5);
+    check(&[1; 50], 6, 3..3);
+    check(&[40; 50], 300, 40..43);
+    check(&[200; 50], 300, 150..150);
+}
+
+/// Guards against extra load above a twentieth and against bursts after a quiet time.
+#[test]
+fn earns_a_twentieth_up_to_the_burst() {
+    let check = |first_requests: u64, expected: u64| {
+        let now = Instant::now();
+        let mut budget = ExtraBudget::new();
+        (0..first_requests).for_each(|_| budget.earn());
+        let granted = (0..1000).filter(|_| budget.try_spend(now)).count();
+        assert_eq!(granted as u64, expected, "{first_requests}");
+    };
+    check(0, 0);
+    check(19, 0);
+    check(20, 1);
+    check(399, 19);
+    check(1_000_000, BURST);
+}
+
+/// Guards against a retry storm: an overloaded service must get no extra requests.
+#[test]
+fn closes_under_overload_and_reopens() {
+    let check = |refused: u32, results: u32, queue_wait_ms: u32, expected: bool| {
+        let now = Instant::now();
+        let mut budget = ExtraBudget::new();
+        (0..400).for_each(|_| budget.earn());
+        for result in 0..results {
+            budget.record_result(result < refused, MS * queue_wait_ms, now);
+        }
+        assert_eq!(
+            budget.try_spend(now + 900 * MS),
+            expected,
+            "{refused}/{results}"
+        );
+        assert!(budget.try_spend(now + 1100 * MS), "stays closed");
+    };
+    check(0, 0, 0, true);
+    check(10, 100, 30, true);
+    check(11, 100, 0, false);
+    check(0, 100, 31, false);
+}
+
+/// Guards against a budget that pays although the other one refuses.
+#[test]
+fn both_budgets_pay_or_neither() {
+    let now = Instant::now();
+    let (mut team, mut service) = (ExtraBudget::new(), ExtraBudget::new());
+    (0..20).for_each(|_| team.earn());
+    assert!(!try_spend_both(&mut team, &mut service, now));
+    assert_eq!(team.extra_requests(), 1);
+    (0..20).for_each(|_| service.earn());
+    assert!(try_spend_both(&mut team, &mut service, now));
+    assert_eq!((team.extra_requests(), service.extra_requests()), (0, 0));
+}
