Add the state of a leaf

A leaf that is cold, overloaded, draining or lost must get no more requests than it can take. Health reports only add suspicion, except for the end of a drain, which takes three ready reports in a row, and more after each time that they proved wrong.

--- /dev/null
+++ b/crates/medlarpin-core/src/leaf_state/drain.rs
@@ -0,0 +1,72 @@
+//! Detection of the end of a drain.
+
+use std::time::{Duration, Instant};
+
+/// Time between health probes of a draining leaf.
+pub const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time without any sign of draining after which trial requests find out the leaf's state.
+///
+/// Without it a leaf whose health endpoint is out of order would never get work again.
+pub const DRAIN_FORGOTTEN: Duration = Duration::from_secs(30);
+
+/// Reports in a row that end a drain the first time; health reports lag by about 2 s.
+const READY_REPORTS: u32 = 3;
+/// Most reports that are needed, however often they proved wrong.
+const READY_REPORTS_MAX: u32 = 60;
+
+/// A drain in progress.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Drain {
+    /// Time of the last sign; `None` if the leaf was removed from the settings.
+    last_sign: Option<Instant>,
+    next_probe: Option<Instant>,
+    ready_reports: u32,
+}
+
+impl Drain {
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            last_sign: Some(now),
+            next_probe: Some(now + PROBE_INTERVAL),
+            ready_reports: 0,
+        }
+    }
+
+    pub(super) fn removed() -> Self {
+        Self {
+            last_sign: None,
+            next_probe: None,
+            ready_reports: 0,
+        }
+    }
+
+    pub(super) fn sign(&mut self, now: Instant) {
+        self.last_sign = self.last_sign.map(|_| now);
+        self.ready_reports = 0;
+    }
+
+    pub(super) fn not_ready(&mut self) {
+        self.ready_reports = 0;
+    }
+
+    /// Counts a `ready` report; returns true if the drain is over.
+    pub(super) fn ready_reported(&mut self, false_returns: u32) -> bool {
+        self.ready_reports = self.ready_reports.saturating_add(1);
+        let needed = (READY_REPORTS << false_returns.min(5)).min(READY_REPORTS_MAX);
+        self.last_sign.is_some() && self.ready_reports >= needed
+    }
+
+    pub(super) fn probe_due(&mut self, now: Instant) -> bool {
+        let due = self.next_probe.is_some_and(|at| now >= at);
+        if due {
+            self.next_probe = Some(now + PROBE_INTERVAL);
+        }
+        due
+    }
+
+    /// Returns when the drain was forgotten, if it was.
+    pub(super) fn forgotten_at(&self, now: Instant) -> Option<Instant> {
+        let at = self.last_sign? + DRAIN_FORGOTTEN;
+        (now >= at).then_some(at)
+    }
+}
--- a/crates/medlarpin-core/src/lib.rs
+++ b/crates/medlarpin-core/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod fair_queue;
 pub mod ids;
 pub mod latency_window;
+pub mod leaf_state;
 pub mod prelude;
 pub mod sliding_window;
