--- a/crates/medlarpin-core/src/lib.rs
+++ b/crates/medlarpin-core/src/lib.rs
@@ -6,8 +6,8 @@
 pub mod answer;
 pub mod catalog;
 pub mod clock;
+pub mod extra_budget;
+pub mod fair_queue;
 pub mod ids;
-pub mod membership;
-pub mod ownership;
-pub mod pause;
-pub mod prelude;
+pub mod latency_window;
+pub mod leaf_state;
