Add single-use tickets

A request that is not idempotent must run at most once, and only a record in one place can decide that in a partitioned fleet. Trees replace sorted vectors here because 100,000 random keys would make each insertion move megabytes.

--- a/crates/medlarpin-core/src/lib.rs
+++ b/crates/medlarpin-core/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod clock;
 pub mod ids;
 pub mod prelude;
+pub mod tickets;
--- /dev/null
+++ b/crates/medlarpin-core/src/tickets/team_records.rs
@@ -0,0 +1,139 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::ids::Fingerprint;
+
+/// State of one issued ticket.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(super) enum RecordState {
+    /// Not used yet, or used by a run that no leaf saw.
+    Usable,
+    /// A request with the ticket is running.
+    Running,
+    /// The run has ended and its outcome is kept under this number.
+    Finished(u64),
+    /// The run has ended and its outcome is not kept.
+    Forgotten,
+}
+
+/// What the issuer knows about one ticket.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(super) struct Record {
+    pub(super) expires: Instant,
+    pub(super) state: RecordState,
+    /// Fingerprint of the first request that used the ticket.
+    pub(super) bound_to: Option<Fingerprint>,
+}
+
+/// The tickets and outcomes of one team.
+///
+/// The stored collections are trees and not sorted vectors: a busy issuer holds 100,000 tickets with
+/// random keys, and an insertion in the middle of a vector would move megabytes under the lock.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub(super) struct TeamRecords {
+    records: BTreeMap<u128, Record>,
+    /// The keys of `records`, ordered by expiry.
+    by_expiry: BTreeSet<(Instant, u128)>,
+    /// Kept outcomes in the order in which the runs ended; each belongs to one `Finished` record.
+    outcomes: BTreeMap<u64, (u128, Arc<[u8]>)>,
+    /// Sum of the lengths of `outcomes`.
+    outcome_bytes: usize,
+}
+
+impl TeamRecords {
+    pub(super) fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    pub(super) fn outcome_bytes(&self) -> usize {
+        self.outcome_bytes
+    }
+
+    pub(super) fn get_mut(&mut self, random: u128) -> Option<&mut Record> {
+        self.records.get_mut(&random)
+    }
+
+    pub(super) fn insert(&mut self, random: u128, expires: Instant) {
+        self.by_expiry.insert((expires, random));
+        let record = Record {
+            expires,
+            state: RecordState::Usable,
+            bound_to: None,
+        };
+        self.records.insert(random, record);
+    }
+
+    pub(super) fn outcome(&self, number: u64) -> Option<&Arc<[u8]>> {
+        self.outcomes.get(&number).map(|(_, outcome)| outcome)
+    }
+
+    /// Returns the earliest expiry of a record.
+    pub(super) fn first_expiry(&self) -> Option<Instant> {
+        self.by_expiry.first().map(|(expires, _)| *expires)
+    }
+
+    /// Removes the record that expired first, if one has expired and is not running.
+    pub(super) fn remove_one_expired(&mut self, now: Instant) -> Option<u128> {
+        let random = self
+            .by_expiry
+            .iter()
+            .take_while(|(expires, _)| *expires <= now)
+            .map(|(_, random)| *random)
+            .find(|random| !self.is_running(*random))?;
+        self.remove(random);
+        Some(random)
+    }
+
+    /// Removes every record that expired at or before an instant, running or not.
+    pub(super) fn remove_expired_before(&mut self, instant: Instant) -> Vec<u128> {
+        let mut removed = Vec::new();
+        while let Some((expires, random)) = self.by_expiry.first().copied() {
+            if expires > instant {
+                break;
+            }
+            self.remove(random);
+            removed.push(random);
+        }
+        removed
+    }
+
+    /// Keeps the outcome of a record and marks it as finished.
+    pub(super) fn keep_outcome(&mut self, random: u128, number: u64, outcome: Arc<[u8]>) {
+        if let Some(record) = self.records.get_mut(&random) {
+            record.state = RecordState::Finished(number);
+            self.outcome_bytes += outcome.len();
+            self.outcomes.insert(number, (random, outcome));
+        }
+    }
+
+    /// Drops the outcome of the run that ended first.
+    pub(super) fn forget_oldest_outcome(&mut self) -> bool {
+        let Some((_, (random, outcome))) = self.outcomes.pop_first() else {
+            return false;
+        };
+        self.outcome_bytes -= outcome.len();
+        if let Some(record) = self.records.get_mut(&random) {
+            record.state = RecordState::Forgotten;
+        }
+        true
+    }
+
+    fn is_running(&self, random: u128) -> bool {
+        self.records
+            .get(&random)
+            .is_some_and(|record| record.state == RecordState::Running)
+    }
+
+    fn remove(&mut self, random: u128) {
+        let Some(record) = self.records.remove(&random) else {
+            return;
+        };
+        self.by_expiry.remove(&(record.expires, random));
+        if let RecordState::Finished(number) = record.state
+            && let Some((_, outcome)) = self.outcomes.remove(&number)
+        {
+            self.outcome_bytes -= outcome.len();
+        }
+    }
+}
