Add fingerprints, canaries and quarantines

A query that crashes each leaf that runs it must lose at most two leafs. The table lets one canary of a fingerprint run at a time, counts a strike once for each leaf and request, and quarantines after two that differ in both, so a lost failure domain does not quarantine a running query. Gossiped ends within 30 s count as the same quarantine, since each hop adds its delay to the time left and daemons would otherwise extend it for ever. A flood of distinct queries displaces proven fingerprints only.

--- a/crates/medlarpin-core/src/lib.rs
+++ b/crates/medlarpin-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! and trace replay run the code that ships.
 
 pub mod answer;
+pub mod canary;
 pub mod catalog;
 pub mod clock;
 pub mod ids;
