--- a/crates/medlarpin-core/src/lib.rs
+++ b/crates/medlarpin-core/src/lib.rs
@@ -4,10 +4,11 @@
 //! and trace replay run the code that ships.
 
 pub mod answer;
+pub mod canary;
 pub mod catalog;
 pub mod clock;
 pub mod extra_budget;
 pub mod fair_queue;
 pub mod ids;
-pub mod latency_window;
-pub mod leaf_state;
+pub mod prelude;
+pub mod tickets;
