Add the fakes of the platform and of upstream leafs

Cause: tests, the quick start and measurements need a platform and leafs that follow the published protocols and whose faults can be switched. Change: one HTTP server module whose port can be closed and reopened, the platform fake, the leaf fake with its faults and counters, and a deployment that starts both and publishes them. Raw hyper replaces axum here: the fakes must close a connection without a reply, which axum's server does not offer.

--- /dev/null
+++ b/crates/stand-ins/src/deployment.rs
@@ -0,0 +1,372 @@
+//! A small deployment: fake leafs of several services and the platform that publishes them.
+
+mod layout;
+
+use std::io;
+use std::time::Duration;
+
+use displaydoc::Display;
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use thiserror::Error;
+
+use crate::leaf::{LeafConfig, LeafFake, Shards};
+use crate::platform::PlatformFake;
+
+/// Coverage that a team asks for.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Coverage {
+    /// All shards, until the deadline.
+    All,
+    /// At least this share of the shards.
+    LeastShare(f64),
+}
+
+/// Published settings of a team.
+#[derive(Debug, Clone)]
+pub struct TeamConfig {
+    /// Name of the team.
+    pub name: String,
+    /// Weight in the fair queues.
+    pub weight: u32,
+    /// Queries a second over the whole fleet.
+    pub rate_limit_per_s: u64,
+    /// Queries in flight over the whole fleet.
+    pub concurrency_limit: u64,
+    /// Deadline of a query that names none.
+    pub deadline_default_ms: u64,
+    /// Longest deadline accepted.
+    pub deadline_cap_ms: u64,
+    /// Coverage asked for.
+    pub coverage_wanted: Coverage,
+    /// Whether an uncertain request may be repeated.
+    pub repeat_allowed: bool,
+}
+
+impl TeamConfig {
+    /// Returns a team of weight 1 with limits that a small test does not reach.
+    #[must_use]
+    pub fn new(name: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            weight: 1,
+            rate_limit_per_s: 100_000,
+            concurrency_limit: 10_000,
+            deadline_default_ms: 2_000,
+            deadline_cap_ms: 10_000,
+            coverage_wanted: Coverage::All,
+            repeat_allowed: true,
+        }
+    }
+
+    /// Returns the text published for the team.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let coverage_wanted = match self.coverage_wanted {
+            Coverage::All => json!("all"),
+            Coverage::LeastShare(share) => json!({ "least_share": share }),
+        };
+        json!({
+            "weight": self.weight,
+            "rate_limit_per_s": self.rate_limit_per_s,
+            "concurrency_limit": self.concurrency_limit,
+            "deadline_default_ms": self.deadline_default_ms,
+            "deadline_cap_ms": self.deadline_cap_ms,
+            "coverage_wanted": coverage_wanted,
+            "repeat_allowed": self.repeat_allowed,
+        })
+        .to_string()
+    }
+}
+
+/// A service and its leafs.
+#[derive(Debug, Clone)]
+pub struct ServiceConfig {
+    /// Name of the service.
+    pub name: String,
+    /// Number of leafs.
+    pub leafs: usize,
+    /// Replicas of each shard.
+    pub replicas: usize,
+    /// Number of shards of the first version.
+    pub shards: u32,
+    /// Slots of each leaf.
+    pub slots: usize,
+    /// Connection limit of each leaf.
+    pub connection_limit: usize,
+    /// Mean service time of each leaf.
+    pub service_time: Duration,
+}
+
+/// A deployment to start.
+#[derive(Debug, Clone)]
+pub struct DeploymentConfig {
+    /// Services to start.
+    pub services: Vec<ServiceConfig>,
+    /// Teams to publish.
+    pub teams: Vec<TeamConfig>,
+    /// Number of failure domains, named `domain-0`, `domain-1` and so on.
+    pub failure_domains: usize,
+    /// First index version of every service.
+    pub index_version: u64,
+}
+
+/// why a deployment cannot be built
+#[derive(Debug, Display, Error)]
+pub enum DeploymentError {
+    /// service {service}: {replicas} replicas need that many failure domains with leafs
+    Replicas {
+        /// Name of the service.
+        service: String,
+        /// Replicas asked for.
+        replicas: usize,
+    },
+    /// service {0} is not part of the deployment
+    UnknownService(String),
+    /// cannot start a fake
+    Start(#[from] io::Error),
+}
+
+#[derive(Debug)]
+struct RunningService {
+    config: ServiceConfig,
+    leafs: Vec<LeafFake>,
+    /// Failure domain of each leaf, by position.
+    domains: Vec<usize>,
+}
+
+#[derive(Debug)]
+struct PublishedMap {
+    service: String,
+    version: u64,
+    /// Leafs of each shard, by position.
+    leafs: Vec<Vec<usize>>,
+}
+
+/// A running deployment; dropping it closes all ports.
+#[derive(Debug)]
+pub struct Deployment {
+    platform: PlatformFake,
+    failure_domains: usize,
+    services: Vec<RunningService>,
+    maps: Mutex<Vec<PublishedMap>>,
+}
+
+impl Deployment {
+    /// Starts the leafs and the platform and publishes everything at one revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a port cannot be bound or a service asks for more replicas than it has domains.
+    pub async fn start(config: DeploymentConfig) -> Result<Self, DeploymentError> {
+        let mut deployment = Self {
+            platform: PlatformFake::start().await?,
+            failure_domains: config.failure_domains,
+            services: Vec::new(),
+            maps: Mutex::default(),
+        };
+        let mut texts = Vec::new();
+        for (position, service) in config.services.into_iter().enumerate() {
+            let running = start_service(service, config.failure_domains, position).await?;
+            let path = format!("services/{}", running.config.name);
+            texts.push((path, running.text()));
+            let (name, shards) = (running.config.name.clone(), running.config.shards);
+            deployment.services.push(running);
+            texts.push(deployment.place(&name, config.index_version, shards)?);
+        }
+        for team in &config.teams {
+            texts.push((format!("teams/{}", team.name), team.text()));
+        }
+        let texts: Vec<_> = texts
+            .iter()
+            .map(|(path, text)| (&**path, &**text))
+            .collect();
+        deployment.platform.set_many(&texts);
+        Ok(deployment)
+    }
+
+    /// Returns the platform.
+    #[must_use]
+    pub fn platform(&self) -> &PlatformFake {
+        &self.platform
+    }
+
+    /// Returns the names of the failure domains.
+    #[must_use]
+    pub fn failure_domains(&self) -> Vec<String> {
+        (0..self.failure_domains).map(domain_name).collect()
+    }
+
+    /// Returns a leaf, whose identifier is `<service>-<position>`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the deployment has no such leaf.
+    #[must_use]
+    pub fn leaf(&self, id: &str) -> &LeafFake {
+        self.leafs()
+            .find(|leaf| leaf.id() == id)
+            .expect("the deployment has the leaf")
+    }
+
+    /// Iterates over all leafs.
+    pub fn leafs(&self) -> impl Iterator<Item = &LeafFake> {
+        self.services.iter().flat_map(|service| &service.leafs)
+    }
+
+    /// Returns the identifiers of the leafs that hold a shard of a published version.
+    #[must_use]
+    pub fn replicas(&self, service: &str, version: u64, shard: u32) -> Vec<String> {
+        let maps = self.maps.lock();
+        // The latest entry counts: a version may be published again with other shards.
+        let map = maps
+            .iter()
+            .rfind(|map| map.service == service && map.version == version);
+        let leafs = map.and_then(|map| map.leafs.get(shard as usize));
+        leafs
+            .into_iter()
+            .flatten()
+            .map(|leaf| leaf_id(service, *leaf))
+            .collect()
+    }
+
+    /// Loads a version with the given number of shards on the leafs and publishes its shard map.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service is unknown.
+    pub fn publish_version(
+        &self,
+        service: &str,
+        version: u64,
+        shards: u32,
+    ) -> Result<u64, DeploymentError> {
+        let (path, text) = self.place(service, version, shards)?;
+        Ok(self.platform.set(&path, &text))
+    }
+
+    /// Removes a version from the tree; the leafs keep serving it.
+    pub fn withdraw_version(&self, service: &str, version: u64) -> u64 {
+        self.platform
+            .remove(&format!("indexes/{service}/{version}"))
+    }
+
+    /// Publishes other settings of a team.
+    pub fn publish_team(&self, team: &TeamConfig) -> u64 {
+        self.platform
+            .set(&format!("teams/{}", team.name), &team.text())
+    }
+
+    /// Returns the search requests received by all leafs.
+    #[must_use]
+    pub fn total_requests(&self) -> u64 {
+        self.leafs().map(LeafFake::requests).sum()
+    }
+
+    /// Returns the runs of all leafs.
+    #[must_use]
+    pub fn total_runs(&self) -> u64 {
+        self.leafs().map(LeafFake::run_count).sum()
+    }
+
+    /// Loads a version on the leafs and returns the path and text of its shard map.
+    fn place(
+        &self,
+        service: &str,
+        version: u64,
+        shards: u32,
+    ) -> Result<(String, String), DeploymentError> {
+        let unknown = || DeploymentError::UnknownService(service.to_owned());
+        let running = self
+            .services
+            .iter()
+            .find(|running| running.config.name == service);
+        let running = running.ok_or_else(unknown)?;
+        let map = layout::place_shards(shards, running.config.replicas, &running.domains);
+        for (position, leaf) in running.leafs.iter().enumerate() {
+            let held = (0..)
+                .zip(&map)
+                .filter(|(_, leafs)| leafs.contains(&position));
+            leaf.add_version(
+                version,
+                Shards::These(held.map(|(shard, _)| shard).collect()),
+            );
+        }
+        let path = format!("indexes/{service}/{version}");
+        let text = index_text(service, &map);
+        let map = PublishedMap {
+            service: service.to_owned(),
+            version,
+            leafs: map,
+        };
+        self.maps.lock().push(map);
+        Ok((path, text))
+    }
+}
+
+async fn start_service(
+    config: ServiceConfig,
+    failure_domains: usize,
+    position: usize,
+) -> Result<RunningService, DeploymentError> {
+    let domains = layout::place_leafs(config.leafs, failure_domains);
+    if config.replicas == 0 || config.replicas > failure_domains.min(config.leafs) {
+        let replicas = config.replicas;
+        return Err(DeploymentError::Replicas {
+            service: config.name,
+            replicas,
+        });
+    }
+    let mut leafs = Vec::with_capacity(config.leafs);
+    for leaf in 0..config.leafs {
+        let config = LeafConfig {
+            id: leaf_id(&config.name, leaf),
+            service: config.name.clone(),
+            slots: config.slots,
+            connection_limit: config.connection_limit,
+            service_time: config.service_time,
+            seed: (position * 1_000_003 + leaf) as u64,
+            versions: Vec::new(),
+        };
+        leafs.push(LeafFake::start(config).await?);
+    }
+    Ok(RunningService {
+        config,
+        leafs,
+        domains,
+    })
+}
+
+impl RunningService {
+    fn text(&self) -> String {
+        let leaf = |(leaf, domain): (&LeafFake, &usize)| {
+            json!({
+                "id": leaf.id(),
+                "address": leaf.address().to_string(),
+                "failure_domain": domain_name(*domain),
+                "slots": self.config.slots,
+                "connection_limit": self.config.connection_limit,
+                "new_connection_ms": 1,
+            })
+        };
+        let leafs: Vec<Value> = self.leafs.iter().zip(&self.domains).map(leaf).collect();
+        json!({ "leafs": leafs }).to_string()
+    }
+}
+
+fn index_text(service: &str, map: &[Vec<usize>]) -> String {
+    let entry = |(shard, leafs): (u32, &Vec<usize>)| {
+        let leafs: Vec<_> = leafs.iter().map(|leaf| leaf_id(service, *leaf)).collect();
+        json!({ "shard": shard, "leafs": leafs })
+    };
+    let shards: Vec<Value> = (0..).zip(map).map(entry).collect();
+    json!({ "shards": shards }).to_string()
+}
+
+fn leaf_id(service: &str, position: usize) -> String {
+    format!("{service}-{position}")
+}
+
+fn domain_name(position: usize) -> String {
+    format!("domain-{position}")
+}
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -1,1 +1,21 @@
-//! Placeholder.
+//! Small fakes of the platform and of upstream leafs for tests, the quick start and measurements.
+//!
+//! Each fake listens on a port of 127.0.0.1 that the operating system assigns, and runs on the
+//! caller's tokio runtime.
+
+pub mod deployment;
+pub mod leaf;
+pub mod platform;
+mod server;
+
+/// The types that most users of the fakes need.
+pub mod prelude {
+    pub use crate::deployment::{
+        Coverage, Deployment, DeploymentConfig, DeploymentError, ServiceConfig, TeamConfig,
+    };
+    pub use crate::leaf::{
+        CrashRule, Faults, HealthReport, HealthState, LeafConfig, LeafFake, Refusal, ReplyFault,
+        Run, Shards, rows,
+    };
+    pub use crate::platform::{PlatformFake, PlatformMode, Snapshot, VmEntry, VmEntryState};
+}
--- /dev/null
+++ b/crates/stand-ins/src/platform.rs
@@ -0,0 +1,347 @@
+//! Fake of the configuration service and of the VM list.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use parking_lot::Mutex;
+use serde::Serialize;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::server::{self, Control, Handler, Reply, Server};
+
+/// Longest wait of one watch; a longer `wait_ms` is cut to it.
+const MAX_WAIT: Duration = Duration::from_mins(10);
+
+/// State of a VM in the published list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmEntryState {
+    /// The VM is in service.
+    Live,
+    /// The VM is about to leave.
+    Leaving,
+}
+
+/// One VM of the published list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct VmEntry {
+    /// Name of the VM.
+    pub name: String,
+    /// Address of the daemon's RPC listener.
+    pub rpc_address: String,
+    /// Failure domain of the VM.
+    pub failure_domain: String,
+    /// Region of the VM.
+    pub region: String,
+    /// Whether the VM is about to leave.
+    pub state: VmEntryState,
+}
+
+/// How the fake behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlatformMode {
+    /// Serves the current tree and list.
+    Up,
+    /// Refuses connections; open ones are closed without a reply.
+    Down,
+    /// Serves the tree and list as of the call, whatever is set later.
+    Stale,
+}
+
+/// The published tree and VM list at one moment.
+#[derive(Debug, Clone, Default)]
+pub struct Snapshot(Arc<Published>);
+
+#[derive(Debug, Clone, Default)]
+struct Published {
+    revision: u64,
+    subtrees: BTreeMap<String, String>,
+    vms_revision: u64,
+    vms: Vec<VmEntry>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    current: Published,
+    /// Served instead of `current` while the fake is stale.
+    frozen: Option<Snapshot>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    /// Counts every change of what is served and wakes the waiting watches.
+    changes: watch::Sender<u64>,
+    calls: AtomicU64,
+    waiting: AtomicU64,
+}
+
+/// A running fake of the platform; dropping it closes its port.
+#[derive(Debug)]
+pub struct PlatformFake {
+    shared: Arc<Shared>,
+    control: Control,
+    server: Server,
+}
+
+#[expect(
+    clippy::must_use_candidate,
+    reason = "publishing is useful without the new revision"
+)]
+impl PlatformFake {
+    /// Starts the fake with an empty tree at revision 0.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    #[expect(
+        clippy::unused_async,
+        reason = "makes the need for a tokio runtime visible"
+    )]
+    pub async fn start() -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            state: Mutex::default(),
+            changes: watch::Sender::new(0),
+            calls: AtomicU64::new(0),
+            waiting: AtomicU64::new(0),
+        });
+        let control = Control::new();
+        let server = Server::start(Arc::clone(&shared), control.clone())?;
+        Ok(Self {
+            shared,
+            control,
+            server,
+        })
+    }
+
+    /// Returns the address of the HTTP listener.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Publishes one text and returns the new revision.
+    pub fn set(&self, path: &str, text: &str) -> u64 {
+        self.set_many(&[(path, text)])
+    }
+
+    /// Publishes several texts at one new revision and returns it.
+    pub fn set_many(&self, texts: &[(&str, &str)]) -> u64 {
+        self.change(|published| {
+            for (path, text) in texts {
+                published
+                    .subtrees
+                    .insert((*path).to_owned(), (*text).to_owned());
+            }
+            published.revision += 1;
+            published.revision
+        })
+    }
+
+    /// Removes one path and returns the new revision.
+    pub fn remove(&self, path: &str) -> u64 {
+        self.change(|published| {
+            published.subtrees.remove(path);
+            published.revision += 1;
+            published.revision
+        })
+    }
+
+    /// Publishes a VM list and returns the list's new revision.
+    pub fn set_vms(&self, vms: Vec<VmEntry>) -> u64 {
+        self.change(|published| {
+            published.vms = vms;
+            published.vms_revision += 1;
+            published.vms_revision
+        })
+    }
+
+    /// Switches the behaviour.
+    pub fn set_mode(&self, mode: PlatformMode) {
+        match mode {
+            PlatformMode::Up => self.serve(None),
+            PlatformMode::Down => self.control.go_down(),
+            PlatformMode::Stale => self.serve(Some(self.snapshot())),
+        }
+    }
+
+    /// Returns the current tree and list, whatever is served.
+    #[must_use]
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot(Arc::new(self.shared.state.lock().current.clone()))
+    }
+
+    /// Becomes stale with an earlier snapshot.
+    pub fn serve_snapshot(&self, snapshot: &Snapshot) {
+        self.serve(Some(snapshot.clone()));
+    }
+
+    /// Returns the current revision of the tree, whatever is served.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.shared.state.lock().current.revision
+    }
+
+    /// Returns the number of calls since the start, with the waiting ones.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.shared.calls.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of watches that wait now.
+    #[must_use]
+    pub fn waiting(&self) -> u64 {
+        self.shared.waiting.load(Ordering::Relaxed)
+    }
+
+    fn serve(&self, frozen: Option<Snapshot>) {
+        self.shared.state.lock().frozen = frozen;
+        self.shared.changes.send_modify(|count| *count += 1);
+        self.control.set_listening(true);
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Published) -> u64) -> u64 {
+        let revision = change(&mut self.shared.state.lock().current);
+        self.shared.changes.send_modify(|count| *count += 1);
+        revision
+    }
+}
+
+impl Shared {
+    fn read<R>(&self, read: impl FnOnce(&Published) -> R) -> R {
+        let state = self.state.lock();
+        read(
+            state
+                .frozen
+                .as_ref()
+                .map_or(&state.current, |snapshot| &snapshot.0),
+        )
+    }
+
+    fn vms(&self) -> Response<Full<Bytes>> {
+        self.read(|published| {
+            render(&VmsReply {
+                revision: published.vms_revision,
+                vms: &published.vms,
+            })
+        })
+    }
+
+    async fn settings(&self, watch: Watch) -> Response<Full<Bytes>> {
+        let until = Instant::now() + watch.wait.min(MAX_WAIT);
+        let mut changes = self.changes.subscribe();
+        let _waiting = Waiting::new(&self.waiting);
+        loop {
+            changes.mark_unchanged();
+            if let Some(reply) = self.settings_now(watch.after) {
+                return reply;
+            }
+            match tokio::time::timeout_at(until, changes.changed()).await {
+                Ok(Ok(())) => {}
+                _ => return server::empty(StatusCode::NO_CONTENT),
+            }
+        }
+    }
+
+    fn settings_now(&self, after: Option<u64>) -> Option<Response<Full<Bytes>>> {
+        self.read(|published| {
+            let revision = published.revision;
+            // A lower revision is served too: a stale replica does not know that it is behind.
+            if after == Some(revision) {
+                return None;
+            }
+            Some(render(&SettingsReply {
+                revision,
+                subtrees: &published.subtrees,
+            }))
+        })
+    }
+}
+
+impl Handler for Shared {
+    type Connection = ();
+
+    fn connect(self: &Arc<Self>) -> Option<()> {
+        Some(())
+    }
+
+    async fn handle(self: &Arc<Self>, request: Request<Incoming>) -> Reply {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        let reply = match (request.method(), request.uri().path()) {
+            (&Method::GET, "/v1/settings") => match Watch::parse(request.uri().query()) {
+                Some(watch) => self.settings(watch).await,
+                None => server::empty(StatusCode::BAD_REQUEST),
+            },
+            (&Method::GET, "/v1/vms") => self.vms(),
+            _ => server::empty(StatusCode::NOT_FOUND),
+        };
+        Ok(reply)
+    }
+}
+
+#[derive(Debug, Default)]
+struct Watch {
+    after: Option<u64>,
+    wait: Duration,
+}
+
+impl Watch {
+    fn parse(query: Option<&str>) -> Option<Self> {
+        let mut watch = Self::default();
+        for pair in query
+            .unwrap_or_default()
+            .split('&')
+            .filter(|pair| !pair.is_empty())
+        {
+            match pair.split_once('=')? {
+                ("after", value) => watch.after = Some(value.parse().ok()?),
+                ("wait_ms", value) => watch.wait = Duration::from_millis(value.parse().ok()?),
+                _ => return None,
+            }
+        }
+        Some(watch)
+    }
+}
+
+struct Waiting<'a>(&'a AtomicU64);
+
+impl<'a> Waiting<'a> {
+    fn new(count: &'a AtomicU64) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+#[derive(Serialize)]
+struct SettingsReply<'a> {
+    revision: u64,
+    subtrees: &'a BTreeMap<String, String>,
+}
+
+#[derive(Serialize)]
+struct VmsReply<'a> {
+    revision: u64,
+    vms: &'a [VmEntry],
+}
+
+fn render(value: &impl Serialize) -> Response<Full<Bytes>> {
+    match serde_json::to_vec(value) {
+        Ok(body) => server::json(StatusCode::OK, body),
+        Err(_) => server::empty(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
