Let the platform fake show other RPC addresses on further ports

Cause: a test that splits the fleet needs each daemon's traffic on relays of its own, and the VM list names the relays. Change: a view is a further port with its own RPC addresses. Connections now end with their server, so that dropping a view leaves the platform up.

--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -17,5 +17,7 @@
         CrashRule, Faults, HealthReport, HealthState, LeafConfig, LeafFake, Refusal, ReplyFault,
         Run, Shards, rows,
     };
-    pub use crate::platform::{PlatformFake, PlatformMode, Snapshot, VmEntry, VmEntryState};
+    pub use crate::platform::{
+        PlatformFake, PlatformMode, PlatformView, Snapshot, VmEntry, VmEntryState,
+    };
 }
--- a/crates/stand-ins/src/platform.rs
+++ b/crates/stand-ins/src/platform.rs
@@ -115,7 +115,11 @@
             waiting: AtomicU64::new(0),
         });
         let control = Control::new();
-        let server = Server::start(Arc::clone(&shared), control.clone())?;
+        let view = Arc::new(View {
+            shared: Arc::clone(&shared),
+            addresses: Vec::new(),
+        });
+        let server = Server::start(view, control.clone())?;
         Ok(Self {
             shared,
             control,
@@ -129,6 +133,23 @@
         self.server.address()
     }
 
+    /// Opens a further port that serves the same tree and list, but names other RPC addresses.
+    ///
+    /// `addresses` holds pairs of a VM's name and the address to show for it, so that a test can
+    /// route each daemon's traffic through relays of its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub fn start_view(&self, addresses: Vec<(String, String)>) -> io::Result<PlatformView> {
+        let view = Arc::new(View {
+            shared: Arc::clone(&self.shared),
+            addresses,
+        });
+        let server = Server::start(view, self.control.clone())?;
+        Ok(PlatformView { server })
+    }
+
     /// Publishes one text and returns the new revision.
     pub fn set(&self, path: &str, text: &str) -> u64 {
         self.set_many(&[(path, text)])
@@ -216,6 +237,42 @@
     }
 }
 
+/// A further port of a platform fake, which follows the fake's modes; dropping it closes the port.
+#[derive(Debug)]
+pub struct PlatformView {
+    server: Server,
+}
+
+impl PlatformView {
+    /// Returns the address of the HTTP listener.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+}
+
+/// What one port serves.
+#[derive(Debug)]
+struct View {
+    shared: Arc<Shared>,
+    /// RPC addresses shown instead of the published ones, by VM name.
+    addresses: Vec<(String, String)>,
+}
+
+impl View {
+    fn vms(&self) -> Response<Full<Bytes>> {
+        let (revision, mut vms) = self
+            .shared
+            .read(|published| (published.vms_revision, published.vms.clone()));
+        for vm in &mut vms {
+            if let Some((_, address)) = self.addresses.iter().find(|(name, _)| *name == vm.name) {
+                vm.rpc_address.clone_from(address);
+            }
+        }
+        render(&VmsReply { revision, vms })
+    }
+}
+
 impl Shared {
     fn read<R>(&self, read: impl FnOnce(&Published) -> R) -> R {
         let state = self.state.lock();
@@ -227,15 +284,6 @@
         )
     }
 
-    fn vms(&self) -> Response<Full<Bytes>> {
-        self.read(|published| {
-            render(&VmsReply {
-                revision: published.vms_revision,
-                vms: &published.vms,
-            })
-        })
-    }
-
     async fn settings(&self, watch: Watch) -> Response<Full<Bytes>> {
         let until = Instant::now() + watch.wait.min(MAX_WAIT);
         let mut changes = self.changes.subscribe();
@@ -267,7 +315,7 @@
     }
 }
 
-impl Handler for Shared {
+impl Handler for View {
     type Connection = ();
 
     fn connect(self: &Arc<Self>) -> Option<()> {
@@ -275,10 +323,10 @@
     }
 
     async fn handle(self: &Arc<Self>, request: Request<Incoming>) -> Reply {
-        self.calls.fetch_add(1, Ordering::Relaxed);
+        self.shared.calls.fetch_add(1, Ordering::Relaxed);
         let reply = match (request.method(), request.uri().path()) {
             (&Method::GET, "/v1/settings") => match Watch::parse(request.uri().query()) {
-                Some(watch) => self.settings(watch).await,
+                Some(watch) => self.shared.settings(watch).await,
                 None => server::empty(StatusCode::BAD_REQUEST),
             },
             (&Method::GET, "/v1/vms") => self.vms(),
@@ -334,9 +382,9 @@
 }
 
 #[derive(Serialize)]
-struct VmsReply<'a> {
+struct VmsReply {
     revision: u64,
-    vms: &'a [VmEntry],
+    vms: Vec<VmEntry>,
 }
 
 fn render(value: &impl Serialize) -> Response<Full<Bytes>> {
--- a/crates/stand-ins/src/server.rs
+++ b/crates/stand-ins/src/server.rs
@@ -16,7 +16,7 @@
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 
 const BACKLOG: u32 = 1024;
 /// Another process may take the port in the instant between two sockets, so binding is repeated.
@@ -81,7 +81,7 @@
 #[derive(Debug)]
 pub(crate) struct Server {
     address: SocketAddr,
-    control: Control,
+    /// Owns the connections' tasks, which end with it.
     task: JoinHandle<()>,
 }
 
@@ -90,12 +90,8 @@
         let socket = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
         let address = socket.local_addr()?;
         let listener = socket.listen(BACKLOG)?;
-        let task = tokio::spawn(run(handler, control.clone(), address, listener));
-        Ok(Self {
-            address,
-            control,
-            task,
-        })
+        let task = tokio::spawn(run(handler, control, address, listener));
+        Ok(Self { address, task })
     }
 
     pub(crate) fn address(&self) -> SocketAddr {
@@ -105,7 +101,6 @@
 
 impl Drop for Server {
     fn drop(&mut self) {
-        self.control.go_down();
         self.task.abort();
     }
 }
@@ -134,8 +129,9 @@
     mut listener: TcpListener,
 ) {
     let mut states = control.0.subscribe();
+    let mut connections = JoinSet::new();
     loop {
-        accept_while_listening(&handler, &control, &mut states, &listener).await;
+        accept_while_listening(&handler, &mut states, &listener, &mut connections).await;
         drop(listener);
         listener = loop {
             let reserved = rebind(address).await;
@@ -151,9 +147,9 @@
 
 async fn accept_while_listening<H: Handler>(
     handler: &Arc<H>,
-    control: &Control,
     states: &mut watch::Receiver<State>,
     listener: &TcpListener,
+    connections: &mut JoinSet<()>,
 ) {
     while states.borrow_and_update().listening {
         tokio::select! {
@@ -161,15 +157,20 @@
             _ = states.changed() => {}
             accepted = listener.accept() => {
                 if let Ok((stream, _)) = accepted {
-                    admit(handler, control, stream);
+                    admit(handler, states.clone(), stream, connections);
+                    while connections.try_join_next().is_some() {}
                 }
             }
         }
     }
 }
 
-fn admit<H: Handler>(handler: &Arc<H>, control: &Control, stream: TcpStream) {
-    let states = control.0.subscribe();
+fn admit<H: Handler>(
+    handler: &Arc<H>,
+    states: watch::Receiver<State>,
+    stream: TcpStream,
+    connections: &mut JoinSet<()>,
+) {
     let state = *states.borrow();
     if !state.listening {
         return;
@@ -177,7 +178,7 @@
     let Some(connection) = handler.connect() else {
         return;
     };
-    tokio::spawn(serve(
+    connections.spawn(serve(
         Arc::clone(handler),
         stream,
         states,
