--- a/crates/wire/src/batch.rs
+++ b/crates/wire/src/batch.rs
@@ -1,7 +1,5 @@
 //! Batches of shard requests that an entry sends to a gatherer, and their replies.
 
-use std::time::Duration;
-
 use medlarpin_core::prelude::*;
 
 use crate::error::{WireError, check_length};
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -1,7 +1,6 @@
 //! Messages about members, settings and the VM list.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use medlarpin_core::membership::{Heartbeat, MemberState, MemberUpdate};
 use medlarpin_core::prelude::*;
--- a/crates/wire/src/query.rs
+++ b/crates/wire/src/query.rs
@@ -1,7 +1,5 @@
 //! Queries that an entry forwards to the issuer of their ticket.
 
-use std::time::Duration;
-
 use medlarpin_core::prelude::*;
 
 use crate::error::{WireError, check_length};
