Add the revision store and the settings tree

A change that was accepted must never revert, and an invalid text must not take a path's valid settings away. The store keeps the highest revision and counts conflicts; the tree keeps each path's last valid text beside the rejected one and merges peers' trees, so that a daemon that starts later has both. The digest covers the published texts only, so that daemons agree on it whatever they find valid.

--- a/crates/medlarpin-core/src/lib.rs
+++ b/crates/medlarpin-core/src/lib.rs
@@ -11,3 +11,5 @@
 pub mod ownership;
 pub mod pause;
 pub mod prelude;
+pub mod revision_store;
+pub mod settings_tree;
