--- a/crates/medlarpin-core/src/lib.rs
+++ b/crates/medlarpin-core/src/lib.rs
@@ -18,3 +18,5 @@
 pub mod prelude;
 pub mod sliding_window;
 pub mod tickets;
+pub mod revision_store;
+pub mod settings_tree;
