--- /dev/null
+++ b/crates/daemon/src/leafs/attempt.rs
@@ -0,0 +1,253 @@
+//! One attempt to get a shard's rows from one leaf.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use medlarpin_core::prelude::*;
+use tokio::sync::oneshot;
+
+use crate::leafs::connection::{ConnectError, Connection};
+use crate::leafs::protocol::{
+    CancelBody, ExchangeError, LeafReply, LeafRequest, exchange,
+};
+use crate::leafs::slot::{Grant, LeafSlot, Permit};
+use crate::workers::Worker;
+
+/// Time after the deadline for which a late answer is awaited, so that the connection and the
+/// leaf's slot stay accounted for while the leaf still works.
+const LATE_ANSWER_WAIT: Duration = Duration::from_secs(1);
+
+/// Why an attempt did not reach the leaf.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unsent {
+    /// The queue could not serve the request in time.
+    QueueFull,
+    /// The leaf is draining or lost.
+    Unavailable,
+    /// No connection could be opened.
+    NoConnection,
+    /// The deadline passed in the queue.
+    DeadlinePassed,
+    /// This daemon had been paused.
+    Paused,
+    /// This daemon does not hold the leaf.
+    NotHeld,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// The shard's rows.
+    Rows(Vec<String>),
+    /// The leaf no longer holds the version and did not run the request.
+    VersionGone,
+    /// The leaf refused and did not run the request.
+    Refused,
+    /// Nothing was sent to the leaf.
+    Unsent(Unsent),
+    /// The connection was lost while the leaf may have run the request.
+    Lost,
+    /// The reply cannot be used; the leaf may have run the request.
+    InvalidReply,
+    /// No answer before the deadline; the leaf may have run the request.
+    DeadlinePassed,
+}
+
+/// Sends one request to a held leaf and waits for its answer until the deadline.
+///
+/// Dropping the future cancels the request at the leaf. `on_sent` runs just before the request
+/// leaves, with the time that it was queued.
+pub async fn attempt(
+    worker: &Rc<Worker>,
+    slot: &Arc<LeafSlot>,
+    request: LeafRequest,
+    weight: u32,
+    deadline: Instant,
+    on_sent: impl FnOnce(Duration),
+) -> AttemptEnd {
+    let permit = match wait_for_permit(worker, slot, &request, weight, deadline).await {
+        Ok(permit) => permit,
+        Err(unsent) => return AttemptEnd::Unsent(unsent),
+    };
+    let connection = match slot.connections.acquire().await {
+        Ok(connection) => connection,
+        Err(error) => {
+            drop(permit);
+            if error != ConnectError::ShareUsed {
+                slot.connection_lost();
+            }
+            return AttemptEnd::Unsent(Unsent::NoConnection);
+        }
+    };
+    // The wait for the permit and the connection may have ended after a pause of this process.
+    if let Err(unsent) = check_clock(worker, deadline) {
+        connection.recycle();
+        return AttemptEnd::Unsent(unsent);
+    }
+    on_sent(permit.queue_wait());
+    let (sender, receiver) = oneshot::channel();
+    let sending = Sending {
+        slot: Arc::clone(slot),
+        request,
+        permit,
+        connection,
+        deadline,
+        clock: Arc::clone(&worker.shared.clock),
+    };
+    tokio::task::spawn_local(sending.run(sender));
+    let time_left = deadline.saturating_duration_since(worker.shared.clock.now());
+    match tokio::time::timeout(time_left, receiver).await {
+        Ok(Ok(end)) => end,
+        Ok(Err(_task_lost)) => AttemptEnd::Lost,
+        Err(_elapsed) => AttemptEnd::DeadlinePassed,
+    }
+}
+
+async fn wait_for_permit(
+    worker: &Worker,
+    slot: &Arc<LeafSlot>,
+    request: &LeafRequest,
+    weight: u32,
+    deadline: Instant,
+) -> Result<Permit, Unsent> {
+    let receiver = slot
+        .enqueue(&request.team, weight, deadline)
+        .map_err(|_refusal| Unsent::QueueFull)?;
+    let time_left = deadline.saturating_duration_since(worker.shared.clock.now());
+    let grant = tokio::time::timeout(time_left, receiver).await;
+    match grant {
+        Ok(Ok(Grant::Permit(permit))) => Ok(permit),
+        Ok(Ok(Grant::Unavailable)) => Err(Unsent::Unavailable),
+        Ok(Ok(Grant::Expired) | Err(_)) | Err(_) => Err(Unsent::DeadlinePassed),
+    }
+}
+
+fn check_clock(worker: &Worker, deadline: Instant) -> Result<(), Unsent> {
+    let now = worker.shared.clock.now();
+    if worker.shared.check_pause(now).is_err() {
+        return Err(Unsent::Paused);
+    }
+    if now >= deadline {
+        return Err(Unsent::DeadlinePassed);
+    }
+    Ok(())
+}
+
+/// A request on its way; it outlives the attempt that waits for it, so that the leaf's slot stays
+/// counted until the leaf has really answered.
+struct Sending {
+    slot: Arc<LeafSlot>,
+    request: LeafRequest,
+    permit: Permit,
+    connection: Connection,
+    deadline: Instant,
+    clock: Arc<dyn Clock>,
+}
+
+impl Sending {
+    async fn run(mut self, mut sender: oneshot::Sender<AttemptEnd>) {
+        let time_left = self.deadline.saturating_duration_since(self.clock.now());
+        let body = self.request.to_json(time_left);
+        let slot = Arc::clone(&self.slot);
+        let Some(connection) = self.connection.sender() else {
+            return;
+        };
+        let authority = slot.connections.authority();
+        let reply = exchange(connection, Method::POST, "/search", authority, body);
+        tokio::pin!(reply);
+        let result = tokio::select! {
+            result = &mut reply => Some(result),
+            () = sender.closed() => {
+                let late = tokio::time::timeout(time_left + LATE_ANSWER_WAIT, &mut reply);
+                let cancel = cancel(&slot, &self.request);
+                tokio::join!(late, cancel).0.ok()
+            }
+        };
+        let end = match result {
+            Some(result) => self.finish(result),
+            None => AttemptEnd::DeadlinePassed,
+        };
+        // Nobody waits for the end of a cancelled attempt.
+        let _ = sender.send(end);
+    }
+
+    fn finish(self, result: Result<(StatusCode, Bytes), ExchangeError>) -> AttemptEnd {
+        let (status, body) = match result {
+            Ok(reply) => reply,
+            Err(ExchangeError::NotSent) => return AttemptEnd::Unsent(Unsent::NoConnection),
+            Err(ExchangeError::Lost(error)) => {
+                log::debug!("leaf: Request {} lost: {error}.", self.request.id());
+                drop(self.permit);
+                self.slot.connection_lost();
+                return AttemptEnd::Lost;
+            }
+            Err(ExchangeError::Body | ExchangeError::Request(_)) => {
+                return AttemptEnd::InvalidReply;
+            }
+        };
+        match self.request.parse_reply(status, &body) {
+            Ok(reply) => {
+                self.connection.recycle();
+                accept_reply(&self.slot, self.permit, self.request.version, reply)
+            }
+            Err(error) => {
+                // A leaf that mixed up one reply may mix up the next on this connection too, so
+                // the connection is not used again.
+                let id = self.request.id();
+                log::warn!("leaf: Request {id}: leaf {}: {error}.", self.slot.leaf.id);
+                AttemptEnd::InvalidReply
+            }
+        }
+    }
+}
+
+fn accept_reply(
+    slot: &Arc<LeafSlot>,
+    permit: Permit,
+    version: IndexVersion,
+    reply: LeafReply,
+) -> AttemptEnd {
+    match reply {
+        LeafReply::Rows(rows) => {
+            permit.answered();
+            AttemptEnd::Rows(rows)
+        }
+        LeafReply::VersionGone { versions } => {
+            permit.answered();
+            slot.set_versions(&versions);
+            slot.mark_gone(version);
+            AttemptEnd::VersionGone
+        }
+        LeafReply::Shedding { retry_after } => {
+            permit.shed(retry_after);
+            AttemptEnd::Refused
+        }
+        LeafReply::Draining => {
+            drop(permit);
+            slot.draining();
+            AttemptEnd::Refused
+        }
+    }
+}
+
+/// Asks the leaf to cancel a request; the answer on the request's own connection ends it.
+async fn cancel(slot: &LeafSlot, request: &LeafRequest) {
+    let id = request.id();
+    let Ok(body) = serde_json::to_vec(&CancelBody { request_id: &id }) else {
+        return;
+    };
+    let Ok(mut connection) = slot.connections.acquire().await else {
+        return;
+    };
+    let Some(sender) = connection.sender() else {
+        return;
+    };
+    let authority = slot.connections.authority();
+    let reply = exchange(sender, Method::POST, "/cancel", authority, body.into());
+    let reply = tokio::time::timeout(LATE_ANSWER_WAIT, reply).await;
+    if matches!(reply, Ok(Ok(_))) {
+        connection.recycle();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/leafs/connection.rs
@@ -0,0 +1,227 @@
+//! Connections to one leaf, bounded by this daemon's share of the leaf's limit.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use displaydoc::Display;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use medlarpin_core::prelude::*;
+use parking_lot::Mutex;
+use thiserror::Error;
+use tokio::net::TcpStream;
+
+/// Longest wait for a connection; the slowest published one takes 6 ms.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// Why no connection to a leaf is available.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+pub enum ConnectError {
+    /// all connections of this daemon's share are in use
+    ShareUsed,
+    /// the leaf refused the connection
+    Refused,
+    /// the leaf did not accept the connection in time
+    Timeout,
+}
+
+/// The connections of this daemon to one leaf.
+#[derive(Debug)]
+pub struct ConnectionPool {
+    address: SocketAddr,
+    authority: String,
+    share: u32,
+    state: Arc<Mutex<PoolState>>,
+}
+
+#[derive(Debug, Default)]
+struct PoolState {
+    /// Connections without a request, the most recently used last.
+    idle: Vec<Sender>,
+    /// Connections open or being opened; at most the share.
+    open: u32,
+    /// Connections being opened.
+    connecting: u32,
+    /// Most connections that were open at once.
+    peak: u32,
+}
+
+impl ConnectionPool {
+    /// Creates a pool without connections.
+    #[must_use]
+    pub fn new(address: SocketAddr, share: u32) -> Self {
+        Self {
+            address,
+            authority: address.to_string(),
+            share,
+            state: Arc::default(),
+        }
+    }
+
+    /// Returns the most connections that may be open.
+    #[must_use]
+    pub fn share(&self) -> u32 {
+        self.share
+    }
+
+    /// Returns the connections open or being opened.
+    #[must_use]
+    pub fn open(&self) -> u32 {
+        self.state.lock().open
+    }
+
+    /// Returns the leaf's authority for the `Host` header.
+    #[must_use]
+    pub fn authority(&self) -> &str {
+        &self.authority
+    }
+
+    /// Takes an idle connection or opens one within the share.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the share is used up or the leaf cannot be reached.
+    pub async fn acquire(&self) -> Result<Connection, ConnectError> {
+        while let Some(mut connection) = self.take_idle() {
+            if connection.is_usable().await {
+                return Ok(connection);
+            }
+        }
+        self.open_one().await
+    }
+
+    /// Opens connections until `wanted` are idle or being opened, within the share.
+    pub async fn open_ahead(&self, wanted: u32) {
+        while self.lacks(wanted) {
+            match self.open_one().await {
+                Ok(connection) => connection.recycle(),
+                Err(_unreachable) => return,
+            }
+        }
+    }
+
+    /// Closes all idle connections.
+    pub fn close_idle(&self) {
+        let closed = {
+            let mut state = self.state.lock();
+            let idle = std::mem::take(&mut state.idle);
+            state.open -= u32::try_from(idle.len()).unwrap_or(0);
+            idle
+        };
+        drop(closed);
+    }
+
+    fn lacks(&self, wanted: u32) -> bool {
+        let mut state = self.state.lock();
+        let before = state.idle.len();
+        state.idle.retain(|sender| !sender.is_closed());
+        let closed = before - state.idle.len();
+        state.open -= u32::try_from(closed).unwrap_or(0);
+        let ready = u32::try_from(state.idle.len()).unwrap_or(u32::MAX);
+        ready.saturating_add(state.connecting) < wanted && state.open < self.share
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
+        let sender = self.state.lock().idle.pop()?;
+        Some(Connection {
+            sender: Some(sender),
+            state: Arc::clone(&self.state),
+        })
+    }
+
+    async fn open_one(&self) -> Result<Connection, ConnectError> {
+        let mut opening = self.reserve()?;
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address))
+            .await
+            .map_err(|_elapsed| ConnectError::Timeout)?
+            .map_err(|_error| ConnectError::Refused)?;
+        stream
+            .set_nodelay(true)
+            .map_err(|_error| ConnectError::Refused)?;
+        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|_error| ConnectError::Refused)?;
+        tokio::spawn(async move {
+            if let Err(error) = driver.await {
+                log::debug!("leaf: A connection ended: {error}.");
+            }
+        });
+        opening.opened = true;
+        Ok(Connection {
+            sender: Some(sender),
+            state: Arc::clone(&self.state),
+        })
+    }
+
+    fn reserve(&self) -> Result<Opening, ConnectError> {
+        let mut state = self.state.lock();
+        if state.open >= self.share {
+            return Err(ConnectError::ShareUsed);
+        }
+        state.open += 1;
+        state.connecting += 1;
+        state.peak = state.peak.max(state.open);
+        Ok(Opening {
+            opened: false,
+            state: Arc::clone(&self.state),
+        })
+    }
+}
+
+/// A connection being opened; counted as open from the start, so that the share holds.
+struct Opening {
+    /// True once a [`Connection`] has taken over the count.
+    opened: bool,
+    state: Arc<Mutex<PoolState>>,
+}
+
+impl Drop for Opening {
+    fn drop(&mut self) {
+        let mut state = self.state.lock();
+        state.connecting -= 1;
+        if !self.opened {
+            state.open -= 1;
+        }
+    }
+}
+
+/// A connection in use; closed when dropped without being recycled.
+#[derive(Debug)]
+pub struct Connection {
+    /// Present until the connection is recycled.
+    sender: Option<Sender>,
+    state: Arc<Mutex<PoolState>>,
+}
+
+impl Connection {
+    /// Returns the sender of requests.
+    pub fn sender(&mut self) -> Option<&mut Sender> {
+        self.sender.as_mut()
+    }
+
+    /// Gives the connection back for the next request.
+    pub fn recycle(mut self) {
+        if let Some(sender) = self.sender.take_if(|sender| !sender.is_closed()) {
+            self.state.lock().idle.push(sender);
+        }
+    }
+
+    async fn is_usable(&mut self) -> bool {
+        match &mut self.sender {
+            Some(sender) => sender.ready().await.is_ok(),
+            None => false,
+        }
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if self.sender.take().is_some() {
+            self.state.lock().open -= 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/leafs/maintenance.rs
@@ -0,0 +1,74 @@
+//! Periodic work on held leafs: connections ahead of need and probes of draining leafs.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::Method;
+use medlarpin_core::leaf_state::{HealthReport, HealthState};
+use medlarpin_core::prelude::*;
+
+use crate::leafs::protocol::{HealthBody, HealthName, exchange};
+use crate::leafs::slot::LeafSlot;
+use crate::workers::Worker;
+
+/// Time between two rounds.
+const ROUND_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time between health reports of a leaf that serves; they can only add suspicion.
+const HEALTH_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Longest wait for a health report.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Runs rounds for ever.
+pub async fn maintain(worker: Rc<Worker>) {
+    let mut next_health = worker.shared.clock.now();
+    loop {
+        tokio::time::sleep(ROUND_INTERVAL).await;
+        let now = worker.shared.clock.now();
+        let ask_health = now >= next_health;
+        if ask_health {
+            next_health = now + HEALTH_INTERVAL;
+        }
+        for slot in worker.shared.leafs.held() {
+            if !worker.shared.is_active_for(&slot) {
+                continue;
+            }
+            if ask_health || slot.probe_due() {
+                tokio::task::spawn_local(ask_for_health(Arc::clone(&slot)));
+            }
+            let wanted = slot.connections_wanted();
+            tokio::task::spawn_local(async move { slot.connections.open_ahead(wanted).await });
+        }
+    }
+}
+
+async fn ask_for_health(slot: Arc<LeafSlot>) {
+    let Ok(mut connection) = slot.connections.acquire().await else {
+        return;
+    };
+    let Some(sender) = connection.sender() else {
+        return;
+    };
+    let authority = slot.connections.authority();
+    let reply = exchange(sender, Method::GET, "/health", authority, Bytes::new());
+    let Ok(Ok((_status, body))) = tokio::time::timeout(HEALTH_TIMEOUT, reply).await else {
+        return;
+    };
+    connection.recycle();
+    let Ok(report) = serde_json::from_slice::<HealthBody>(&body) else {
+        return;
+    };
+    let state = match report.state {
+        HealthName::Starting => HealthState::Starting,
+        HealthName::Ready => HealthState::Ready,
+        HealthName::Draining => HealthState::Draining,
+    };
+    let versions: Vec<IndexVersion> = report.versions.into_iter().map(IndexVersion).collect();
+    slot.set_versions(&versions);
+    slot.health(HealthReport {
+        state,
+        load: report.load,
+    });
+}
--- /dev/null
+++ b/crates/daemon/src/leafs/mod.rs
@@ -0,0 +1,14 @@
+//! The leafs that this daemon holds: queues, states, connections and attempts.
+
+mod attempt;
+mod connection;
+mod maintenance;
+mod protocol;
+mod slot;
+mod table;
+
+pub use attempt::{AttemptEnd, Unsent, attempt};
+pub use maintenance::maintain;
+pub use protocol::{LeafRequest, ReplyError};
+pub use slot::{Grant, LeafReport, LeafSlot, Permit};
+pub use table::{Holding, LeafTable};
--- a/crates/daemon/src/leafs/protocol.rs
+++ b/crates/daemon/src/leafs/protocol.rs
@@ -193,6 +193,9 @@
 pub struct HealthBody {
     /// State of the leaf.
     pub state: HealthName,
+    /// Reported load, from 0 to 1.
+    #[serde(default)]
+    pub load: f64,
     /// Index versions that the leaf holds.
     #[serde(default)]
     pub versions: Vec<u64>,
--- /dev/null
+++ b/crates/daemon/src/leafs/slot.rs
@@ -0,0 +1,389 @@
+//! One held leaf: its fair queue, its state and the permits to send to it.
+
+use std::sync::Arc;
+
+use medlarpin_core::fair_queue::{Discipline, FairQueue, Popped, QueueRefusal};
+use medlarpin_core::leaf_state::{HealthReport, LeafCondition, LeafState, Wait};
+use medlarpin_core::prelude::*;
+use parking_lot::Mutex;
+use tokio::sync::oneshot;
+
+use crate::leafs::connection::ConnectionPool;
+
+/// What a queued request receives when its turn comes or the leaf becomes unavailable.
+#[derive(Debug)]
+pub enum Grant {
+    /// The request may be sent.
+    Permit(Permit),
+    /// The deadline can no longer be met; nothing was sent.
+    Expired,
+    /// The leaf is draining or lost; nothing was sent.
+    Unavailable,
+}
+
+/// One held leaf.
+#[derive(Debug)]
+pub struct LeafSlot {
+    /// Service that the leaf belongs to.
+    pub service: ServiceName,
+    /// The leaf as published.
+    pub leaf: Leaf,
+    /// Connections of this daemon to the leaf.
+    pub connections: ConnectionPool,
+    clock: Arc<dyn Clock>,
+    /// Lock order 3; taken after the admission table and before the fingerprints.
+    core: Mutex<SlotCore>,
+}
+
+#[derive(Debug)]
+struct SlotCore {
+    queue: FairQueue<Waiter>,
+    state: LeafState,
+    /// Versions that the leaf reported as gone, sorted.
+    gone: Vec<IndexVersion>,
+    /// Time of the pending wake-up of the queue.
+    wake_at: Option<Instant>,
+    retired: bool,
+}
+
+#[derive(Debug)]
+struct Waiter {
+    sender: oneshot::Sender<Grant>,
+    queued_at: Instant,
+}
+
+/// State of a leaf for the dump.
+#[derive(Debug, Clone)]
+pub struct LeafReport {
+    /// Observed condition.
+    pub condition: LeafCondition,
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Requests queued.
+    pub queued: usize,
+    /// 95th percentile of the latency in the last 10 s.
+    pub p95: Option<Duration>,
+    /// Mean wait in the queue in the last second.
+    pub queue_wait: Duration,
+}
+
+impl LeafSlot {
+    /// Creates the slot of a leaf of which nothing is known.
+    #[must_use]
+    pub fn new(
+        service: ServiceName,
+        leaf: Leaf,
+        connection_share: u32,
+        discipline: Discipline,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        let mut queue = FairQueue::new(discipline);
+        queue.set_parallelism(leaf.slots);
+        let state = LeafState::new(leaf.slots, clock.now());
+        Self {
+            service,
+            connections: ConnectionPool::new(leaf.address, connection_share),
+            leaf,
+            clock,
+            core: Mutex::new(SlotCore {
+                queue,
+                state,
+                gone: Vec::new(),
+                wake_at: None,
+                retired: false,
+            }),
+        }
+    }
+
+    /// Queues a request; the receiver gets its grant.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the queue cannot serve the request in time.
+    pub fn enqueue(
+        self: &Arc<Self>,
+        team: &TeamName,
+        weight: u32,
+        deadline: Instant,
+    ) -> Result<oneshot::Receiver<Grant>, QueueRefusal> {
+        let (sender, receiver) = oneshot::channel();
+        let now = self.clock.now();
+        let waiter = Waiter {
+            sender,
+            queued_at: now,
+        };
+        self.core
+            .lock()
+            .queue
+            .push(team, weight, deadline, waiter, now)
+            .map_err(|(_waiter, refusal)| refusal)?;
+        self.dispatch();
+        Ok(receiver)
+    }
+
+    /// Grants queued requests as far as the leaf's state allows.
+    pub fn dispatch(self: &Arc<Self>) {
+        loop {
+            let now = self.clock.now();
+            let step = self.core.lock().next_step(now, self.connections.share());
+            match step {
+                Step::Grant(waiter) => {
+                    let permit = Permit {
+                        slot: Arc::clone(self),
+                        sent_at: now,
+                        queue_wait: now.saturating_duration_since(waiter.queued_at),
+                        open: true,
+                    };
+                    // A waiter that gave up drops the permit, which ends the request here.
+                    if let Err(Grant::Permit(permit)) = waiter.sender.send(Grant::Permit(permit)) {
+                        permit.discard();
+                    }
+                }
+                Step::Refuse(waiter, grant) => {
+                    // A waiter that gave up needs no refusal.
+                    let _ = waiter.sender.send(grant);
+                }
+                Step::WakeAt(at) => return self.schedule_wake(at, now),
+                Step::Done => return,
+            }
+        }
+    }
+
+    /// Returns true if the leaf may get requests of the version as far as this daemon knows.
+    #[must_use]
+    pub fn serves(&self, version: IndexVersion) -> bool {
+        let core = self.core.lock();
+        let available = !matches!(
+            core.state.condition(self.clock.now()),
+            LeafCondition::Draining | LeafCondition::Lost { .. }
+        );
+        available && core.gone.binary_search(&version).is_err()
+    }
+
+    /// Returns requests queued and in flight.
+    #[must_use]
+    pub fn load(&self) -> u32 {
+        let core = self.core.lock();
+        let queued = u32::try_from(core.queue.len()).unwrap_or(u32::MAX);
+        core.state.in_flight().saturating_add(queued)
+    }
+
+    /// Returns the time after which an unanswered request is hedged.
+    #[must_use]
+    pub fn hedge_delay(&self, time_left: Duration) -> Duration {
+        let core = self.core.lock();
+        let now = self.clock.now();
+        medlarpin_core::latency_window::hedge_delay(core.state.latencies(), time_left, now)
+    }
+
+    /// Records that the leaf no longer holds a version.
+    pub fn mark_gone(&self, version: IndexVersion) {
+        let mut core = self.core.lock();
+        if let Err(index) = core.gone.binary_search(&version) {
+            core.gone.insert(index, version);
+        }
+    }
+
+    /// Forgets which versions the leaf reported as gone, because it reports what it holds.
+    pub fn set_versions(&self, held: &[IndexVersion]) {
+        self.core.lock().gone.retain(|gone| !held.contains(gone));
+    }
+
+    /// Records that a connection was lost or refused.
+    pub fn connection_lost(self: &Arc<Self>) {
+        self.core.lock().state.connection_lost(self.clock.now());
+        self.dispatch();
+    }
+
+    /// Records that the leaf refused work because it drains.
+    pub fn draining(self: &Arc<Self>) {
+        self.core.lock().state.draining(self.clock.now());
+        self.dispatch();
+    }
+
+    /// Takes in a health report.
+    pub fn health(self: &Arc<Self>, report: HealthReport) {
+        self.core.lock().state.health(report, self.clock.now());
+        self.dispatch();
+    }
+
+    /// Stops all new work for the leaf, because it left the settings or this daemon's holding.
+    pub fn retire(self: &Arc<Self>) {
+        {
+            let mut core = self.core.lock();
+            core.retired = true;
+            core.state.removed();
+        }
+        self.dispatch();
+    }
+
+    /// Returns true if a retired leaf has no request in flight.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        let core = self.core.lock();
+        core.state.in_flight() == 0 && core.queue.is_empty()
+    }
+
+    /// Returns how many connections should be open ahead of need.
+    #[must_use]
+    pub fn connections_wanted(&self) -> u32 {
+        let core = self.core.lock();
+        if core.retired {
+            return 0;
+        }
+        core.state.connections_wanted(self.clock.now())
+    }
+
+    /// Returns true when a draining leaf's health is to be asked for.
+    #[must_use]
+    pub fn probe_due(&self) -> bool {
+        let mut core = self.core.lock();
+        !core.retired && core.state.probe_due(self.clock.now())
+    }
+
+    /// Returns the leaf's state for the dump.
+    #[must_use]
+    pub fn report(&self) -> LeafReport {
+        let core = self.core.lock();
+        let now = self.clock.now();
+        LeafReport {
+            condition: core.state.condition(now),
+            in_flight: core.state.in_flight(),
+            queued: core.queue.len(),
+            p95: core.state.latencies().quantile(0.95, now),
+            queue_wait: core.queue.mean_queue_wait(now),
+        }
+    }
+
+    fn schedule_wake(self: &Arc<Self>, at: Instant, now: Instant) {
+        {
+            let mut core = self.core.lock();
+            if core.wake_at.is_some_and(|pending| pending <= at) {
+                return;
+            }
+            core.wake_at = Some(at);
+        }
+        let slot = Arc::clone(self);
+        let delay = at.saturating_duration_since(now);
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            slot.core.lock().wake_at = None;
+            slot.dispatch();
+        });
+    }
+
+    fn end(&self, end: impl FnOnce(&mut SlotCore, Instant)) {
+        end(&mut self.core.lock(), self.clock.now());
+    }
+}
+
+enum Step {
+    Grant(Waiter),
+    Refuse(Waiter, Grant),
+    WakeAt(Instant),
+    Done,
+}
+
+impl SlotCore {
+    fn next_step(&mut self, now: Instant, connection_share: u32) -> Step {
+        if self.queue.is_empty() {
+            return Step::Done;
+        }
+        if self.state.in_flight() >= connection_share {
+            return Step::Done;
+        }
+        match self.state.may_send(now) {
+            Ok(()) => self.pop(now),
+            Err(Wait::InFlight) => Step::Done,
+            Err(Wait::Draining) => self.refuse_one(now),
+            Err(Wait::Until(at)) => {
+                // Requests that wait for a lost leaf can fail over at once.
+                if matches!(self.state.condition(now), LeafCondition::Lost { .. }) {
+                    self.refuse_one(now)
+                } else {
+                    Step::WakeAt(at)
+                }
+            }
+        }
+    }
+
+    fn pop(&mut self, now: Instant) -> Step {
+        loop {
+            match self.queue.pop(now) {
+                Popped::Ready(waiter) if waiter.sender.is_closed() => {}
+                Popped::Ready(waiter) => {
+                    self.state.sent(now);
+                    return Step::Grant(waiter);
+                }
+                Popped::Expired(waiter) => return Step::Refuse(waiter, Grant::Expired),
+                Popped::Empty => return Step::Done,
+            }
+        }
+    }
+
+    fn refuse_one(&mut self, now: Instant) -> Step {
+        match self.queue.pop(now) {
+            Popped::Ready(waiter) | Popped::Expired(waiter) => {
+                Step::Refuse(waiter, Grant::Unavailable)
+            }
+            Popped::Empty => Step::Done,
+        }
+    }
+}
+
+/// The right to have one request in flight at a leaf.
+///
+/// It counts against the leaf's slots until it ends, also when nobody waits for the answer any more.
+#[derive(Debug)]
+pub struct Permit {
+    slot: Arc<LeafSlot>,
+    sent_at: Instant,
+    queue_wait: Duration,
+    open: bool,
+}
+
+impl Permit {
+    /// Returns the time that the request was queued.
+    #[must_use]
+    pub fn queue_wait(&self) -> Duration {
+        self.queue_wait
+    }
+
+    /// Ends the request with an answer.
+    pub fn answered(mut self) {
+        let sent_at = self.sent_at;
+        self.slot.end(|core, now| {
+            let latency = now.saturating_duration_since(sent_at);
+            core.state.answered(latency, now);
+            core.queue.record_service_time(latency);
+        });
+        self.close();
+    }
+
+    /// Ends the request, because the leaf shed it.
+    pub fn shed(mut self, retry_after: Duration) {
+        self.slot
+            .end(|core, now| core.state.shed(retry_after, now));
+        self.close();
+    }
+
+    /// Ends the request without granting the next one; the caller dispatches.
+    fn discard(mut self) {
+        self.slot.end(|core, now| core.state.released(now));
+        self.open = false;
+    }
+
+    fn close(&mut self) {
+        self.open = false;
+        self.slot.dispatch();
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if self.open {
+            self.slot.end(|core, now| core.state.released(now));
+            self.close();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/leafs/table.rs
@@ -0,0 +1,125 @@
+//! The table of held leafs.
+
+use std::cmp::Ordering;
+use std::sync::Arc;
+
+use medlarpin_core::fair_queue::Discipline;
+use medlarpin_core::prelude::*;
+use parking_lot::RwLock;
+
+use crate::leafs::slot::LeafSlot;
+
+/// All leafs that this daemon holds, and those that it is giving up.
+#[derive(Debug, Default)]
+pub struct LeafTable {
+    inner: RwLock<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    /// Sorted by service and leaf id.
+    held: Vec<Arc<LeafSlot>>,
+    /// No longer held, kept until their last request has ended.
+    retired: Vec<Arc<LeafSlot>>,
+}
+
+/// A leaf that this daemon is to hold.
+#[derive(Debug, Clone)]
+pub struct Holding {
+    /// Service that the leaf belongs to.
+    pub service: ServiceName,
+    /// The leaf as published.
+    pub leaf: Leaf,
+    /// Most connections to it.
+    pub connection_share: u32,
+}
+
+impl LeafTable {
+    /// Finds a held leaf.
+    #[must_use]
+    pub fn get(&self, service: &ServiceName, leaf: &LeafId) -> Option<Arc<LeafSlot>> {
+        let inner = self.inner.read();
+        let index = inner
+            .held
+            .binary_search_by(|slot| compare(slot, service, leaf))
+            .ok()?;
+        inner.held.get(index).cloned()
+    }
+
+    /// Returns all held leafs.
+    #[must_use]
+    pub fn held(&self) -> Vec<Arc<LeafSlot>> {
+        self.inner.read().held.clone()
+    }
+
+    /// Returns the open connections to all leafs and the sum of the shares of the held ones.
+    #[must_use]
+    pub fn connections(&self) -> (u32, u32) {
+        let inner = self.inner.read();
+        let all = inner.held.iter().chain(&inner.retired);
+        let open = all.map(|slot| slot.connections.open()).sum();
+        let shares = inner.held.iter().map(|slot| slot.connections.share());
+        (open, shares.sum())
+    }
+
+    /// Holds exactly the given leafs from now on.
+    ///
+    /// A leaf whose address or limits changed counts as another one.
+    pub fn hold(
+        &self,
+        mut holdings: Vec<Holding>,
+        discipline: Discipline,
+        clock: &Arc<dyn Clock>,
+    ) {
+        holdings.sort_by(|a, b| (&a.service, &a.leaf.id).cmp(&(&b.service, &b.leaf.id)));
+        let mut dropped = Vec::new();
+        {
+            let mut inner = self.inner.write();
+            let mut known = std::mem::take(&mut inner.held);
+            for holding in holdings {
+                let found =
+                    known.binary_search_by(|slot| compare(slot, &holding.service, &holding.leaf.id));
+                let slot = match found {
+                    Ok(index) if is_same(&known[index], &holding) => known.remove(index),
+                    Ok(_) | Err(_) => Arc::new(LeafSlot::new(
+                        holding.service,
+                        holding.leaf,
+                        holding.connection_share,
+                        discipline,
+                        Arc::clone(clock),
+                    )),
+                };
+                inner.held.push(slot);
+            }
+            dropped.extend(known.iter().cloned());
+            inner.retired.extend(known);
+        }
+        // Retiring wakes queued requests, so it runs without the table's lock.
+        for slot in dropped {
+            slot.retire();
+        }
+    }
+
+    /// Closes the connections of retired leafs; returns true once none is left.
+    pub fn close_retired(&self) -> bool {
+        let retired = self.inner.read().retired.clone();
+        for slot in &retired {
+            slot.connections.close_idle();
+        }
+        let mut inner = self.inner.write();
+        inner
+            .retired
+            .retain(|slot| slot.connections.open() > 0 || !slot.is_idle());
+        inner.retired.is_empty()
+    }
+}
+
+fn compare(slot: &LeafSlot, service: &ServiceName, leaf: &LeafId) -> Ordering {
+    slot.service
+        .cmp(service)
+        .then_with(|| slot.leaf.id.cmp(leaf))
+}
+
+fn is_same(slot: &LeafSlot, holding: &Holding) -> bool {
+    slot.leaf == holding.leaf && slot.connections.share() == holding.connection_share
+}
--- a/crates/daemon/src/peers/pool.rs
+++ b/crates/daemon/src/peers/pool.rs
@@ -3,20 +3,19 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
-use capnp::capability::Promise;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use displaydoc::Display;
 use futures::AsyncReadExt;
 use medlarpin_core::prelude::*;
+use medlarpin_core::settings_tree::TransferTree;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::OnceCell;
 use tokio_util::compat::TokioAsyncReadCompatExt;
 use wire::peer_capnp::peer;
 use wire::{
-    Batch, BatchReply, CallerAnswer, CallerQuery, HeartbeatMessage, SettingsTreeMessage, WireError,
+    Batch, BatchReply, CallerAnswer, CallerQuery, HeartbeatMessage, WireError,
 };
 
 /// Longest wait for a TCP connection to a peer; a live peer answers within a few milliseconds.
@@ -134,7 +133,7 @@
         address: SocketAddr,
         above: Revision,
         timeout: Duration,
-    ) -> Result<Option<SettingsTreeMessage>, PeerError> {
+    ) -> Result<Option<TransferTree>, PeerError> {
         self.call(address, timeout, async |client| {
             let mut request = client.fetch_settings_request();
             request.get().set_above_revision(above.0);
@@ -267,10 +266,3 @@
     });
     Ok(client)
 }
-
-/// Builds the promise that an RPC method returns from an ordinary future.
-pub(super) fn promise(
-    future: impl Future<Output = Result<(), capnp::Error>> + 'static,
-) -> Promise<(), capnp::Error> {
-    Promise::from_future(future)
-}
--- /dev/null
+++ b/crates/daemon/src/shared.rs
@@ -0,0 +1,204 @@
+//! Tables that all workers share, with their lock order.
+//!
+//! A mutex is taken only while none of a later place is held, and never across an await:
+//! 1 fleet, 2 admission, 3 leafs (one at a time), 4 fingerprints, 5 tickets, 6 recent answers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use medlarpin_core::canary::FingerprintTable;
+use medlarpin_core::ownership::active_holder;
+use medlarpin_core::pause::Paused;
+use medlarpin_core::prelude::*;
+use medlarpin_core::tickets::{TicketBook, TicketLimits};
+use parking_lot::Mutex;
+use settings::DaemonSettings;
+use tokio::sync::Notify;
+
+use crate::entry::{AdmissionTable, AnswerBody, OutcomeName};
+use crate::fleet::FleetTable;
+use crate::leafs::{LeafSlot, LeafTable};
+use crate::lifecycle::Lifecycle;
+use crate::operators::{Metrics, RecentAnswers};
+use crate::view::{FleetView, GroupView};
+use crate::workers::WorkerPool;
+
+/// State of one daemon.
+#[derive(Debug)]
+pub struct Shared {
+    /// The daemon's settings.
+    pub settings: DaemonSettings,
+    /// The clock of all decisions.
+    pub clock: Arc<dyn Clock>,
+    /// When the daemon started.
+    pub started_at: Instant,
+    /// This daemon's incarnation.
+    pub incarnation: Incarnation,
+    /// Address of the RPC listener.
+    pub rpc_address: SocketAddr,
+    /// Lock order 1.
+    pub fleet: Mutex<FleetTable>,
+    /// Lock order 2.
+    pub admission: Mutex<AdmissionTable>,
+    /// Lock order 3; each leaf has its own lock.
+    pub leafs: LeafTable,
+    /// Lock order 4.
+    pub fingerprints: Mutex<FingerprintTable>,
+    /// Lock order 5.
+    pub tickets: Mutex<TicketBook>,
+    /// Lock order 6.
+    pub recent: Mutex<RecentAnswers>,
+    /// Metrics; they need no lock.
+    pub metrics: Metrics,
+    /// Start and stop.
+    pub lifecycle: Lifecycle,
+    /// Notified when a ticketed run ends.
+    pub ticket_ended: Notify,
+    /// Notified when a canary ends.
+    pub canary_ended: Notify,
+    /// Notified when this daemon's settings, VM list or quarantines changed and peers should hear.
+    pub news: Notify,
+    view: ArcSwap<FleetView>,
+}
+
+/// The shared state and the workers.
+#[derive(Debug)]
+pub struct Node {
+    /// Tables that all workers share.
+    pub shared: Arc<Shared>,
+    /// The workers.
+    pub workers: WorkerPool,
+}
+
+impl Shared {
+    /// Creates the state of a daemon that has just started.
+    #[must_use]
+    pub fn new(
+        settings: DaemonSettings,
+        clock: Arc<dyn Clock>,
+        incarnation: Incarnation,
+        rpc_address: SocketAddr,
+        metrics: Metrics,
+    ) -> Self {
+        let now = clock.now();
+        let ticket_limits = TicketLimits {
+            lifetime: Duration::from_millis(settings.ticket_lifetime_ms),
+            ..TicketLimits::default()
+        };
+        Self {
+            started_at: now,
+            incarnation,
+            rpc_address,
+            fleet: Mutex::new(FleetTable::new(&settings, incarnation, now)),
+            admission: Mutex::new(AdmissionTable::new(settings.vm.clone())),
+            leafs: LeafTable::default(),
+            fingerprints: Mutex::new(FingerprintTable::new()),
+            tickets: Mutex::new(TicketBook::new(
+                settings.vm.clone(),
+                incarnation,
+                ticket_limits,
+            )),
+            recent: Mutex::new(RecentAnswers::default()),
+            metrics,
+            lifecycle: Lifecycle::default(),
+            ticket_ended: Notify::new(),
+            canary_ended: Notify::new(),
+            news: Notify::new(),
+            view: ArcSwap::from_pointee(FleetView::default()),
+            settings,
+            clock,
+        }
+    }
+
+    /// Returns this daemon's VM.
+    #[must_use]
+    pub fn me(&self) -> &VmName {
+        &self.settings.vm
+    }
+
+    /// Returns the settings and VM list in force.
+    #[must_use]
+    pub fn view(&self) -> Arc<FleetView> {
+        self.view.load_full()
+    }
+
+    /// Puts a new view in force.
+    pub fn set_view(&self, view: FleetView) {
+        self.view.store(Arc::new(view));
+    }
+
+    /// Draws a request identifier.
+    #[must_use]
+    pub fn draw_request_id(&self) -> RequestId {
+        RequestId(rand::random())
+    }
+
+    /// Refuses work after a pause of this process.
+    ///
+    /// # Errors
+    ///
+    /// Fails until the daemon has rejoined the fleet.
+    pub fn check_pause(&self, now: Instant) -> Result<(), Paused> {
+        self.fleet.lock().pause.check(now)
+    }
+
+    /// Returns the usable holders of a group, best rank first, with their RPC addresses.
+    #[must_use]
+    pub fn usable_holders(&self, view: &FleetView, group: &GroupView) -> Vec<(VmName, SocketAddr)> {
+        let fleet = self.fleet.lock();
+        let usable = group
+            .holders
+            .iter()
+            .filter(|vm| *vm == self.me() || fleet.membership.is_usable(vm));
+        usable
+            .filter_map(|vm| {
+                let entry = view.vm_list().get(vm);
+                let address = entry.map_or(self.rpc_address, |entry| entry.rpc_address);
+                (entry.is_some() || vm == self.me()).then(|| (vm.clone(), address))
+            })
+            .collect()
+    }
+
+    /// Returns true if this daemon is the active holder of a leaf.
+    #[must_use]
+    pub fn is_active_for(&self, slot: &LeafSlot) -> bool {
+        let view = self.view();
+        let Some(service) = view.service(slot.service.as_str()) else {
+            return false;
+        };
+        let Some(group) = service.group_of(&slot.leaf.id) else {
+            return false;
+        };
+        let holders = &service.groups[group].holders;
+        let fleet = self.fleet.lock();
+        active_holder(holders, |vm| {
+            vm == self.me() || fleet.membership.is_usable(vm)
+        }) == Some(self.me())
+    }
+
+    /// Counts an answer and keeps it for the dump.
+    pub fn record_answer(&self, body: &AnswerBody, elapsed: Duration) {
+        let metrics = &self.metrics;
+        let team = body.team.as_str();
+        let outcome = body.outcome.as_str();
+        metrics
+            .query_seconds
+            .with_label_values(&[team, outcome])
+            .observe(elapsed.as_secs_f64());
+        let asked = body.covered.len() + body.uncovered.len();
+        let asked_counter = metrics.shards_asked.with_label_values(&[team]);
+        asked_counter.inc_by(asked as u64);
+        let covered_counter = metrics.shards_covered.with_label_values(&[team]);
+        covered_counter.inc_by(body.covered.len() as u64);
+        for shard in &body.uncovered {
+            let labels = [shard.reason.as_str()];
+            metrics.shards_uncovered.with_label_values(&labels).inc();
+        }
+        if body.outcome != OutcomeName::Complete {
+            let reason = body.reason.as_deref().unwrap_or("uncovered shards");
+            log::info!("entry: Request {} ended {outcome}: {reason}.", body.request_id);
+        }
+        self.recent.lock().push(body);
+    }
+}
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -144,8 +144,7 @@
 struct SettingsTree {
   # Zero means that the peer has nothing above the revision asked for.
   revision @0 :UInt64;
-  digest @1 :UInt64;
-  texts @2 :List(SettingsText);
+  texts @1 :List(SettingsText);
 }
 
 interface Peer {
--- a/crates/wire/src/batch.rs
+++ b/crates/wire/src/batch.rs
@@ -169,9 +169,7 @@
     pub fn write(&self, mut builder: batch_reply::Builder<'_>) {
         builder.set_leaf_requests(self.leaf_requests);
         builder.set_extra_leaf_requests(self.extra_leaf_requests);
-        let mut results = builder
-            .reborrow()
-            .init_results(list_length(&self.results));
+        let mut results = builder.reborrow().init_results(list_length(&self.results));
         for (index, result) in (0..).zip(&self.results) {
             write_result(result, results.reborrow().get(index));
         }
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -4,6 +4,7 @@
 
 use medlarpin_core::membership::{Heartbeat, MemberState, MemberUpdate};
 use medlarpin_core::prelude::*;
+use medlarpin_core::settings_tree::{SettingsText, TransferEntry, TransferTree};
 
 use crate::error::{WireError, check_length};
 use crate::peer_capnp::{self, heartbeat, member_update, settings_tree, vm_list};
@@ -27,28 +28,6 @@
     pub sender_address: SocketAddr,
 }
 
-/// Text of one path of a settings tree.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SettingsText {
-    /// Path of the text.
-    pub path: String,
-    /// Last valid text and the tree revision that brought it; `None` if no text was ever valid.
-    pub valid: Option<(Revision, String)>,
-    /// A later text of the path that did not parse, and its tree revision.
-    pub rejected: Option<(Revision, String)>,
-}
-
-/// A settings tree as a peer holds it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SettingsTreeMessage {
-    /// Revision of the tree.
-    pub revision: Revision,
-    /// Digest of the tree's published texts.
-    pub digest: u64,
-    /// Texts of all paths.
-    pub texts: Vec<SettingsText>,
-}
-
 /// Parses a heartbeat.
 ///
 /// # Errors
@@ -112,42 +91,40 @@
 /// Fails if the message is malformed or too long.
 pub fn read_settings_tree(
     reader: settings_tree::Reader<'_>,
-) -> Result<Option<SettingsTreeMessage>, WireError> {
+) -> Result<Option<TransferTree>, WireError> {
     if reader.get_revision() == 0 {
         return Ok(None);
     }
     let text_list = reader.get_texts()?;
     check_length("texts", text_list.len(), MAX_TEXTS)?;
-    let mut texts = Vec::with_capacity(text_list.len() as usize);
+    let mut entries = Vec::with_capacity(text_list.len() as usize);
     for entry in text_list {
-        texts.push(SettingsText {
+        entries.push(TransferEntry {
             path: entry.get_path()?.to_string()?,
-            valid: read_versioned(entry.get_revision(), entry.get_text()?)?,
-            rejected: read_versioned(entry.get_rejected_revision(), entry.get_rejected_text()?)?,
+            in_force: read_text(entry.get_revision(), entry.get_text()?)?,
+            rejected: read_text(entry.get_rejected_revision(), entry.get_rejected_text()?)?,
         });
     }
-    Ok(Some(SettingsTreeMessage {
+    Ok(Some(TransferTree {
         revision: Revision(reader.get_revision()),
-        digest: reader.get_digest(),
-        texts,
+        entries,
     }))
 }
 
 /// Writes a settings tree.
-pub fn write_settings_tree(tree: &SettingsTreeMessage, mut builder: settings_tree::Builder<'_>) {
+pub fn write_settings_tree(tree: &TransferTree, mut builder: settings_tree::Builder<'_>) {
     builder.set_revision(tree.revision.0);
-    builder.set_digest(tree.digest);
-    let mut texts = builder.init_texts(list_length(&tree.texts));
-    for (index, text) in (0..).zip(&tree.texts) {
+    let mut texts = builder.init_texts(list_length(&tree.entries));
+    for (index, text) in (0..).zip(&tree.entries) {
         let mut entry = texts.reborrow().get(index);
         entry.set_path(&text.path);
-        if let Some((revision, valid)) = &text.valid {
-            entry.set_revision(revision.0);
-            entry.set_text(valid);
+        if let Some(in_force) = &text.in_force {
+            entry.set_revision(in_force.revision.0);
+            entry.set_text(&in_force.text);
         }
-        if let Some((revision, rejected)) = &text.rejected {
-            entry.set_rejected_revision(revision.0);
-            entry.set_rejected_text(rejected);
+        if let Some(rejected) = &text.rejected {
+            entry.set_rejected_revision(rejected.revision.0);
+            entry.set_rejected_text(&rejected.text);
         }
     }
 }
@@ -196,14 +173,17 @@
     }
 }
 
-fn read_versioned(
+fn read_text(
     revision: u64,
     text: capnp::text::Reader<'_>,
-) -> Result<Option<(Revision, String)>, WireError> {
+) -> Result<Option<SettingsText>, WireError> {
     if revision == 0 {
         return Ok(None);
     }
-    Ok(Some((Revision(revision), text.to_string()?)))
+    Ok(Some(SettingsText {
+        revision: Revision(revision),
+        text: text.to_string()?,
+    }))
 }
 
 fn read_update(reader: member_update::Reader<'_>) -> Result<MemberUpdate, WireError> {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -27,7 +27,7 @@
 pub use crate::batch::{Batch, BatchReply, ShardResult, ShardTask};
 pub use crate::error::WireError;
 pub use crate::fleet::{
-    HeartbeatMessage, SettingsText, SettingsTreeMessage, read_heartbeat, read_settings_tree,
-    read_vm_list, write_heartbeat, write_settings_tree, write_vm_list,
+    HeartbeatMessage, read_heartbeat, read_settings_tree, read_vm_list, write_heartbeat,
+    write_settings_tree, write_vm_list,
 };
 pub use crate::query::{CallerAnswer, CallerQuery};
--- a/crates/wire/src/query.rs
+++ b/crates/wire/src/query.rs
@@ -97,7 +97,10 @@
     RequestId(u128::from(high) << 64 | u128::from(low))
 }
 
-#[expect(clippy::cast_possible_truncation, reason = "splits 128 bits into halves")]
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "splits 128 bits into halves"
+)]
 pub(crate) fn split_request_id(request: RequestId) -> (u64, u64) {
     ((request.0 >> 64) as u64, request.0 as u64)
 }
