Parse daemon settings and the settings tree into checked types

The other crates need settings as checked types, and operators need errors that show where and what to change.

Texts are read from jsonc-parser's syntax tree instead of its serde layer, because only the tree keeps the position of each key and repeated keys. The defaults are printed from the same texts that a test compares with the parser.

--- /dev/null
+++ b/crates/settings/src/document.rs
@@ -0,0 +1,85 @@
+//! Parsing of a whole text.
+
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+
+use crate::TEXT_LIMIT_BYTES;
+use crate::error::{Place, SettingsError};
+use crate::nearest::shorten;
+use crate::reader::{Field, QUOTE_LIMIT_CHARS};
+
+/// A text and the name of its file, or its path within the tree.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Source<'a> {
+    pub(crate) file: &'a str,
+    pub(crate) text: &'a str,
+}
+
+impl Source<'_> {
+    /// Returns the place of a byte offset.
+    #[expect(
+        clippy::unnecessary_box_returns,
+        reason = "errors hold the place boxed, to stay small"
+    )]
+    pub(crate) fn place(&self, offset: usize, json_path: &str) -> Box<Place> {
+        let end = self.text.floor_char_boundary(offset.min(self.text.len()));
+        let before = &self.text[..end];
+        let line_start = before.rfind('\n').map_or(0, |index| index + 1);
+        Box::new(Place {
+            file: self.file.to_owned(),
+            line: before.matches('\n').count() + 1,
+            column: before[line_start..].chars().count() + 1,
+            json_path: json_path.to_owned(),
+        })
+    }
+}
+
+/// Parses the text and hands its root to `read`.
+pub(crate) fn read_document<T>(
+    source: Source<'_>,
+    read: impl FnOnce(&Field<'_>) -> Result<T, SettingsError>,
+) -> Result<T, SettingsError> {
+    if source.text.len() > TEXT_LIMIT_BYTES {
+        return Err(SettingsError::TooLarge {
+            place: source.place(0, "$"),
+            size_bytes: source.text.len(),
+            hint: format!(
+                "a text has at most {TEXT_LIMIT_BYTES} bytes; remove comments or entries"
+            ),
+        });
+    }
+    let syntax = |offset, reason: String, hint: &str| SettingsError::Syntax {
+        place: source.place(offset, "$"),
+        reason: shorten(&reason, QUOTE_LIMIT_CHARS),
+        hint: hint.to_owned(),
+    };
+    let parsed = parse_to_ast(source.text, &CollectOptions::default(), &strict_options()).map_err(
+        |error| {
+            let hint = "check the quotes, commas and brackets here and on the line before";
+            syntax(error.range().start, error.kind().to_string(), hint)
+        },
+    )?;
+    let Some(value) = parsed.value else {
+        return Err(syntax(
+            0,
+            "the text is empty".to_owned(),
+            "write an object: { ... }",
+        ));
+    };
+    read(&Field::root(source, &value))
+}
+
+/// Only comments and trailing commas go beyond JSON.
+fn strict_options() -> ParseOptions {
+    ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    }
+}
--- /dev/null
+++ b/crates/settings/src/format.rs
@@ -0,0 +1,39 @@
+/// A settings format.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Format {
+    /// Settings of one daemon, read at its start.
+    Daemon,
+    /// Settings of a team, at `teams/<team>`.
+    Team,
+    /// A service and its leafs, at `services/<service>`.
+    Service,
+    /// A shard map, at `indexes/<service>/<version>`.
+    Index,
+}
+
+impl Format {
+    /// All formats.
+    pub const ALL: [Self; 4] = [Self::Daemon, Self::Team, Self::Service, Self::Index];
+
+    /// Returns the format's name.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Daemon => "daemon",
+            Self::Team => "team",
+            Self::Service => "service",
+            Self::Index => "index",
+        }
+    }
+
+    /// Returns a commented text with every key: the defaults, and sample values where none exists.
+    #[must_use]
+    pub fn defaults(self) -> &'static str {
+        match self {
+            Self::Daemon => include_str!("../defaults/daemon.jsonc"),
+            Self::Team => include_str!("../defaults/team.jsonc"),
+            Self::Service => include_str!("../defaults/service.jsonc"),
+            Self::Index => include_str!("../defaults/index.jsonc"),
+        }
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,28 @@
-//! Placeholder.
+//! Settings formats in JSON with comments, parsed into checked types.
+//!
+//! A text is either accepted whole or refused with an error that names the file or path, the line,
+//! the column, the JSON path of the field and a hint.
+
+mod check;
+mod daemon;
+mod document;
+mod error;
+mod format;
+mod index;
+mod logs;
+mod nearest;
+pub mod prelude;
+mod reader;
+mod service;
+mod subtree;
+mod team;
+
+pub use crate::check::check_tree;
+pub use crate::daemon::{DaemonSettings, QueueDiscipline, Routing, parse_daemon};
+pub use crate::error::{Place, SettingsError};
+pub use crate::format::Format;
+pub use crate::logs::{LogLevel, LogPart, LogSettings};
+pub use crate::subtree::{Subtree, SubtreePath, parse_subtree};
+
+/// Largest text that is accepted; the configuration service holds values up to 1 MB.
+pub const TEXT_LIMIT_BYTES: usize = 1024 * 1024;
--- /dev/null
+++ b/crates/settings/src/reader.rs
@@ -0,0 +1,354 @@
+//! Checked access to a parsed text; every error carries its place.
+
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+
+use jsonc_parser::ast::{Object, Value};
+use jsonc_parser::common::Ranged;
+
+use crate::document::Source;
+use crate::error::{Place, SettingsError};
+use crate::nearest::{shorten, suggestion};
+
+/// Characters of a value that an error quotes.
+pub(crate) const QUOTE_LIMIT_CHARS: usize = 80;
+/// Longest name; names become metric labels and log fields.
+const NAME_LIMIT_BYTES: usize = 100;
+
+/// A value and its position.
+#[derive(Debug)]
+pub(crate) struct Field<'a> {
+    source: Source<'a>,
+    json_path: String,
+    /// Key of the value in its object; empty for the root and for items of a list.
+    key: &'a str,
+    value: &'a Value<'a>,
+}
+
+impl<'a> Field<'a> {
+    pub(crate) fn root(source: Source<'a>, value: &'a Value<'a>) -> Self {
+        Self {
+            source,
+            json_path: "$".to_owned(),
+            key: "",
+            value,
+        }
+    }
+
+    #[expect(
+        clippy::unnecessary_box_returns,
+        reason = "errors hold the place boxed, to stay small"
+    )]
+    pub(crate) fn place(&self) -> Box<Place> {
+        self.source.place(self.value.start(), &self.json_path)
+    }
+
+    /// Returns the object, after a check that all its keys are known and none is repeated.
+    pub(crate) fn object(
+        &self,
+        known: &'static [&'static str],
+    ) -> Result<Fields<'a>, SettingsError> {
+        let Value::Object(object) = self.value else {
+            return Err(self.wrong_type("an object", "write { ... } here".to_owned()));
+        };
+        let mut seen: Vec<&str> = Vec::with_capacity(known.len());
+        for property in &object.properties {
+            let key = property.name.as_str();
+            let place = || {
+                let json_path = format!("{}.{}", self.json_path, shorten(key, QUOTE_LIMIT_CHARS));
+                self.source.place(property.name.start(), &json_path)
+            };
+            if !known.contains(&key) {
+                return Err(SettingsError::UnknownKey {
+                    place: place(),
+                    key: shorten(key, QUOTE_LIMIT_CHARS),
+                    hint: suggestion(key, known),
+                });
+            }
+            if seen.contains(&key) {
+                return Err(SettingsError::DuplicateKey {
+                    place: place(),
+                    key: key.to_owned(),
+                    hint: "keep one of the two".to_owned(),
+                });
+            }
+            seen.push(key);
+        }
+        Ok(Fields {
+            source: self.source,
+            json_path: self.json_path.clone(),
+            object,
+        })
+    }
+
+    pub(crate) fn is_object(&self) -> bool {
+        matches!(self.value, Value::Object(_))
+    }
+
+    /// Returns the items of a list.
+    pub(crate) fn items(&self) -> Result<impl Iterator<Item = Field<'a>>, SettingsError> {
+        let Value::Array(array) = self.value else {
+            return Err(self.wrong_type("a list", "write [ ... ] here".to_owned()));
+        };
+        let (source, json_path) = (self.source, self.json_path.clone());
+        Ok(array
+            .elements
+            .iter()
+            .enumerate()
+            .map(move |(index, value)| Field {
+                source,
+                json_path: format!("{json_path}[{index}]"),
+                key: "",
+                value,
+            }))
+    }
+
+    /// Returns the items of a list that may not be empty.
+    pub(crate) fn some_items(&self) -> Result<impl Iterator<Item = Field<'a>>, SettingsError> {
+        let mut items = self.items()?.peekable();
+        if items.peek().is_none() {
+            return Err(SettingsError::EmptyList {
+                place: self.place(),
+                hint: "give at least one entry".to_owned(),
+            });
+        }
+        Ok(items)
+    }
+
+    pub(crate) fn flag(&self) -> Result<bool, SettingsError> {
+        match self.value {
+            Value::BooleanLit(literal) => Ok(literal.value),
+            _ => Err(self.wrong_type(
+                "a boolean",
+                "write true or false, without quotes".to_owned(),
+            )),
+        }
+    }
+
+    pub(crate) fn text(&self) -> Result<&'a str, SettingsError> {
+        match self.value {
+            Value::StringLit(literal) => Ok(&literal.value),
+            _ => Err(self.wrong_type("a string", "write it in double quotes".to_owned())),
+        }
+    }
+
+    /// Returns a whole number within the range.
+    pub(crate) fn number(&self, range: RangeInclusive<u64>) -> Result<u64, SettingsError> {
+        let unit = unit_of(self.key);
+        let (least, most) = (range.start(), range.end());
+        let hint = format!("write a whole number from {least} to {most}{unit}");
+        let Value::NumberLit(literal) = self.value else {
+            return Err(self.wrong_type("a number", format!("{hint}, without quotes or unit")));
+        };
+        if let Ok(number) = literal.value.parse::<u64>()
+            && range.contains(&number)
+        {
+            return Ok(number);
+        }
+        Err(SettingsError::OutOfRange {
+            place: self.place(),
+            value: shorten(literal.value, QUOTE_LIMIT_CHARS),
+            hint,
+        })
+    }
+
+    /// Returns a whole number within the range of the narrower type and the given one.
+    pub(crate) fn small_number(&self, range: RangeInclusive<u32>) -> Result<u32, SettingsError> {
+        let wide = u64::from(*range.start())..=u64::from(*range.end());
+        let number = self.number(wide)?;
+        Ok(u32::try_from(number).unwrap_or(*range.end()))
+    }
+
+    /// Returns a share above 0 and below 1.
+    pub(crate) fn share(&self) -> Result<f64, SettingsError> {
+        let hint = "write a share above 0 and below 1, for example 0.99";
+        let Value::NumberLit(literal) = self.value else {
+            return Err(self.wrong_type("a number", hint.to_owned()));
+        };
+        match literal.value.parse::<f64>() {
+            Ok(share) if share > 0.0 && share < 1.0 => Ok(share),
+            _ => Err(SettingsError::OutOfRange {
+                place: self.place(),
+                value: shorten(literal.value, QUOTE_LIMIT_CHARS),
+                hint: hint.to_owned(),
+            }),
+        }
+    }
+
+    /// Returns a name: letters, digits and the marks in `marks`.
+    pub(crate) fn name(&self, marks: &str) -> Result<&'a str, SettingsError> {
+        let text = self.text()?;
+        if is_name(text, marks) {
+            return Ok(text);
+        }
+        Err(SettingsError::InvalidName {
+            place: self.place(),
+            value: shorten(text, QUOTE_LIMIT_CHARS),
+            hint: name_hint(marks),
+        })
+    }
+
+    /// Returns an address of its own to listen on; port 0 lets the operating system choose.
+    pub(crate) fn listen_address(&self) -> Result<SocketAddr, SettingsError> {
+        let text = self.text()?;
+        text.parse().map_err(|_error| self.invalid_address(text))
+    }
+
+    /// Returns an address to connect to.
+    pub(crate) fn peer_address(&self) -> Result<SocketAddr, SettingsError> {
+        let text = self.text()?;
+        match text.parse::<SocketAddr>() {
+            Ok(address) if address.port() != 0 && !address.ip().is_unspecified() => Ok(address),
+            _ => Err(self.invalid_address(text)),
+        }
+    }
+
+    /// Returns the value that a word stands for.
+    pub(crate) fn word<T: Copy>(&self, known: &[(&'static str, T)]) -> Result<T, SettingsError> {
+        let words: Vec<&str> = known.iter().map(|(word, _)| *word).collect();
+        let Value::StringLit(literal) = self.value else {
+            let hint = format!("write one of {}, in double quotes", words.join(", "));
+            return Err(self.wrong_type("a string", hint));
+        };
+        let found = known.iter().find(|(word, _)| *word == literal.value);
+        found
+            .map(|(_, value)| *value)
+            .ok_or_else(|| SettingsError::UnknownValue {
+                place: self.place(),
+                value: shorten(&literal.value, QUOTE_LIMIT_CHARS),
+                hint: suggestion(&literal.value, &words),
+            })
+    }
+
+    /// Returns the error for an entry whose identifying value was given before.
+    pub(crate) fn repeated(&self, value: &str, hint: &str) -> SettingsError {
+        SettingsError::DuplicateEntry {
+            place: self.place(),
+            value: value.to_owned(),
+            hint: hint.to_owned(),
+        }
+    }
+
+    fn wrong_type(&self, expected: &'static str, hint: String) -> SettingsError {
+        let found = match self.value {
+            Value::StringLit(_) => "a string",
+            Value::NumberLit(_) => "a number",
+            Value::BooleanLit(_) => "a boolean",
+            Value::Object(_) => "an object",
+            Value::Array(_) => "a list",
+            Value::NullKeyword(_) => "null",
+        };
+        SettingsError::WrongType {
+            place: self.place(),
+            found,
+            expected,
+            hint,
+        }
+    }
+
+    fn invalid_address(&self, text: &str) -> SettingsError {
+        SettingsError::InvalidAddress {
+            place: self.place(),
+            value: shorten(text, QUOTE_LIMIT_CHARS),
+            hint: "write an IP address and a port, for example 192.0.2.7:9000; host names are not \
+                   resolved, and a remote address needs a port other than 0"
+                .to_owned(),
+        }
+    }
+}
+
+/// An object whose keys are all known and not repeated.
+#[derive(Debug)]
+pub(crate) struct Fields<'a> {
+    source: Source<'a>,
+    json_path: String,
+    object: &'a Object<'a>,
+}
+
+impl<'a> Fields<'a> {
+    pub(crate) fn optional(&self, key: &'static str) -> Option<Field<'a>> {
+        let property = self.object.get(key)?;
+        Some(Field {
+            source: self.source,
+            json_path: format!("{}.{key}", self.json_path),
+            key,
+            value: &property.value,
+        })
+    }
+
+    /// Returns a required field; `sample` shows how it is written.
+    pub(crate) fn required(
+        &self,
+        key: &'static str,
+        sample: &str,
+    ) -> Result<Field<'a>, SettingsError> {
+        self.optional(key).ok_or_else(|| SettingsError::MissingKey {
+            place: self.source.place(self.object.start(), &self.json_path),
+            key,
+            hint: format!("add \"{key}\": {sample}"),
+        })
+    }
+
+    /// Returns a number, or the default if the key is absent.
+    pub(crate) fn number_or(
+        &self,
+        key: &'static str,
+        range: RangeInclusive<u64>,
+        default: u64,
+    ) -> Result<u64, SettingsError> {
+        self.optional(key)
+            .map_or(Ok(default), |field| field.number(range))
+    }
+
+    /// Returns a number, or the default if the key is absent.
+    pub(crate) fn small_number_or(
+        &self,
+        key: &'static str,
+        range: RangeInclusive<u32>,
+        default: u32,
+    ) -> Result<u32, SettingsError> {
+        self.optional(key)
+            .map_or(Ok(default), |field| field.small_number(range))
+    }
+
+    /// Returns a boolean, or the default if the key is absent.
+    pub(crate) fn flag_or(&self, key: &'static str, default: bool) -> Result<bool, SettingsError> {
+        self.optional(key).map_or(Ok(default), |field| field.flag())
+    }
+
+    /// Returns the value that a word stands for, or the default if the key is absent.
+    pub(crate) fn word_or<T: Copy>(
+        &self,
+        key: &'static str,
+        known: &[(&'static str, T)],
+        default: T,
+    ) -> Result<T, SettingsError> {
+        self.optional(key)
+            .map_or(Ok(default), |field| field.word(known))
+    }
+}
+
+/// Returns true for 1 to 100 ASCII letters, digits and marks.
+pub(crate) fn is_name(text: &str, marks: &str) -> bool {
+    (1..=NAME_LIMIT_BYTES).contains(&text.len())
+        && text
+            .chars()
+            .all(|c| c.is_ascii_alphanumeric() || marks.contains(c))
+}
+
+/// Returns the hint for a name that is not valid.
+pub(crate) fn name_hint(marks: &str) -> String {
+    format!("a name has 1 to {NAME_LIMIT_BYTES} ASCII letters, digits or any of {marks}")
+}
+
+fn unit_of(key: &str) -> &'static str {
+    if key.ends_with("_ms") {
+        " (milliseconds)"
+    } else if key.ends_with("_bytes") {
+        " (bytes)"
+    } else if key.ends_with("_per_s") {
+        " (per second)"
+    } else {
+        ""
+    }
+}
--- /dev/null
+++ b/crates/settings/src/team.rs
@@ -0,0 +1,61 @@
+use medlarpin_core::prelude::{CoverageWanted, TeamName, TeamSettings};
+
+use crate::error::SettingsError;
+use crate::reader::Field;
+
+const KEYS: &[&str] = &[
+    "weight",
+    "rate_limit_per_s",
+    "concurrency_limit",
+    "deadline_default_ms",
+    "deadline_cap_ms",
+    "coverage_wanted",
+    "repeat_allowed",
+];
+
+/// Longest deadline that a team may be granted.
+const DEADLINE_LIMIT_MS: u32 = 600_000;
+
+pub(crate) fn read(root: &Field<'_>, name: TeamName) -> Result<TeamSettings, SettingsError> {
+    let fields = root.object(KEYS)?;
+    let limit = |key, sample| fields.required(key, sample)?.small_number(1..=1_000_000);
+    let deadline_default_ms =
+        fields.small_number_or("deadline_default_ms", 1..=DEADLINE_LIMIT_MS, 300)?;
+    let deadline_cap_ms = match fields.optional("deadline_cap_ms") {
+        Some(field) => read_cap(&field, deadline_default_ms)?,
+        None => deadline_default_ms.max(10_000),
+    };
+    Ok(TeamSettings {
+        name,
+        weight: fields.small_number_or("weight", 1..=1_000, 1)?,
+        rate_limit_per_s: limit("rate_limit_per_s", "200")?,
+        concurrency_limit: limit("concurrency_limit", "50")?,
+        deadline_default_ms,
+        deadline_cap_ms,
+        coverage_wanted: fields
+            .optional("coverage_wanted")
+            .map_or(Ok(CoverageWanted::All), |field| read_coverage(&field))?,
+        repeat_allowed: fields.flag_or("repeat_allowed", true)?,
+    })
+}
+
+fn read_cap(field: &Field<'_>, deadline_default_ms: u32) -> Result<u32, SettingsError> {
+    let cap_ms = field.small_number(1..=DEADLINE_LIMIT_MS)?;
+    if cap_ms < deadline_default_ms {
+        return Err(SettingsError::Contradiction {
+            place: field.place(),
+            other: "deadline_default_ms",
+            hint: format!("write at least {deadline_default_ms} (milliseconds)"),
+        });
+    }
+    Ok(cap_ms)
+}
+
+fn read_coverage(field: &Field<'_>) -> Result<CoverageWanted, SettingsError> {
+    if field.is_object() {
+        let fields = field.object(&["least_share"])?;
+        let share = fields.required("least_share", "0.99")?.share()?;
+        return Ok(CoverageWanted::LeastShare(share));
+    }
+    field.word(&[("all", CoverageWanted::All)])
+}
--- /dev/null
+++ b/crates/settings/tests/formats.rs
@@ -0,0 +1,183 @@
+//! Guards against accepted texts that are wrong, refused texts that are right, and panics.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use settings::prelude::*;
+
+const DAEMON: &str = r#"{"vm": "vm-01", "failure_domain": "warmia-1", "region": "warmia",
+    "query_address": "192.0.2.7:8080", "rpc_address": "192.0.2.7:8081",
+    "operator_address": "127.0.0.1:8082", "platform_addresses": ["192.0.2.1:7000"]}"#;
+
+/// Path and minimal text of each subtree format.
+const SUBTREES: [(&str, &str, Format); 3] = [
+    (
+        "teams/inspectors",
+        r#"{"rate_limit_per_s": 200, "concurrency_limit": 50}"#,
+        Format::Team,
+    ),
+    (
+        "services/hodowcy",
+        r#"{"leafs": [{"id": "hodowcy-1", "address": "192.0.2.7:9000", "failure_domain": "warmia-1",
+            "slots": 2, "connection_limit": 60}]}"#,
+        Format::Service,
+    ),
+    (
+        "indexes/hodowcy/7",
+        r#"{"shards": [{"shard": 0, "leafs": ["hodowcy-1"]}]}"#,
+        Format::Index,
+    ),
+];
+
+/// Guards against printed defaults that differ from those in force.
+#[test]
+fn printed_defaults_are_in_force() {
+    let printed = parse_daemon(Format::Daemon.defaults(), "defaults").unwrap();
+    assert_eq!(printed, parse_daemon(DAEMON, "minimal").unwrap());
+    for (path, text, format) in SUBTREES {
+        let printed = parse_subtree(path, format.defaults()).unwrap();
+        assert_eq!(printed, parse_subtree(path, text).unwrap(), "{path}");
+    }
+}
+
+fn check_refused(path: &str, text: &str, expected: &str) {
+    let error = match path {
+        "daemon.jsonc" => parse_daemon(text, path).unwrap_err(),
+        _ => parse_subtree(path, text).unwrap_err(),
+    };
+    assert_eq!(error.to_string(), expected);
+}
+
+/// Guards against errors that do not say where and what to change.
+#[test]
+fn refusals_name_place_and_remedy() {
+    for (path, text, expected) in [
+        (
+            "teams/a",
+            "{\n  \"wieght\": 1}",
+            "teams/a:2:3: $.wieght: unknown key `wieght`; hint: did you mean `weight`?",
+        ),
+        (
+            "teams/a",
+            "{\"weight\": 1,\n\"weight\": 2}",
+            "teams/a:2:1: $.weight: duplicate key `weight`; hint: keep one of the two",
+        ),
+        (
+            "teams/a",
+            "{\"weight\": 0}",
+            "teams/a:1:12: $.weight: 0 is out of range; hint: write a whole number from 1 to 1000",
+        ),
+        (
+            "teams/a",
+            "{\"deadline_default_ms\": \"2s\"}",
+            "teams/a:1:25: $.deadline_default_ms: found a string instead of a number; hint: write a whole number from 1 to 600000 (milliseconds), without quotes or unit",
+        ),
+        (
+            "teams/a",
+            "{\"rate_limit_per_s\": 1, \"concurrency_limit\": 1,\n\"coverage_wanted\": {\"least_share\": 1.0}}",
+            "teams/a:2:36: $.coverage_wanted.least_share: 1.0 is out of range; hint: write a share above 0 and below 1, for example 0.99",
+        ),
+        (
+            "teams/a",
+            "{\"weight\": 1",
+            "teams/a:1:1: $: not valid JSON with comments: Unterminated object; hint: check the quotes, commas and brackets here and on the line before",
+        ),
+        (
+            "teams/a",
+            "// only a comment",
+            "teams/a:1:1: $: not valid JSON with comments: the text is empty; hint: write an object: { ... }",
+        ),
+        (
+            "teams/a",
+            "{}",
+            "teams/a:1:1: $: required key `rate_limit_per_s` is missing; hint: add \"rate_limit_per_s\": 200",
+        ),
+        (
+            "indexes/a/07",
+            "{}",
+            "indexes/a/07:1:1: $: not a path of the settings tree; hint: a version is a decimal number without leading zeros",
+        ),
+        (
+            "indexes/a/7",
+            "{\"shards\": []}",
+            "indexes/a/7:1:12: $.shards: the list is empty; hint: give at least one entry",
+        ),
+        (
+            "daemon.jsonc",
+            "{\"probe_interval_ms\": 5}",
+            "daemon.jsonc:1:23: $.probe_interval_ms: 5 is out of range; hint: write a whole number from 10 to 60000 (milliseconds)",
+        ),
+    ] {
+        check_refused(path, text, expected);
+    }
+    let large = " ".repeat(settings::TEXT_LIMIT_BYTES + 1);
+    check_refused(
+        "teams/a",
+        &large,
+        "teams/a:1:1: $: the text is too large, 1048577 bytes; hint: a text has at most 1048576 bytes; remove comments or entries",
+    );
+}
+
+/// Guards against a shard map that names leafs which no daemon can reach.
+#[test]
+fn dangling_references_are_found() {
+    let [team, service, index] = SUBTREES.map(|(path, text, _)| (path, text.to_owned()));
+    assert_eq!(
+        check_tree(&[team.clone(), service.clone(), index.clone()]),
+        []
+    );
+    let other_leaf = (index.0, index.1.replace("hodowcy-1", "hodowcy-2"));
+    let [error] = check_tree(&[service, other_leaf]).try_into().unwrap();
+    assert_eq!(
+        error.to_string(),
+        "indexes/hodowcy/7:1:36: $.shards[0].leafs[0]: leaf `hodowcy-2` is not in service `hodowcy`; hint: did you mean `hodowcy-1`?"
+    );
+    let [error] = check_tree(&[team, index]).try_into().unwrap();
+    assert_eq!(
+        error.to_string(),
+        "indexes/hodowcy/7:1:1: $: service `hodowcy` is not in the tree; hint: add services/hodowcy"
+    );
+}
+
+fn parse_all(text: &str) {
+    let _ = parse_daemon(text, "any");
+    for (path, _, _) in SUBTREES {
+        let _ = parse_subtree(path, text);
+    }
+    let _ = SubtreePath::parse(text);
+    let _ = check_tree(&[
+        ("services/hodowcy", SUBTREES[1].1),
+        ("indexes/hodowcy/7", text),
+        (text, text),
+    ]);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_251),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a panic on texts that are not JSON at all.
+    #[test]
+    fn any_text_is_answered(text in "\\PC{0,200}") {
+        parse_all(&text);
+    }
+
+    /// Guards against a panic on valid texts with a damaged part.
+    #[test]
+    fn damaged_text_is_answered(which in 0_usize..4, at in 0_usize..2_000, cut in 0_usize..40, insert in "[\\[\\]{}\",:0-9a-z\\\\/é\n-]{0,6}") {
+        let text = Format::ALL[which].defaults();
+        let start = text.floor_char_boundary(at.min(text.len()));
+        let end = text.floor_char_boundary((start + cut).min(text.len()));
+        parse_all(&format!("{}{insert}{}", &text[..start], &text[end..]));
+    }
+}
+
+/// Guards against a stack overflow on deeply nested lists and objects.
+#[test]
+fn deep_nesting_is_refused() {
+    for unit in ["[", "{\"a\":", "[{\"shards\":"] {
+        parse_all(&unit.repeat(80_000));
+    }
+}
