--- a/crates/medlarpin-core/tests/ownership.rs
+++ b/crates/medlarpin-core/tests/ownership.rs
@@ -165,7 +165,7 @@
 
 #[derive(Debug, Clone)]
 enum Step {
-    /// The platform publishes a list: 0 leaves a VM out, 1 marks it as leaving.
+    /// The platform publishes a list: 0 and 1 leave a VM out, 2 marks it as leaving.
     Publish(Vec<u8>),
     /// The daemon adopts the next list.
     Adopt(usize),
@@ -217,8 +217,8 @@
     fn run(&mut self, step: &Step) {
         match *step {
             Step::Publish(ref states) => {
-                let listed = states.iter().enumerate().filter(|(_, state)| **state > 0);
-                let vms = listed.map(|(index, leaving)| vm_in(index, *leaving == 1));
+                let listed = states.iter().enumerate().filter(|(_, state)| **state > 1);
+                let vms = listed.map(|(index, leaving)| vm_in(index, *leaving == 2));
                 self.lists.push(list(self.lists.len() as u64, vms));
             }
             Step::Adopt(daemon) => {
