Add the fleet test support of the daemon

Cause: failure tests need real medlarpind processes over a deployment of fakes, with the network between them under the test's control.

--- /dev/null
+++ b/crates/daemon/tests/fleet/relay.rs
@@ -0,0 +1,148 @@
+//! TCP relay whose traffic can be cut, held and delayed.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
+
+/// What a relay does with its traffic.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Traffic {
+    /// Forwards both ways.
+    Forward,
+    /// Forwards each piece after this delay.
+    Delay(Duration),
+    /// Accepts and keeps connections and forwards nothing.
+    Hold,
+    /// Closes open and new connections.
+    Cut,
+}
+
+/// A running relay; dropping it closes its port and its connections.
+#[derive(Debug)]
+pub struct Relay {
+    address: SocketAddr,
+    traffic: watch::Sender<Traffic>,
+    task: JoinHandle<()>,
+}
+
+impl Relay {
+    /// Starts a relay to the target on a port of its own.
+    pub async fn start(target: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let traffic = watch::Sender::new(Traffic::Forward);
+        let task = tokio::spawn(accept(listener, target, traffic.subscribe()));
+        Ok(Self {
+            address,
+            traffic,
+            task,
+        })
+    }
+
+    /// Returns the address to connect to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes open connections and refuses new ones.
+    pub fn cut(&self) {
+        self.set(Traffic::Cut);
+    }
+
+    /// Forwards again.
+    pub fn heal(&self) {
+        self.set(Traffic::Forward);
+    }
+
+    /// Delays each piece of traffic in both directions.
+    pub fn delay(&self, delay: Duration) {
+        self.set(Traffic::Delay(delay));
+    }
+
+    /// Keeps connections open and forwards nothing, as a network does that drops packets.
+    pub fn hold(&self) {
+        self.set(Traffic::Hold);
+    }
+
+    fn set(&self, traffic: Traffic) {
+        self.traffic.send_replace(traffic);
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, target: SocketAddr, traffic: watch::Receiver<Traffic>) {
+    // Owned by this task, so that the connections end with the relay.
+    let mut connections = JoinSet::new();
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            connections.spawn(relay(stream, target, traffic.clone()));
+        }
+        while connections.try_join_next().is_some() {}
+    }
+}
+
+/// Relays one connection until an end closes it or the relay is cut.
+async fn relay(near: TcpStream, target: SocketAddr, mut traffic: watch::Receiver<Traffic>) {
+    let mut cut = traffic.clone();
+    let forward = async {
+        if traffic
+            .wait_for(|traffic| *traffic != Traffic::Hold)
+            .await
+            .is_err()
+        {
+            return;
+        }
+        let Ok(far) = TcpStream::connect(target).await else {
+            return;
+        };
+        // A connection that is already closed makes these fail; the copy notices it next.
+        let _ = (near.set_nodelay(true), far.set_nodelay(true));
+        let (near_read, near_write) = near.into_split();
+        let (far_read, far_write) = far.into_split();
+        tokio::join!(
+            copy(near_read, far_write, traffic.clone()),
+            copy(far_read, near_write, traffic.clone()),
+        );
+    };
+    tokio::select! {
+        biased;
+        _ = cut.wait_for(|traffic| *traffic == Traffic::Cut) => {}
+        () = forward => {}
+    }
+}
+
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut traffic: watch::Receiver<Traffic>,
+) {
+    let mut buffer = vec![0; 64 * 1024];
+    while let Ok(size) = from.read(&mut buffer).await {
+        let current = match traffic.wait_for(|traffic| *traffic != Traffic::Hold).await {
+            Ok(current) => *current,
+            Err(_) => return,
+        };
+        if let Traffic::Delay(delay) = current {
+            tokio::time::sleep(delay).await;
+        }
+        if size == 0 {
+            // Half-closes the other side; a failure means that it is closed already.
+            let _ = to.shutdown().await;
+            return;
+        }
+        if to.write_all(&buffer[..size]).await.is_err() {
+            return;
+        }
+    }
+}
