Let the platform fake lose its settings only

Cause: a daemon that starts while the configuration service is down can learn from its peers only if the VM list still names them.

--- a/crates/stand-ins/src/deployment.rs
+++ b/crates/stand-ins/src/deployment.rs
@@ -1,116 +1,20 @@
 //! A small deployment: fake leafs of several services and the platform that publishes them.
 
+mod config;
 mod layout;
 
 use std::io;
-use std::time::Duration;
 
 use displaydoc::Display;
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use thiserror::Error;
 
+pub use self::config::{Coverage, DeploymentConfig, ServiceConfig, TeamConfig};
+
 use crate::leaf::{LeafConfig, LeafFake, Shards};
 use crate::platform::PlatformFake;
 
-/// Coverage that a team asks for.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Coverage {
-    /// All shards, until the deadline.
-    All,
-    /// At least this share of the shards.
-    LeastShare(f64),
-}
-
-/// Published settings of a team.
-#[derive(Debug, Clone)]
-pub struct TeamConfig {
-    /// Name of the team.
-    pub name: String,
-    /// Weight in the fair queues.
-    pub weight: u32,
-    /// Queries a second over the whole fleet.
-    pub rate_limit_per_s: u64,
-    /// Queries in flight over the whole fleet.
-    pub concurrency_limit: u64,
-    /// Deadline of a query that names none.
-    pub deadline_default_ms: u64,
-    /// Longest deadline accepted.
-    pub deadline_cap_ms: u64,
-    /// Coverage asked for.
-    pub coverage_wanted: Coverage,
-    /// Whether an uncertain request may be repeated.
-    pub repeat_allowed: bool,
-}
-
-impl TeamConfig {
-    /// Returns a team of weight 1 with limits that a small test does not reach.
-    #[must_use]
-    pub fn new(name: &str) -> Self {
-        Self {
-            name: name.to_owned(),
-            weight: 1,
-            rate_limit_per_s: 100_000,
-            concurrency_limit: 10_000,
-            deadline_default_ms: 2_000,
-            deadline_cap_ms: 10_000,
-            coverage_wanted: Coverage::All,
-            repeat_allowed: true,
-        }
-    }
-
-    /// Returns the text published for the team.
-    #[must_use]
-    pub fn text(&self) -> String {
-        let coverage_wanted = match self.coverage_wanted {
-            Coverage::All => json!("all"),
-            Coverage::LeastShare(share) => json!({ "least_share": share }),
-        };
-        json!({
-            "weight": self.weight,
-            "rate_limit_per_s": self.rate_limit_per_s,
-            "concurrency_limit": self.concurrency_limit,
-            "deadline_default_ms": self.deadline_default_ms,
-            "deadline_cap_ms": self.deadline_cap_ms,
-            "coverage_wanted": coverage_wanted,
-            "repeat_allowed": self.repeat_allowed,
-        })
-        .to_string()
-    }
-}
-
-/// A service and its leafs.
-#[derive(Debug, Clone)]
-pub struct ServiceConfig {
-    /// Name of the service.
-    pub name: String,
-    /// Number of leafs.
-    pub leafs: usize,
-    /// Replicas of each shard.
-    pub replicas: usize,
-    /// Number of shards of the first version.
-    pub shards: u32,
-    /// Slots of each leaf.
-    pub slots: usize,
-    /// Connection limit of each leaf.
-    pub connection_limit: usize,
-    /// Mean service time of each leaf.
-    pub service_time: Duration,
-}
-
-/// A deployment to start.
-#[derive(Debug, Clone)]
-pub struct DeploymentConfig {
-    /// Services to start.
-    pub services: Vec<ServiceConfig>,
-    /// Teams to publish.
-    pub teams: Vec<TeamConfig>,
-    /// Number of failure domains, named `domain-0`, `domain-1` and so on.
-    pub failure_domains: usize,
-    /// First index version of every service.
-    pub index_version: u64,
-}
-
 /// why a deployment cannot be built
 #[derive(Debug, Display, Error)]
 pub enum DeploymentError {
@@ -169,7 +73,7 @@
         for (position, service) in config.services.into_iter().enumerate() {
             let running = start_service(service, config.failure_domains, position).await?;
             let path = format!("services/{}", running.config.name);
-            texts.push((path, running.text()));
+            texts.push((path, running.text(None)));
             let (name, shards) = (running.config.name.clone(), running.config.shards);
             deployment.services.push(running);
             texts.push(deployment.place(&name, config.index_version, shards)?);
@@ -251,6 +155,16 @@
             .remove(&format!("indexes/{service}/{version}"))
     }
 
+    /// Publishes a service without one of its leafs; the leaf keeps running.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service is unknown.
+    pub fn remove_leaf(&self, service: &str, leaf: &str) -> Result<u64, DeploymentError> {
+        let text = self.service(service)?.text(Some(leaf));
+        Ok(self.platform.set(&format!("services/{service}"), &text))
+    }
+
     /// Publishes other settings of a team.
     pub fn publish_team(&self, team: &TeamConfig) -> u64 {
         self.platform
@@ -269,6 +183,14 @@
         self.leafs().map(LeafFake::run_count).sum()
     }
 
+    fn service(&self, name: &str) -> Result<&RunningService, DeploymentError> {
+        let service = self
+            .services
+            .iter()
+            .find(|running| running.config.name == name);
+        service.ok_or_else(|| DeploymentError::UnknownService(name.to_owned()))
+    }
+
     /// Loads a version on the leafs and returns the path and text of its shard map.
     fn place(
         &self,
@@ -276,12 +198,7 @@
         version: u64,
         shards: u32,
     ) -> Result<(String, String), DeploymentError> {
-        let unknown = || DeploymentError::UnknownService(service.to_owned());
-        let running = self
-            .services
-            .iter()
-            .find(|running| running.config.name == service);
-        let running = running.ok_or_else(unknown)?;
+        let running = self.service(service)?;
         let map = layout::place_shards(shards, running.config.replicas, &running.domains);
         for (position, leaf) in running.leafs.iter().enumerate() {
             let held = (0..)
@@ -338,7 +255,7 @@
 }
 
 impl RunningService {
-    fn text(&self) -> String {
+    fn text(&self, without: Option<&str>) -> String {
         let leaf = |(leaf, domain): (&LeafFake, &usize)| {
             json!({
                 "id": leaf.id(),
@@ -349,7 +266,13 @@
                 "new_connection_ms": 1,
             })
         };
-        let leafs: Vec<Value> = self.leafs.iter().zip(&self.domains).map(leaf).collect();
+        let leafs: Vec<Value> = self
+            .leafs
+            .iter()
+            .zip(&self.domains)
+            .filter(|(leaf, _)| Some(leaf.id()) != without)
+            .map(leaf)
+            .collect();
         json!({ "leafs": leafs }).to_string()
     }
 }
--- a/crates/stand-ins/src/platform.rs
+++ b/crates/stand-ins/src/platform.rs
@@ -1,5 +1,7 @@
 //! Fake of the configuration service and of the VM list.
 
+mod published;
+
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
@@ -16,64 +18,20 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::server::{self, Control, Handler, Reply, Server};
+pub use self::published::{PlatformMode, Snapshot, VmEntry, VmEntryState};
+
+use self::published::Published;
+use crate::server::{self, CloseConnection, Control, Handler, Reply, Server};
 
 /// Longest wait of one watch; a longer `wait_ms` is cut to it.
 const MAX_WAIT: Duration = Duration::from_mins(10);
 
-/// State of a VM in the published list.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum VmEntryState {
-    /// The VM is in service.
-    Live,
-    /// The VM is about to leave.
-    Leaving,
-}
-
-/// One VM of the published list.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-pub struct VmEntry {
-    /// Name of the VM.
-    pub name: String,
-    /// Address of the daemon's RPC listener.
-    pub rpc_address: String,
-    /// Failure domain of the VM.
-    pub failure_domain: String,
-    /// Region of the VM.
-    pub region: String,
-    /// Whether the VM is about to leave.
-    pub state: VmEntryState,
-}
-
-/// How the fake behaves.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PlatformMode {
-    /// Serves the current tree and list.
-    Up,
-    /// Refuses connections; open ones are closed without a reply.
-    Down,
-    /// Serves the tree and list as of the call, whatever is set later.
-    Stale,
-}
-
-/// The published tree and VM list at one moment.
-#[derive(Debug, Clone, Default)]
-pub struct Snapshot(Arc<Published>);
-
-#[derive(Debug, Clone, Default)]
-struct Published {
-    revision: u64,
-    subtrees: BTreeMap<String, String>,
-    vms_revision: u64,
-    vms: Vec<VmEntry>,
-}
-
 #[derive(Debug, Default)]
 struct State {
     current: Published,
     /// Served instead of `current` while the fake is stale.
     frozen: Option<Snapshot>,
+    settings_down: bool,
 }
 
 #[derive(Debug)]
@@ -189,9 +147,10 @@
     /// Switches the behaviour.
     pub fn set_mode(&self, mode: PlatformMode) {
         match mode {
-            PlatformMode::Up => self.serve(None),
+            PlatformMode::Up => self.serve(None, false),
             PlatformMode::Down => self.control.go_down(),
-            PlatformMode::Stale => self.serve(Some(self.snapshot())),
+            PlatformMode::Stale => self.serve(Some(self.snapshot()), false),
+            PlatformMode::SettingsDown => self.serve(None, true),
         }
     }
 
@@ -203,7 +162,7 @@
 
     /// Becomes stale with an earlier snapshot.
     pub fn serve_snapshot(&self, snapshot: &Snapshot) {
-        self.serve(Some(snapshot.clone()));
+        self.serve(Some(snapshot.clone()), false);
     }
 
     /// Returns the current revision of the tree, whatever is served.
@@ -224,8 +183,11 @@
         self.shared.waiting.load(Ordering::Relaxed)
     }
 
-    fn serve(&self, frozen: Option<Snapshot>) {
-        self.shared.state.lock().frozen = frozen;
+    fn serve(&self, frozen: Option<Snapshot>, settings_down: bool) {
+        let mut state = self.shared.state.lock();
+        state.frozen = frozen;
+        state.settings_down = settings_down;
+        drop(state);
         self.shared.changes.send_modify(|count| *count += 1);
         self.control.set_listening(true);
     }
@@ -284,18 +246,21 @@
         )
     }
 
-    async fn settings(&self, watch: Watch) -> Response<Full<Bytes>> {
+    async fn settings(&self, watch: Watch) -> Reply {
         let until = Instant::now() + watch.wait.min(MAX_WAIT);
         let mut changes = self.changes.subscribe();
         let _waiting = Waiting::new(&self.waiting);
         loop {
             changes.mark_unchanged();
+            if self.state.lock().settings_down {
+                return Err(CloseConnection);
+            }
             if let Some(reply) = self.settings_now(watch.after) {
-                return reply;
+                return Ok(reply);
             }
             match tokio::time::timeout_at(until, changes.changed()).await {
                 Ok(Ok(())) => {}
-                _ => return server::empty(StatusCode::NO_CONTENT),
+                _ => return Ok(server::empty(StatusCode::NO_CONTENT)),
             }
         }
     }
@@ -326,7 +291,7 @@
         self.shared.calls.fetch_add(1, Ordering::Relaxed);
         let reply = match (request.method(), request.uri().path()) {
             (&Method::GET, "/v1/settings") => match Watch::parse(request.uri().query()) {
-                Some(watch) => self.shared.settings(watch).await,
+                Some(watch) => self.shared.settings(watch).await?,
                 None => server::empty(StatusCode::BAD_REQUEST),
             },
             (&Method::GET, "/v1/vms") => self.vms(),
