Add the failure tests of the daemon

Cause: the promises of section 1.2 and the table of section 7 need tests that run real processes through each failure. Verdicts come from counts at the leafs and from the answers' content.

--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod config;
 pub mod http;
+pub mod load;
 pub mod process;
 pub mod relay;
 
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/fleet_support.rs
@@ -1,4 +1,4 @@
-//! The relay of the fleet tests cuts, holds and heals as its users rely on.
+//! The relays and reserved ports of the fleet tests work as those tests rely on.
 
 mod fleet;
 
@@ -7,6 +7,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::fleet::process::Ports;
 use crate::fleet::relay::Relay;
 
 /// Guards against a relay that lets traffic through a partition, which would void those tests.
@@ -36,3 +37,20 @@
     let mut refused = TcpStream::connect(relay.address()).await.unwrap();
     assert_eq!(refused.read(&mut byte).await.unwrap_or(0), 0);
 }
+
+/// Guards against a reservation that keeps the daemon itself from its port, or that accepts
+/// connections while the daemon is down.
+#[tokio::test]
+async fn a_reserved_port_refuses_until_it_is_served() {
+    let ports = Ports::reserve().unwrap();
+    for _ in 0..2 {
+        let refused = TcpStream::connect(ports.rpc).await;
+        assert_eq!(
+            refused.map_err(|error| error.kind()).err(),
+            Some(std::io::ErrorKind::ConnectionRefused)
+        );
+        let daemon = TcpListener::bind(ports.rpc).await.unwrap();
+        let (caller, accepted) = tokio::join!(TcpStream::connect(ports.rpc), daemon.accept());
+        drop((caller.unwrap(), accepted.unwrap(), daemon));
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/killer_request.rs
@@ -0,0 +1,131 @@
+//! A request that crashes each leaf that runs it, sent again and again through every daemon.
+
+mod fleet;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::json;
+use stand_ins::prelude::*;
+use tokio::task::JoinSet;
+
+use crate::fleet::config::{FleetConfig, check_answer, check_complete, query};
+use crate::fleet::{BOUND, Fleet, wait_until};
+
+const SHARDS: u32 = 6;
+const KILLER: &str = "the killer lot";
+const ROUNDS: usize = 10;
+/// Section 4.8: leafs lost in 10 minutes for each daemon that believes itself the active holder.
+const LOST_LEAFS: u64 = 2;
+
+async fn start(configure: impl FnOnce(&mut FleetConfig), down_for: Option<Duration>) -> Arc<Fleet> {
+    let mut config = FleetConfig::new();
+    // Two lost leafs still leave a replica of each shard.
+    config.service().replicas = 3;
+    configure(&mut config);
+    let fleet = Fleet::start(config).await;
+    for leaf in fleet.deployment().leafs() {
+        let rule = CrashRule {
+            text: KILLER.to_owned(),
+            down_for,
+        };
+        leaf.update_faults(|faults| faults.crash = Some(rule));
+    }
+    Arc::new(fleet)
+}
+
+/// Sends the killer through every daemon at once, several times.
+async fn resend(fleet: &Arc<Fleet>) {
+    for _ in 0..ROUNDS {
+        let mut copies = JoinSet::new();
+        for daemon in 0..fleet.len() {
+            let fleet = Arc::clone(fleet);
+            copies.spawn(async move { fleet.query(daemon, &query(KILLER, 1000)).await });
+        }
+        for reply in copies.join_all().await {
+            check_answer(&reply, KILLER, SHARDS);
+            assert!(
+                ["not_run", "unknown"].contains(&reply.outcome()),
+                "{}",
+                reply.text
+            );
+        }
+    }
+}
+
+fn crashes(fleet: &Fleet) -> u64 {
+    fleet.deployment().leafs().map(LeafFake::crashes).sum()
+}
+
+/// Waits until every daemon refuses the killer without a run, and checks that others still work.
+async fn check_quarantined(fleet: &Fleet) {
+    for daemon in 0..fleet.len() {
+        wait_until("the killer is quarantined", BOUND, async || {
+            let reply = fleet.query(daemon, &query(KILLER, 1000)).await;
+            reply.outcome() == "not_run" && reply.body["reason"] == "quarantined"
+        })
+        .await;
+    }
+    let before = fleet.deployment().total_runs();
+    for daemon in 0..fleet.len() {
+        fleet.query(daemon, &query(KILLER, 1000)).await;
+    }
+    assert_eq!(
+        fleet.deployment().total_runs(),
+        before,
+        "a quarantined request ran"
+    );
+    for daemon in 0..fleet.len() {
+        wait_until("other queries are complete", BOUND, async || {
+            let reply = fleet.query(daemon, &query("harmless", 2000)).await;
+            check_answer(&reply, "harmless", SHARDS);
+            reply.outcome() == "complete"
+        })
+        .await;
+    }
+}
+
+/// Guards against a killer that takes down leaf after leaf, whether they return or not.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_undivided_fleet_loses_two_leafs() {
+    for down_for in [None, Some(Duration::from_millis(100))] {
+        let fleet = start(|_| {}, down_for).await;
+        resend(&fleet).await;
+        check_quarantined(&fleet).await;
+        let crashes = crashes(&fleet);
+        assert!(
+            (1..=LOST_LEAFS).contains(&crashes),
+            "{crashes} crashes, down for {down_for:?}"
+        );
+    }
+}
+
+/// Guards against a killer whose resends restart the count in each part of a partitioned fleet.
+#[tokio::test(flavor = "multi_thread")]
+async fn each_side_of_a_split_loses_two_leafs() {
+    let configure = |config: &mut FleetConfig| {
+        config.daemons = 4;
+        config.relays = true;
+        config.set("suspect_timeout_ms", json!(1000));
+    };
+    let fleet = start(configure, Some(Duration::from_millis(100))).await;
+    fleet.split(&BTreeSet::from([2, 3]));
+    for daemon in 0..fleet.len() {
+        wait_until("each side serves", BOUND, async || {
+            let reply = fleet.query(daemon, &query("harmless", 2000)).await;
+            reply.outcome() == "complete"
+        })
+        .await;
+    }
+    resend(&fleet).await;
+    fleet.heal();
+    check_quarantined(&fleet).await;
+    let crashes = crashes(&fleet);
+    assert!((1..=2 * LOST_LEAFS).contains(&crashes), "{crashes} crashes");
+    check_complete(
+        &fleet.query(0, &query("harmless", 2000)).await,
+        "harmless",
+        SHARDS,
+    );
+}
--- /dev/null
+++ b/crates/daemon/tests/partition.rs
@@ -0,0 +1,173 @@
+//! The fleet is split while both sides still reach callers and leafs.
+
+mod fleet;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Instant;
+
+use serde_json::json;
+use stand_ins::prelude::*;
+use tokio::task::JoinSet;
+
+use crate::fleet::config::{FleetConfig, QUERY_SERVICE, TEAM, check_answer, query, ticketed};
+use crate::fleet::{BOUND, Fleet, wait_until};
+
+const SHARDS: u32 = 6;
+/// The side that loses the platform as well.
+const CUT_OFF: [usize; 2] = [2, 3];
+
+async fn start(configure: impl FnOnce(&mut FleetConfig)) -> Arc<Fleet> {
+    let mut config = FleetConfig::new();
+    config.daemons = 4;
+    config.relays = true;
+    config.set("suspect_timeout_ms", json!(1000));
+    configure(&mut config);
+    Arc::new(Fleet::start(config).await)
+}
+
+fn split(fleet: &Fleet) {
+    fleet.split(&BTreeSet::from(CUT_OFF));
+}
+
+async fn wait_all_serve(fleet: &Fleet) {
+    for daemon in 0..fleet.len() {
+        let what = format!("vm-{daemon} answers completely");
+        wait_until(&what, BOUND, async || {
+            let reply = fleet.query(daemon, &query("smoked", 2000)).await;
+            check_answer(&reply, "smoked", SHARDS);
+            reply.outcome() == "complete"
+        })
+        .await;
+    }
+}
+
+/// Sends the queries of all daemons at once and returns how many each daemon ran.
+async fn burst(fleet: &Arc<Fleet>, each: usize, shards: &[u32]) -> Vec<usize> {
+    let mut queries = JoinSet::new();
+    for number in 0..each * fleet.len() {
+        let fleet = Arc::clone(fleet);
+        let mut body = query("smoked", 3000);
+        body["shards"] = json!(shards);
+        queries.spawn(async move {
+            let daemon = number % fleet.len();
+            let reply = fleet.query(daemon, &body).await;
+            (daemon, reply.outcome() != "not_run")
+        });
+    }
+    let mut ran = vec![0; fleet.len()];
+    for (daemon, has_run) in queries.join_all().await {
+        ran[daemon] += usize::from(has_run);
+    }
+    ran
+}
+
+/// Guards against a side that stops serving, exceeds a leaf's connections, or misses a change that
+/// was published during the split.
+#[tokio::test(flavor = "multi_thread")]
+async fn each_side_serves_and_the_fleet_heals() {
+    let fleet = start(|config| config.service().connection_limit = 12).await;
+    wait_all_serve(&fleet).await;
+    split(&fleet);
+    wait_all_serve(&fleet).await;
+    burst(&fleet, 50, &[0, 1, 2, 3, 4, 5]).await;
+    fleet.deployment().publish_team(&TeamConfig::new("added"));
+    fleet.heal();
+    wait_all_serve(&fleet).await;
+    for daemon in 0..fleet.len() {
+        let body = json!({ "team": "added", "service": QUERY_SERVICE, "query": "q" });
+        wait_until("the change is in force", BOUND, async || {
+            fleet.query(daemon, &body).await.status == 200
+        })
+        .await;
+    }
+    for leaf in fleet.deployment().leafs() {
+        assert_eq!(
+            leaf.rejected_connections(),
+            0,
+            "{} had {}",
+            leaf.id(),
+            leaf.peak_connections()
+        );
+    }
+}
+
+/// Guards against a team that gets its whole concurrency limit on each side.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_concurrency_limit_holds_over_both_sides() {
+    const LIMIT: u64 = 8;
+    let fleet = start(|config| {
+        config.team().concurrency_limit = LIMIT;
+        // One replica and one shard: the leaf's requests in flight are the team's queries.
+        config.service().replicas = 1;
+        config.service().slots = 64;
+        config.service().service_time = std::time::Duration::from_millis(100);
+    })
+    .await;
+    wait_all_serve(&fleet).await;
+    burst(&fleet, 20, &[0]).await;
+    split(&fleet);
+    wait_all_serve(&fleet).await;
+    let ran = burst(&fleet, 20, &[0]).await;
+    fleet.heal();
+    burst(&fleet, 20, &[0]).await;
+    let peak = fleet
+        .deployment()
+        .leafs()
+        .map(LeafFake::peak_in_flight)
+        .max()
+        .unwrap();
+    assert!(peak <= LIMIT, "{peak} at once");
+    assert!(
+        ran[0] + ran[1] > 0 && ran[2] + ran[3] > 0,
+        "a side ran nothing: {ran:?}"
+    );
+}
+
+/// Guards against a team that gets its whole rate limit on each side.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rate_limit_holds_over_both_sides() {
+    const LIMIT_PER_S: u32 = 40;
+    let fleet = start(|config| config.team().rate_limit_per_s = u64::from(LIMIT_PER_S)).await;
+    wait_all_serve(&fleet).await;
+    split(&fleet);
+    wait_all_serve(&fleet).await;
+    let start = Instant::now();
+    let mut ran = 0;
+    for _ in 0..10 {
+        ran += burst(&fleet, 40, &[0]).await.iter().sum::<usize>();
+    }
+    // The buckets hold a second's units at the start.
+    let allowed = f64::from(LIMIT_PER_S) * (start.elapsed().as_secs_f64() + 1.0);
+    assert!(
+        ran > 0 && ran as f64 <= allowed,
+        "{ran} ran, {allowed} allowed"
+    );
+}
+
+/// Guards against a ticket that both sides run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_ticket_runs_on_one_side_only() {
+    const TEXT: &str = "invoice 7";
+    let fleet = start(|_| {}).await;
+    wait_all_serve(&fleet).await;
+    let ticket = fleet.ticket(0, TEAM).await;
+    split(&fleet);
+    let body = ticketed(TEXT, &ticket, 2000);
+    let far = fleet.query(CUT_OFF[0], &body).await;
+    assert_eq!(far.outcome(), "unknown", "{}", far.text);
+    let near = fleet.query(0, &body).await;
+    check_answer(&near, TEXT, SHARDS);
+    fleet.heal();
+    for daemon in 0..fleet.len() {
+        check_answer(&fleet.query(daemon, &body).await, TEXT, SHARDS);
+    }
+    for shard in 0..SHARDS {
+        let leafs = fleet.deployment().leafs();
+        let runs = leafs.flat_map(LeafFake::runs);
+        let count = runs
+            .filter(|run| run.query == TEXT && run.shard == shard)
+            .count();
+        assert!(count <= 1, "shard {shard} ran {count} times");
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/platform_outage.rs
@@ -0,0 +1,207 @@
+//! The configuration service is down, stale or published to wrongly. Verdicts follow from what the
+//! daemons do with queries of the teams that the tree names.
+
+mod fleet;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use stand_ins::prelude::*;
+
+use crate::fleet::config::{FleetConfig, QUERY_SERVICE, TEAM, check_complete, query};
+use crate::fleet::load::Load;
+use crate::fleet::{BOUND, Fleet, wait_until};
+
+const SHARDS: u32 = 6;
+/// P8: a change is in force everywhere within this time.
+const CHANGE_LIMIT: Duration = Duration::from_secs(6);
+
+async fn start() -> Arc<Fleet> {
+    let mut config = FleetConfig::new();
+    // Several watches end during each outage of a test.
+    config.set("watch_wait_ms", json!(500));
+    Arc::new(Fleet::start(config).await)
+}
+
+fn query_as(team: &str, deadline_ms: u64) -> Value {
+    json!({ "team": team, "service": QUERY_SERVICE, "query": "q", "deadline_ms": deadline_ms })
+}
+
+async fn is_known(fleet: &Fleet, daemon: usize, team: &str) -> bool {
+    let reply = fleet.query(daemon, &query_as(team, 2000)).await;
+    assert!(
+        [200, 206, 404, 503].contains(&reply.status),
+        "{}",
+        reply.text
+    );
+    reply.status == 200
+}
+
+/// Waits until every daemon serves the team.
+async fn wait_known(fleet: &Fleet, team: &str, bound: Duration) {
+    let start = Instant::now();
+    for daemon in 0..fleet.len() {
+        let left = bound.saturating_sub(start.elapsed());
+        let what = format!("vm-{daemon} serves team {team}");
+        wait_until(&what, left, async || is_known(fleet, daemon, team).await).await;
+    }
+}
+
+/// Guards against changes that take longer than promised or miss a daemon.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_are_in_force_everywhere_in_time() {
+    let fleet = start().await;
+    for number in 0..8 {
+        let team = format!("team-{number}");
+        fleet.deployment().publish_team(&TeamConfig::new(&team));
+        wait_known(&fleet, &team, CHANGE_LIMIT).await;
+    }
+}
+
+/// Guards against an outage that touches queries, and against changes missed after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_changes_nothing() {
+    let fleet = start().await;
+    let load = Load::start(&fleet, 4, 2000);
+    load.wait_answers(50).await;
+    fleet.platform().set_mode(PlatformMode::Down);
+    let until = Instant::now() + Duration::from_secs(8);
+    while Instant::now() < until {
+        load.wait_answers(20).await;
+    }
+    for sent in load.stop().await {
+        check_complete(&sent.reply.expect("a reply"), &sent.text, SHARDS);
+    }
+    fleet.deployment().publish_team(&TeamConfig::new("late"));
+    fleet.platform().set_mode(PlatformMode::Up);
+    wait_known(&fleet, "late", BOUND).await;
+}
+
+/// Guards against a stale replica of the platform that takes back an accepted change.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stale_revision_reverts_nothing() {
+    let fleet = start().await;
+    let old = fleet.platform().snapshot();
+    fleet.deployment().publish_team(&TeamConfig::new("added"));
+    wait_known(&fleet, "added", BOUND).await;
+    fleet.platform().serve_snapshot(&old);
+    fleet.kill(0);
+    fleet.restart(0).await;
+    let calls = fleet.platform().calls();
+    wait_until("the stale tree is read", BOUND, async || {
+        fleet.platform().calls() > calls + 10
+    })
+    .await;
+    for daemon in 0..fleet.len() {
+        assert!(
+            is_known(&fleet, daemon, "added").await,
+            "vm-{daemon} went back"
+        );
+    }
+}
+
+/// Guards against an invalid text that removes its subject or holds back other changes, and
+/// against a daemon started later that lacks the valid text.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_invalid_subtree_keeps_the_old_one() {
+    let fleet = start().await;
+    let added = TeamConfig::new("added").text();
+    let texts = [
+        ("teams/orders", "{ \"weight\": "),
+        ("teams/added", added.as_str()),
+    ];
+    fleet.platform().set_many(&texts);
+    wait_known(&fleet, "added", BOUND).await;
+    wait_known(&fleet, TEAM, Duration::from_secs(1)).await;
+    fleet.kill(1);
+    fleet.restart(1).await;
+    wait_known(&fleet, TEAM, Duration::from_secs(1)).await;
+    for daemon in 0..fleet.len() {
+        let state = fleet.state(daemon).await.expect("a state dump").to_string();
+        assert!(
+            state.contains("teams/orders"),
+            "vm-{daemon} does not show the invalid text"
+        );
+    }
+}
+
+/// Guards against two writers whose changes take effect in different orders on different daemons.
+#[tokio::test(flavor = "multi_thread")]
+async fn racing_writers_end_alike_everywhere() {
+    let fleet = start().await;
+    let caps = [1000, 5000];
+    let writers = caps.map(|cap| {
+        let fleet = Arc::clone(&fleet);
+        std::thread::spawn(move || {
+            let mut team = TeamConfig::new("racers");
+            (team.deadline_default_ms, team.deadline_cap_ms) = (500, cap);
+            (0..50)
+                .map(|_| fleet.deployment().publish_team(&team))
+                .max()
+        })
+    });
+    let last = writers.map(|writer| writer.join().unwrap());
+    // Only the higher cap allows a deadline between the two.
+    let expected = if last[0] > last[1] { 422 } else { 200 };
+    let status = async |daemon| fleet.query(daemon, &query_as("racers", 3000)).await.status;
+    for daemon in 0..fleet.len() {
+        let what = format!("vm-{daemon} follows the last writer");
+        wait_until(&what, CHANGE_LIMIT, async || {
+            status(daemon).await == expected
+        })
+        .await;
+    }
+    for _ in 0..30 {
+        for daemon in 0..fleet.len() {
+            assert_eq!(status(daemon).await, expected, "vm-{daemon} went back");
+        }
+    }
+}
+
+/// Guards against a daemon that cannot start while the configuration service is down.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_started_in_an_outage_learns_from_its_peers() {
+    let fleet = start().await;
+    fleet.deployment().publish_team(&TeamConfig::new("added"));
+    wait_known(&fleet, "added", BOUND).await;
+    fleet.platform().set_mode(PlatformMode::SettingsDown);
+    for daemon in 0..fleet.len() {
+        fleet.kill(daemon);
+        fleet.restart(daemon).await;
+        assert!(
+            is_known(&fleet, daemon, "added").await,
+            "vm-{daemon} lacks the tree"
+        );
+        check_complete(&fleet.query(daemon, &query("q", 2000)).await, "q", SHARDS);
+    }
+}
+
+/// Guards against a daemon without settings that answers anything but that it did not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_without_settings_runs_nothing() {
+    let fleet = Fleet::prepare(FleetConfig::new()).await;
+    fleet.platform().set_mode(PlatformMode::Down);
+    fleet.start_daemon(0);
+    wait_until("the daemon listens", BOUND, async || {
+        let Some(reply) = fleet.try_query(0, &query("q", 1000)).await else {
+            return false;
+        };
+        assert_eq!(
+            (reply.status, reply.outcome()),
+            (503, "not_run"),
+            "{}",
+            reply.text
+        );
+        assert!(!fleet.is_ready(0).await);
+        true
+    })
+    .await;
+    fleet.platform().set_mode(PlatformMode::Up);
+    fleet.wait_ready(0).await;
+    assert_eq!(fleet.deployment().total_requests(), 0);
+    wait_until("complete answers", BOUND, async || {
+        fleet.query(0, &query("q", 2000)).await.outcome() == "complete"
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/daemon/tests/shutdown.rs
@@ -0,0 +1,71 @@
+//! Planned stops cut off nothing.
+
+mod fleet;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::fleet::config::{FleetConfig, TEAM, check_complete, query, ticketed};
+use crate::fleet::load::Load;
+use crate::fleet::process::Signal;
+use crate::fleet::{BOUND, Fleet, wait_until};
+
+const SHARDS: u32 = 6;
+
+/// Guards against a rolling restart that refuses, cuts off or impairs a request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rolling_restart_under_load_loses_nothing() {
+    let mut config = FleetConfig::new();
+    config.daemons = 4;
+    let fleet = Arc::new(Fleet::start(config).await);
+    let load = Load::start(&fleet, 8, 5000);
+    load.wait_answers(100).await;
+    for daemon in 0..fleet.len() {
+        fleet.signal(daemon, Signal::Term);
+        let status = fleet.wait_end(daemon).await;
+        assert!(status.success(), "vm-{daemon} ended with {status}");
+        fleet.restart(daemon).await;
+        load.wait_answers(50).await;
+    }
+    let sent = load.stop().await;
+    for sent in &sent {
+        let reply = sent.reply.as_ref();
+        let reply = reply.unwrap_or_else(|| panic!("vm-{} cut off {}", sent.daemon, sent.text));
+        check_complete(reply, &sent.text, SHARDS);
+    }
+}
+
+/// Guards against a stop that ends before the requests that the daemon entered, gathers for others
+/// or issued the ticket of.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_in_flight_finish() {
+    for stopped in 0..3 {
+        let fleet = Arc::new(Fleet::start(FleetConfig::new()).await);
+        let ticket = fleet.ticket(stopped, TEAM).await;
+        for leaf in fleet.deployment().leafs() {
+            leaf.update_faults(|faults| faults.extra_delay = Duration::from_secs(2));
+        }
+        let bodies = [query("slow", 9000), ticketed("slow once", &ticket, 9000)];
+        let mut tasks = Vec::new();
+        for daemon in 0..fleet.len() {
+            for body in bodies.clone() {
+                let fleet = Arc::clone(&fleet);
+                tasks.push(tokio::spawn(async move {
+                    let reply = fleet.try_query(daemon, &body).await.expect("a reply");
+                    check_complete(&reply, body["query"].as_str().unwrap(), SHARDS);
+                }));
+            }
+        }
+        // The two canaries show that both texts are on their way.
+        wait_until("leafs run", BOUND, async || {
+            fleet.deployment().total_runs() >= 2
+        })
+        .await;
+        fleet.signal(stopped, Signal::Term);
+        let status = fleet.wait_end(stopped).await;
+        assert!(status.success(), "vm-{stopped} ended with {status}");
+        for task in tasks {
+            task.await.unwrap();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/upstream_faults.rs
@@ -0,0 +1,229 @@
+//! Faults of leafs: stragglers, losses, versions that go, wrong replies, draining.
+
+mod fleet;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::Value;
+use stand_ins::prelude::*;
+
+use crate::fleet::config::{
+    FIRST_VERSION, FleetConfig, QUERY_SERVICE, check_answer, check_complete, query,
+};
+use crate::fleet::load::{Load, Sent};
+use crate::fleet::{BOUND, Fleet, wait_until};
+
+const SHARDS: u32 = 6;
+const LEAF: &str = "order-desk-0";
+/// P6 allows this time from the earliest sign that an upstream is leaving.
+const DRAINING_SIGN_LIMIT: Duration = Duration::from_secs(3);
+/// P8 allows this time for a published change.
+const CHANGE_LIMIT: Duration = Duration::from_secs(6);
+
+fn extra(reply: &Value) -> u64 {
+    reply["extra_leaf_requests"].as_u64().expect("a count")
+}
+
+fn check_all_complete(sent: &[Sent]) {
+    for sent in sent {
+        check_complete(sent.reply.as_ref().expect("a reply"), &sent.text, SHARDS);
+    }
+}
+
+/// Waits until every daemon answers completely.
+async fn wait_complete(fleet: &Fleet) {
+    for daemon in 0..fleet.len() {
+        wait_until("complete answers", BOUND, async || {
+            let reply = fleet.query(daemon, &query("smoked", 2000)).await;
+            check_answer(&reply, "smoked", SHARDS);
+            reply.outcome() == "complete"
+        })
+        .await;
+    }
+}
+
+/// Guards against one slow leaf that makes whole queries late, and against hedges beyond 5%.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_straggler_is_hedged_within_the_budget() {
+    let fleet = Fleet::start(FleetConfig::new()).await;
+    let (mut queries, mut extras) = (0, 0);
+    // Earns at least ten extra requests in each group, whose share is a third of the shards.
+    while queries < 300 {
+        let reply = fleet.query(0, &query("smoked", 2000)).await;
+        check_complete(&reply, "smoked", SHARDS);
+        (queries, extras) = (queries + 1, extras + extra(&reply.body));
+    }
+    let straggler = fleet.deployment().leaf(LEAF);
+    straggler.update_faults(|faults| faults.extra_delay = Duration::from_mins(1));
+    let before = (straggler.run_count(), extras);
+    for _ in 0..4 {
+        let reply = fleet.query(0, &query("smoked", 4000)).await;
+        check_complete(&reply, "smoked", SHARDS);
+        (queries, extras) = (queries + 1, extras + extra(&reply.body));
+    }
+    if straggler.run_count() > before.0 {
+        assert!(extras > before.1, "complete without a hedge");
+    }
+    let first_requests = queries * u64::from(SHARDS);
+    assert!(
+        extras * 20 <= first_requests,
+        "{extras} extra for {first_requests}"
+    );
+    assert!(fleet.deployment().total_requests() <= first_requests + extras);
+}
+
+/// Guards against a lost leaf that loses answers, and against one that is never used again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_leaf_is_replaced_and_returns() {
+    let fleet = Arc::new(Fleet::start(FleetConfig::new()).await);
+    let load = Load::start(&fleet, 4, 2000);
+    load.wait_answers(50).await;
+    let leaf = fleet.deployment().leaf(LEAF);
+    leaf.go_down(None);
+    load.wait_answers(50).await;
+    wait_complete(&fleet).await;
+    leaf.come_up();
+    let before = leaf.run_count();
+    wait_until("the leaf works again", BOUND, async || {
+        leaf.run_count() > before + 20
+    })
+    .await;
+    for sent in load.stop().await {
+        let reply = sent.reply.expect("a reply");
+        check_answer(&reply, &sent.text, SHARDS);
+        assert!(
+            reply.covered().len() >= 4,
+            "only shards of the lost leaf may lack: {}",
+            reply.text
+        );
+    }
+    wait_complete(&fleet).await;
+}
+
+/// Guards against answers that mix versions while a version goes and shards are repartitioned.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_that_goes_is_never_mixed() {
+    const REPARTITIONED: u32 = 9;
+    let fleet = Arc::new(Fleet::start(FleetConfig::new()).await);
+    let load = Load::start(&fleet, 6, 3000);
+    load.wait_answers(50).await;
+    let deployment = fleet.deployment();
+    deployment
+        .publish_version(QUERY_SERVICE, FIRST_VERSION + 1, REPARTITIONED)
+        .unwrap();
+    for leaf in deployment.leafs() {
+        leaf.drop_version(FIRST_VERSION);
+        load.wait_answers(10).await;
+    }
+    let mut versions = [0, 0];
+    for sent in load.stop().await {
+        let reply = sent.reply.expect("a reply");
+        match reply.body["index_version"].as_u64() {
+            Some(FIRST_VERSION) => {
+                versions[0] += 1;
+                check_answer(&reply, &sent.text, SHARDS);
+            }
+            Some(_) => {
+                versions[1] += 1;
+                check_answer(&reply, &sent.text, REPARTITIONED);
+            }
+            None => assert_eq!(reply.outcome(), "not_run", "{}", reply.text),
+        }
+    }
+    assert!(versions[0] > 0 && versions[1] > 0, "{versions:?}");
+    for daemon in 0..fleet.len() {
+        wait_until("the new version is complete", BOUND, async || {
+            let reply = fleet.query(daemon, &query("smoked", 2000)).await;
+            reply.outcome() == "complete" && reply.body["index_version"] == FIRST_VERSION + 1
+        })
+        .await;
+    }
+}
+
+/// Guards against rows of another request, shard or version, and of late or huge replies.
+#[tokio::test(flavor = "multi_thread")]
+async fn wrong_replies_never_reach_an_answer() {
+    let fleet = Fleet::start(FleetConfig::new()).await;
+    let leaf = fleet.deployment().leaf(LEAF);
+    let faults = [
+        ReplyFault::OtherRequest,
+        ReplyFault::OtherShard,
+        ReplyFault::OtherVersion,
+        ReplyFault::Garbage,
+        ReplyFault::Oversized(64 << 20),
+        ReplyFault::Late(Duration::from_millis(700)),
+    ];
+    for (number, reply_fault) in faults.into_iter().enumerate() {
+        let before = leaf.run_count();
+        leaf.update_faults(|faults| faults.reply = reply_fault);
+        wait_until("the fault is met", BOUND, async || {
+            for daemon in 0..fleet.len() {
+                let text = format!("{number} by {daemon}");
+                let reply = fleet.query(daemon, &query(&text, 500)).await;
+                check_answer(&reply, &text, SHARDS);
+            }
+            leaf.run_count() > before
+        })
+        .await;
+        leaf.clear_faults();
+        wait_complete(&fleet).await;
+    }
+}
+
+/// Checks that the leaf gets no search request once the limit has passed after the sign, while a
+/// load goes on that stays complete.
+async fn check_no_new_work(limit: Duration, give_sign: impl FnOnce(&Fleet)) {
+    let fleet = Arc::new(Fleet::start(FleetConfig::new()).await);
+    let load = Load::start(&fleet, 4, 2000);
+    load.wait_answers(100).await;
+    let leaf = fleet.deployment().leaf(LEAF);
+    assert!(leaf.requests() > 0);
+    give_sign(&fleet);
+    tokio::time::sleep(limit).await;
+    let requests = leaf.requests();
+    load.wait_answers(200).await;
+    assert_eq!(
+        leaf.requests(),
+        requests,
+        "new work for a leaf that is leaving"
+    );
+    check_all_complete(&load.stop().await);
+}
+
+/// Guards against new work for a leaf that refuses because it drains.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draining_reply_stops_new_work() {
+    let drain = |faults: &mut Faults| faults.refusal = Some(Refusal::Draining);
+    check_no_new_work(DRAINING_SIGN_LIMIT, |fleet| {
+        fleet.deployment().leaf(LEAF).update_faults(drain);
+    })
+    .await;
+}
+
+/// Guards against new work for a leaf that only its health report calls draining.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draining_health_report_stops_new_work() {
+    let versions = vec![FIRST_VERSION];
+    let report = HealthReport {
+        state: HealthState::Draining,
+        load: 0.0,
+        versions,
+    };
+    check_no_new_work(DRAINING_SIGN_LIMIT, |fleet| {
+        fleet
+            .deployment()
+            .leaf(LEAF)
+            .update_faults(|faults| faults.health = Some(report));
+    })
+    .await;
+}
+
+/// Guards against new work for a leaf that the settings no longer name.
+#[tokio::test(flavor = "multi_thread")]
+async fn removal_from_the_settings_stops_new_work() {
+    check_no_new_work(CHANGE_LIMIT, |fleet| {
+        fleet.deployment().remove_leaf(QUERY_SERVICE, LEAF).unwrap();
+    })
+    .await;
+}
