--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -41,6 +41,8 @@
     query_addresses: Vec<SocketAddr>,
     operator_addresses: Vec<SocketAddr>,
     deployment: Deployment,
+    /// Shards of the service when it starts.
+    shards: u32,
     links: Option<Links>,
     pub client: HttpClient,
     directory: PathBuf,
@@ -58,7 +60,10 @@
 }
 
 impl Fleet {
-    /// Starts the deployment and the daemons and waits until all are ready.
+    /// Starts the deployment and the daemons and waits until all answer completely.
+    ///
+    /// A ready daemon may refuse queries until its peers have acknowledged the first VM list. The
+    /// queries sent meanwhile show up in the leafs' counts, so tests compare counts with earlier ones.
     pub async fn start(config: FleetConfig) -> Self {
         let fleet = Self::prepare(config).await;
         for daemon in 0..fleet.len() {
@@ -67,11 +72,15 @@
         for daemon in 0..fleet.len() {
             fleet.wait_ready(daemon).await;
         }
+        for daemon in 0..fleet.len() {
+            fleet.wait_complete(daemon).await;
+        }
         fleet
     }
 
     /// Starts the deployment and publishes the VM list; no daemon is started.
     pub async fn prepare(config: FleetConfig) -> Self {
+        let shards = config.deployment.services[0].shards;
         let permit = RUNNING_FLEETS.acquire().await.expect("an open semaphore");
         let deployment = Deployment::start(config.deployment)
             .await
@@ -103,6 +112,7 @@
             operator_addresses: daemons.iter().map(|daemon| daemon.ports.operator).collect(),
             daemons: daemons.into_iter().map(Mutex::new).collect(),
             deployment,
+            shards,
             links,
             client: HttpClient::new(),
             directory,
@@ -241,6 +251,21 @@
         })
     }
 
+    /// Waits until a daemon's answers are complete; each answer until then must be a true one.
+    pub async fn wait_complete(&self, daemon: usize) {
+        let text = "is it complete";
+        wait_until(
+            &format!("vm-{daemon} answers completely"),
+            BOUND,
+            async || {
+                let reply = self.query(daemon, &config::query(text, 2000)).await;
+                config::check_answer(&reply, text, self.shards);
+                reply.outcome() == "complete"
+            },
+        )
+        .await;
+    }
+
     /// Returns the address of a daemon's listener for callers.
     pub fn query_address(&self, daemon: usize) -> SocketAddr {
         self.query_addresses[daemon]
