--- /dev/null
+++ b/crates/daemon/tests/fleet_support.rs
@@ -0,0 +1,56 @@
+//! The relays and reserved ports of the fleet tests work as those tests rely on.
+
+mod fleet;
+
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::fleet::process::Ports;
+use crate::fleet::relay::Relay;
+
+/// Guards against a relay that lets traffic through a partition, which would void those tests.
+#[tokio::test]
+async fn traffic_follows_the_mode() {
+    let target = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let relay = Relay::start(target.local_addr().unwrap()).await.unwrap();
+    let mut near = TcpStream::connect(relay.address()).await.unwrap();
+    let (mut far, _) = target.accept().await.unwrap();
+    let mut byte = [0];
+
+    near.write_all(b"a").await.unwrap();
+    far.read_exact(&mut byte).await.unwrap();
+    assert_eq!(&byte, b"a");
+
+    relay.hold();
+    near.write_all(b"b").await.unwrap();
+    let held = tokio::time::timeout(Duration::from_millis(50), far.read_exact(&mut byte)).await;
+    assert!(held.ok().is_none(), "held traffic arrived");
+
+    relay.heal();
+    far.read_exact(&mut byte).await.unwrap();
+    assert_eq!(&byte, b"b");
+
+    relay.cut();
+    assert_eq!(near.read(&mut byte).await.unwrap_or(0), 0);
+    let mut refused = TcpStream::connect(relay.address()).await.unwrap();
+    assert_eq!(refused.read(&mut byte).await.unwrap_or(0), 0);
+}
+
+/// Guards against a reservation that keeps the daemon itself from its port, or that accepts
+/// connections while the daemon is down.
+#[tokio::test]
+async fn a_reserved_port_refuses_until_it_is_served() {
+    let ports = Ports::reserve().unwrap();
+    for _ in 0..2 {
+        let refused = TcpStream::connect(ports.rpc).await;
+        assert_eq!(
+            refused.map_err(|error| error.kind()).err(),
+            Some(std::io::ErrorKind::ConnectionRefused)
+        );
+        let daemon = TcpListener::bind(ports.rpc).await.unwrap();
+        let (caller, accepted) = tokio::join!(TcpStream::connect(ports.rpc), daemon.accept());
+        drop((caller.unwrap(), accepted.unwrap(), daemon));
+    }
+}
