Carry the team limit and the start confirmation in the peer protocol

A borrower must say which limit it needs units of, and a daemon that starts may use its share only after its peers confirmed that nothing of theirs depends on its earlier process.

--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -207,12 +207,7 @@
 
 #[derive(Debug, Serialize)]
 struct ErrorBody<'a> {
-    error: ErrorDetail<'a>,
-}
-
-#[derive(Debug, Serialize)]
-struct ErrorDetail<'a> {
-    code: &'a str,
+    error: &'a str,
     message: String,
 }
 
@@ -224,10 +219,8 @@
         .with_label_values(&labels)
         .inc();
     let body = ErrorBody {
-        error: ErrorDetail {
-            code: error.code(),
-            message: error.to_string(),
-        },
+        error: error.code(),
+        message: error.to_string(),
     };
     // The body holds only strings, which always serialise.
     json(error.status(), serde_json::to_vec(&body).unwrap_or_default())
--- /dev/null
+++ b/crates/daemon/src/gather.rs
@@ -0,0 +1,155 @@
+//! The gatherer: runs a batch of shard requests on the leafs that this daemon holds.
+
+mod canary;
+mod shard;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use futures::future::join_all;
+use medlarpin_core::canary::Clearance;
+use medlarpin_core::prelude::*;
+use wire::{Batch, BatchReply, ShardResult, ShardTask};
+
+use crate::view::ServiceView;
+use crate::workers::Worker;
+
+/// What the shards of one batch have in common.
+#[derive(Debug)]
+struct Gathering {
+    worker: Rc<Worker>,
+    batch: Batch,
+    service: Arc<ServiceView>,
+    fingerprint: Fingerprint,
+    weight: u32,
+    deadline: Instant,
+    next_attempt: Cell<u32>,
+    leaf_requests: Cell<u32>,
+    extra_leaf_requests: Cell<u32>,
+    version_gone: RefCell<Vec<LeafId>>,
+}
+
+/// Runs a batch and returns one result for each of its tasks.
+pub async fn gather(worker: Rc<Worker>, batch: Batch) -> BatchReply {
+    let shared = Arc::clone(&worker.shared);
+    let now = shared.clock.now();
+    if shared.check_pause(now).is_err() {
+        return refuse(&batch, UncoveredReason::Paused);
+    }
+    let view = shared.view();
+    let Some(service) = view.service(batch.service.as_str()) else {
+        return refuse(&batch, UncoveredReason::GathererLost);
+    };
+    let fingerprint = Fingerprint::of(&batch.team, &batch.service, &batch.query);
+    let gathering = Rc::new(Gathering {
+        weight: view.team(batch.team.as_str()).map_or(1, |team| team.weight),
+        deadline: now + batch.time_left,
+        next_attempt: Cell::new(batch.first_attempt),
+        leaf_requests: Cell::new(0),
+        extra_leaf_requests: Cell::new(0),
+        version_gone: RefCell::default(),
+        service: Arc::clone(service),
+        fingerprint,
+        batch,
+        worker,
+    });
+    let mut reply = if gathering.batch.canary {
+        canary::run(&gathering).await
+    } else {
+        run_all(&gathering).await
+    };
+    reply.leaf_requests = gathering.leaf_requests.get();
+    reply.extra_leaf_requests = gathering.extra_leaf_requests.get();
+    reply.version_gone_leafs = gathering.version_gone.take();
+    let now = shared.clock.now();
+    if let Clearance::Quarantined { until } = shared.fingerprints.lock().check(fingerprint, now) {
+        reply.quarantine = Some((fingerprint, until.saturating_duration_since(now)));
+    }
+    reply
+}
+
+async fn run_all(gathering: &Rc<Gathering>) -> BatchReply {
+    let shared = &gathering.worker.shared;
+    let clearance = shared
+        .fingerprints
+        .lock()
+        .check(gathering.fingerprint, shared.clock.now());
+    if matches!(clearance, Clearance::Quarantined { .. }) {
+        return refuse(&gathering.batch, UncoveredReason::Quarantined);
+    }
+    let tasks = gathering.batch.tasks.iter();
+    let outcomes = join_all(tasks.map(|task| shard::run(gathering, task))).await;
+    BatchReply {
+        results: results(&gathering.batch.tasks, outcomes),
+        ..BatchReply::default()
+    }
+}
+
+fn results(tasks: &[ShardTask], outcomes: Vec<ShardOutcome>) -> Vec<ShardResult> {
+    let pairs = tasks.iter().zip(outcomes);
+    let result = |(task, outcome): (&ShardTask, _)| ShardResult {
+        shard: task.shard,
+        outcome,
+    };
+    pairs.map(result).collect()
+}
+
+/// Refuses a whole batch of which nothing was sent.
+fn refuse(batch: &Batch, reason: UncoveredReason) -> BatchReply {
+    let outcome = |_task| ShardOutcome::Uncovered {
+        reason,
+        may_have_run: false,
+    };
+    let outcomes = batch.tasks.iter().map(outcome).collect();
+    BatchReply {
+        results: results(&batch.tasks, outcomes),
+        ..BatchReply::default()
+    }
+}
+
+impl Gathering {
+    fn draw_attempt(&self) -> u32 {
+        let attempt = self.next_attempt.get();
+        self.next_attempt.set(attempt.wrapping_add(1));
+        attempt
+    }
+
+    fn time_left(&self) -> Duration {
+        let now = self.worker.shared.clock.now();
+        self.deadline.saturating_duration_since(now)
+    }
+
+    fn try_extra(&self) -> bool {
+        let shared = &self.worker.shared;
+        let (team, service) = (&self.batch.team, &self.batch.service);
+        let now = shared.clock.now();
+        shared.admission.lock().try_extra(team, service, now)
+    }
+
+    fn record_result(&self, refused: bool, queue_wait: Duration) {
+        let shared = &self.worker.shared;
+        let (team, service) = (&self.batch.team, &self.batch.service);
+        let now = shared.clock.now();
+        let mut admission = shared.admission.lock();
+        admission.record_result(team, service, refused, queue_wait, now);
+    }
+
+    /// Counts a lost connection against the fingerprint and announces a new quarantine.
+    fn strike(&self, leaf: &LeafId) {
+        let shared = &self.worker.shared;
+        let now = shared.clock.now();
+        let request = self.batch.request;
+        let quarantine = shared
+            .fingerprints
+            .lock()
+            .strike(self.fingerprint, leaf, request, now);
+        if quarantine.is_some() {
+            log::warn!(
+                "gather: Request {request} crashed its second leaf; fingerprint {} is quarantined.",
+                self.fingerprint
+            );
+            shared.news.notify_one();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gather/shard.rs
@@ -0,0 +1,337 @@
+//! One shard of a batch: first request, failover, retry and hedge.
+
+use std::rc::Rc;
+
+use futures::StreamExt;
+use futures::future::LocalBoxFuture;
+use futures::stream::FuturesUnordered;
+use medlarpin_core::prelude::*;
+use wire::{Batch, ShardTask};
+
+use crate::gather::Gathering;
+use crate::leafs::{AttemptEnd, LeafRequest, Unsent, attempt};
+
+/// Time that a gatherer keeps for its reply when it asks another gatherer.
+const REPLY_MARGIN: Duration = Duration::from_millis(2);
+
+/// Why a leaf request is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    /// The first request of the shard, or one in place of a request that was never sent or that
+    /// the leaf refused because it lacks the version.
+    First,
+    /// Another request because one failed.
+    Retry,
+    /// Another request because one is late.
+    Hedge,
+}
+
+impl Kind {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Retry => "retry",
+            Self::Hedge => "hedge",
+        }
+    }
+}
+
+/// Runs one shard until it is covered, no replica is left or the deadline passes.
+pub async fn run(gathering: &Rc<Gathering>, task: &ShardTask) -> ShardOutcome {
+    let mut shard = Shard::new(gathering, task);
+    shard.start_next(Kind::First);
+    let mut hedge_at = shard.hedge_time();
+    loop {
+        let time_left = gathering.time_left();
+        if time_left.is_zero() {
+            return shard.uncovered(UncoveredReason::DeadlinePassed);
+        }
+        let hedge_in = hedge_at.map_or(time_left, |at| {
+            at.saturating_duration_since(gathering.worker.shared.clock.now())
+        });
+        tokio::select! {
+            Some((leaf, end)) = shard.running.next() => {
+                match shard.accept(&leaf, end) {
+                    Progress::Covered(rows) => return ShardOutcome::Covered { rows },
+                    Progress::Continue => {}
+                    Progress::Exhausted(reason) => return shard.uncovered(reason),
+                }
+            }
+            () = tokio::time::sleep(hedge_in.min(time_left)) => {
+                if hedge_at.take().is_some() && gathering.try_extra() {
+                    shard.start_next(Kind::Hedge);
+                }
+            }
+        }
+    }
+}
+
+type RunningAttempt = LocalBoxFuture<'static, (LeafId, AttemptEnd)>;
+
+enum Progress {
+    Covered(Vec<String>),
+    Continue,
+    Exhausted(UncoveredReason),
+}
+
+struct Shard<'a> {
+    gathering: &'a Rc<Gathering>,
+    shard: ShardId,
+    /// Leafs that were not tried yet, in order of preference.
+    untried: std::vec::IntoIter<LeafId>,
+    first_leaf: LeafId,
+    running: FuturesUnordered<RunningAttempt>,
+    /// True if a leaf may have started to run a request that was not answered.
+    may_have_run: bool,
+}
+
+impl<'a> Shard<'a> {
+    fn new(gathering: &'a Rc<Gathering>, task: &ShardTask) -> Self {
+        let mut leafs = vec![task.leaf.clone()];
+        leafs.extend(task.alternatives.iter().cloned());
+        Self {
+            gathering,
+            shard: task.shard,
+            untried: leafs.into_iter(),
+            first_leaf: task.leaf.clone(),
+            running: FuturesUnordered::new(),
+            may_have_run: false,
+        }
+    }
+
+    /// Returns when the first request counts as late, if it may be hedged.
+    fn hedge_time(&self) -> Option<Instant> {
+        let gathering = self.gathering;
+        let batch = &gathering.batch;
+        let shared = &gathering.worker.shared;
+        let may_hedge = shared.settings.hedging && batch.idempotent && !batch.canary && !batch.extra;
+        if !may_hedge {
+            return None;
+        }
+        let slot = shared.leafs.get(&batch.service, &self.first_leaf)?;
+        Some(shared.clock.now() + slot.hedge_delay(gathering.time_left()))
+    }
+
+    /// Starts a request to the next untried leaf; returns false if none is left.
+    fn start_next(&mut self, kind: Kind) -> bool {
+        let Some(leaf) = self.untried.next() else {
+            return false;
+        };
+        let gathering = Rc::clone(self.gathering);
+        let shard = self.shard;
+        self.running.push(Box::pin(async move {
+            let end = send(&gathering, shard, &leaf, kind).await;
+            (leaf, end)
+        }));
+        true
+    }
+
+    fn accept(&mut self, leaf: &LeafId, end: AttemptEnd) -> Progress {
+        match end {
+            AttemptEnd::Rows(rows) => return Progress::Covered(rows),
+            AttemptEnd::VersionGone => {
+                let mut gone = self.gathering.version_gone.borrow_mut();
+                gone.push(leaf.clone());
+                drop(gone);
+                self.go_on(UncoveredReason::VersionGone, Some(Kind::First))
+            }
+            AttemptEnd::Unsent(unsent) => {
+                let failover = match unsent {
+                    Unsent::Unavailable | Unsent::NoConnection | Unsent::NotHeld => {
+                        Some(Kind::First)
+                    }
+                    // Another replica is as loaded or as late; and a paused daemon sends nothing.
+                    Unsent::QueueFull | Unsent::DeadlinePassed | Unsent::Paused => None,
+                };
+                self.go_on(unsent_reason(unsent), failover)
+            }
+            AttemptEnd::Refused => self.go_on(UncoveredReason::LeafRefused, Some(Kind::Retry)),
+            AttemptEnd::Lost => {
+                self.may_have_run = true;
+                self.gathering.strike(leaf);
+                self.go_on(UncoveredReason::LeafLost, self.retry_after_run())
+            }
+            AttemptEnd::InvalidReply => {
+                self.may_have_run = true;
+                let metrics = &self.gathering.worker.shared.metrics;
+                metrics.invalid_replies.inc();
+                self.go_on(UncoveredReason::InvalidReply, self.retry_after_run())
+            }
+            AttemptEnd::DeadlinePassed => {
+                self.may_have_run = true;
+                self.go_on(UncoveredReason::DeadlinePassed, None)
+            }
+        }
+    }
+
+    /// A request that may have run is sent again only if it is idempotent, and a canary is not, so
+    /// that one submission costs at most one leaf.
+    fn retry_after_run(&self) -> Option<Kind> {
+        let batch = &self.gathering.batch;
+        (batch.idempotent && !batch.canary).then_some(Kind::Retry)
+    }
+
+    fn go_on(&mut self, reason: UncoveredReason, next: Option<Kind>) -> Progress {
+        let batch = &self.gathering.batch;
+        let allowed = match next {
+            None => false,
+            Some(Kind::First) => true,
+            Some(Kind::Retry | Kind::Hedge) => {
+                batch.idempotent && !batch.extra && self.gathering.try_extra()
+            }
+        };
+        if let Some(kind) = next
+            && allowed
+            && !batch.extra
+            && self.start_next(kind)
+        {
+            return Progress::Continue;
+        }
+        if self.running.is_empty() {
+            Progress::Exhausted(reason)
+        } else {
+            Progress::Continue
+        }
+    }
+
+    fn uncovered(&self, reason: UncoveredReason) -> ShardOutcome {
+        ShardOutcome::Uncovered {
+            reason,
+            may_have_run: self.may_have_run || !self.running.is_empty(),
+        }
+    }
+}
+
+fn unsent_reason(unsent: Unsent) -> UncoveredReason {
+    match unsent {
+        Unsent::QueueFull => UncoveredReason::QueueFull,
+        Unsent::Unavailable | Unsent::NoConnection => UncoveredReason::NoConnection,
+        Unsent::DeadlinePassed => UncoveredReason::DeadlinePassed,
+        Unsent::Paused => UncoveredReason::Paused,
+        Unsent::NotHeld => UncoveredReason::GathererLost,
+    }
+}
+
+async fn send(gathering: &Rc<Gathering>, shard: ShardId, leaf: &LeafId, kind: Kind) -> AttemptEnd {
+    let shared = &gathering.worker.shared;
+    match shared.leafs.get(&gathering.batch.service, leaf) {
+        Some(slot) => {
+            let request = LeafRequest {
+                request: gathering.batch.request,
+                attempt: gathering.draw_attempt(),
+                team: gathering.batch.team.clone(),
+                query: gathering.batch.query.clone(),
+                version: gathering.batch.version,
+                shard,
+            };
+            let mut queue_wait = Duration::ZERO;
+            let on_sent = |wait| {
+                queue_wait = wait;
+                count_sent(gathering, kind, wait);
+            };
+            let worker = &gathering.worker;
+            let deadline = gathering.deadline;
+            let end = attempt(worker, &slot, request, gathering.weight, deadline, on_sent).await;
+            let refused = matches!(end, AttemptEnd::Refused | AttemptEnd::Unsent(Unsent::QueueFull));
+            gathering.record_result(refused, queue_wait);
+            end
+        }
+        None if gathering.batch.extra => AttemptEnd::Unsent(Unsent::NotHeld),
+        None => send_through_holder(gathering, shard, leaf, kind).await,
+    }
+}
+
+fn count_sent(gathering: &Gathering, kind: Kind, queue_wait: Duration) {
+    let batch = &gathering.batch;
+    let shared = &gathering.worker.shared;
+    gathering.leaf_requests.set(gathering.leaf_requests.get() + 1);
+    let is_first = kind == Kind::First && !batch.extra;
+    if is_first {
+        let mut admission = shared.admission.lock();
+        admission.earn(&batch.team, &batch.service);
+    } else if !batch.extra {
+        let extra = gathering.extra_leaf_requests.get() + 1;
+        gathering.extra_leaf_requests.set(extra);
+    }
+    let label = if batch.extra { Kind::Retry } else { kind };
+    let labels = [label.as_str()];
+    shared.metrics.leaf_requests.with_label_values(&labels).inc();
+    let wait = shared
+        .metrics
+        .queue_wait_seconds
+        .with_label_values(&[batch.service.as_str()]);
+    wait.observe(queue_wait.as_secs_f64());
+}
+
+/// Asks the holder of a leaf of another group for one shard.
+async fn send_through_holder(
+    gathering: &Rc<Gathering>,
+    shard: ShardId,
+    leaf: &LeafId,
+    kind: Kind,
+) -> AttemptEnd {
+    let shared = &gathering.worker.shared;
+    let view = shared.view();
+    let Some(group) = gathering.service.group_of(leaf) else {
+        return AttemptEnd::Unsent(Unsent::NotHeld);
+    };
+    let holders = shared.usable_holders(&view, &gathering.service.groups[group]);
+    let Some((vm, address)) = holders.iter().find(|(vm, _)| vm != shared.me()) else {
+        return AttemptEnd::Unsent(Unsent::NotHeld);
+    };
+    let time_left = gathering.time_left();
+    let batch = Batch {
+        time_left: time_left.saturating_sub(REPLY_MARGIN),
+        canary: false,
+        extra: true,
+        tasks: vec![ShardTask {
+            shard,
+            leaf: leaf.clone(),
+            alternatives: Vec::new(),
+        }],
+        first_attempt: gathering.draw_attempt(),
+        ..gathering.batch.clone()
+    };
+    if kind != Kind::First {
+        let extra = gathering.extra_leaf_requests.get() + 1;
+        gathering.extra_leaf_requests.set(extra);
+    }
+    match gathering.worker.peers.gather(*address, &batch, time_left).await {
+        Ok(reply) => {
+            let requests = gathering.leaf_requests.get() + reply.leaf_requests;
+            gathering.leaf_requests.set(requests);
+            let outcome = reply.results.into_iter().find(|result| result.shard == shard);
+            outcome.map_or(AttemptEnd::InvalidReply, |result| remote_end(result.outcome))
+        }
+        Err(error) if error.surely_not_sent() => {
+            let now = shared.clock.now();
+            shared.fleet.lock().membership.record_rpc_failure(vm, now);
+            AttemptEnd::Unsent(Unsent::NotHeld)
+        }
+        Err(_sent) => AttemptEnd::DeadlinePassed,
+    }
+}
+
+fn remote_end(outcome: ShardOutcome) -> AttemptEnd {
+    match outcome {
+        ShardOutcome::Covered { rows } => AttemptEnd::Rows(rows),
+        ShardOutcome::Uncovered {
+            reason: UncoveredReason::VersionGone,
+            ..
+        } => AttemptEnd::VersionGone,
+        ShardOutcome::Uncovered {
+            reason,
+            may_have_run: false,
+        } => match reason {
+            UncoveredReason::LeafRefused => AttemptEnd::Refused,
+            UncoveredReason::QueueFull => AttemptEnd::Unsent(Unsent::QueueFull),
+            _ => AttemptEnd::Unsent(Unsent::NotHeld),
+        },
+        // The other gatherer has counted the strike of a lost connection.
+        ShardOutcome::Uncovered {
+            reason: UncoveredReason::InvalidReply,
+            ..
+        } => AttemptEnd::InvalidReply,
+        ShardOutcome::Uncovered { .. } => AttemptEnd::DeadlinePassed,
+    }
+}
--- a/crates/daemon/src/peers/pool.rs
+++ b/crates/daemon/src/peers/pool.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::OnceCell;
 use tokio_util::compat::TokioAsyncReadCompatExt;
-use wire::peer_capnp::peer;
+use wire::peer_capnp::{TeamLimit, peer};
 use wire::{
     Batch, BatchReply, CallerAnswer, CallerQuery, HeartbeatMessage, WireError,
 };
@@ -53,6 +53,19 @@
     }
 }
 
+/// A request for units of a team's limit.
+#[derive(Debug, Clone, Copy)]
+pub struct Loan<'a> {
+    /// The team.
+    pub team: &'a TeamName,
+    /// Which of its limits.
+    pub limit: TeamLimit,
+    /// VM that asks.
+    pub borrower: &'a VmName,
+    /// Units that it wants from this lender in all.
+    pub units: u64,
+}
+
 type ClientCell = Rc<OnceCell<peer::Client>>;
 
 /// Cached RPC connections, one for each peer address.
@@ -171,16 +184,15 @@
     pub async fn borrow_share(
         &self,
         address: SocketAddr,
-        team: &str,
-        borrower: &VmName,
-        units: u64,
+        loan: &Loan<'_>,
         timeout: Duration,
     ) -> Result<(u64, Duration), PeerError> {
         self.call(address, timeout, async |client| {
             let mut request = client.borrow_share_request();
-            request.get().set_team(team);
-            request.get().set_borrower(borrower.as_str());
-            request.get().set_units(units);
+            request.get().set_team(loan.team.as_str());
+            request.get().set_limit(loan.limit);
+            request.get().set_borrower(loan.borrower.as_str());
+            request.get().set_units(loan.units);
             let response = request.send().promise.await?;
             let reply = response.get()?;
             let lease = Duration::from_millis(reply.get_lease_ms());
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -111,6 +111,9 @@
   # Address of the sender's RPC listener. A daemon that starts while the platform is down
   # learns from it where to fetch the settings and the VM list.
   senderAddress @6 :Text;
+  # True if nothing of the sender depends on an earlier process of the receiver's VM, so that the
+  # receiver may use its shares of the teams' limits.
+  clearOfReceiver @7 :Bool;
 }
 
 enum VmState {
@@ -147,11 +150,17 @@
   texts @1 :List(SettingsText);
 }
 
+# Limit of a team that units belong to.
+enum TeamLimit {
+  rate @0;
+  concurrency @1;
+}
+
 interface Peer {
   gather @0 (batch :Batch) -> (reply :BatchReply);
   run @1 (query :CallerQuery) -> (answer :CallerAnswer);
   exchange @2 (heartbeat :Heartbeat) -> (heartbeat :Heartbeat);
   fetchSettings @3 (aboveRevision :UInt64) -> (tree :SettingsTree);
-  borrowShare @4 (team :Text, borrower :Text, units :UInt64) -> (grantedUnits :UInt64, leaseMs :UInt64);
+  borrowShare @4 (team :Text, limit :TeamLimit, borrower :Text, units :UInt64) -> (grantedUnits :UInt64, leaseMs :UInt64);
   fetchVmList @5 (aboveRevision :UInt64) -> (list :VmList);
 }
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -26,6 +26,8 @@
     pub heartbeat: Heartbeat,
     /// Address of the sender's RPC listener.
     pub sender_address: SocketAddr,
+    /// True if nothing of the sender depends on an earlier process of the receiver's VM.
+    pub clear_of_receiver: bool,
 }
 
 /// Parses a heartbeat.
@@ -59,6 +61,7 @@
             quarantines,
         },
         sender_address: reader.get_sender_address()?.to_str()?.parse()?,
+        clear_of_receiver: reader.get_clear_of_receiver(),
     })
 }
 
@@ -70,6 +73,7 @@
     builder.set_settings_revision(heartbeat.settings_revision.0);
     builder.set_settings_digest(heartbeat.settings_digest);
     builder.set_sender_address(message.sender_address.to_string());
+    builder.set_clear_of_receiver(message.clear_of_receiver);
     let mut updates = builder
         .reborrow()
         .init_updates(list_length(&heartbeat.updates));
