Choose a query's index version and plan its leaf requests

The plan covers the shards with few groups (greedy set cover, seeded ties) and gives each shard to the less loaded of the chosen replicas; shards are assigned in random order, since with a fixed order the same leafs carried 1.8 times the mean.

--- a/crates/medlarpin-core/src/lib.rs
+++ b/crates/medlarpin-core/src/lib.rs
@@ -8,5 +8,7 @@
 pub mod catalog;
 pub mod clock;
 pub mod ids;
+pub mod plan;
 pub mod prelude;
+pub mod snapshot;
 pub mod tickets;
--- /dev/null
+++ b/crates/medlarpin-core/src/plan.rs
@@ -0,0 +1,142 @@
+//! Assignment of a query's shards to leafs, with few leaf groups.
+
+mod candidates;
+mod cover;
+
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+
+use crate::catalog::ShardMap;
+use crate::ids::{IndexVersion, LeafId, ShardId};
+use candidates::{Candidate, CandidateTable};
+
+/// One leaf request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Task {
+    /// Shard to search.
+    pub shard: ShardId,
+    /// Leaf that gets the request.
+    pub leaf: LeafId,
+    /// The shard's other usable replicas, least loaded first.
+    pub alternatives: Vec<LeafId>,
+}
+
+/// The leaf requests of one group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Batch {
+    /// Index of the group.
+    pub group: usize,
+    /// The requests, sorted by shard; never empty.
+    pub tasks: Vec<Task>,
+}
+
+/// Leafs for all shards of a query.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Plan {
+    /// One batch for each group used, sorted by group.
+    pub batches: Vec<Batch>,
+    /// Shards without a usable replica, sorted.
+    pub no_replica: Vec<ShardId>,
+}
+
+/// Assigns each shard asked to a usable replica such that few groups take part.
+///
+/// The groups are chosen by greedy set cover. The seed breaks ties, so that several queries spread
+/// over the replicas; a shard that several chosen groups could serve goes to the one with less work.
+/// A leaf without a group is not usable. Group indices must be small: a table is indexed by them.
+#[must_use]
+pub fn plan(
+    map: &ShardMap,
+    shards: &[ShardId],
+    group_of: impl Fn(&LeafId) -> Option<usize>,
+    usable: impl Fn(&LeafId, IndexVersion) -> bool,
+    load: impl Fn(&LeafId) -> u32,
+    seed: u64,
+) -> Plan {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let find = |leaf| {
+        let group = group_of(leaf)?;
+        usable(leaf, map.version()).then(|| Candidate {
+            group,
+            leaf,
+            load: load(leaf),
+            is_first_of_group: true,
+        })
+    };
+    let (table, no_replica) = CandidateTable::collect(map, shards, find);
+    let is_chosen = cover::choose_groups(&table, &mut random);
+    Plan {
+        batches: assign(&table, &is_chosen, &mut random),
+        no_replica,
+    }
+}
+
+/// Gives each shard to a replica in a chosen group.
+fn assign(table: &CandidateTable<'_>, is_chosen: &[bool], random: &mut SmallRng) -> Vec<Batch> {
+    let mut task_counts = vec![0; table.group_count()];
+    // Work counts up while shards are assigned, so with a fixed order the same shards would find
+    // their group busy in every query.
+    let mut order: Vec<_> = (0..table.len()).collect();
+    order.shuffle(random);
+    let mut choices = vec![None; table.len()];
+    for index in order {
+        let (_, row) = table.row(index);
+        choices[index] = choose_replica(row, is_chosen, &task_counts, random);
+        if let Some(best) = choices[index] {
+            task_counts[row[best].group] += 1;
+        }
+    }
+    batches(table, &choices, &task_counts)
+}
+
+/// Builds the batches from the index of each shard's chosen replica.
+fn batches(
+    table: &CandidateTable<'_>,
+    choices: &[Option<usize>],
+    task_counts: &[u32],
+) -> Vec<Batch> {
+    let with_room = |(group, count): (usize, &u32)| Batch {
+        group,
+        tasks: Vec::with_capacity(*count as usize),
+    };
+    let mut batches: Vec<_> = task_counts.iter().enumerate().map(with_room).collect();
+    let mut others: Vec<&Candidate<'_>> = Vec::new();
+    for (index, choice) in choices.iter().enumerate() {
+        let (shard, row) = table.row(index);
+        let Some(best) = *choice else { continue };
+        let leaf = row[best].leaf;
+        others.clear();
+        // The rotation spreads the first alternative over replicas of equal load.
+        let rotated = row[best + 1..].iter().chain(&row[..best]);
+        others.extend(rotated.filter(|candidate| candidate.leaf != leaf));
+        others.sort_by_key(|candidate| candidate.load);
+        let names = others.iter().map(|candidate| candidate.leaf.clone());
+        batches[row[best].group].tasks.push(Task {
+            shard,
+            leaf: leaf.clone(),
+            alternatives: names.collect(),
+        });
+    }
+    batches.retain(|batch| !batch.tasks.is_empty());
+    batches
+}
+
+/// Chooses the index of the replica that has the least work, among those in chosen groups.
+fn choose_replica(
+    row: &[Candidate<'_>],
+    is_chosen: &[bool],
+    task_counts: &[u32],
+    random: &mut SmallRng,
+) -> Option<usize> {
+    // Sixteenths of a request: a group's tasks spread over at most 16 leafs.
+    let work = |candidate: &Candidate<'_>| {
+        u64::from(candidate.load) * 16 + u64::from(task_counts[candidate.group])
+    };
+    // The random start lets replicas with equal work take turns.
+    let start = random.random_range(0..row.len());
+    (start..row.len())
+        .chain(0..start)
+        .filter(|index| is_chosen[row[*index].group])
+        .min_by_key(|index| (work(&row[*index]), row[*index].load))
+}
--- /dev/null
+++ b/crates/medlarpin-core/src/plan/candidates.rs
@@ -0,0 +1,96 @@
+use crate::catalog::ShardMap;
+use crate::ids::{LeafId, ShardId};
+
+/// A usable replica of a shard.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Candidate<'a> {
+    pub(super) group: usize,
+    pub(super) leaf: &'a LeafId,
+    pub(super) load: u32,
+    /// False if an earlier candidate of the same shard is in the same group.
+    pub(super) is_first_of_group: bool,
+}
+
+/// The usable replicas of all shards asked.
+///
+/// One flat vector holds all replicas: a vector for each shard would cost an allocation each.
+#[derive(Debug)]
+pub(super) struct CandidateTable<'a> {
+    /// Shards with at least one candidate, sorted, each with the end of its candidates.
+    shards: Vec<(ShardId, usize)>,
+    candidates: Vec<Candidate<'a>>,
+    /// Above every group index.
+    group_count: usize,
+}
+
+impl<'a> CandidateTable<'a> {
+    /// Collects the replicas; also returns the shards that have none, sorted.
+    pub(super) fn collect(
+        map: &'a ShardMap,
+        asked: &[ShardId],
+        find: impl Fn(&'a LeafId) -> Option<Candidate<'a>>,
+    ) -> (Self, Vec<ShardId>) {
+        let mut asked = asked.to_vec();
+        asked.sort_unstable();
+        asked.dedup();
+        let mut no_replica = Vec::new();
+        let mut table = Self {
+            shards: Vec::with_capacity(asked.len()),
+            candidates: Vec::with_capacity(asked.len() * 3),
+            group_count: 0,
+        };
+        // Both lists are sorted, so one pass finds all shards.
+        let mut rows = map.shards().iter().peekable();
+        for shard in asked {
+            while rows.next_if(|(row_shard, _)| *row_shard < shard).is_some() {}
+            let row = rows.next_if(|(row_shard, _)| *row_shard == shard);
+            let start = table.candidates.len();
+            for leaf in row.into_iter().flat_map(|(_, replicas)| replicas) {
+                table.push(start, find(leaf));
+            }
+            if table.candidates.len() == start {
+                no_replica.push(shard);
+            } else {
+                table.shards.push((shard, table.candidates.len()));
+            }
+        }
+        let groups = table.candidates.iter().map(|candidate| candidate.group);
+        table.group_count = groups.max().map_or(0, |group| group + 1);
+        (table, no_replica)
+    }
+
+    pub(super) fn group_count(&self) -> usize {
+        self.group_count
+    }
+
+    /// Returns the number of shards with a candidate.
+    pub(super) fn len(&self) -> usize {
+        self.shards.len()
+    }
+
+    /// Returns the shard at an index and its candidates, of which there is at least one.
+    pub(super) fn row(&self, index: usize) -> (ShardId, &[Candidate<'a>]) {
+        let start = index.checked_sub(1).map_or(0, |index| self.shards[index].1);
+        let (shard, end) = self.shards[index];
+        (shard, &self.candidates[start..end])
+    }
+
+    /// Returns the distinct groups of the shard at an index.
+    pub(super) fn groups(&self, index: usize) -> impl Iterator<Item = usize> {
+        let (_, row) = self.row(index);
+        row.iter()
+            .filter(|candidate| candidate.is_first_of_group)
+            .map(|candidate| candidate.group)
+    }
+
+    /// Adds a candidate to the last row, which starts at an index.
+    fn push(&mut self, start: usize, candidate: Option<Candidate<'a>>) {
+        let Some(mut candidate) = candidate else {
+            return;
+        };
+        candidate.is_first_of_group = self.candidates[start..]
+            .iter()
+            .all(|other| other.group != candidate.group);
+        self.candidates.push(candidate);
+    }
+}
