Merge shard answers into one outcome

Answers may be late, crossed or duplicated. The merge refuses any that do not belong to its request, version and shards, keeps the first covered answer of a shard, and derives the outcome. A shard counts as possibly run until each of its attempts is answered, so an early refusal cannot produce a false not_run while another attempt runs.

--- a/crates/medlarpin-core/src/lib.rs
+++ b/crates/medlarpin-core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod canary;
 pub mod catalog;
 pub mod clock;
+pub mod coverage;
 pub mod ids;
 pub mod plan;
 pub mod prelude;
