--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,212 @@
+//! Start and graceful shutdown of one daemon.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use displaydoc::Display;
+use medlarpin_core::prelude::*;
+use platform::PlatformClient;
+use settings::DaemonSettings;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+use crate::operators::Metrics;
+use crate::shared::{Node, Shared};
+use crate::workers::{WorkerError, WorkerPool};
+use crate::{entry, fleet, leafs, operators};
+
+/// Why the daemon could not start.
+#[derive(Debug, Display, Error)]
+pub enum StartError {
+    /// cannot listen on {address}: {source}
+    Listen {
+        /// Address from the settings.
+        address: SocketAddr,
+        /// Error of the operating system.
+        source: io::Error,
+    },
+    /// cannot start the workers: {0}
+    Workers(#[from] WorkerError),
+    /// cannot register the metrics: {0}
+    Metrics(#[from] prometheus::Error),
+}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    node: Arc<Node>,
+    query_address: SocketAddr,
+    operator_address: SocketAddr,
+    servers: Vec<JoinHandle<()>>,
+}
+
+impl Daemon {
+    /// Starts a daemon within the current tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be listened on or the workers cannot start.
+    pub async fn start(
+        settings: DaemonSettings,
+        clock: Arc<dyn Clock>,
+    ) -> Result<Self, StartError> {
+        let (rpc, rpc_address) = listen(settings.rpc_address).await?;
+        let (query, query_address) = listen(settings.query_address).await?;
+        let (operator, operator_address) = listen(settings.operator_address).await?;
+        let metrics = Metrics::new()?;
+        let workers = settings.workers;
+        let shared = Arc::new(Shared::new(
+            settings,
+            clock,
+            draw_incarnation(),
+            rpc_address,
+            metrics,
+        ));
+        let pool = WorkerPool::start(&shared, workers)?;
+        let node = Arc::new(Node {
+            shared: Arc::clone(&shared),
+            workers: pool,
+        });
+        start_control(&node);
+        let servers = vec![
+            tokio::spawn(accept_peers(Arc::clone(&node), rpc)),
+            serve(query, entry::router(Arc::clone(&node))),
+            serve(operator, operators::router(Arc::clone(&shared))),
+        ];
+        log::info!("entry: Listening to callers on {query_address}.");
+        Ok(Self {
+            node,
+            query_address,
+            operator_address,
+            servers,
+        })
+    }
+
+    /// Returns the address that callers use.
+    #[must_use]
+    pub fn query_address(&self) -> SocketAddr {
+        self.query_address
+    }
+
+    /// Returns the address that operators use.
+    #[must_use]
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operator_address
+    }
+
+    /// Returns the address that other daemons use.
+    #[must_use]
+    pub fn rpc_address(&self) -> SocketAddr {
+        self.node.shared.rpc_address
+    }
+
+    /// Returns true if callers may be sent to this daemon.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.node.shared.is_ready()
+    }
+
+    /// Stops the daemon without cutting off a request in flight.
+    ///
+    /// Readiness turns false and peers are told at once; the listeners stay open for the grace
+    /// time, so that the load balancer sees it, and until the last request has ended.
+    pub async fn shutdown(self) {
+        let shared = &self.node.shared;
+        log::info!("shutdown: Readiness is false; peers are told.");
+        shared.lifecycle.set_stopping();
+        shared.fleet.lock().membership.leave();
+        shared.news.notify_one();
+        tokio::time::sleep(Duration::from_millis(shared.settings.shutdown_grace_ms)).await;
+        let limit = Duration::from_millis(shared.settings.drain_limit_ms);
+        if tokio::time::timeout(limit, shared.lifecycle.wait_idle())
+            .await
+            .is_err()
+        {
+            let left = shared.lifecycle.in_flight();
+            log::warn!("shutdown: {left} requests did not end within the drain limit.");
+        }
+        // The last answers have been handed to the connections, which still write them.
+        tokio::time::sleep(LAST_WRITE_WAIT).await;
+        for server in &self.servers {
+            server.abort();
+        }
+        let node = Arc::clone(&self.node);
+        // Joining threads blocks, so it runs off the runtime's own threads.
+        if tokio::task::spawn_blocking(move || node.workers.stop())
+            .await
+            .is_err()
+        {
+            log::error!("shutdown: The workers did not stop in order.");
+        }
+        log::info!("shutdown: All requests have ended.");
+    }
+}
+
+/// Time for the connections to write the last answers.
+const LAST_WRITE_WAIT: Duration = Duration::from_millis(50);
+
+async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
+    let failed = |source| StartError::Listen { address, source };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let address = listener.local_addr().map_err(failed)?;
+    Ok((listener, address))
+}
+
+fn serve(listener: TcpListener, router: axum::Router) -> JoinHandle<()> {
+    tokio::spawn(async move {
+        if let Err(error) = axum::serve(listener, router).await {
+            log::error!("entry: A listener ended: {error}.");
+        }
+    })
+}
+
+async fn accept_peers(node: Arc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _peer)) => {
+                let prepared = stream.set_nodelay(true).and_then(|()| stream.into_std());
+                match prepared {
+                    Ok(stream) => node.workers.accept(stream),
+                    Err(error) => log::debug!("peers: A connection failed at once: {error}."),
+                }
+            }
+            Err(error) => {
+                log::warn!("peers: A connection cannot be accepted: {error}.");
+                // The usual cause is a lack of file descriptors, which takes a moment to end.
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+fn start_control(node: &Node) {
+    let addresses = node.shared.settings.platform_addresses.clone();
+    node.workers.spawn(move |worker| async move {
+        let client = Rc::new(PlatformClient::new(addresses));
+        let tasks = tokio::task::spawn_local(fleet::housekeep(Rc::clone(&worker)));
+        tokio::task::spawn_local(fleet::probe(Rc::clone(&worker)));
+        tokio::task::spawn_local(fleet::send_news(Rc::clone(&worker)));
+        tokio::task::spawn_local(fleet::renew_shares(Rc::clone(&worker)));
+        tokio::task::spawn_local(leafs::maintain(Rc::clone(&worker)));
+        fleet::join(Rc::clone(&worker), Rc::clone(&client)).await;
+        tokio::task::spawn_local(fleet::watch_platform(worker, client));
+        if tasks.await.is_err() {
+            log::error!("gossip: The housekeeping task ended.");
+        }
+    });
+}
+
+/// Draws an incarnation that is above those of earlier starts on the same VM.
+///
+/// This is the only use of the wall clock: VMs keep nothing, so nothing else orders two starts. A
+/// clock that went back makes peers ignore the daemon until it is above the earlier incarnation.
+fn draw_incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Incarnation(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
+}
--- a/crates/daemon/src/entry/admission.rs
+++ b/crates/daemon/src/entry/admission.rs
@@ -96,7 +96,8 @@
     /// Takes over the limits of a view.
     pub fn update(&mut self, view: &FleetView, all_acknowledged: bool, now: Instant) {
         let teams = view.teams();
-        self.teams.retain(|entry| view.team(entry.team.as_str()).is_some());
+        self.teams
+            .retain(|entry| view.team(entry.team.as_str()).is_some());
         for team in teams {
             let index = self.position_or_insert(team, now);
             let entry = &mut self.teams[index];
@@ -156,7 +157,12 @@
     /// # Errors
     ///
     /// Fails if the team is above one of its limits.
-    pub fn admit(&mut self, team: &TeamName, deadline: Instant, now: Instant) -> Result<(), Refusal> {
+    pub fn admit(
+        &mut self,
+        team: &TeamName,
+        deadline: Instant,
+        now: Instant,
+    ) -> Result<(), Refusal> {
         let Ok(index) = self.find_team(team) else {
             return Ok(());
         };
@@ -212,7 +218,12 @@
 
     /// Returns the time after which an unanswered batch counts as late.
     #[must_use]
-    pub fn batch_delay(&self, service: &ServiceName, time_left: Duration, now: Instant) -> Duration {
+    pub fn batch_delay(
+        &self,
+        service: &ServiceName,
+        time_left: Duration,
+        now: Instant,
+    ) -> Duration {
         self.find_service(service).map_or(time_left / 2, |index| {
             hedge_delay(&self.services[index].batch_latencies, time_left, now)
         })
@@ -304,13 +315,17 @@
     ) -> Option<(&mut ExtraBudget, &mut ExtraBudget)> {
         let team = self.find_team(team).ok()?;
         let service = self.find_service(service).ok()?;
-        Some((&mut self.teams[team].extra, &mut self.services[service].extra))
+        Some((
+            &mut self.teams[team].extra,
+            &mut self.services[service].extra,
+        ))
     }
 }
 
 impl TeamAdmission {
     fn new(team: &TeamSettings, me: &VmName, now: Instant) -> Self {
-        let ledger = |units, kind| ShareLedger::new(team.name.clone(), me.clone(), units, kind, now);
+        let ledger =
+            |units, kind| ShareLedger::new(team.name.clone(), me.clone(), units, kind, now);
         Self {
             team: team.name.clone(),
             rate_ledger: ledger(rate_units(team), UnitKind::Rate),
@@ -359,7 +374,8 @@
                 retry_after,
             });
         }
-        self.concurrency_ledger.set_in_use(self.concurrency.in_use());
+        self.concurrency_ledger
+            .set_in_use(self.concurrency.in_use());
         self.admitted += 1;
         Ok(())
     }
--- /dev/null
+++ b/crates/daemon/src/entry/group.rs
@@ -0,0 +1,280 @@
+//! The call of one leaf group: its holders, failover and a second holder when the first is late.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use medlarpin_core::plan::Batch as PlannedBatch;
+use medlarpin_core::prelude::*;
+use wire::{Batch, BatchReply, ShardResult, ShardTask};
+
+use crate::entry::request::Query;
+use crate::gather::gather;
+use crate::peers::PeerError;
+use crate::shared::Shared;
+use crate::view::{FleetView, ServiceView};
+use crate::workers::Worker;
+
+/// Time that an entry keeps for the replies of the gatherers.
+const REPLY_MARGIN: Duration = Duration::from_millis(5);
+
+/// A peer that gives no reply for this time counts as unreachable. Shorter waits end with the
+/// query's deadline and say nothing about the peer.
+const UNREACHABLE_AFTER: Duration = Duration::from_millis(200);
+
+/// Where the leafs of one service are reached from this daemon.
+#[derive(Debug)]
+pub struct Routes {
+    shared: Arc<Shared>,
+    service: Arc<ServiceView>,
+    /// Usable holders of each group, best rank first.
+    holders: Vec<Vec<(VmName, SocketAddr)>>,
+}
+
+impl Routes {
+    /// Looks up the usable holders of all groups.
+    #[must_use]
+    pub fn new(shared: &Arc<Shared>, view: &FleetView, service: &Arc<ServiceView>) -> Self {
+        let groups = service.groups.iter();
+        Self {
+            holders: groups
+                .map(|group| shared.usable_holders(view, group))
+                .collect(),
+            shared: Arc::clone(shared),
+            service: Arc::clone(service),
+        }
+    }
+
+    /// Returns true if a leaf can be asked for a version as far as this daemon knows.
+    #[must_use]
+    pub fn serves(&self, leaf: &LeafId, version: IndexVersion) -> bool {
+        let Some(group) = self.service.group_of(leaf) else {
+            return false;
+        };
+        if self.holders[group].is_empty() {
+            return false;
+        }
+        let name = self.service.service.name();
+        let now = self.shared.clock.now();
+        if self.shared.gone.lock().contains(name, leaf, version, now) {
+            return false;
+        }
+        let held = self.shared.leafs.get(name, leaf);
+        held.is_none_or(|slot| slot.serves(version))
+    }
+
+    /// Returns the requests queued and in flight at a leaf, as far as this daemon knows.
+    #[must_use]
+    pub fn load(&self, leaf: &LeafId) -> u32 {
+        let held = self.shared.leafs.get(self.service.service.name(), leaf);
+        held.map_or(0, |slot| slot.load())
+    }
+
+    /// Remembers leafs that no longer hold a version.
+    pub fn mark_gone(&self, leafs: &[LeafId], version: IndexVersion) {
+        let now = self.shared.clock.now();
+        let mut gone = self.shared.gone.lock();
+        for leaf in leafs {
+            gone.insert(self.service.service.name(), leaf, version, now);
+        }
+    }
+}
+
+/// The call of one group.
+#[derive(Debug)]
+pub struct GroupCall {
+    batch: Batch,
+    group: usize,
+    routes: Rc<Routes>,
+}
+
+impl GroupCall {
+    /// Creates the call of a planned batch.
+    #[must_use]
+    pub fn new(
+        query: &Query,
+        version: IndexVersion,
+        planned: PlannedBatch,
+        canary: bool,
+        first_attempt: u32,
+        routes: Rc<Routes>,
+    ) -> Self {
+        let tasks = planned.tasks.into_iter().map(|task| ShardTask {
+            shard: task.shard,
+            leaf: task.leaf,
+            alternatives: task.alternatives,
+        });
+        Self {
+            batch: Batch {
+                request: query.request,
+                team: query.team.clone(),
+                service: query.service.clone(),
+                query: query.text.clone(),
+                version,
+                time_left: Duration::ZERO,
+                idempotent: query.idempotent,
+                canary,
+                extra: false,
+                tasks: tasks.collect(),
+                first_attempt,
+            },
+            group: planned.group,
+            routes,
+        }
+    }
+
+    /// Asks the group's holders in turn and returns one result for each shard.
+    pub async fn run(self, worker: Rc<Worker>, deadline: Instant) -> BatchReply {
+        let mut call = Call {
+            worker,
+            batch: self.batch,
+            deadline,
+            sent: false,
+        };
+        let holders = &self.routes.holders[self.group];
+        for (place, (vm, address)) in holders.iter().enumerate() {
+            let has_next = place + 1 < holders.len();
+            match call.ask(vm, *address, has_next).await {
+                Asked::Reply(reply) => return reply,
+                Asked::TryNext => {}
+                Asked::Failed(reason) => return call.failed(reason),
+            }
+        }
+        call.failed(UncoveredReason::GathererLost)
+    }
+}
+
+enum Asked {
+    Reply(BatchReply),
+    /// The holder cannot serve the batch and the next one may be asked.
+    TryNext,
+    Failed(UncoveredReason),
+}
+
+struct Call {
+    worker: Rc<Worker>,
+    batch: Batch,
+    deadline: Instant,
+    /// True if a holder may have received the batch and did not answer.
+    sent: bool,
+}
+
+impl Call {
+    async fn ask(&mut self, vm: &VmName, address: SocketAddr, has_next: bool) -> Asked {
+        let shared = Arc::clone(&self.worker.shared);
+        let now = shared.clock.now();
+        let time_left = self.deadline.saturating_duration_since(now);
+        if time_left <= REPLY_MARGIN {
+            return Asked::Failed(UncoveredReason::DeadlinePassed);
+        }
+        self.batch.time_left = time_left.saturating_sub(REPLY_MARGIN);
+        if vm == shared.me() {
+            let reply = gather(Rc::clone(&self.worker), self.batch.clone()).await;
+            return self.judge(reply);
+        }
+        // An idempotent batch leaves time for a second holder.
+        let can_repeat = self.batch.idempotent && !self.batch.canary && has_next;
+        let timeout = if can_repeat { time_left / 2 } else { time_left };
+        let result = self
+            .worker
+            .peers
+            .gather(address, &self.batch, timeout)
+            .await;
+        match result {
+            Ok(reply) => {
+                shared
+                    .metrics
+                    .batches
+                    .with_label_values(&["answered"])
+                    .inc();
+                let latency = shared.clock.now().saturating_duration_since(now);
+                let mut admission = shared.admission.lock();
+                admission.record_batch(&self.batch.service, latency, now);
+                drop(admission);
+                self.judge(reply)
+            }
+            Err(error) => self.judge_error(vm, &error, timeout, can_repeat),
+        }
+    }
+
+    /// A holder that lost the group or was paused has sent nothing, so the next one is asked.
+    fn judge(&mut self, reply: BatchReply) -> Asked {
+        let unserved = |result: &ShardResult| {
+            matches!(
+                result.outcome,
+                ShardOutcome::Uncovered {
+                    reason: UncoveredReason::GathererLost | UncoveredReason::Paused,
+                    may_have_run: false,
+                }
+            )
+        };
+        if !reply.results.is_empty() && reply.results.iter().all(unserved) {
+            return Asked::TryNext;
+        }
+        let mut reply = reply;
+        if self.sent {
+            // An earlier holder that did not answer may still run the shards.
+            for result in &mut reply.results {
+                if let ShardOutcome::Uncovered { may_have_run, .. } = &mut result.outcome {
+                    *may_have_run = true;
+                }
+            }
+        }
+        Asked::Reply(reply)
+    }
+
+    fn judge_error(
+        &mut self,
+        vm: &VmName,
+        error: &PeerError,
+        timeout: Duration,
+        can_repeat: bool,
+    ) -> Asked {
+        let shared = &self.worker.shared;
+        shared.metrics.batches.with_label_values(&["failed"]).inc();
+        let request = self.batch.request;
+        log::debug!("entry: Request {request}: VM {vm} failed: {error}.");
+        let too_short = matches!(error, PeerError::Timeout(_)) && timeout < UNREACHABLE_AFTER;
+        let now = shared.clock.now();
+        if !too_short {
+            let mut fleet = shared.fleet.lock();
+            fleet.membership.record_rpc_failure(vm, now);
+        }
+        if error.surely_not_sent() {
+            return Asked::TryNext;
+        }
+        self.sent = true;
+        if can_repeat && self.may_repeat(now) {
+            let numbers = u32::try_from(self.batch.tasks.len()).unwrap_or(u32::MAX);
+            self.batch.first_attempt = self
+                .batch
+                .first_attempt
+                .wrapping_add(numbers.saturating_mul(8));
+            return Asked::TryNext;
+        }
+        Asked::Failed(UncoveredReason::GathererLost)
+    }
+
+    /// Takes an extra request for each shard from the budgets.
+    fn may_repeat(&self, now: Instant) -> bool {
+        let mut admission = self.worker.shared.admission.lock();
+        let (team, service) = (&self.batch.team, &self.batch.service);
+        let mut tasks = self.batch.tasks.iter();
+        tasks.all(|_task| admission.try_extra(team, service, now))
+    }
+
+    fn failed(&self, reason: UncoveredReason) -> BatchReply {
+        let tasks = self.batch.tasks.iter();
+        let results = tasks.map(|task| ShardResult {
+            shard: task.shard,
+            outcome: ShardOutcome::Uncovered {
+                reason,
+                may_have_run: self.sent,
+            },
+        });
+        BatchReply {
+            results: results.collect(),
+            ..BatchReply::default()
+        }
+    }
+}
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -14,9 +14,7 @@
 use tokio::sync::oneshot;
 
 use crate::entry::answer::AnswerBody;
-use crate::entry::request::{
-    Query, QueryBody, RequestError, TicketBody, check_query, parse_body,
-};
+use crate::entry::request::{Query, QueryBody, RequestError, TicketBody, check_query, parse_body};
 use crate::entry::{run, ticketed};
 use crate::shared::{Node, Shared};
 use crate::view::FleetView;
@@ -93,7 +91,7 @@
 ) -> Result<(Query, Option<String>), Refusal> {
     let body = check_body(shared, headers, body)?;
     let body: QueryBody = parse_body(&body)?;
-    let request = shared.draw_request_id();
+    let request = RequestId(rand::random());
     let view = shared.view();
     check_serving(shared, &view, &body, request)?;
     let Some(team) = view.team(&body.team) else {
@@ -117,7 +115,7 @@
     }
     let outcome = Outcome::NotRun {
         reason: NotRunReason::Starting,
-        retry_after: shared.settings.probe_interval(),
+        retry_after: shared.probe_interval(),
     };
     Err(Refusal::NotRun(Box::new(AnswerBody::without_rows(
         request,
@@ -189,7 +187,7 @@
     }
 }
 
-fn answer(shared: &Shared, body: &AnswerBody) -> Response {
+pub(super) fn answer(shared: &Shared, body: &AnswerBody) -> Response {
     if let (Some(reason), Some(_)) = (&body.reason, body.retry_after_ms) {
         let labels = [body.team.as_str(), reason.as_str()];
         shared.metrics.refusals.with_label_values(&labels).inc();
@@ -223,7 +221,10 @@
         message: error.to_string(),
     };
     // The body holds only strings, which always serialise.
-    json(error.status(), serde_json::to_vec(&body).unwrap_or_default())
+    json(
+        error.status(),
+        serde_json::to_vec(&body).unwrap_or_default(),
+    )
 }
 
 pub(super) fn json(status: StatusCode, body: Vec<u8>) -> Response {
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -2,13 +2,15 @@
 
 mod admission;
 mod answer;
+mod gone;
+mod group;
 mod http;
 mod request;
 mod run;
 mod ticketed;
 
-pub use admission::{AdmissionTable, TeamPermit};
+pub use admission::{AdmissionTable, Limit};
 pub use answer::{AnswerBody, OutcomeName};
+pub use gone::GoneVersions;
 pub use http::router;
-pub use request::RequestError;
 pub use ticketed::run_forwarded;
--- a/crates/daemon/src/entry/request.rs
+++ b/crates/daemon/src/entry/request.rs
@@ -1,7 +1,5 @@
 //! Parsing of callers' requests.
 
-use std::time::Duration;
-
 use axum::http::StatusCode;
 use displaydoc::Display;
 use medlarpin_core::prelude::*;
--- /dev/null
+++ b/crates/daemon/src/entry/run.rs
@@ -0,0 +1,408 @@
+//! One query: admission, version, plan, canary, batches and the merged answer.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use medlarpin_core::canary::{Clearance, canary_group};
+use medlarpin_core::coverage::Merge;
+use medlarpin_core::plan::{Batch as PlannedBatch, Task, plan};
+use medlarpin_core::prelude::*;
+use medlarpin_core::snapshot::choose_version;
+use tokio::sync::oneshot;
+use wire::BatchReply;
+
+use crate::entry::admission::{Refusal, TeamPermit};
+use crate::entry::answer::{AnswerBody, RowBody, UncoveredBody};
+use crate::entry::group::{GroupCall, Routes};
+use crate::entry::request::{Query, RequestError};
+use crate::view::ServiceView;
+use crate::workers::Worker;
+
+/// Retry time of a query that found no usable version or replica.
+const UNSERVABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Retry time of a query that reached a daemon after a pause; one exchange ends the refusal.
+const PAUSED_RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// Leaf request numbers that a batch may use for each of its shards: the first request and its
+/// retries and hedges.
+const ATTEMPTS_PER_SHARD: u32 = 8;
+
+/// Share of a query's time that must remain for a restart at a newer version.
+const RESTART_TIME_DIVISOR: u32 = 3;
+
+/// The answer, or why the request is invalid after all.
+pub type QueryResult = Result<AnswerBody, RequestError>;
+
+/// Runs a query until it is answered or its caller has gone.
+pub async fn run_for_caller(
+    worker: &Rc<Worker>,
+    query: Query,
+    mut sender: oneshot::Sender<QueryResult>,
+) {
+    let body = tokio::select! {
+        body = run_query(worker, &query) => body,
+        () = sender.closed() => return,
+    };
+    // A caller that left in the meantime needs no answer.
+    let _ = sender.send(Ok(body));
+}
+
+/// Runs a query and returns the body of its answer.
+pub async fn run_query(worker: &Rc<Worker>, query: &Query) -> AnswerBody {
+    match try_run(worker, query).await {
+        Ok(body) => body,
+        Err(refusal) => {
+            let outcome = Outcome::NotRun {
+                reason: refusal.reason,
+                retry_after: refusal.retry_after,
+            };
+            AnswerBody::without_rows(query.request, &query.team, &query.service, outcome)
+        }
+    }
+}
+
+async fn try_run(worker: &Rc<Worker>, query: &Query) -> Result<AnswerBody, Refusal> {
+    let shared = &worker.shared;
+    let started_at = shared.clock.now();
+    check_pause(worker, started_at)?;
+    let clearance = check_quarantine(worker, query, started_at)?;
+    let _permit = TeamPermit::acquire(shared, &query.team, query.deadline)?;
+    let total_time = query.deadline.saturating_duration_since(started_at);
+    let mut run = QueryRun::pin(worker, query)?;
+    let needs_canary = shared.settings.canary && clearance != Clearance::Proven;
+    run.ask(needs_canary).await;
+    if run.should_restart(total_time)
+        && let Some(map) = run.newer_map()
+    {
+        log::info!(
+            "entry: Request {} restarts at version {}.",
+            query.request,
+            map.version().0
+        );
+        run.restart(map);
+        run.ask(false).await;
+    }
+    Ok(run.into_body())
+}
+
+fn check_pause(worker: &Worker, now: Instant) -> Result<(), Refusal> {
+    worker.shared.check_pause(now).map_err(|_paused| Refusal {
+        reason: NotRunReason::Paused,
+        retry_after: PAUSED_RETRY_AFTER,
+    })
+}
+
+fn check_quarantine(worker: &Worker, query: &Query, now: Instant) -> Result<Clearance, Refusal> {
+    let table = worker.shared.fingerprints.lock();
+    match table.check(query.fingerprint(), now) {
+        Clearance::Quarantined { until } => Err(Refusal {
+            reason: NotRunReason::Quarantined,
+            retry_after: until.saturating_duration_since(now),
+        }),
+        clearance => Ok(clearance),
+    }
+}
+
+/// A query that is pinned to one index version.
+struct QueryRun<'a> {
+    worker: &'a Rc<Worker>,
+    query: &'a Query,
+    service: Arc<ServiceView>,
+    map: Arc<ShardMap>,
+    routes: Rc<Routes>,
+    merge: Merge,
+    next_attempt: u32,
+    extra_leaf_requests: u32,
+}
+
+impl<'a> QueryRun<'a> {
+    fn pin(worker: &'a Rc<Worker>, query: &'a Query) -> Result<Self, Refusal> {
+        let refusal = |reason| Refusal {
+            reason,
+            retry_after: UNSERVABLE_RETRY_AFTER,
+        };
+        let view = worker.shared.view();
+        let service = view
+            .service(query.service.as_str())
+            .ok_or_else(|| refusal(NotRunReason::NoVersion))?;
+        let routes = Rc::new(Routes::new(&worker.shared, &view, service));
+        let serves = |leaf: &LeafId, version| routes.serves(leaf, version);
+        let map = choose_version(&service.maps, serves).ok_or_else(|| {
+            refusal(if service.maps.is_empty() {
+                NotRunReason::NoVersion
+            } else {
+                NotRunReason::NoReplica
+            })
+        })?;
+        Ok(Self {
+            worker,
+            query,
+            service: Arc::clone(service),
+            merge: Merge::new(query.request, map.version(), &asked_shards(query, &map)),
+            map,
+            routes,
+            next_attempt: 0,
+            extra_leaf_requests: 0,
+        })
+    }
+
+    /// Asks all shards that are not covered yet.
+    async fn ask(&mut self, needs_canary: bool) {
+        let mut shards = asked_shards(self.query, &self.map);
+        if needs_canary && !self.ask_canary(&mut shards).await {
+            return;
+        }
+        let routes = &self.routes;
+        let plan = plan(
+            &self.map,
+            &shards,
+            |leaf| self.service.group_of(leaf),
+            |leaf, version| routes.serves(leaf, version),
+            |leaf| routes.load(leaf),
+            rand::random(),
+        );
+        for shard in &plan.no_replica {
+            self.accept(*shard, not_sent(UncoveredReason::NoReplica));
+        }
+        let calls: Vec<GroupCall> = plan
+            .batches
+            .into_iter()
+            .map(|batch| self.call(batch, false))
+            .collect();
+        self.collect(calls).await;
+    }
+
+    /// Asks one shard first; returns false if the others must not be asked.
+    async fn ask_canary(&mut self, shards: &mut Vec<ShardId>) -> bool {
+        let fingerprint = self.query.fingerprint();
+        let Some(batch) = self.canary_batch(fingerprint, shards) else {
+            return true;
+        };
+        let Some(shard) = batch.tasks.first().map(|task| task.shard) else {
+            return true;
+        };
+        self.worker.shared.metrics.canaries.inc();
+        let call = self.call(batch, true);
+        let deadline = self.query.deadline;
+        let reply = call.run(Rc::clone(self.worker), deadline).await;
+        let covered = reply
+            .results
+            .iter()
+            .any(|result| matches!(result.outcome, ShardOutcome::Covered { .. }));
+        self.accept_reply(reply);
+        if covered {
+            shards.retain(|asked| *asked != shard);
+            let now = self.worker.shared.clock.now();
+            let mut table = self.worker.shared.fingerprints.lock();
+            table.canary_ok(fingerprint, now);
+            return true;
+        }
+        self.refuse_rest(shards, shard);
+        false
+    }
+
+    /// Marks the shards behind a failed canary with the canary's reason.
+    fn refuse_rest(&mut self, shards: &[ShardId], canary: ShardId) {
+        let uncovered = self.merge.uncovered();
+        let reason = uncovered
+            .iter()
+            .find(|entry| entry.shard == canary)
+            .map_or(UncoveredReason::NoReplica, |entry| entry.reason);
+        for shard in shards.iter().filter(|shard| **shard != canary) {
+            self.accept(*shard, not_sent(reason));
+        }
+    }
+
+    /// Picks the canary's shard and leaf in the group that all entries pick for the fingerprint.
+    fn canary_batch(&self, fingerprint: Fingerprint, shards: &[ShardId]) -> Option<PlannedBatch> {
+        let mut groups: Vec<(usize, Task)> = Vec::new();
+        for shard in shards {
+            let replicas = self.map.replicas(*shard).unwrap_or_default();
+            let usable = replicas
+                .iter()
+                .filter(|leaf| self.routes.serves(leaf, self.map.version()));
+            let usable: Vec<&LeafId> = usable.collect();
+            for leaf in &usable {
+                let Some(group) = self.service.group_of(leaf) else {
+                    continue;
+                };
+                if let Err(index) = groups.binary_search_by_key(&group, |(group, _)| *group) {
+                    let others = usable.iter().filter(|other| other != &leaf);
+                    let task = Task {
+                        shard: *shard,
+                        leaf: (*leaf).clone(),
+                        alternatives: others.map(|other| (*other).clone()).collect(),
+                    };
+                    groups.insert(index, (group, task));
+                }
+            }
+        }
+        let keys: Vec<&str> = groups
+            .iter()
+            .map(|(group, _)| self.service.groups[*group].key.as_str())
+            .collect();
+        let chosen = canary_group(fingerprint, &keys)?;
+        let (group, task) = groups.swap_remove(chosen);
+        Some(PlannedBatch {
+            group,
+            tasks: vec![task],
+        })
+    }
+
+    fn call(&mut self, batch: PlannedBatch, canary: bool) -> GroupCall {
+        let first_attempt = self.next_attempt;
+        let shards = u32::try_from(batch.tasks.len()).unwrap_or(u32::MAX);
+        // Leaves room for the same batch at a second holder.
+        let numbers = shards.saturating_mul(2 * ATTEMPTS_PER_SHARD);
+        self.next_attempt = self.next_attempt.wrapping_add(numbers);
+        GroupCall::new(
+            self.query,
+            self.map.version(),
+            batch,
+            canary,
+            first_attempt,
+            Rc::clone(&self.routes),
+        )
+    }
+
+    async fn collect(&mut self, calls: Vec<GroupCall>) {
+        let shared = Arc::clone(&self.worker.shared);
+        let started_at = shared.clock.now();
+        let deadline = self.query.deadline;
+        let running = calls
+            .into_iter()
+            .map(|call| call.run(Rc::clone(self.worker), deadline));
+        let mut running: FuturesUnordered<_> = running.collect();
+        loop {
+            let now = shared.clock.now();
+            let stop_at = self.stop_at(started_at, now);
+            if now >= stop_at {
+                return;
+            }
+            tokio::select! {
+                reply = running.next() => match reply {
+                    Some(reply) => self.accept_reply(reply),
+                    None => return,
+                },
+                () = tokio::time::sleep(stop_at.saturating_duration_since(now)) => {}
+            }
+        }
+    }
+
+    /// Returns when the answer is given even if shards are missing.
+    fn stop_at(&self, started_at: Instant, now: Instant) -> Instant {
+        let deadline = self.query.deadline;
+        let view = self.worker.shared.view();
+        let wanted = view
+            .team(self.query.team.as_str())
+            .map_or(CoverageWanted::All, |team| team.coverage_wanted);
+        match wanted {
+            CoverageWanted::LeastShare(share) if self.merge.covered_share() >= share => {
+                let time_left = deadline.saturating_duration_since(now);
+                let admission = self.worker.shared.admission.lock();
+                let delay = admission.batch_delay(&self.query.service, time_left, now);
+                deadline.min(started_at + 2 * delay)
+            }
+            CoverageWanted::LeastShare(_) | CoverageWanted::All => deadline,
+        }
+    }
+
+    fn accept_reply(&mut self, reply: BatchReply) {
+        self.extra_leaf_requests += reply.extra_leaf_requests;
+        let shared = &self.worker.shared;
+        let now = shared.clock.now();
+        self.routes
+            .mark_gone(&reply.version_gone_leafs, self.map.version());
+        if let Some((fingerprint, left)) = reply.quarantine {
+            let quarantine = medlarpin_core::canary::Quarantine {
+                fingerprint,
+                until: now + left,
+            };
+            if shared.fingerprints.lock().learn(&[quarantine], now) > 0 {
+                shared.news.notify_one();
+            }
+        }
+        for result in reply.results {
+            self.accept(result.shard, result.outcome);
+        }
+    }
+
+    fn accept(&mut self, shard: ShardId, outcome: ShardOutcome) {
+        let version = self.map.version();
+        let request = self.query.request;
+        if let Err(error) = self.merge.accept(shard, version, request, outcome) {
+            log::warn!("entry: Request {request}: a result was not merged: {error}.");
+        }
+    }
+
+    fn should_restart(&self, total_time: Duration) -> bool {
+        let now = self.worker.shared.clock.now();
+        let time_left = self.query.deadline.saturating_duration_since(now);
+        let version_gone = || {
+            let uncovered = self.merge.uncovered();
+            uncovered
+                .iter()
+                .any(|entry| entry.reason == UncoveredReason::VersionGone)
+        };
+        self.query.idempotent && time_left >= total_time / RESTART_TIME_DIVISOR && version_gone()
+    }
+
+    fn newer_map(&self) -> Option<Arc<ShardMap>> {
+        let view = self.worker.shared.view();
+        let service = view.service(self.query.service.as_str())?;
+        let serves = |leaf: &LeafId, version| self.routes.serves(leaf, version);
+        let map = choose_version(&service.maps, serves)?;
+        (map.version() > self.map.version()).then_some(map)
+    }
+
+    fn restart(&mut self, map: Arc<ShardMap>) {
+        let shards = asked_shards(self.query, &map);
+        let placeholder = Merge::new(self.query.request, map.version(), &[]);
+        let merge = std::mem::replace(&mut self.merge, placeholder);
+        self.merge = merge.restart(map.version(), &shards);
+        self.map = map;
+    }
+
+    fn into_body(self) -> AnswerBody {
+        let query = self.query;
+        let outcome = self.merge.outcome();
+        let mut body =
+            AnswerBody::without_rows(query.request, &query.team, &query.service, outcome);
+        body.extra_leaf_requests = self.extra_leaf_requests;
+        if !matches!(outcome, Outcome::Complete | Outcome::Partial) {
+            return body;
+        }
+        body.index_version = Some(self.map.version().0);
+        body.covered = self.merge.covered().iter().map(|shard| shard.0).collect();
+        let uncovered = self.merge.uncovered();
+        let uncovered = uncovered.iter().map(|entry| UncoveredBody {
+            shard: entry.shard.0,
+            reason: entry.reason.as_str().to_owned(),
+        });
+        body.uncovered = uncovered.collect();
+        let rows = self.merge.rows().map(|(shard, row)| RowBody {
+            shard: shard.0,
+            row: row.to_owned(),
+        });
+        body.rows = rows.collect();
+        body
+    }
+}
+
+fn asked_shards(query: &Query, map: &ShardMap) -> Vec<ShardId> {
+    if query.shards.is_empty() {
+        map.shards().iter().map(|(shard, _)| *shard).collect()
+    } else {
+        query.shards.clone()
+    }
+}
+
+fn not_sent(reason: UncoveredReason) -> ShardOutcome {
+    ShardOutcome::Uncovered {
+        reason,
+        may_have_run: false,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/fleet.rs
@@ -0,0 +1,16 @@
+//! The daemon's part in the fleet: membership, settings, VM list, ownership and share leases.
+
+mod gossip;
+mod housekeeping;
+mod join;
+mod platform_watch;
+mod refresh;
+mod shares;
+mod table;
+
+pub use gossip::{answer_heartbeat, probe, send_news};
+pub use housekeeping::housekeep;
+pub use join::join;
+pub use platform_watch::watch_platform;
+pub use shares::renew_shares;
+pub use table::FleetTable;
--- /dev/null
+++ b/crates/daemon/src/fleet/platform_watch.rs
@@ -0,0 +1,75 @@
+//! Reading and watching the platform.
+
+use std::rc::Rc;
+
+use medlarpin_core::prelude::*;
+use platform::PlatformClient;
+
+use crate::fleet::refresh::{accept_published, accept_vm_list};
+use crate::shared::Shared;
+use crate::workers::Worker;
+
+/// Daemons of each failure domain that watch the platform; the others learn by gossip, so that the
+/// platform's calls do not grow with the fleet.
+const WATCHERS: usize = 3;
+
+/// Time between two reads of the VM list by a watcher.
+const VM_LIST_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time after a failed watch before the next one.
+const RETRY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Watches settings and VM list while this daemon is a watcher, for ever.
+pub async fn watch_platform(worker: Rc<Worker>, client: Rc<PlatformClient>) {
+    let settings = watch_settings(Rc::clone(&worker), Rc::clone(&client));
+    let list = read_vm_list(worker, client);
+    futures::future::join(settings, list).await;
+}
+
+async fn watch_settings(worker: Rc<Worker>, client: Rc<PlatformClient>) {
+    let shared = &worker.shared;
+    let wait = Duration::from_millis(shared.settings.watch_wait_ms);
+    loop {
+        if !is_watcher(shared) {
+            tokio::time::sleep(VM_LIST_INTERVAL).await;
+            continue;
+        }
+        let held = shared.fleet.lock().tree.revision();
+        match client.settings(Some(held), wait).await {
+            Ok(Some(tree)) if tree.revision > held => {
+                accept_published(shared, tree.revision, tree.texts);
+            }
+            // A stale replica answers at once with what the daemon already has.
+            Ok(Some(_stale)) => tokio::time::sleep(RETRY_INTERVAL).await,
+            Ok(None) => {}
+            Err(error) => {
+                log::debug!("config: The platform gave no settings: {error}.");
+                tokio::time::sleep(RETRY_INTERVAL).await;
+            }
+        }
+    }
+}
+
+async fn read_vm_list(worker: Rc<Worker>, client: Rc<PlatformClient>) {
+    let shared = &worker.shared;
+    loop {
+        tokio::time::sleep(VM_LIST_INTERVAL).await;
+        let calls = i64::try_from(client.calls_made()).unwrap_or(i64::MAX);
+        shared.metrics.platform_calls.set(calls);
+        if !is_watcher(shared) {
+            continue;
+        }
+        match client.vm_list().await {
+            Ok(list) => accept_vm_list(shared, &list),
+            Err(error) => log::debug!("gossip: The platform gave no VM list: {error}."),
+        }
+    }
+}
+
+/// A daemon whose failure domain has no usable listed VM knows too little and watches itself.
+fn is_watcher(shared: &Shared) -> bool {
+    let fleet = shared.fleet.lock();
+    let domain = &shared.settings.failure_domain;
+    let watchers = fleet.membership.settings_watchers(domain, WATCHERS);
+    watchers.is_empty() || watchers.contains(shared.me())
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/shares.rs
@@ -0,0 +1,71 @@
+//! Leases of team limits between daemons.
+
+use std::rc::Rc;
+
+use medlarpin_core::prelude::*;
+use medlarpin_core::team_share::{Lease, LeaseRequest};
+use wire::peer_capnp::TeamLimit;
+
+use crate::entry::Limit;
+use crate::peers::Loan;
+use crate::workers::Worker;
+
+/// Time between two looks at the ledgers.
+const ROUND_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Longest wait for a lender's reply.
+const LENDER_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Borrows units where the demand is above this daemon's share, for ever.
+pub async fn renew_shares(worker: Rc<Worker>) {
+    loop {
+        tokio::time::sleep(ROUND_INTERVAL).await;
+        let shared = &worker.shared;
+        let now = shared.clock.now();
+        if shared.check_pause(now).is_err() {
+            continue;
+        }
+        let usable = shared.fleet.lock().membership.usable();
+        let requests = shared
+            .admission
+            .lock()
+            .lease_requests(|vm| usable.binary_search(vm).is_ok(), now);
+        for (team, limit, request) in requests {
+            tokio::task::spawn_local(borrow(Rc::clone(&worker), team, limit, request));
+        }
+    }
+}
+
+async fn borrow(worker: Rc<Worker>, team: TeamName, limit: Limit, request: LeaseRequest) {
+    let shared = &worker.shared;
+    let view = shared.view();
+    let Some(lender) = view.vm_list().get(&request.lender) else {
+        return;
+    };
+    let loan = Loan {
+        team: &team,
+        limit: match limit {
+            Limit::Rate => TeamLimit::Rate,
+            Limit::Concurrency => TeamLimit::Concurrency,
+        },
+        borrower: shared.me(),
+        units: request.units,
+    };
+    let reply = worker
+        .peers
+        .borrow_share(lender.rpc_address, &loan, LENDER_TIMEOUT)
+        .await;
+    let now = shared.clock.now();
+    match reply {
+        Ok((units, duration)) => {
+            let lease = Lease {
+                lender: request.lender,
+                units,
+                duration,
+            };
+            let mut admission = shared.admission.lock();
+            admission.accept(&team, limit, &lease, request.asked_at, now);
+        }
+        Err(error) => log::debug!("gossip: VM {} lent nothing: {error}.", request.lender),
+    }
+}
--- a/crates/daemon/src/gather/shard.rs
+++ b/crates/daemon/src/gather/shard.rs
@@ -76,7 +76,7 @@
 
 struct Shard<'a> {
     gathering: &'a Rc<Gathering>,
-    shard: ShardId,
+    id: ShardId,
     /// Leafs that were not tried yet, in order of preference.
     untried: std::vec::IntoIter<LeafId>,
     first_leaf: LeafId,
@@ -91,7 +91,7 @@
         leafs.extend(task.alternatives.iter().cloned());
         Self {
             gathering,
-            shard: task.shard,
+            id: task.shard,
             untried: leafs.into_iter(),
             first_leaf: task.leaf.clone(),
             running: FuturesUnordered::new(),
@@ -104,7 +104,8 @@
         let gathering = self.gathering;
         let batch = &gathering.batch;
         let shared = &gathering.worker.shared;
-        let may_hedge = shared.settings.hedging && batch.idempotent && !batch.canary && !batch.extra;
+        let may_hedge =
+            shared.settings.hedging && batch.idempotent && !batch.canary && !batch.extra;
         if !may_hedge {
             return None;
         }
@@ -118,9 +119,9 @@
             return false;
         };
         let gathering = Rc::clone(self.gathering);
-        let shard = self.shard;
+        let id = self.id;
         self.running.push(Box::pin(async move {
-            let end = send(&gathering, shard, &leaf, kind).await;
+            let end = send(&gathering, id, &leaf, kind).await;
             (leaf, end)
         }));
         true
@@ -128,7 +129,7 @@
 
     fn accept(&mut self, leaf: &LeafId, end: AttemptEnd) -> Progress {
         match end {
-            AttemptEnd::Rows(rows) => return Progress::Covered(rows),
+            AttemptEnd::Rows(rows) => Progress::Covered(rows),
             AttemptEnd::VersionGone => {
                 let mut gone = self.gathering.version_gone.borrow_mut();
                 gone.push(leaf.clone());
@@ -212,7 +213,7 @@
     }
 }
 
-async fn send(gathering: &Rc<Gathering>, shard: ShardId, leaf: &LeafId, kind: Kind) -> AttemptEnd {
+async fn send(gathering: &Rc<Gathering>, id: ShardId, leaf: &LeafId, kind: Kind) -> AttemptEnd {
     let shared = &gathering.worker.shared;
     match shared.leafs.get(&gathering.batch.service, leaf) {
         Some(slot) => {
@@ -222,7 +223,7 @@
                 team: gathering.batch.team.clone(),
                 query: gathering.batch.query.clone(),
                 version: gathering.batch.version,
-                shard,
+                shard: id,
             };
             let mut queue_wait = Duration::ZERO;
             let on_sent = |wait| {
@@ -232,19 +233,24 @@
             let worker = &gathering.worker;
             let deadline = gathering.deadline;
             let end = attempt(worker, &slot, request, gathering.weight, deadline, on_sent).await;
-            let refused = matches!(end, AttemptEnd::Refused | AttemptEnd::Unsent(Unsent::QueueFull));
+            let refused = matches!(
+                end,
+                AttemptEnd::Refused | AttemptEnd::Unsent(Unsent::QueueFull)
+            );
             gathering.record_result(refused, queue_wait);
             end
         }
         None if gathering.batch.extra => AttemptEnd::Unsent(Unsent::NotHeld),
-        None => send_through_holder(gathering, shard, leaf, kind).await,
+        None => send_through_holder(gathering, id, leaf, kind).await,
     }
 }
 
 fn count_sent(gathering: &Gathering, kind: Kind, queue_wait: Duration) {
     let batch = &gathering.batch;
     let shared = &gathering.worker.shared;
-    gathering.leaf_requests.set(gathering.leaf_requests.get() + 1);
+    gathering
+        .leaf_requests
+        .set(gathering.leaf_requests.get() + 1);
     let is_first = kind == Kind::First && !batch.extra;
     if is_first {
         let mut admission = shared.admission.lock();
@@ -255,7 +261,11 @@
     }
     let label = if batch.extra { Kind::Retry } else { kind };
     let labels = [label.as_str()];
-    shared.metrics.leaf_requests.with_label_values(&labels).inc();
+    shared
+        .metrics
+        .leaf_requests
+        .with_label_values(&labels)
+        .inc();
     let wait = shared
         .metrics
         .queue_wait_seconds
@@ -266,7 +276,7 @@
 /// Asks the holder of a leaf of another group for one shard.
 async fn send_through_holder(
     gathering: &Rc<Gathering>,
-    shard: ShardId,
+    id: ShardId,
     leaf: &LeafId,
     kind: Kind,
 ) -> AttemptEnd {
@@ -285,7 +295,7 @@
         canary: false,
         extra: true,
         tasks: vec![ShardTask {
-            shard,
+            shard: id,
             leaf: leaf.clone(),
             alternatives: Vec::new(),
         }],
@@ -296,12 +306,19 @@
         let extra = gathering.extra_leaf_requests.get() + 1;
         gathering.extra_leaf_requests.set(extra);
     }
-    match gathering.worker.peers.gather(*address, &batch, time_left).await {
+    match gathering
+        .worker
+        .peers
+        .gather(*address, &batch, time_left)
+        .await
+    {
         Ok(reply) => {
             let requests = gathering.leaf_requests.get() + reply.leaf_requests;
             gathering.leaf_requests.set(requests);
-            let outcome = reply.results.into_iter().find(|result| result.shard == shard);
-            outcome.map_or(AttemptEnd::InvalidReply, |result| remote_end(result.outcome))
+            let outcome = reply.results.into_iter().find(|result| result.shard == id);
+            outcome.map_or(AttemptEnd::InvalidReply, |result| {
+                remote_end(result.outcome)
+            })
         }
         Err(error) if error.surely_not_sent() => {
             let now = shared.clock.now();
--- a/crates/daemon/src/leafs/attempt.rs
+++ b/crates/daemon/src/leafs/attempt.rs
@@ -9,9 +9,7 @@
 use tokio::sync::oneshot;
 
 use crate::leafs::connection::{ConnectError, Connection};
-use crate::leafs::protocol::{
-    CancelBody, ExchangeError, LeafReply, LeafRequest, exchange,
-};
+use crate::leafs::protocol::{CancelBody, ExchangeError, LeafReply, LeafRequest, exchange};
 use crate::leafs::slot::{Grant, LeafSlot, Permit};
 use crate::workers::Worker;
 
@@ -135,6 +133,8 @@
     Ok(())
 }
 
+type Exchanged = Result<(StatusCode, Bytes), ExchangeError>;
+
 /// A request on its way; it outlives the attempt that waits for it, so that the leaf's slot stays
 /// counted until the leaf has really answered.
 struct Sending {
@@ -148,32 +148,34 @@
 
 impl Sending {
     async fn run(mut self, mut sender: oneshot::Sender<AttemptEnd>) {
+        let end = match self.send(&mut sender).await {
+            Some(result) => self.finish(result),
+            None => AttemptEnd::DeadlinePassed,
+        };
+        // Nobody waits for the end of a cancelled attempt.
+        let _ = sender.send(end);
+    }
+
+    /// Sends the request and reads the reply; `None` if the reply is too late even to end the
+    /// request in order.
+    async fn send(&mut self, waiter: &mut oneshot::Sender<AttemptEnd>) -> Option<Exchanged> {
         let time_left = self.deadline.saturating_duration_since(self.clock.now());
         let body = self.request.to_json(time_left);
-        let slot = Arc::clone(&self.slot);
-        let Some(connection) = self.connection.sender() else {
-            return;
-        };
-        let authority = slot.connections.authority();
+        let connection = self.connection.sender()?;
+        let authority = self.slot.connections.authority();
         let reply = exchange(connection, Method::POST, "/search", authority, body);
         tokio::pin!(reply);
-        let result = tokio::select! {
+        tokio::select! {
             result = &mut reply => Some(result),
-            () = sender.closed() => {
+            () = waiter.closed() => {
                 let late = tokio::time::timeout(time_left + LATE_ANSWER_WAIT, &mut reply);
-                let cancel = cancel(&slot, &self.request);
+                let cancel = cancel(&self.slot, &self.request);
                 tokio::join!(late, cancel).0.ok()
             }
-        };
-        let end = match result {
-            Some(result) => self.finish(result),
-            None => AttemptEnd::DeadlinePassed,
-        };
-        // Nobody waits for the end of a cancelled attempt.
-        let _ = sender.send(end);
+        }
     }
 
-    fn finish(self, result: Result<(StatusCode, Bytes), ExchangeError>) -> AttemptEnd {
+    fn finish(self, result: Exchanged) -> AttemptEnd {
         let (status, body) = match result {
             Ok(reply) => reply,
             Err(ExchangeError::NotSent) => return AttemptEnd::Unsent(Unsent::NoConnection),
--- a/crates/daemon/src/leafs/mod.rs
+++ b/crates/daemon/src/leafs/mod.rs
@@ -9,6 +9,6 @@
 
 pub use attempt::{AttemptEnd, Unsent, attempt};
 pub use maintenance::maintain;
-pub use protocol::{LeafRequest, ReplyError};
-pub use slot::{Grant, LeafReport, LeafSlot, Permit};
+pub use protocol::LeafRequest;
+pub use slot::LeafSlot;
 pub use table::{Holding, LeafTable};
--- a/crates/daemon/src/leafs/protocol.rs
+++ b/crates/daemon/src/leafs/protocol.rs
@@ -1,7 +1,5 @@
 //! The leaf protocol: bodies, their checks and one exchange on a connection.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use displaydoc::Display;
 use http_body_util::{BodyExt, Full, Limited};
--- a/crates/daemon/src/leafs/slot.rs
+++ b/crates/daemon/src/leafs/slot.rs
@@ -209,11 +209,10 @@
 
     /// Stops all new work for the leaf, because it left the settings or this daemon's holding.
     pub fn retire(self: &Arc<Self>) {
-        {
-            let mut core = self.core.lock();
+        self.update(|core, _now| {
             core.retired = true;
             core.state.removed();
-        }
+        });
         self.dispatch();
     }
 
@@ -256,12 +255,8 @@
     }
 
     fn schedule_wake(self: &Arc<Self>, at: Instant, now: Instant) {
-        {
-            let mut core = self.core.lock();
-            if core.wake_at.is_some_and(|pending| pending <= at) {
-                return;
-            }
-            core.wake_at = Some(at);
+        if !self.core.lock().plan_wake(at) {
+            return;
         }
         let slot = Arc::clone(self);
         let delay = at.saturating_duration_since(now);
@@ -272,8 +267,8 @@
         });
     }
 
-    fn end(&self, end: impl FnOnce(&mut SlotCore, Instant)) {
-        end(&mut self.core.lock(), self.clock.now());
+    fn update(&self, update: impl FnOnce(&mut SlotCore, Instant)) {
+        update(&mut self.core.lock(), self.clock.now());
     }
 }
 
@@ -285,6 +280,15 @@
 }
 
 impl SlotCore {
+    /// Plans a wake-up; returns false if one at least as early is planned.
+    fn plan_wake(&mut self, at: Instant) -> bool {
+        let planned = self.wake_at.is_some_and(|pending| pending <= at);
+        if !planned {
+            self.wake_at = Some(at);
+        }
+        !planned
+    }
+
     fn next_step(&mut self, now: Instant, connection_share: u32) -> Step {
         if self.queue.is_empty() {
             return Step::Done;
@@ -352,7 +356,7 @@
     /// Ends the request with an answer.
     pub fn answered(mut self) {
         let sent_at = self.sent_at;
-        self.slot.end(|core, now| {
+        self.slot.update(|core, now| {
             let latency = now.saturating_duration_since(sent_at);
             core.state.answered(latency, now);
             core.queue.record_service_time(latency);
@@ -363,13 +367,13 @@
     /// Ends the request, because the leaf shed it.
     pub fn shed(mut self, retry_after: Duration) {
         self.slot
-            .end(|core, now| core.state.shed(retry_after, now));
+            .update(|core, now| core.state.shed(retry_after, now));
         self.close();
     }
 
     /// Ends the request without granting the next one; the caller dispatches.
     fn discard(mut self) {
-        self.slot.end(|core, now| core.state.released(now));
+        self.slot.update(|core, now| core.state.released(now));
         self.open = false;
     }
 
@@ -382,7 +386,7 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         if self.open {
-            self.slot.end(|core, now| core.state.released(now));
+            self.slot.update(|core, now| core.state.released(now));
             self.close();
         }
     }
--- a/crates/daemon/src/leafs/table.rs
+++ b/crates/daemon/src/leafs/table.rs
@@ -65,41 +65,43 @@
     /// Holds exactly the given leafs from now on.
     ///
     /// A leaf whose address or limits changed counts as another one.
-    pub fn hold(
-        &self,
-        mut holdings: Vec<Holding>,
-        discipline: Discipline,
-        clock: &Arc<dyn Clock>,
-    ) {
+    pub fn hold(&self, mut holdings: Vec<Holding>, discipline: Discipline, clock: &Arc<dyn Clock>) {
         holdings.sort_by(|a, b| (&a.service, &a.leaf.id).cmp(&(&b.service, &b.leaf.id)));
-        let mut dropped = Vec::new();
-        {
-            let mut inner = self.inner.write();
-            let mut known = std::mem::take(&mut inner.held);
-            for holding in holdings {
-                let found =
-                    known.binary_search_by(|slot| compare(slot, &holding.service, &holding.leaf.id));
-                let slot = match found {
-                    Ok(index) if is_same(&known[index], &holding) => known.remove(index),
-                    Ok(_) | Err(_) => Arc::new(LeafSlot::new(
-                        holding.service,
-                        holding.leaf,
-                        holding.connection_share,
-                        discipline,
-                        Arc::clone(clock),
-                    )),
-                };
-                inner.held.push(slot);
-            }
-            dropped.extend(known.iter().cloned());
-            inner.retired.extend(known);
-        }
+        let dropped = self.replace(holdings, discipline, clock);
         // Retiring wakes queued requests, so it runs without the table's lock.
         for slot in dropped {
             slot.retire();
         }
     }
 
+    /// Replaces the held leafs and returns those that are no longer held.
+    fn replace(
+        &self,
+        holdings: Vec<Holding>,
+        discipline: Discipline,
+        clock: &Arc<dyn Clock>,
+    ) -> Vec<Arc<LeafSlot>> {
+        let mut inner = self.inner.write();
+        let mut known = std::mem::take(&mut inner.held);
+        for holding in holdings {
+            let found =
+                known.binary_search_by(|slot| compare(slot, &holding.service, &holding.leaf.id));
+            let slot = match found {
+                Ok(index) if is_same(&known[index], &holding) => known.remove(index),
+                Ok(_) | Err(_) => Arc::new(LeafSlot::new(
+                    holding.service,
+                    holding.leaf,
+                    holding.connection_share,
+                    discipline,
+                    Arc::clone(clock),
+                )),
+            };
+            inner.held.push(slot);
+        }
+        inner.retired.extend(known.iter().cloned());
+        known
+    }
+
     /// Closes the connections of retired leafs; returns true once none is left.
     pub fn close_retired(&self) -> bool {
         let retired = self.inner.read().retired.clone();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,16 @@
-//! Placeholder.
+//! The daemon: entry, gatherer, upstream side, gossip, operators' endpoints and shutdown.
+
+mod daemon;
+mod entry;
+mod fleet;
+mod gather;
+mod leafs;
+mod lifecycle;
+pub mod logging;
+mod operators;
+mod peers;
+mod shared;
+mod view;
+mod workers;
+
+pub use crate::daemon::{Daemon, StartError};
--- /dev/null
+++ b/crates/daemon/src/operators/http.rs
@@ -0,0 +1,49 @@
+//! HTTP endpoints for operators, on their own address.
+
+use std::sync::Arc;
+
+use axum::extract::State;
+use axum::http::{StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use axum::{Json, Router};
+
+use crate::operators::dump;
+use crate::shared::Shared;
+
+/// Builds the operators' endpoints.
+pub fn router(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/metrics", get(metrics))
+        .route("/ready", get(ready))
+        .route("/live", get(live))
+        .route("/state", get(state))
+        .with_state(shared)
+}
+
+async fn metrics(State(shared): State<Arc<Shared>>) -> Response {
+    dump::update_metrics(&shared);
+    match shared.metrics.encode() {
+        Ok(text) => ([(header::CONTENT_TYPE, "text/plain; version=0.0.4")], text).into_response(),
+        Err(error) => {
+            log::error!("operators: Metrics cannot be encoded: {error}.");
+            StatusCode::SERVICE_UNAVAILABLE.into_response()
+        }
+    }
+}
+
+async fn ready(State(shared): State<Arc<Shared>>) -> Response {
+    if shared.is_ready() {
+        (StatusCode::OK, "ready\n").into_response()
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, "not ready\n").into_response()
+    }
+}
+
+async fn live() -> &'static str {
+    "live\n"
+}
+
+async fn state(State(shared): State<Arc<Shared>>) -> Response {
+    Json(dump::dump(&shared)).into_response()
+}
--- a/crates/daemon/src/operators/metrics.rs
+++ b/crates/daemon/src/operators/metrics.rs
@@ -132,6 +132,33 @@
         })
     }
 
+    /// Returns how often queries of a team were refused, by reason.
+    #[must_use]
+    pub fn refusals_of(&self, team: &str) -> Vec<(String, u64)> {
+        use prometheus::core::Collector;
+        let families = self.refusals.collect();
+        let counters = families
+            .iter()
+            .flat_map(prometheus::proto::MetricFamily::get_metric);
+        let of_team = counters.filter_map(|counter| {
+            let label = |name| {
+                let labels = counter.get_label().iter();
+                let mut found = labels.filter(|pair| pair.name() == name);
+                found.next().map(prometheus::proto::LabelPair::value)
+            };
+            let reason = label("reason")?;
+            // Counters hold whole numbers well below the range in which a float is inexact.
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "a counter is a whole number and never negative"
+            )]
+            let count = counter.get_counter().get_value() as u64;
+            (label("team") == Some(team)).then(|| (reason.to_owned(), count))
+        });
+        of_team.collect()
+    }
+
     /// Writes all metrics in the text format.
     ///
     /// # Errors
--- a/crates/daemon/src/peers/pool.rs
+++ b/crates/daemon/src/peers/pool.rs
@@ -14,9 +14,7 @@
 use tokio::sync::OnceCell;
 use tokio_util::compat::TokioAsyncReadCompatExt;
 use wire::peer_capnp::{TeamLimit, peer};
-use wire::{
-    Batch, BatchReply, CallerAnswer, CallerQuery, HeartbeatMessage, WireError,
-};
+use wire::{Batch, BatchReply, CallerAnswer, CallerQuery, HeartbeatMessage, WireError};
 
 /// Longest wait for a TCP connection to a peer; a live peer answers within a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
--- /dev/null
+++ b/crates/daemon/src/peers/server.rs
@@ -0,0 +1,149 @@
+//! The RPC interface that this daemon serves.
+
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use futures::AsyncReadExt;
+use medlarpin_core::prelude::*;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+use wire::peer_capnp::{TeamLimit, peer};
+use wire::{Batch, CallerQuery, WireError};
+
+use crate::entry::{Limit, run_forwarded};
+use crate::fleet::answer_heartbeat;
+use crate::gather::gather;
+use crate::workers::Worker;
+
+/// Serves one accepted connection until it ends.
+pub async fn serve_peer(worker: Rc<Worker>, stream: TcpStream) {
+    let stream = match tokio::net::TcpStream::from_std(stream) {
+        Ok(stream) => stream,
+        Err(error) => {
+            log::warn!("peers: An accepted connection cannot be used: {error}.");
+            return;
+        }
+    };
+    let (reader, writer) = stream.compat().split();
+    let network = twoparty::VatNetwork::new(
+        futures::io::BufReader::new(reader),
+        futures::io::BufWriter::new(writer),
+        rpc_twoparty_capnp::Side::Server,
+        capnp::message::ReaderOptions::default(),
+    );
+    let client: peer::Client = capnp_rpc::new_client(PeerService { worker });
+    let system = RpcSystem::new(Box::new(network), Some(client.client));
+    if let Err(error) = system.await {
+        log::debug!("peers: An accepted connection ended: {error}.");
+    }
+}
+
+struct PeerService {
+    worker: Rc<Worker>,
+}
+
+/// Reports a malformed message to the peer that sent it.
+fn refuse(error: &WireError) -> capnp::Error {
+    log::warn!("peers: A message was refused: {error}.");
+    capnp::Error::failed(error.to_string())
+}
+
+impl peer::Server for PeerService {
+    async fn gather(
+        self: Rc<Self>,
+        params: peer::GatherParams,
+        mut results: peer::GatherResults,
+    ) -> Result<(), capnp::Error> {
+        let batch = Batch::read(params.get()?.get_batch()?).map_err(|error| refuse(&error))?;
+        let shared = Arc::clone(&self.worker.shared);
+        let _in_flight = shared.lifecycle.enter();
+        let reply = gather(Rc::clone(&self.worker), batch).await;
+        reply.write(results.get().init_reply());
+        Ok(())
+    }
+
+    async fn run(
+        self: Rc<Self>,
+        params: peer::RunParams,
+        mut results: peer::RunResults,
+    ) -> Result<(), capnp::Error> {
+        let query =
+            CallerQuery::read(params.get()?.get_query()?).map_err(|error| refuse(&error))?;
+        let shared = Arc::clone(&self.worker.shared);
+        let _in_flight = shared.lifecycle.enter();
+        let answer = run_forwarded(&self.worker, query).await;
+        answer.write(results.get().init_answer());
+        Ok(())
+    }
+
+    async fn exchange(
+        self: Rc<Self>,
+        params: peer::ExchangeParams,
+        mut results: peer::ExchangeResults,
+    ) -> Result<(), capnp::Error> {
+        let message =
+            wire::read_heartbeat(params.get()?.get_heartbeat()?).map_err(|error| refuse(&error))?;
+        let reply = answer_heartbeat(&self.worker, &message);
+        wire::write_heartbeat(&reply, results.get().init_heartbeat());
+        Ok(())
+    }
+
+    async fn fetch_settings(
+        self: Rc<Self>,
+        params: peer::FetchSettingsParams,
+        mut results: peer::FetchSettingsResults,
+    ) -> Result<(), capnp::Error> {
+        let above = Revision(params.get()?.get_above_revision());
+        let tree = Arc::clone(&self.worker.shared.fleet.lock().tree);
+        if tree.revision() > above {
+            wire::write_settings_tree(&tree.to_transfer(), results.get().init_tree());
+        }
+        Ok(())
+    }
+
+    async fn borrow_share(
+        self: Rc<Self>,
+        params: peer::BorrowShareParams,
+        mut results: peer::BorrowShareResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let limit = match params.get_limit()? {
+            TeamLimit::Rate => Limit::Rate,
+            TeamLimit::Concurrency => Limit::Concurrency,
+        };
+        let borrower = VmName::new(params.get_borrower()?.to_str()?);
+        let team = params.get_team()?.to_str()?;
+        let shared = &self.worker.shared;
+        let now = shared.clock.now();
+        // A paused daemon's ledger may have fallen behind its own loans.
+        if shared.check_pause(now).is_err() {
+            return Ok(());
+        }
+        let units = params.get_units();
+        let lease = shared
+            .admission
+            .lock()
+            .lend(team, limit, &borrower, units, now);
+        if let Some(lease) = lease {
+            let mut results = results.get();
+            results.set_granted_units(lease.units);
+            results.set_lease_ms(u64::try_from(lease.duration.as_millis()).unwrap_or(0));
+        }
+        Ok(())
+    }
+
+    async fn fetch_vm_list(
+        self: Rc<Self>,
+        params: peer::FetchVmListParams,
+        mut results: peer::FetchVmListResults,
+    ) -> Result<(), capnp::Error> {
+        let above = Revision(params.get()?.get_above_revision());
+        let view = self.worker.shared.view();
+        let list = view.vm_list();
+        if list.revision() > above {
+            wire::write_vm_list(list, results.get().init_list());
+        }
+        Ok(())
+    }
+}
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -1,7 +1,8 @@
 //! Tables that all workers share, with their lock order.
 //!
 //! A mutex is taken only while none of a later place is held, and never across an await:
-//! 1 fleet, 2 admission, 3 leafs (one at a time), 4 fingerprints, 5 tickets, 6 recent answers.
+//! 1 fleet, 2 admission, 3 leafs (one at a time), 4 fingerprints, 5 tickets, 6 gone
+//! versions, 7 recent answers.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,7 +17,7 @@
 use settings::DaemonSettings;
 use tokio::sync::Notify;
 
-use crate::entry::{AdmissionTable, AnswerBody, OutcomeName};
+use crate::entry::{AdmissionTable, AnswerBody, GoneVersions, OutcomeName};
 use crate::fleet::FleetTable;
 use crate::leafs::{LeafSlot, LeafTable};
 use crate::lifecycle::Lifecycle;
@@ -24,6 +25,9 @@
 use crate::view::{FleetView, GroupView};
 use crate::workers::WorkerPool;
 
+/// Longest time that readiness waits for the daemon's shares of the teams' limits.
+const SHARES_AWAITED: Duration = Duration::from_secs(5);
+
 /// State of one daemon.
 #[derive(Debug)]
 pub struct Shared {
@@ -48,6 +52,8 @@
     /// Lock order 5.
     pub tickets: Mutex<TicketBook>,
     /// Lock order 6.
+    pub gone: Mutex<GoneVersions>,
+    /// Lock order 7.
     pub recent: Mutex<RecentAnswers>,
     /// Metrics; they need no lock.
     pub metrics: Metrics,
@@ -99,6 +105,7 @@
                 incarnation,
                 ticket_limits,
             )),
+            gone: Mutex::new(GoneVersions::default()),
             recent: Mutex::new(RecentAnswers::default()),
             metrics,
             lifecycle: Lifecycle::default(),
@@ -117,6 +124,29 @@
         &self.settings.vm
     }
 
+    /// Returns the time between probes of members.
+    #[must_use]
+    pub fn probe_interval(&self) -> Duration {
+        Duration::from_millis(self.settings.probe_interval_ms)
+    }
+
+    /// Returns true if callers may be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let now = self.clock.now();
+        self.lifecycle.is_joined()
+            && !self.lifecycle.is_stopping()
+            && self.check_pause(now).is_ok()
+            && self.has_shares(now)
+    }
+
+    /// A daemon without shares of the teams' limits would refuse its first callers; after a while
+    /// it borrows, so the wait is bounded.
+    fn has_shares(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.started_at) >= SHARES_AWAITED
+            || self.admission.lock().has_units(now)
+    }
+
     /// Returns the settings and VM list in force.
     #[must_use]
     pub fn view(&self) -> Arc<FleetView> {
@@ -128,12 +158,6 @@
         self.view.store(Arc::new(view));
     }
 
-    /// Draws a request identifier.
-    #[must_use]
-    pub fn draw_request_id(&self) -> RequestId {
-        RequestId(rand::random())
-    }
-
     /// Refuses work after a pause of this process.
     ///
     /// # Errors
@@ -197,7 +221,10 @@
         }
         if body.outcome != OutcomeName::Complete {
             let reason = body.reason.as_deref().unwrap_or("uncovered shards");
-            log::info!("entry: Request {} ended {outcome}: {reason}.", body.request_id);
+            log::info!(
+                "entry: Request {} ended {outcome}: {reason}.",
+                body.request_id
+            );
         }
         self.recent.lock().push(body);
     }
--- a/crates/daemon/src/workers.rs
+++ b/crates/daemon/src/workers.rs
@@ -13,6 +13,7 @@
 use std::thread::JoinHandle;
 
 use displaydoc::Display;
+use parking_lot::Mutex;
 use thiserror::Error;
 use tokio::runtime;
 use tokio::sync::mpsc;
@@ -53,7 +54,7 @@
 /// The threads that run queries, gather from leafs and talk to peers.
 pub struct WorkerPool {
     senders: Vec<mpsc::UnboundedSender<Job>>,
-    threads: Vec<JoinHandle<()>>,
+    threads: Mutex<Vec<JoinHandle<()>>>,
     next: AtomicUsize,
 }
 
@@ -82,7 +83,7 @@
         }
         Ok(Self {
             senders,
-            threads,
+            threads: Mutex::new(threads),
             next: AtomicUsize::new(0),
         })
     }
@@ -102,12 +103,13 @@
     }
 
     /// Stops all workers and waits for their threads.
-    pub fn stop(&mut self) {
+    pub fn stop(&self) {
         for sender in &self.senders {
             // A worker that already ended needs no stop.
             let _ = sender.send(Job::Stop);
         }
-        for thread in self.threads.drain(..) {
+        let threads = std::mem::take(&mut *self.threads.lock());
+        for thread in threads {
             if thread.join().is_err() {
                 log::error!("worker: A worker thread panicked.");
             }
@@ -125,7 +127,7 @@
 impl fmt::Debug for WorkerPool {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("WorkerPool")
-            .field("workers", &self.threads.len())
+            .field("workers", &self.senders.len())
             .finish_non_exhaustive()
     }
 }
--- a/crates/medlarpin-core/src/ownership/handover.rs
+++ b/crates/medlarpin-core/src/ownership/handover.rs
@@ -173,6 +173,21 @@
         )
     }
 
+    /// Returns the VMs whose acknowledgement any group of this daemon lacks, sorted.
+    #[must_use]
+    pub fn awaited_by_any(&self) -> Vec<&VmName> {
+        let closed = self
+            .gates
+            .iter()
+            .filter(|gate| !gate.open && gate.holders.contains(&self.me));
+        let mut awaited: Vec<&VmName> = closed
+            .flat_map(|gate| gate.awaited(&self.acknowledged))
+            .collect();
+        awaited.sort();
+        awaited.dedup();
+        awaited
+    }
+
     /// Drops the groups that the settings no longer have.
     pub fn retain_groups(&mut self, keep: impl Fn(&GroupId) -> bool) {
         self.gates.retain(|gate| keep(&gate.group));
