--- a/crates/medlarpin-core/src/team_share/mod.rs
+++ b/crates/medlarpin-core/src/team_share/mod.rs
@@ -61,7 +61,8 @@
     /// Returns the time after a VM was lost before the others may use its share.
     ///
     /// The first part lets the removed daemon learn of its removal, the second lets the loans that
-    /// it made until then end.
+    /// it made until then end. With one part alone, the model of the tests exceeds the limit when
+    /// the removed daemon learns of its removal up to 1 s after the others.
     #[must_use]
     pub fn raise_delay(self) -> Duration {
         self.reclaim() * 2 + self.hold()
