Add the operators' command-line tool

Operators need to check settings before they publish them and to see what a daemon does and why.

medlarpin checks files and whole trees, prints the defaults, reads a daemon's state and posts queries as a caller would. A key that is the start of a known key now leads to that key in the hint.

--- /dev/null
+++ b/crates/cli/src/reasons.rs
@@ -0,0 +1,41 @@
+//! What the reasons in answers mean.
+
+/// Returns a sentence for operators about a reason in an answer.
+pub(crate) fn reason_text(reason: &str) -> &'static str {
+    match reason {
+        "version_gone" => "no usable replica holds the pinned index version any more",
+        "no_replica" => "the shard map names no usable replica",
+        "deadline_passed" => "the deadline passed first",
+        "leaf_refused" => "every replica that was tried refused the request",
+        "leaf_lost" => "the connection to the leaf was lost",
+        "gatherer_lost" => "the daemon that holds the leaf did not answer",
+        "quarantined" => "the query crashed leafs and is quarantined for 10 minutes",
+        "invalid_reply" => "the leaf's reply belonged to another request, version or shard",
+        "queue_full" => "the leaf's queue could not serve the request in time",
+        "paused" => "the daemon was paused and has not rejoined yet",
+        "no_connection" => "no connection to the leaf could be opened",
+        "rate_limit" => "the team is above its rate limit; see `medlarpin team`",
+        "concurrency_limit" => "the team is above its concurrency limit; see `medlarpin team`",
+        "overloaded" => "the fair queues cannot serve the query in time",
+        "no_version" => "no published index version of the service can be served",
+        "starting" => "the daemon has no settings yet",
+        "shutting_down" => "the daemon is shutting down",
+        "ticket_invalid" => "the ticket has expired or was never issued",
+        "ticket_limit" => "too many tickets are outstanding",
+        "issuer_lost" => "the ticket's issuer is lost or has restarted",
+        "outcome_forgotten" => "the ticket was used and its outcome is no longer kept",
+        "no_answer" => "requests were sent and no leaf answered",
+        _ => "this release of medlarpin does not know the reason",
+    }
+}
+
+/// Returns a sentence about an outcome.
+pub(crate) fn outcome_text(outcome: &str) -> &'static str {
+    match outcome {
+        "complete" => "all shards asked are covered",
+        "partial" => "some shards are covered; the others are named",
+        "not_run" => "no leaf ran this submission; it can be sent again",
+        "unknown" => "a leaf may have run it",
+        _ => "this release of medlarpin does not know the outcome",
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/check.rs
@@ -0,0 +1,119 @@
+//! Guards against errors in settings files that do not tell an operator what to change.
+
+use std::fs;
+use std::path::Path;
+use std::process::{Command, Output};
+
+fn medlarpin(directory: &Path, arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_medlarpin"))
+        .current_dir(directory)
+        .args(arguments)
+        .output()
+        .unwrap()
+}
+
+fn scratch(name: &str) -> std::path::PathBuf {
+    let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = fs::remove_dir_all(&directory);
+    directory
+}
+
+fn check_file(file: &str, text: &[u8], expected: &str) {
+    let directory = scratch("broken");
+    let path = directory.join(file);
+    fs::create_dir_all(path.parent().unwrap()).unwrap();
+    fs::write(path, text).unwrap();
+    let output = medlarpin(&directory, &["check", file]);
+    let stdout = String::from_utf8(output.stdout).unwrap();
+    assert_eq!(stdout, format!("{expected}\n1 error in 1 file\n"));
+    assert_eq!(output.status.code(), Some(1), "{file}");
+}
+
+/// Guards against two different mistakes that an operator cannot tell apart.
+#[test]
+fn broken_files_have_useful_errors() {
+    let broken: [(&str, &[u8], &str); 11] = [
+        ("teams/a.jsonc", b"{\"rate_limit\": 1}", "teams/a.jsonc:1:2: $.rate_limit: unknown key `rate_limit`; hint: did you mean `rate_limit_per_s`?"),
+        ("teams/b.jsonc", b"{\n  \"weight\": 1,\n  \"weight\": 2\n}", "teams/b.jsonc:3:3: $.weight: duplicate key `weight`; hint: keep one of the two"),
+        ("teams/c.jsonc", b"{\"weight\": 1,", "teams/c.jsonc:1:1: $: not valid JSON with comments: Unterminated object; hint: check the quotes, commas and brackets here and on the line before"),
+        ("teams/d.jsonc", b"{\"rate_limit_per_s\": 10}", "teams/d.jsonc:1:1: $: required key `concurrency_limit` is missing; hint: add \"concurrency_limit\": 50"),
+        ("teams/e.jsonc", b"{\"deadline_default_ms\": 500, \"deadline_cap_ms\": 400}", "teams/e.jsonc:1:49: $.deadline_cap_ms: the value contradicts `deadline_default_ms`; hint: write at least 500 (milliseconds)"),
+        ("teams/f.jsonc", b"{\"rate_limit_per_s\": 1, \"concurrency_limit\": 1, \"coverage_wanted\": \"most\"}", "teams/f.jsonc:1:68: $.coverage_wanted: unknown value `most`; hint: the nearest known one is `all`; known are all"),
+        ("services/g.jsonc", b"{\"leafs\": [{\"id\": \"g-1\", \"address\": \"leaf.example:9000\"}]}", "services/g.jsonc:1:37: $.leafs[0].address: `leaf.example:9000` is not a usable address; hint: write an IP address and a port, for example 192.0.2.7:9000; host names are not resolved, and a remote address needs a port other than 0"),
+        ("services/h.jsonc", b"{\"leafs\": [{\"id\": \"h-1\", \"address\": \"192.0.2.7:9000\", \"failure_domain\": \"x\",\n\"slots\": 2, \"connection_limit\": 5}]}", "services/h.jsonc:2:33: $.leafs[0].connection_limit: 5 is out of range; hint: write a whole number from 6 to 1000000"),
+        ("indexes/i/1.jsonc", b"{\"shards\": [{\"shard\": 1, \"leafs\": []}, {\"shard\": 1, \"leafs\": []}]}", "indexes/i/1.jsonc:1:40: $.shards[1]: `1` is given twice; hint: list each shard once"),
+        ("daemon.jsonc", b"{\"shutdown_grace_ms\": \"2 s\", \"vm\": \"vm 1\"}", "daemon.jsonc:1:36: $.vm: `vm 1` is not a valid name; hint: a name has 1 to 100 ASCII letters, digits or any of -_."),
+        ("notes.jsonc", b"{}", "the kind of \"notes.jsonc\" does not follow from its path; add --as daemon, team, service or index"),
+    ];
+    let mut messages: Vec<&str> = broken.iter().map(|(_, _, expected)| *expected).collect();
+    messages.sort_unstable();
+    messages.dedup();
+    assert_eq!(messages.len(), broken.len());
+    for (file, text, expected) in broken {
+        check_file(file, text, expected);
+    }
+    check_file(
+        "teams/j.jsonc",
+        b"{\"weight\": \xff}",
+        "\"teams/j.jsonc\" is not UTF-8 after byte 11; save it as UTF-8",
+    );
+}
+
+/// Guards against a tree that is accepted although a shard map names a leaf that does not exist.
+#[test]
+fn trees_are_checked_as_a_whole() {
+    let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    let output = medlarpin(&examples, &["check", "souss-coast", "warmia"]);
+    assert_eq!(
+        String::from_utf8(output.stdout).unwrap(),
+        "no errors in 24 files\n"
+    );
+    let tree = scratch("tree");
+    for (file, from) in [
+        ("services/hodowcy.jsonc", "services/hodowcy.jsonc"),
+        ("indexes/hodowcy/1.jsonc", "indexes/sekretariat/1.jsonc"),
+    ] {
+        fs::create_dir_all(tree.join(file).parent().unwrap()).unwrap();
+        fs::copy(examples.join("warmia").join(from), tree.join(file)).unwrap();
+    }
+    let output = medlarpin(&tree, &["check", ".", "--json"]);
+    assert_eq!(output.status.code(), Some(1));
+    let report: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    let first = &report["errors"][0];
+    assert_eq!(first["file"], "./indexes/hodowcy/1.jsonc");
+    assert_eq!(first["json_path"], "$.shards[0].leafs[0]");
+    assert_eq!(
+        first["hint"],
+        "the nearest known one is `hodowcy-1`; known are hodowcy-1, hodowcy-2, hodowcy-3"
+    );
+}
+
+/// Guards against printed defaults that the tool itself refuses, and against missing help.
+#[test]
+fn defaults_help_and_completions_print() {
+    let directory = scratch("printed");
+    fs::create_dir_all(&directory).unwrap();
+    for kind in ["daemon", "team", "service", "index"] {
+        let printed = medlarpin(&directory, &["check", "--defaults", "--as", kind]);
+        fs::write(directory.join("printed.jsonc"), printed.stdout).unwrap();
+        let output = medlarpin(&directory, &["check", "--as", kind, "printed.jsonc"]);
+        assert_eq!(output.status.code(), Some(0), "{kind}: {output:?}");
+    }
+    for (arguments, expected) in [
+        (vec!["--help"], "Exit codes:"),
+        (vec!["check", "--help"], "Examples:"),
+        (vec!["query", "--help"], "Examples:"),
+        (vec!["explain", "--help"], "Examples:"),
+        (
+            vec!["--bpaf-complete-style-bash"],
+            "_bpaf_dynamic_completion",
+        ),
+        (vec!["--bpaf-complete-style-fish"], "medlarpin"),
+    ] {
+        let output = medlarpin(&directory, &arguments);
+        let stdout = String::from_utf8(output.stdout).unwrap();
+        assert!(stdout.contains(expected), "{arguments:?}: {stdout}");
+        assert_eq!(output.status.code(), Some(0), "{arguments:?}");
+    }
+    assert_eq!(medlarpin(&directory, &["check"]).status.code(), Some(2));
+}
--- a/crates/settings/src/error.rs
+++ b/crates/settings/src/error.rs
@@ -179,6 +179,13 @@
 }
 
 impl SettingsError {
+    /// Names the text by its file instead of its path within the tree.
+    #[must_use]
+    pub fn with_file(mut self, file: &str) -> Self {
+        file.clone_into(&mut self.place_mut().file);
+        self
+    }
+
     /// Returns where the error is.
     #[must_use]
     pub fn place(&self) -> &Place {
@@ -224,4 +231,25 @@
             | Self::UnknownLeaf { hint, .. } => hint,
         }
     }
+
+    fn place_mut(&mut self) -> &mut Place {
+        match self {
+            Self::Syntax { place, .. }
+            | Self::TooLarge { place, .. }
+            | Self::UnknownKey { place, .. }
+            | Self::DuplicateKey { place, .. }
+            | Self::MissingKey { place, .. }
+            | Self::WrongType { place, .. }
+            | Self::OutOfRange { place, .. }
+            | Self::InvalidAddress { place, .. }
+            | Self::InvalidName { place, .. }
+            | Self::UnknownValue { place, .. }
+            | Self::EmptyList { place, .. }
+            | Self::DuplicateEntry { place, .. }
+            | Self::Contradiction { place, .. }
+            | Self::UnknownPath { place, .. }
+            | Self::UnknownService { place, .. }
+            | Self::UnknownLeaf { place, .. } => place,
+        }
+    }
 }
--- a/crates/settings/src/nearest.rs
+++ b/crates/settings/src/nearest.rs
@@ -22,7 +22,10 @@
 pub(crate) fn suggestion(word: &str, known: &[&str]) -> String {
     let list = || shorten(&known.join(", "), 600);
     match nearest(word, known.iter().copied()) {
-        Some((best, distance)) if distance <= 2.max(word.chars().count() / 2) => {
+        Some((best, distance))
+            if distance <= 2.max(word.chars().count() / 2)
+                || (!word.is_empty() && best.starts_with(word)) =>
+        {
             format!("did you mean `{best}`?")
         }
         Some((best, _)) => format!("the nearest known one is `{best}`; known are {}", list()),
