Show plain revisions in platform errors

The message of a stale answer printed the type's debug form. The error now holds the numbers, and the test expects them in the message.

--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -1,8 +1,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use medlarpin_core::prelude::Revision;
-
 /// Why the platform gave no usable answer.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum PlatformError {
@@ -60,14 +58,14 @@
         /// Field that is not valid.
         field: &'static str,
     },
-    /// platform {address} published revision {found:?}, which is not above {after:?}
+    /// platform {address} published revision {found}, which is not above {after}
     Stale {
         /// Replica that was asked.
         address: SocketAddr,
         /// Revision in the answer.
-        found: Revision,
+        found: u64,
         /// Revision that was already known.
-        after: Revision,
+        after: u64,
     },
     /// all {count} platform addresses failed; the last error: {last}
     AllFailed {
--- a/crates/platform/src/messages.rs
+++ b/crates/platform/src/messages.rs
@@ -39,8 +39,8 @@
         {
             return Err(PlatformError::Stale {
                 address,
-                found,
-                after,
+                found: found.0,
+                after: after.0,
             });
         }
         Ok(PublishedTree {
--- a/crates/platform/tests/client.rs
+++ b/crates/platform/tests/client.rs
@@ -96,7 +96,7 @@
     check_failure(|_| "[]", "body from platform ADDRESS does not follow the protocol: invalid length 0, expected struct TreeBody with 2 elements at line 1 column 2").await;
     check_failure(
         |_| TREE,
-        "platform ADDRESS published revision Revision(7), which is not above Revision(9)",
+        "platform ADDRESS published revision 7, which is not above 9",
     )
     .await;
     check_failure(
