--- a/crates/medlarpin-core/src/ownership/handover.rs
+++ b/crates/medlarpin-core/src/ownership/handover.rs
@@ -33,8 +33,9 @@
 /// The bound needs two things from the caller. A daemon acknowledges a list only after it has closed
 /// its connections to the groups that the list takes away. And a daemon that missed lists (its first
 /// list, or a gap in the revisions) takes over the history of a peer with [`HandoverGate::inherit`]
-/// before it asks [`HandoverGate::may_open`]. Without such a peer, the next ranks below the holders stand in for the
-/// unknown former holders, which covers the replacement of all current holders once, and no more.
+/// before it asks [`HandoverGate::may_open`]. Without such a peer, the next ranks below the holders
+/// are presumed to be the former ones; this covers one replacement of all holders, and several in a
+/// row, with former holders that still run, can exceed the bound.
 #[derive(Debug)]
 pub struct HandoverGate {
     me: VmName,
@@ -51,8 +52,8 @@
     holders: Vec<VmName>,
     /// Former holders without an acknowledgement, sorted by name, none of them in `holders`.
     former: Vec<FormerHolder>,
-    /// VMs that stand in for unknown former holders; `None` if no list was missed.
-    stand_ins: Option<Vec<VmName>>,
+    /// VMs presumed to be former holders because lists were missed; `None` if none was.
+    presumed: Option<Vec<VmName>>,
     /// True from the moment when the gate opens until a list takes the rank away.
     open: bool,
 }
@@ -112,8 +113,8 @@
     pub fn confirm_stopped(&mut self, vm: &VmName) {
         for gate in &mut self.gates {
             gate.former.retain(|former| former.vm != *vm);
-            if let Some(stand_ins) = &mut gate.stand_ins {
-                stand_ins.retain(|name| name != vm);
+            if let Some(presumed) = &mut gate.presumed {
+                presumed.retain(|name| name != vm);
             }
         }
         self.acknowledged.retain(|(name, _)| name != vm);
@@ -133,7 +134,7 @@
         for holder in &history.holders {
             gate.add_former(&holder.vm, holder.last_ranked);
         }
-        gate.stand_ins = None;
+        gate.presumed = None;
         gate.forget_settled(&self.acknowledged);
     }
 
@@ -141,7 +142,7 @@
     #[must_use]
     pub fn history(&self, group: &GroupId) -> Option<HolderHistory> {
         let gate = &self.gates[self.position(group).ok()?];
-        if gate.stand_ins.is_some() {
+        if gate.presumed.is_some() {
             return None;
         }
         let mut holders = gate.former.clone();
@@ -190,7 +191,7 @@
             revision: new.revision(),
             holders,
             former: Vec::new(),
-            stand_ins: None,
+            presumed: None,
             open: false,
         };
         for vm in rank_holders(group, old) {
@@ -214,13 +215,13 @@
         for vm in displaced {
             self.add_former(&vm, last_ranked);
         }
-        if missed_lists || self.stand_ins.is_some() {
+        if missed_lists || self.presumed.is_some() {
             self.note_missed_lists(new);
         }
     }
 
     fn note_missed_lists(&mut self, new: &VmList) {
-        self.stand_ins = Some(rank_without(&self.group, new, &self.holders));
+        self.presumed = Some(rank_without(&self.group, new, &self.holders));
     }
 
     fn add_former(&mut self, vm: &VmName, last_ranked: Revision) {
@@ -257,7 +258,7 @@
         if !self.open && self.holders.contains(me) {
             // A daemon without history may have restarted at a list that its earlier process had
             // left behind, so it opens nothing while a newer list is known to exist.
-            let behind = self.stand_ins.is_some()
+            let behind = self.presumed.is_some()
                 && acknowledged.iter().any(|(_, seen)| *seen > self.revision);
             self.open = !behind && self.awaited(acknowledged).len() <= DISPUTED;
         }
@@ -266,8 +267,8 @@
 
     fn awaited(&self, acknowledged: &[(VmName, Revision)]) -> Vec<&VmName> {
         let mut awaited: Vec<&VmName> = self.former.iter().map(|former| &former.vm).collect();
-        let stand_ins = self.stand_ins.iter().flatten();
-        awaited.extend(stand_ins.filter(|vm| acknowledged_by(acknowledged, vm) < self.revision));
+        let presumed = self.presumed.iter().flatten();
+        awaited.extend(presumed.filter(|vm| acknowledged_by(acknowledged, vm) < self.revision));
         awaited.sort_unstable();
         awaited.dedup();
         awaited
