Fix faults that the failure tests found in the daemon

Causes and changes: a restarted daemon took an invalid text from the platform and skipped the peers' last valid one, because both trees had the same revision, so the join now merges a peer's tree of any revision and refuses work until then; a call on the ended connection of a restarted peer counted as possibly sent; a late holder was given up at half the time although the budget allowed no second one; a daemon sent to leafs of groups that another holder served; a lost leaf got no trial requests.

--- a/crates/daemon/src/entry/group.rs
+++ b/crates/daemon/src/entry/group.rs
@@ -18,6 +18,10 @@
 /// Time that an entry keeps for the replies of the gatherers.
 const REPLY_MARGIN: Duration = Duration::from_millis(5);
 
+/// Leaf request numbers that a holder may use for each shard of a batch: the first request and its
+/// retries and hedges.
+pub const ATTEMPTS_PER_SHARD: u32 = 8;
+
 /// A peer that gives no reply for this time counts as unreachable. Shorter waits end with the
 /// query's deadline and say nothing about the peer.
 const UNREACHABLE_AFTER: Duration = Duration::from_millis(200);
@@ -131,16 +135,19 @@
             deadline,
             sent: false,
         };
-        let holders = &self.routes.holders[self.group];
-        for (place, (vm, address)) in holders.iter().enumerate() {
-            let has_next = place + 1 < holders.len();
-            match call.ask(vm, *address, has_next).await {
+        let mut holders = self.routes.holders[self.group].iter();
+        let mut reason = UncoveredReason::GathererLost;
+        while let Some((vm, address)) = holders.next() {
+            match call.ask(vm, *address, holders.as_slice()).await {
                 Asked::Reply(reply) => return reply,
                 Asked::TryNext => {}
-                Asked::Failed(reason) => return call.failed(reason),
+                Asked::Failed(failure) => {
+                    reason = failure;
+                    break;
+                }
             }
         }
-        call.failed(UncoveredReason::GathererLost)
+        call.failed(reason)
     }
 }
 
@@ -151,6 +158,8 @@
     Failed(UncoveredReason),
 }
 
+type Holder = (VmName, SocketAddr);
+
 struct Call {
     worker: Rc<Worker>,
     batch: Batch,
@@ -160,7 +169,7 @@
 }
 
 impl Call {
-    async fn ask(&mut self, vm: &VmName, address: SocketAddr, has_next: bool) -> Asked {
+    async fn ask(&mut self, vm: &VmName, address: SocketAddr, others: &[Holder]) -> Asked {
         let shared = Arc::clone(&self.worker.shared);
         let now = shared.clock.now();
         let time_left = self.deadline.saturating_duration_since(now);
@@ -172,14 +181,7 @@
             let reply = gather(Rc::clone(&self.worker), self.batch.clone()).await;
             return self.judge(reply);
         }
-        // An idempotent batch leaves time for a second holder.
-        let can_repeat = self.batch.idempotent && !self.batch.canary && has_next;
-        let timeout = if can_repeat { time_left / 2 } else { time_left };
-        let result = self
-            .worker
-            .peers
-            .gather(address, &self.batch, timeout)
-            .await;
+        let result = self.ask_remote(address, others, time_left).await;
         match result {
             Ok(reply) => {
                 shared
@@ -193,8 +195,64 @@
                 drop(admission);
                 self.judge(reply)
             }
-            Err(error) => self.judge_error(vm, &error, timeout, can_repeat),
+            Err(error) => self.judge_error(vm, &error, time_left),
+        }
+    }
+
+    /// Asks a remote holder, and a second one as well if the first is late and the budget allows.
+    async fn ask_remote(
+        &self,
+        address: SocketAddr,
+        others: &[Holder],
+        time_left: Duration,
+    ) -> Result<BatchReply, PeerError> {
+        let first = self.worker.peers.gather(address, &self.batch, time_left);
+        tokio::pin!(first);
+        let me = self.worker.shared.me();
+        let second = others.iter().find(|(vm, _)| vm != me);
+        let Some((_, second)) = second.filter(|_| self.batch.idempotent && !self.batch.canary)
+        else {
+            return first.await;
+        };
+        tokio::select! {
+            result = &mut first => return result,
+            () = tokio::time::sleep(time_left / 2) => {}
         }
+        let second = self.ask_second(*second, time_left / 2);
+        tokio::pin!(second);
+        // The first holder may still answer, so its call is not given up.
+        tokio::select! {
+            result = &mut first => result,
+            Some(reply) = &mut second => Ok(reply),
+        }
+    }
+
+    /// Asks a second holder because the first one is late; `None` if the budget is used up or the
+    /// second holder gives no usable reply.
+    async fn ask_second(&self, address: SocketAddr, time_left: Duration) -> Option<BatchReply> {
+        let now = self.worker.shared.clock.now();
+        if !self.may_repeat(now) {
+            return None;
+        }
+        let batch = Batch {
+            time_left: time_left.saturating_sub(REPLY_MARGIN),
+            first_attempt: self.second_attempt(),
+            ..self.batch.clone()
+        };
+        let reply = self.worker.peers.gather(address, &batch, time_left).await;
+        let covered = |result: &ShardResult| matches!(result.outcome, ShardOutcome::Covered { .. });
+        let mut reply = reply
+            .ok()
+            .filter(|reply| reply.results.iter().all(covered))?;
+        reply.extra_leaf_requests = reply.leaf_requests;
+        Some(reply)
+    }
+
+    /// Returns the first request number of the batch at a second holder.
+    fn second_attempt(&self) -> u32 {
+        let numbers = u32::try_from(self.batch.tasks.len()).unwrap_or(u32::MAX);
+        let used = numbers.saturating_mul(ATTEMPTS_PER_SHARD);
+        self.batch.first_attempt.wrapping_add(used)
     }
 
     /// A holder that lost the group or was paused has sent nothing, so the next one is asked.
@@ -223,13 +281,7 @@
         Asked::Reply(reply)
     }
 
-    fn judge_error(
-        &mut self,
-        vm: &VmName,
-        error: &PeerError,
-        timeout: Duration,
-        can_repeat: bool,
-    ) -> Asked {
+    fn judge_error(&mut self, vm: &VmName, error: &PeerError, timeout: Duration) -> Asked {
         let shared = &self.worker.shared;
         shared.metrics.batches.with_label_values(&["failed"]).inc();
         let request = self.batch.request;
@@ -244,12 +296,8 @@
             return Asked::TryNext;
         }
         self.sent = true;
-        if can_repeat && self.may_repeat(now) {
-            let numbers = u32::try_from(self.batch.tasks.len()).unwrap_or(u32::MAX);
-            self.batch.first_attempt = self
-                .batch
-                .first_attempt
-                .wrapping_add(numbers.saturating_mul(8));
+        if self.batch.idempotent && !self.batch.canary && self.may_repeat(now) {
+            self.batch.first_attempt = self.second_attempt();
             return Asked::TryNext;
         }
         Asked::Failed(UncoveredReason::GathererLost)
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -17,7 +17,6 @@
 use crate::entry::request::{Query, QueryBody, RequestError, TicketBody, check_query, parse_body};
 use crate::entry::{run, ticketed};
 use crate::shared::{Node, Shared};
-use crate::view::FleetView;
 
 /// Builds the callers' endpoints.
 pub fn router(node: Arc<Node>) -> Router {
@@ -93,7 +92,7 @@
     let body: QueryBody = parse_body(&body)?;
     let request = RequestId(rand::random());
     let view = shared.view();
-    check_serving(shared, &view, &body, request)?;
+    check_serving(shared, &body, request)?;
     let Some(team) = view.team(&body.team) else {
         return Err(RequestError::UnknownTeam(body.team).into());
     };
@@ -103,14 +102,10 @@
     Ok(check_query(body, team, request, now)?)
 }
 
-/// Refuses queries while the daemon has no settings; without them no team or service is known.
-fn check_serving(
-    shared: &Shared,
-    view: &FleetView,
-    body: &QueryBody,
-    request: RequestId,
-) -> Result<(), Refusal> {
-    if view.has_settings() {
+/// Refuses queries until the daemon has joined the fleet: before that its settings may be missing or
+/// older than those in force elsewhere.
+fn check_serving(shared: &Shared, body: &QueryBody, request: RequestId) -> Result<(), Refusal> {
+    if shared.lifecycle.is_joined() {
         return Ok(());
     }
     let outcome = Outcome::NotRun {
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -15,7 +15,7 @@
 
 use crate::entry::admission::{Refusal, TeamPermit};
 use crate::entry::answer::{AnswerBody, RowBody, UncoveredBody};
-use crate::entry::group::{GroupCall, Routes};
+use crate::entry::group::{ATTEMPTS_PER_SHARD, GroupCall, Routes};
 use crate::entry::request::{Query, RequestError};
 use crate::view::ServiceView;
 use crate::workers::Worker;
@@ -26,10 +26,6 @@
 /// Retry time of a query that reached a daemon after a pause; one exchange ends the refusal.
 const PAUSED_RETRY_AFTER: Duration = Duration::from_millis(200);
 
-/// Leaf request numbers that a batch may use for each of its shards: the first request and its
-/// retries and hedges.
-const ATTEMPTS_PER_SHARD: u32 = 8;
-
 /// Share of a query's time that must remain for a restart at a newer version.
 const RESTART_TIME_DIVISOR: u32 = 3;
 
--- a/crates/daemon/src/fleet/gossip.rs
+++ b/crates/daemon/src/fleet/gossip.rs
@@ -216,9 +216,14 @@
 /// Fetches a peer's settings tree if it is newer.
 pub async fn fetch_settings(worker: Rc<Worker>, address: SocketAddr) {
     let held = worker.shared.fleet.lock().tree.revision();
+    fetch_settings_above(&worker, address, held).await;
+}
+
+/// Fetches a peer's settings tree if it is above a revision.
+pub async fn fetch_settings_above(worker: &Worker, address: SocketAddr, above: Revision) {
     match worker
         .peers
-        .fetch_settings(address, held, FETCH_TIMEOUT)
+        .fetch_settings(address, above, FETCH_TIMEOUT)
         .await
     {
         Ok(Some(tree)) => accept_transfer(&worker.shared, &tree),
--- a/crates/daemon/src/fleet/join.rs
+++ b/crates/daemon/src/fleet/join.rs
@@ -5,7 +5,7 @@
 use medlarpin_core::prelude::*;
 use platform::PlatformClient;
 
-use crate::fleet::gossip::{choose_peers, exchange, fetch_settings};
+use crate::fleet::gossip::{choose_peers, exchange, fetch_settings_above};
 use crate::fleet::refresh::{accept_published, accept_vm_list};
 use crate::workers::Worker;
 
@@ -47,8 +47,10 @@
     for vm in &peers {
         if exchange(Rc::clone(worker), vm.clone()).await {
             let view = shared.view();
+            // Also a peer with the same revision may hold last valid texts that the platform no
+            // longer publishes.
             if let Some(entry) = view.vm_list().get(vm) {
-                fetch_settings(Rc::clone(worker), entry.rpc_address).await;
+                fetch_settings_above(worker, entry.rpc_address, Revision::default()).await;
             }
         }
     }
--- a/crates/daemon/src/gather/shard.rs
+++ b/crates/daemon/src/gather/shard.rs
@@ -120,8 +120,9 @@
         };
         let gathering = Rc::clone(self.gathering);
         let id = self.id;
+        let planned = leaf == self.first_leaf;
         self.running.push(Box::pin(async move {
-            let end = send(&gathering, id, &leaf, kind).await;
+            let end = send(&gathering, id, &leaf, kind, planned).await;
             (leaf, end)
         }));
         true
@@ -213,9 +214,19 @@
     }
 }
 
-async fn send(gathering: &Rc<Gathering>, id: ShardId, leaf: &LeafId, kind: Kind) -> AttemptEnd {
+async fn send(
+    gathering: &Rc<Gathering>,
+    id: ShardId,
+    leaf: &LeafId,
+    kind: Kind,
+    planned: bool,
+) -> AttemptEnd {
     let shared = &gathering.worker.shared;
-    match shared.leafs.get(&gathering.batch.service, leaf) {
+    let held = shared.leafs.get(&gathering.batch.service, leaf);
+    // Only the active holder knows the true use of the leaf's slots. The entry has decided that for
+    // the planned leafs; a further replica may belong to another holder.
+    let here = held.filter(|slot| planned || gathering.batch.extra || shared.is_active_for(slot));
+    match here {
         Some(slot) => {
             let request = LeafRequest {
                 request: gathering.batch.request,
--- a/crates/daemon/src/leafs/maintenance.rs
+++ b/crates/daemon/src/leafs/maintenance.rs
@@ -32,12 +32,14 @@
             next_health = now + HEALTH_INTERVAL;
         }
         for slot in worker.shared.leafs.held() {
-            if !worker.shared.is_active_for(&slot) {
-                continue;
-            }
+            // Every holder asks, because a holder that takes over must not send new work to a leaf
+            // that is leaving.
             if ask_health || slot.probe_due() {
                 tokio::task::spawn_local(ask_for_health(Arc::clone(&slot)));
             }
+            if !worker.shared.is_active_for(&slot) {
+                continue;
+            }
             let wanted = slot.connections_wanted();
             tokio::task::spawn_local(async move { slot.connections.open_ahead(wanted).await });
         }
--- a/crates/daemon/src/leafs/slot.rs
+++ b/crates/daemon/src/leafs/slot.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use medlarpin_core::fair_queue::{Discipline, FairQueue, Popped, QueueRefusal};
-use medlarpin_core::leaf_state::{HealthReport, LeafCondition, LeafState, Wait};
+use medlarpin_core::leaf_state::{HealthReport, LeafCondition, LeafState, PIPELINE, Wait};
 use medlarpin_core::prelude::*;
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
@@ -78,7 +78,8 @@
         clock: Arc<dyn Clock>,
     ) -> Self {
         let mut queue = FairQueue::new(discipline);
-        queue.set_parallelism(leaf.slots);
+        // Service times run from send to answer, so they include the wait of the pipelined request.
+        queue.set_parallelism(leaf.slots + PIPELINE);
         let state = LeafState::new(leaf.slots, clock.now());
         Self {
             service,
@@ -153,10 +154,15 @@
     #[must_use]
     pub fn serves(&self, version: IndexVersion) -> bool {
         let core = self.core.lock();
-        let available = !matches!(
-            core.state.condition(self.clock.now()),
-            LeafCondition::Draining | LeafCondition::Lost { .. }
-        );
+        let now = self.clock.now();
+        let available = match core.state.condition(now) {
+            LeafCondition::Draining => false,
+            // Without its trial requests a lost leaf would never be found again.
+            LeafCondition::Lost { .. } => core.state.may_send(now).is_ok(),
+            LeafCondition::Starting | LeafCondition::Ready | LeafCondition::BackingOff { .. } => {
+                true
+            }
+        };
         available && core.gone.binary_search(&version).is_err()
     }
 
--- a/crates/daemon/src/peers/pool.rs
+++ b/crates/daemon/src/peers/pool.rs
@@ -1,6 +1,6 @@
 //! RPC client connections of one worker.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -64,7 +64,14 @@
     pub units: u64,
 }
 
-type ClientCell = Rc<OnceCell<peer::Client>>;
+type ClientCell = Rc<OnceCell<Connected>>;
+
+/// An open connection to a peer.
+struct Connected {
+    client: peer::Client,
+    /// Set when the connection has ended.
+    ended: Rc<Cell<bool>>,
+}
 
 /// Cached RPC connections, one for each peer address.
 #[derive(Default)]
@@ -206,8 +213,9 @@
         send: impl AsyncFnOnce(peer::Client) -> Result<T, PeerError>,
     ) -> Result<T, PeerError> {
         let cell = self.cell(address);
-        let client = cell.get_or_try_init(|| connect(address)).await;
-        let client = client.inspect_err(|_| self.evict(address, &cell))?.clone();
+        let connected = cell.get_or_try_init(|| connect(address)).await;
+        let connected = connected.inspect_err(|_| self.evict(address, &cell))?;
+        let client = connected.client.clone();
         let result = match tokio::time::timeout(timeout, send(client)).await {
             Ok(result) => result,
             Err(_elapsed) => Err(PeerError::Timeout(timeout)),
@@ -223,7 +231,15 @@
     fn cell(&self, address: SocketAddr) -> ClientCell {
         let mut cells = self.cells.borrow_mut();
         match cells.binary_search_by_key(&address, |(key, _)| *key) {
-            Ok(index) => Rc::clone(&cells[index].1),
+            Ok(index) => {
+                // A call on a connection that has ended would fail as possibly sent, for example
+                // the first one after a restart of the peer.
+                let ended = cells[index].1.get();
+                if ended.is_some_and(|connected| connected.ended.get()) {
+                    cells[index].1 = ClientCell::default();
+                }
+                Rc::clone(&cells[index].1)
+            }
             Err(index) => {
                 let cell = ClientCell::default();
                 cells.insert(index, (address, Rc::clone(&cell)));
@@ -251,7 +267,7 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<peer::Client, PeerError> {
+async fn connect(address: SocketAddr) -> Result<Connected, PeerError> {
     let failed = |kind| PeerError::Connect { address, kind };
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
@@ -269,10 +285,13 @@
     );
     let mut system = RpcSystem::new(Box::new(network), None);
     let client: peer::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+    let ended = Rc::new(Cell::new(false));
+    let ended_by_task = Rc::clone(&ended);
     tokio::task::spawn_local(async move {
         if let Err(error) = system.await {
             log::debug!("peers: A connection ended: {error}.");
         }
+        ended_by_task.set(true);
     });
-    Ok(client)
+    Ok(Connected { client, ended })
 }
