Report ready only when queries would be admitted

A restarted daemon reported ready while its rate buckets were still empty and refused its first callers (retry_after_ms 0). Readiness now waits, for at most 5 s, until a query of each team would be admitted. The in-flight test warms the leafs up first: at a slow-start window of 1, its slow queries exceeded their own deadline without any stop.

--- a/crates/daemon/src/entry/admission.rs
+++ b/crates/daemon/src/entry/admission.rs
@@ -144,11 +144,14 @@
         })
     }
 
-    /// Returns true if each team can have at least one query admitted here, now or by borrowing.
-    #[must_use]
-    pub fn has_units(&self, now: Instant) -> bool {
-        self.teams.iter().all(|entry| {
-            entry.rate_ledger.available(now) > 0 && entry.concurrency_ledger.available(now) > 0
+    /// Returns true if a query of each team would be admitted now.
+    ///
+    /// Without the check of the rate, a daemon that has just started would report ready and refuse
+    /// its first callers, because its buckets start empty.
+    pub fn would_admit_all(&mut self, now: Instant) -> bool {
+        self.teams.iter_mut().all(|entry| {
+            let rate = entry.rate_ledger.available(now);
+            entry.concurrency_ledger.available(now) > 0 && entry.rate.holds_query(now, rate)
         })
     }
 
--- a/crates/daemon/src/entry/answer.rs
+++ b/crates/daemon/src/entry/answer.rs
@@ -109,7 +109,8 @@
                 reason,
                 retry_after,
             } => {
-                let retry_after_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
+                let retry_after_ms = u64::try_from(retry_after.as_micros().div_ceil(1000));
+                let retry_after_ms = retry_after_ms.unwrap_or(u64::MAX);
                 (Some(reason.as_str().to_owned()), Some(retry_after_ms))
             }
             Outcome::Unknown { reason } => (Some(reason.as_str().to_owned()), None),
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwap;
 use medlarpin_core::canary::FingerprintTable;
@@ -65,6 +66,8 @@
     pub canary_ended: Notify,
     /// Notified when this daemon's settings, VM list or quarantines changed and peers should hear.
     pub news: Notify,
+    /// True once the daemon could admit queries of all teams after its start.
+    shares_seen: AtomicBool,
     view: ArcSwap<FleetView>,
 }
 
@@ -112,6 +115,7 @@
             ticket_ended: Notify::new(),
             canary_ended: Notify::new(),
             news: Notify::new(),
+            shares_seen: AtomicBool::new(false),
             view: ArcSwap::from_pointee(FleetView::default()),
             settings,
             clock,
@@ -143,8 +147,13 @@
     /// A daemon without shares of the teams' limits would refuse its first callers; after a while
     /// it borrows, so the wait is bounded.
     fn has_shares(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.started_at) >= SHARES_AWAITED
-            || self.admission.lock().has_units(now)
+        if self.shares_seen.load(Ordering::Relaxed) {
+            return true;
+        }
+        let seen = now.saturating_duration_since(self.started_at) >= SHARES_AWAITED
+            || self.admission.lock().would_admit_all(now);
+        self.shares_seen.fetch_or(seen, Ordering::Relaxed);
+        seen
     }
 
     /// Returns the settings and VM list in force.
--- a/crates/daemon/tests/shutdown.rs
+++ b/crates/daemon/tests/shutdown.rs
@@ -41,6 +41,11 @@
 async fn requests_in_flight_finish() {
     for stopped in 0..3 {
         let fleet = Arc::new(Fleet::start(FleetConfig::new()).await);
+        // Ends the slow start of the leafs: at one request at a time for each leaf, the slow
+        // queries would need longer than the longest deadline whether or not a daemon stops.
+        let load = Load::start(&fleet, 8, 5000);
+        load.wait_answers(400).await;
+        load.stop().await;
         let ticket = fleet.ticket(stopped, TEAM).await;
         for leaf in fleet.deployment().leafs() {
             leaf.update_faults(|faults| faults.extra_delay = Duration::from_millis(1200));
--- a/crates/medlarpin-core/src/rate_limiter.rs
+++ b/crates/medlarpin-core/src/rate_limiter.rs
@@ -46,6 +46,12 @@
         Err(if rate_units == 0 { LEASE } else { wait })
     }
 
+    /// Returns true if a query would be admitted now.
+    pub fn holds_query(&mut self, now: Instant, rate_units: u64) -> bool {
+        self.refill(now, rate_units);
+        self.tokens >= TOKENS_PER_QUERY
+    }
+
     /// Adds the tokens of the time that has passed and sets the rate from now on.
     ///
     /// The passed time counts at the lower of the old and the new rate: units that were just
