Build plans with fewer allocations and comparisons

Comparing the names of all replicas read memory that was rarely cached, and each shard sorted and allocated its alternatives even when all loads are equal.

--- a/crates/medlarpin-core/src/plan.rs
+++ b/crates/medlarpin-core/src/plan.rs
@@ -101,27 +101,41 @@
         tasks: Vec::with_capacity(*count as usize),
     };
     let mut batches: Vec<_> = task_counts.iter().enumerate().map(with_room).collect();
-    let mut others: Vec<&Candidate<'_>> = Vec::new();
     for (index, choice) in choices.iter().enumerate() {
         let (shard, row) = table.row(index);
         let Some(best) = *choice else { continue };
-        let leaf = row[best].leaf;
-        others.clear();
-        // The rotation spreads the first alternative over replicas of equal load.
-        let rotated = row[best + 1..].iter().chain(&row[..best]);
-        others.extend(rotated.filter(|candidate| candidate.leaf != leaf));
-        others.sort_by_key(|candidate| candidate.load);
-        let names = others.iter().map(|candidate| candidate.leaf.clone());
         batches[row[best].group].tasks.push(Task {
             shard,
-            leaf: leaf.clone(),
-            alternatives: names.collect(),
+            leaf: row[best].leaf.clone(),
+            alternatives: alternatives(row, best),
         });
     }
     batches.retain(|batch| !batch.tasks.is_empty());
     batches
 }
 
+/// Returns the other replicas of a shard, least loaded first.
+fn alternatives(row: &[Candidate<'_>], best: usize) -> Vec<LeafId> {
+    let mut leafs = Vec::with_capacity(row.len() - 1);
+    // The rotation spreads the first alternative over replicas of equal load.
+    let rotated = row[best + 1..].iter().chain(&row[..best]);
+    let others = rotated.filter(|other| !is_same_leaf(other, &row[best]));
+    let load = row[best].load;
+    if row.iter().all(|candidate| candidate.load == load) {
+        others.for_each(|other| leafs.push(other.leaf.clone()));
+        return leafs;
+    }
+    let mut others: Vec<_> = others.collect();
+    others.sort_by_key(|other| other.load);
+    leafs.extend(others.iter().map(|other| other.leaf.clone()));
+    leafs
+}
+
+/// Compares the groups first, because comparing names reads memory that is rarely cached.
+fn is_same_leaf(a: &Candidate<'_>, b: &Candidate<'_>) -> bool {
+    a.group == b.group && a.leaf == b.leaf
+}
+
 /// Chooses the index of the replica that has the least work, among those in chosen groups.
 fn choose_replica(
     row: &[Candidate<'_>],
--- a/crates/medlarpin-core/src/plan/cover.rs
+++ b/crates/medlarpin-core/src/plan/cover.rs
@@ -16,8 +16,9 @@
     let mut is_chosen = vec![false; table.group_count()];
     let mut is_covered = vec![false; table.len()];
     let mut left = table.len();
+    let mut tied = Vec::with_capacity(gains.len());
     while left > 0 {
-        let Some(group) = pick(&gains, random) else {
+        let Some(group) = pick(&gains, &mut tied, random) else {
             break;
         };
         is_chosen[group] = true;
@@ -35,13 +36,12 @@
 }
 
 /// Picks one of the groups that cover about the most uncovered shards, each equally likely.
-fn pick(gains: &[u32], random: &mut SmallRng) -> Option<usize> {
+fn pick(gains: &[u32], tied: &mut Vec<usize>, random: &mut SmallRng) -> Option<usize> {
     let most = gains.iter().copied().max().filter(|most| *most > 0)?;
-    let is_tied = |gain: u32| gain > 0 && gain * TIE_SHARE.1 >= most * TIE_SHARE.0;
-    let tied = gains.iter().filter(|gain| is_tied(**gain)).count();
-    let chosen = random.random_range(0..tied);
-    let mut groups = (0..gains.len()).filter(|group| is_tied(gains[*group]));
-    groups.nth(chosen)
+    let least = (most * TIE_SHARE.0).div_ceil(TIE_SHARE.1);
+    tied.clear();
+    tied.extend((0..gains.len()).filter(|group| gains[*group] >= least));
+    tied.get(random.random_range(0..tied.len())).copied()
 }
 
 /// The shards that each group could serve, as indices into the candidate table.
