--- a/crates/medlarpin-core/src/answer.rs
+++ b/crates/medlarpin-core/src/answer.rs
@@ -50,7 +50,7 @@
 }
 
 /// Result of one shard.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum ShardOutcome {
     /// The shard's rows at the pinned index version.
     Covered {
--- a/crates/medlarpin-core/src/coverage.rs
+++ b/crates/medlarpin-core/src/coverage.rs
@@ -42,7 +42,7 @@
 ///
 /// It errs on the side of `unknown`: a shard counts as possibly run until an answer says otherwise,
 /// and an attempt that may have run is never forgotten.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Merge {
     request: RequestId,
     version: IndexVersion,
--- a/crates/medlarpin-core/src/coverage/shard_state.rs
+++ b/crates/medlarpin-core/src/coverage/shard_state.rs
@@ -2,7 +2,7 @@
 use crate::answer::{ShardOutcome, UncoveredReason};
 
 /// What is known about one shard.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(super) struct ShardState {
     /// The newest answer, or the covered one.
     outcome: Option<ShardOutcome>,
