--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -4,6 +4,7 @@
 //! `medlarpin-core`, the model calls the shipped code. Each model can be given a mutation, which is one
 //! way to get the protocol wrong; a check that does not find it would prove nothing.
 
+pub mod connections;
 pub mod explore;
-
+pub mod revisions;
 pub mod tickets;
