Check versions and coverage exhaustively

Replies may be late, duplicated or crossed between callers while a version goes away. The model drives the shipped merge and compares its rows, coverage and outcome with what the leafs really did.

--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -5,6 +5,7 @@
 //! way to get the protocol wrong; a check that does not find it would prove nothing.
 
 pub mod connections;
+pub mod coverage;
 pub mod explore;
 pub mod revisions;
 pub mod tickets;
