--- a/crates/medlarpin-core/src/plan.rs
+++ b/crates/medlarpin-core/src/plan.rs
@@ -56,7 +56,7 @@
 ) -> Plan {
     let mut random = SmallRng::seed_from_u64(seed);
     let find = |leaf| {
-        let group = group_of(leaf)?;
+        let group = u32::try_from(group_of(leaf)?).ok()?;
         usable(leaf, map.version()).then(|| Candidate {
             group,
             leaf,
@@ -84,7 +84,7 @@
         let (_, row) = table.row(index);
         choices[index] = choose_replica(row, is_chosen, &task_counts, random);
         if let Some(best) = choices[index] {
-            task_counts[row[best].group] += 1;
+            task_counts[row[best].group as usize] += 1;
         }
     }
     batches(table, &choices, &task_counts)
@@ -104,7 +104,7 @@
     for (index, choice) in choices.iter().enumerate() {
         let (shard, row) = table.row(index);
         let Some(best) = *choice else { continue };
-        batches[row[best].group].tasks.push(Task {
+        batches[row[best].group as usize].tasks.push(Task {
             shard,
             leaf: row[best].leaf.clone(),
             alternatives: alternatives(row, best),
@@ -143,14 +143,19 @@
     task_counts: &[u32],
     random: &mut SmallRng,
 ) -> Option<usize> {
+    let is_open = |index: &usize| is_chosen[row[*index].group as usize];
+    let first = (0..row.len()).find(is_open)?;
+    if !(first + 1..row.len()).any(|index| is_open(&index)) {
+        return Some(first);
+    }
     // Sixteenths of a request: a group's tasks spread over at most 16 leafs.
     let work = |candidate: &Candidate<'_>| {
-        u64::from(candidate.load) * 16 + u64::from(task_counts[candidate.group])
+        u64::from(candidate.load) * 16 + u64::from(task_counts[candidate.group as usize])
     };
     // The random start lets replicas with equal work take turns.
     let start = random.random_range(0..row.len());
     (start..row.len())
         .chain(0..start)
-        .filter(|index| is_chosen[row[*index].group])
+        .filter(is_open)
         .min_by_key(|index| (work(&row[*index]), row[*index].load))
 }
--- a/crates/medlarpin-core/src/plan/candidates.rs
+++ b/crates/medlarpin-core/src/plan/candidates.rs
@@ -1,11 +1,12 @@
 use crate::catalog::ShardMap;
 use crate::ids::{LeafId, ShardId};
 
-/// A usable replica of a shard.
+/// A usable replica of a shard; kept small, so that the table of a query fits the fastest cache.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Candidate<'a> {
-    pub(super) group: usize,
     pub(super) leaf: &'a LeafId,
+    /// Index of the leaf's group.
+    pub(super) group: u32,
     pub(super) load: u32,
     /// False if an earlier candidate of the same shard is in the same group.
     pub(super) is_first_of_group: bool,
@@ -55,7 +56,7 @@
             }
         }
         let groups = table.candidates.iter().map(|candidate| candidate.group);
-        table.group_count = groups.max().map_or(0, |group| group + 1);
+        table.group_count = groups.max().map_or(0, |group| group as usize + 1);
         (table, no_replica)
     }
 
@@ -63,6 +64,15 @@
         self.group_count
     }
 
+    /// Returns for each group the number of shards that it could serve.
+    pub(super) fn group_sizes(&self) -> Vec<usize> {
+        let mut sizes = vec![0; self.group_count];
+        for candidate in &self.candidates {
+            sizes[candidate.group as usize] += usize::from(candidate.is_first_of_group);
+        }
+        sizes
+    }
+
     /// Returns the number of shards with a candidate.
     pub(super) fn len(&self) -> usize {
         self.shards.len()
@@ -80,7 +90,7 @@
         let (_, row) = self.row(index);
         row.iter()
             .filter(|candidate| candidate.is_first_of_group)
-            .map(|candidate| candidate.group)
+            .map(|candidate| candidate.group as usize)
     }
 
     /// Adds a candidate to the last row, which starts at an index.
--- a/crates/medlarpin-core/src/plan/cover.rs
+++ b/crates/medlarpin-core/src/plan/cover.rs
@@ -53,10 +53,7 @@
 
 impl GroupMembers {
     fn new(table: &CandidateTable<'_>) -> Self {
-        let mut ends = vec![0; table.group_count()];
-        for shard in 0..table.len() {
-            table.groups(shard).for_each(|group| ends[group] += 1);
-        }
+        let mut ends = table.group_sizes();
         let mut sum = 0;
         for end in &mut ends {
             // Holds the start of the group's part until the part is filled.
