--- a/crates/medlarpin-core/src/plan.rs
+++ b/crates/medlarpin-core/src/plan.rs
@@ -56,7 +56,7 @@
 ) -> Plan {
     let mut random = SmallRng::seed_from_u64(seed);
     let find = |leaf| {
-        let group = group_of(leaf)?;
+        let group = u32::try_from(group_of(leaf)?).ok()?;
         usable(leaf, map.version()).then(|| Candidate {
             group,
             leaf,
@@ -84,7 +84,7 @@
         let (_, row) = table.row(index);
         choices[index] = choose_replica(row, is_chosen, &task_counts, random);
         if let Some(best) = choices[index] {
-            task_counts[row[best].group] += 1;
+            task_counts[row[best].group as usize] += 1;
         }
     }
     batches(table, &choices, &task_counts)
@@ -101,27 +101,41 @@
         tasks: Vec::with_capacity(*count as usize),
     };
     let mut batches: Vec<_> = task_counts.iter().enumerate().map(with_room).collect();
-    let mut others: Vec<&Candidate<'_>> = Vec::new();
     for (index, choice) in choices.iter().enumerate() {
         let (shard, row) = table.row(index);
         let Some(best) = *choice else { continue };
-        let leaf = row[best].leaf;
-        others.clear();
-        // The rotation spreads the first alternative over replicas of equal load.
-        let rotated = row[best + 1..].iter().chain(&row[..best]);
-        others.extend(rotated.filter(|candidate| candidate.leaf != leaf));
-        others.sort_by_key(|candidate| candidate.load);
-        let names = others.iter().map(|candidate| candidate.leaf.clone());
-        batches[row[best].group].tasks.push(Task {
+        batches[row[best].group as usize].tasks.push(Task {
             shard,
-            leaf: leaf.clone(),
-            alternatives: names.collect(),
+            leaf: row[best].leaf.clone(),
+            alternatives: alternatives(row, best),
         });
     }
     batches.retain(|batch| !batch.tasks.is_empty());
     batches
 }
 
+/// Returns the other replicas of a shard, least loaded first.
+fn alternatives(row: &[Candidate<'_>], best: usize) -> Vec<LeafId> {
+    let mut leafs = Vec::with_capacity(row.len() - 1);
+    // The rotation spreads the first alternative over replicas of equal load.
+    let rotated = row[best + 1..].iter().chain(&row[..best]);
+    let others = rotated.filter(|other| !is_same_leaf(other, &row[best]));
+    let load = row[best].load;
+    if row.iter().all(|candidate| candidate.load == load) {
+        others.for_each(|other| leafs.push(other.leaf.clone()));
+        return leafs;
+    }
+    let mut others: Vec<_> = others.collect();
+    others.sort_by_key(|other| other.load);
+    leafs.extend(others.iter().map(|other| other.leaf.clone()));
+    leafs
+}
+
+/// Compares the groups first, because comparing names reads memory that is rarely cached.
+fn is_same_leaf(a: &Candidate<'_>, b: &Candidate<'_>) -> bool {
+    a.group == b.group && a.leaf == b.leaf
+}
+
 /// Chooses the index of the replica that has the least work, among those in chosen groups.
 fn choose_replica(
     row: &[Candidate<'_>],
@@ -129,14 +143,19 @@
     task_counts: &[u32],
     random: &mut SmallRng,
 ) -> Option<usize> {
+    let is_open = |index: &usize| is_chosen[row[*index].group as usize];
+    let first = (0..row.len()).find(is_open)?;
+    if !(first + 1..row.len()).any(|index| is_open(&index)) {
+        return Some(first);
+    }
     // Sixteenths of a request: a group's tasks spread over at most 16 leafs.
     let work = |candidate: &Candidate<'_>| {
-        u64::from(candidate.load) * 16 + u64::from(task_counts[candidate.group])
+        u64::from(candidate.load) * 16 + u64::from(task_counts[candidate.group as usize])
     };
     // The random start lets replicas with equal work take turns.
     let start = random.random_range(0..row.len());
     (start..row.len())
         .chain(0..start)
-        .filter(|index| is_chosen[row[*index].group])
+        .filter(is_open)
         .min_by_key(|index| (work(&row[*index]), row[*index].load))
 }
