Keep routing and pause checks off the fleet lock

Each leaf request and each planned group took the fleet lock, which a settings change holds while it builds the view. Routing now reads a published copy of the usable VMs, the pause detector has its own lock, its threshold comes from the settings, and a daemon without listed peers rejoins by a platform read.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -118,8 +118,7 @@
         let shared = &self.node.shared;
         log::info!("shutdown: Readiness is false; peers are told.");
         shared.lifecycle.set_stopping();
-        shared.fleet.lock().membership.leave();
-        shared.news.notify_one();
+        shared.leave();
         tokio::time::sleep(Duration::from_millis(shared.settings.shutdown_grace_ms)).await;
         let limit = Duration::from_millis(shared.settings.drain_limit_ms);
         if tokio::time::timeout(limit, shared.lifecycle.wait_idle())
--- a/crates/daemon/src/entry/group.rs
+++ b/crates/daemon/src/entry/group.rs
@@ -289,8 +289,7 @@
         let too_short = matches!(error, PeerError::Timeout(_)) && timeout < UNREACHABLE_AFTER;
         let now = shared.clock.now();
         if !too_short {
-            let mut fleet = shared.fleet.lock();
-            fleet.membership.record_rpc_failure(vm, now);
+            shared.record_rpc_failure(vm, now);
         }
         if error.surely_not_sent() {
             return Asked::TryNext;
--- a/crates/daemon/src/fleet/gossip.rs
+++ b/crates/daemon/src/fleet/gossip.rs
@@ -65,7 +65,7 @@
                 .exchanges
                 .with_label_values(&["answered"])
                 .inc();
-            if shared.fleet.lock().pause.rejoined(started_at, now) {
+            if shared.pause.lock().rejoined(started_at, now) {
                 log::info!("gossip: This daemon has rejoined the fleet.");
             }
             take_in(&worker, &reply);
@@ -78,10 +78,11 @@
                 .with_label_values(&["failed"])
                 .inc();
             log::debug!("gossip: VM {vm} gave no answer: {error}.");
-            let mut fleet = shared.fleet.lock();
             // After a pause of this process the failure may be its own.
-            if fleet.pause.check(now).is_ok() {
+            if shared.check_pause(now).is_ok() {
+                let mut fleet = shared.fleet.lock();
                 fleet.membership.failed(&vm, now);
+                shared.publish_usable(&fleet);
             }
             false
         }
@@ -96,7 +97,7 @@
 
 /// Returns up to `count` other usable VMs in random order.
 pub fn choose_peers(shared: &Shared, count: usize) -> Vec<VmName> {
-    let mut peers = shared.fleet.lock().membership.usable();
+    let mut peers = shared.usable().to_vec();
     peers.retain(|vm| vm != shared.me());
     let mut chosen = Vec::new();
     while chosen.len() < count && !peers.is_empty() {
@@ -108,11 +109,13 @@
 
 fn choose_targets(shared: &Shared) -> Vec<VmName> {
     let now = shared.clock.now();
+    let awake = shared.check_pause(now).is_ok();
     let mut fleet = shared.fleet.lock();
-    if fleet.pause.check(now).is_ok() {
+    if awake {
         for verdict in fleet.membership.tick(now) {
             log::info!("gossip: VM {} is dead.", verdict.vm);
         }
+        shared.publish_usable(&fleet);
     }
     let mut targets: Vec<VmName> = fleet
         .membership
@@ -175,6 +178,7 @@
     let (newer_settings, newer_list) = {
         let mut fleet = shared.fleet.lock();
         fleet.membership.acked(heartbeat, now);
+        shared.publish_usable(&fleet);
         fleet
             .handover
             .acknowledge(sender, heartbeat.vm_list_revision);
--- a/crates/daemon/src/fleet/housekeeping.rs
+++ b/crates/daemon/src/fleet/housekeeping.rs
@@ -18,14 +18,9 @@
         tokio::time::sleep(TICK_INTERVAL).await;
         let shared = &worker.shared;
         let now = shared.clock.now();
-        {
-            let mut fleet = shared.fleet.lock();
-            if fleet.pause.tick(now) {
-                shared.metrics.pauses.inc();
-                log::warn!(
-                    "gossip: This process was paused; it refuses work until it has rejoined."
-                );
-            }
+        if shared.pause.lock().tick(now) {
+            shared.metrics.pauses.inc();
+            log::warn!("gossip: This process was paused; it refuses work until it has rejoined.");
         }
         move_ownership(shared, now);
         update_gauges(shared, now);
--- a/crates/daemon/src/fleet/platform_watch.rs
+++ b/crates/daemon/src/fleet/platform_watch.rs
@@ -59,8 +59,12 @@
         if !is_watcher(shared) {
             continue;
         }
+        let started_at = shared.clock.now();
         match client.vm_list().await {
-            Ok(list) => accept_vm_list(shared, &list),
+            Ok(list) => {
+                accept_vm_list(shared, &list);
+                rejoin_alone(shared, &list, started_at);
+            }
             Err(error) => log::debug!("gossip: The platform gave no VM list: {error}."),
         }
     }
@@ -73,3 +77,12 @@
     let watchers = fleet.membership.settings_watchers(domain, WATCHERS);
     watchers.is_empty() || watchers.contains(shared.me())
 }
+
+/// A daemon without listed peers rejoins after a pause by a read of the platform.
+fn rejoin_alone(shared: &Shared, list: &VmList, started_at: Instant) {
+    let alone = list.vms().iter().all(|vm| vm.name == *shared.me());
+    let now = shared.clock.now();
+    if alone && shared.pause.lock().rejoined(started_at, now) {
+        log::info!("gossip: This daemon has rejoined; no other VM is listed.");
+    }
+}
--- a/crates/daemon/src/fleet/refresh.rs
+++ b/crates/daemon/src/fleet/refresh.rs
@@ -32,6 +32,7 @@
         return;
     }
     fleet.membership.set_list(list);
+    shared.publish_usable(&fleet);
     for vm in old.vms().iter().filter(|vm| list.get(&vm.name).is_none()) {
         fleet.removed.push((vm.name.clone(), now));
     }
--- a/crates/daemon/src/fleet/shares.rs
+++ b/crates/daemon/src/fleet/shares.rs
@@ -25,7 +25,7 @@
         if shared.check_pause(now).is_err() {
             continue;
         }
-        let usable = shared.fleet.lock().membership.usable();
+        let usable = shared.usable();
         let requests = shared
             .admission
             .lock()
--- a/crates/daemon/src/fleet/table.rs
+++ b/crates/daemon/src/fleet/table.rs
@@ -4,7 +4,6 @@
 
 use medlarpin_core::membership::{HeartbeatContent, Membership, MembershipSettings};
 use medlarpin_core::ownership::HandoverGate;
-use medlarpin_core::pause::PauseDetector;
 use medlarpin_core::prelude::*;
 use medlarpin_core::settings_tree::SettingsTree;
 use settings::{DaemonSettings, Subtree};
@@ -18,8 +17,6 @@
     pub membership: Membership,
     /// Which groups may be opened.
     pub handover: HandoverGate,
-    /// Pauses of this process.
-    pub pause: PauseDetector,
     /// The settings tree in force.
     pub tree: Arc<SettingsTree<Arc<Subtree>>>,
     /// When the tree was accepted.
@@ -40,7 +37,7 @@
 impl FleetTable {
     /// Creates the table of a daemon that has just started.
     #[must_use]
-    pub fn new(settings: &DaemonSettings, incarnation: Incarnation, now: Instant) -> Self {
+    pub fn new(settings: &DaemonSettings, incarnation: Incarnation) -> Self {
         let membership_settings = MembershipSettings {
             suspicion: Duration::from_millis(settings.suspect_timeout_ms),
             ..MembershipSettings::default()
@@ -49,7 +46,6 @@
         Self {
             membership: Membership::new(me.clone(), incarnation, membership_settings),
             handover: HandoverGate::new(me),
-            pause: PauseDetector::new(now),
             tree: Arc::new(SettingsTree::new()),
             tree_accepted_at: None,
             conflicts: 0,
--- a/crates/daemon/src/gather/shard.rs
+++ b/crates/daemon/src/gather/shard.rs
@@ -333,7 +333,7 @@
         }
         Err(error) if error.surely_not_sent() => {
             let now = shared.clock.now();
-            shared.fleet.lock().membership.record_rpc_failure(vm, now);
+            shared.record_rpc_failure(vm, now);
             AttemptEnd::Unsent(Unsent::NotHeld)
         }
         Err(_sent) => AttemptEnd::DeadlinePassed,
--- a/crates/daemon/src/operators/dump.rs
+++ b/crates/daemon/src/operators/dump.rs
@@ -219,7 +219,12 @@
         usable: member.is_usable(),
         vm_list_revision: member.acknowledged().0,
     });
-    (settings, vm_list, members.collect(), fleet.pause.pauses())
+    (
+        settings,
+        vm_list,
+        members.collect(),
+        shared.pause.lock().pauses(),
+    )
 }
 
 fn dump_groups(shared: &Shared, view: &FleetView) -> Vec<GroupDump> {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -11,7 +11,7 @@
 use arc_swap::ArcSwap;
 use medlarpin_core::canary::FingerprintTable;
 use medlarpin_core::ownership::active_holder;
-use medlarpin_core::pause::Paused;
+use medlarpin_core::pause::{PauseDetector, Paused};
 use medlarpin_core::prelude::*;
 use medlarpin_core::tickets::{TicketBook, TicketLimits};
 use parking_lot::Mutex;
@@ -69,6 +69,10 @@
     /// True once the daemon could admit queries of all teams after its start.
     shares_seen: AtomicBool,
     view: ArcSwap<FleetView>,
+    /// Usable VMs, sorted; a copy of what the membership says, so that routing takes no lock.
+    usable: ArcSwap<Vec<VmName>>,
+    /// Pauses of this process; locked for one call at a time and never with another table.
+    pub pause: Mutex<PauseDetector>,
 }
 
 /// The shared state and the workers.
@@ -99,7 +103,7 @@
             started_at: now,
             incarnation,
             rpc_address,
-            fleet: Mutex::new(FleetTable::new(&settings, incarnation, now)),
+            fleet: Mutex::new(FleetTable::new(&settings, incarnation)),
             admission: Mutex::new(AdmissionTable::new(settings.vm.clone())),
             leafs: LeafTable::default(),
             fingerprints: Mutex::new(FingerprintTable::new()),
@@ -116,6 +120,11 @@
             canary_ended: Notify::new(),
             news: Notify::new(),
             shares_seen: AtomicBool::new(false),
+            usable: ArcSwap::default(),
+            pause: Mutex::new(PauseDetector::new(
+                now,
+                Duration::from_millis(settings.pause_threshold_ms),
+            )),
             view: ArcSwap::from_pointee(FleetView::default()),
             settings,
             clock,
@@ -167,23 +176,52 @@
         self.view.store(Arc::new(view));
     }
 
+    /// Returns the usable VMs, sorted.
+    #[must_use]
+    pub fn usable(&self) -> Arc<Vec<VmName>> {
+        self.usable.load_full()
+    }
+
+    /// Publishes which VMs are usable; called after each change of the membership.
+    pub fn publish_usable(&self, fleet: &FleetTable) {
+        let usable = fleet.membership.usable();
+        if **self.usable.load() != usable {
+            self.usable.store(Arc::new(usable));
+        }
+    }
+
+    /// Announces this daemon's shutdown to its peers.
+    pub fn leave(&self) {
+        let mut fleet = self.fleet.lock();
+        fleet.membership.leave();
+        self.publish_usable(&fleet);
+        self.news.notify_one();
+    }
+
+    /// Makes a peer unusable for routing after a failed call.
+    pub fn record_rpc_failure(&self, vm: &VmName, now: Instant) {
+        let mut fleet = self.fleet.lock();
+        fleet.membership.record_rpc_failure(vm, now);
+        self.publish_usable(&fleet);
+    }
+
     /// Refuses work after a pause of this process.
     ///
     /// # Errors
     ///
     /// Fails until the daemon has rejoined the fleet.
     pub fn check_pause(&self, now: Instant) -> Result<(), Paused> {
-        self.fleet.lock().pause.check(now)
+        self.pause.lock().check(now)
     }
 
     /// Returns the usable holders of a group, best rank first, with their RPC addresses.
     #[must_use]
     pub fn usable_holders(&self, view: &FleetView, group: &GroupView) -> Vec<(VmName, SocketAddr)> {
-        let fleet = self.fleet.lock();
+        let members = self.usable();
         let usable = group
             .holders
             .iter()
-            .filter(|vm| *vm == self.me() || fleet.membership.is_usable(vm));
+            .filter(|vm| *vm == self.me() || members.binary_search(vm).is_ok());
         usable
             .filter_map(|vm| {
                 let entry = view.vm_list().get(vm);
@@ -204,9 +242,9 @@
             return false;
         };
         let holders = &service.groups[group].holders;
-        let fleet = self.fleet.lock();
+        let members = self.usable();
         active_holder(holders, |vm| {
-            vm == self.me() || fleet.membership.is_usable(vm)
+            vm == self.me() || members.binary_search(vm).is_ok()
         }) == Some(self.me())
     }
 
--- a/crates/medlarpin-core/src/pause.rs
+++ b/crates/medlarpin-core/src/pause.rs
@@ -8,7 +8,7 @@
 /// Time between two ticks.
 pub const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Longest gap between ticks that is no pause; ten ticks, so that a busy scheduler does not count.
+/// Usual longest gap between ticks that is no pause; ten ticks, so that a busy scheduler does not count.
 pub const PAUSE_GAP: Duration = Duration::from_secs(1);
 
 /// the daemon was paused and has not rejoined the fleet yet
@@ -21,6 +21,8 @@
 /// so it refuses work until one exchange that it started after the pause has succeeded.
 #[derive(Debug, Clone, Copy)]
 pub struct PauseDetector {
+    /// Longest gap between ticks that is no pause.
+    gap: Duration,
     last_tick: Instant,
     /// When the last pause was noticed; `None` once the daemon has rejoined.
     paused_at: Option<Instant>,
@@ -30,8 +32,9 @@
 impl PauseDetector {
     /// Creates a detector of a process that runs.
     #[must_use]
-    pub fn new(now: Instant) -> Self {
+    pub fn new(now: Instant, gap: Duration) -> Self {
         Self {
+            gap,
             last_tick: now,
             paused_at: None,
             pauses: 0,
@@ -82,6 +85,6 @@
     }
 
     fn is_gap(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.last_tick) > PAUSE_GAP
+        now.saturating_duration_since(self.last_tick) > self.gap
     }
 }
