Cache the routes, fail over from draining leafs and sharpen two tests

Routes: each query looked up the holders of all groups in the VM list; a route table is now computed when the view or the usable VMs change. Draining: a refusal of a leaf that drains took a retry from the budget, so a planned drain could leave shards uncovered; it now fails over like a missing version. Trials with mutated code showed that the crossed-reply fault carried the right rows (an unchecked request id went unnoticed) and that no test had daemons that do not watch the platform; the fake now sends the rows of another query and a fleet of six in one failure domain covers the gossip path.

--- a/crates/daemon/src/entry/group.rs
+++ b/crates/daemon/src/entry/group.rs
@@ -11,8 +11,8 @@
 use crate::entry::request::Query;
 use crate::gather::gather;
 use crate::peers::PeerError;
+use crate::routes::{Holder, ServiceRoutes};
 use crate::shared::Shared;
-use crate::view::{FleetView, ServiceView};
 use crate::workers::Worker;
 
 /// Time that an entry keeps for the replies of the gatherers.
@@ -30,20 +30,14 @@
 #[derive(Debug)]
 pub struct Routes {
     shared: Arc<Shared>,
-    service: Arc<ServiceView>,
-    /// Usable holders of each group, best rank first.
-    holders: Vec<Vec<(VmName, SocketAddr)>>,
+    service: Arc<ServiceRoutes>,
 }
 
 impl Routes {
-    /// Looks up the usable holders of all groups.
+    /// Creates the routes of one query.
     #[must_use]
-    pub fn new(shared: &Arc<Shared>, view: &FleetView, service: &Arc<ServiceView>) -> Self {
-        let groups = service.groups.iter();
+    pub fn new(shared: &Arc<Shared>, service: &Arc<ServiceRoutes>) -> Self {
         Self {
-            holders: groups
-                .map(|group| shared.usable_holders(view, group))
-                .collect(),
             shared: Arc::clone(shared),
             service: Arc::clone(service),
         }
@@ -52,13 +46,10 @@
     /// Returns true if a leaf can be asked for a version as far as this daemon knows.
     #[must_use]
     pub fn serves(&self, leaf: &LeafId, version: IndexVersion) -> bool {
-        let Some(group) = self.service.group_of(leaf) else {
-            return false;
-        };
-        if self.holders[group].is_empty() {
+        if self.service.holders_of_leaf(leaf).is_empty() {
             return false;
         }
-        let name = self.service.service.name();
+        let name = self.service.view.service.name();
         let now = self.shared.clock.now();
         if self.shared.gone.lock().contains(name, leaf, version, now) {
             return false;
@@ -70,7 +61,10 @@
     /// Returns the requests queued and in flight at a leaf, as far as this daemon knows.
     #[must_use]
     pub fn load(&self, leaf: &LeafId) -> u32 {
-        let held = self.shared.leafs.get(self.service.service.name(), leaf);
+        let held = self
+            .shared
+            .leafs
+            .get(self.service.view.service.name(), leaf);
         held.map_or(0, |slot| slot.load())
     }
 
@@ -79,7 +73,7 @@
         let now = self.shared.clock.now();
         let mut gone = self.shared.gone.lock();
         for leaf in leafs {
-            gone.insert(self.service.service.name(), leaf, version, now);
+            gone.insert(self.service.view.service.name(), leaf, version, now);
         }
     }
 }
@@ -135,7 +129,7 @@
             deadline,
             sent: false,
         };
-        let mut holders = self.routes.holders[self.group].iter();
+        let mut holders = self.routes.service.holders(self.group).iter();
         let mut reason = UncoveredReason::GathererLost;
         while let Some((vm, address)) = holders.next() {
             match call.ask(vm, *address, holders.as_slice()).await {
@@ -158,8 +152,6 @@
     Failed(UncoveredReason),
 }
 
-type Holder = (VmName, SocketAddr);
-
 struct Call {
     worker: Rc<Worker>,
     batch: Batch,
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -120,11 +120,12 @@
             reason,
             retry_after: UNSERVABLE_RETRY_AFTER,
         };
-        let view = worker.shared.view();
-        let service = view
-            .service(query.service.as_str())
+        let table = worker.shared.routes();
+        let service_routes = table
+            .service(&query.service)
             .ok_or_else(|| refusal(NotRunReason::NoVersion))?;
-        let routes = Rc::new(Routes::new(&worker.shared, &view, service));
+        let service = &service_routes.view;
+        let routes = Rc::new(Routes::new(&worker.shared, service_routes));
         let serves = |leaf: &LeafId, version| routes.serves(leaf, version);
         let map = choose_version(&service.maps, serves).ok_or_else(|| {
             refusal(if service.maps.is_empty() {
--- a/crates/daemon/src/gather.rs
+++ b/crates/daemon/src/gather.rs
@@ -12,7 +12,6 @@
 use medlarpin_core::prelude::*;
 use wire::{Batch, BatchReply, ShardResult, ShardTask};
 
-use crate::view::ServiceView;
 use crate::workers::Worker;
 
 /// What the shards of one batch have in common.
@@ -20,7 +19,6 @@
 struct Gathering {
     worker: Rc<Worker>,
     batch: Batch,
-    service: Arc<ServiceView>,
     fingerprint: Fingerprint,
     weight: u32,
     deadline: Instant,
@@ -42,9 +40,9 @@
         return refuse(&batch, UncoveredReason::GathererLost);
     }
     let view = shared.view();
-    let Some(service) = view.service(batch.service.as_str()) else {
+    if view.service(batch.service.as_str()).is_none() {
         return refuse(&batch, UncoveredReason::GathererLost);
-    };
+    }
     let fingerprint = Fingerprint::of(&batch.team, &batch.service, &batch.query);
     let gathering = Rc::new(Gathering {
         weight: view.team(batch.team.as_str()).map_or(1, |team| team.weight),
@@ -53,7 +51,6 @@
         leaf_requests: Cell::new(0),
         extra_leaf_requests: Cell::new(0),
         version_gone: RefCell::default(),
-        service: Arc::clone(service),
         fingerprint,
         batch,
         worker,
--- a/crates/daemon/src/gather/shard.rs
+++ b/crates/daemon/src/gather/shard.rs
@@ -147,6 +147,9 @@
                 };
                 self.go_on(unsent_reason(unsent), failover)
             }
+            // Only the few requests that were in flight when the leaf began to drain end like this,
+            // so they need no budget.
+            AttemptEnd::Draining => self.go_on(UncoveredReason::LeafRefused, Some(Kind::First)),
             AttemptEnd::Refused => self.go_on(UncoveredReason::LeafRefused, Some(Kind::Retry)),
             AttemptEnd::Lost => {
                 self.may_have_run = true;
@@ -292,11 +295,9 @@
     kind: Kind,
 ) -> AttemptEnd {
     let shared = &gathering.worker.shared;
-    let view = shared.view();
-    let Some(group) = gathering.service.group_of(leaf) else {
-        return AttemptEnd::Unsent(Unsent::NotHeld);
-    };
-    let holders = shared.usable_holders(&view, &gathering.service.groups[group]);
+    let routes = shared.routes();
+    let service = routes.service(&gathering.batch.service);
+    let holders = service.map_or(&[][..], |service| service.holders_of_leaf(leaf));
     let Some((vm, address)) = holders.iter().find(|(vm, _)| vm != shared.me()) else {
         return AttemptEnd::Unsent(Unsent::NotHeld);
     };
--- a/crates/daemon/src/leafs/attempt.rs
+++ b/crates/daemon/src/leafs/attempt.rs
@@ -41,8 +41,10 @@
     Rows(Vec<String>),
     /// The leaf no longer holds the version and did not run the request.
     VersionGone,
-    /// The leaf refused and did not run the request.
+    /// The leaf is overloaded and did not run the request.
     Refused,
+    /// The leaf is leaving and did not run the request.
+    Draining,
     /// Nothing was sent to the leaf.
     Unsent(Unsent),
     /// The connection was lost while the leaf may have run the request.
@@ -229,7 +231,7 @@
         LeafReply::Draining => {
             drop(permit);
             slot.draining();
-            AttemptEnd::Refused
+            AttemptEnd::Draining
         }
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod logging;
 mod operators;
 mod peers;
+mod routes;
 mod shared;
 mod view;
 mod workers;
--- /dev/null
+++ b/crates/daemon/src/routes.rs
@@ -0,0 +1,83 @@
+//! Usable holders of all leaf groups, as one immutable value.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use medlarpin_core::prelude::*;
+
+use crate::view::{FleetView, ServiceView};
+
+/// A VM that may be asked for a group, and its RPC address.
+pub type Holder = (VmName, SocketAddr);
+
+/// The usable holders of each group of each service.
+///
+/// Replaced as a whole when the view or the usable VMs change. Looking the holders up for each query
+/// would cost a search in the VM list for each group and rank.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    /// Sorted by service.
+    services: Vec<Arc<ServiceRoutes>>,
+}
+
+/// The usable holders of one service's groups.
+#[derive(Debug)]
+pub struct ServiceRoutes {
+    /// The service as the holders were computed for it.
+    pub view: Arc<ServiceView>,
+    /// Parallel to the service's groups; best rank first.
+    holders: Vec<Vec<Holder>>,
+}
+
+impl RouteTable {
+    /// Computes the holders; this daemon counts as usable for itself.
+    #[must_use]
+    pub fn build(view: &FleetView, usable: &[VmName], me: &VmName, my_address: SocketAddr) -> Self {
+        let holder = |vm: &VmName| {
+            if vm == me {
+                return Some((vm.clone(), my_address));
+            }
+            usable.binary_search(vm).ok()?;
+            let entry = view.vm_list().get(vm)?;
+            Some((vm.clone(), entry.rpc_address))
+        };
+        let services = view.services().iter().map(|service| {
+            let groups = service.groups.iter();
+            Arc::new(ServiceRoutes {
+                holders: groups
+                    .map(|group| group.holders.iter().filter_map(holder).collect())
+                    .collect(),
+                view: Arc::clone(service),
+            })
+        });
+        Self {
+            services: services.collect(),
+        }
+    }
+
+    /// Finds a service.
+    #[must_use]
+    pub fn service(&self, name: &ServiceName) -> Option<&Arc<ServiceRoutes>> {
+        let index = self
+            .services
+            .binary_search_by(|routes| routes.view.service.name().cmp(name))
+            .ok()?;
+        self.services.get(index)
+    }
+}
+
+impl ServiceRoutes {
+    /// Returns the usable holders of a group, best rank first.
+    #[must_use]
+    pub fn holders(&self, group: usize) -> &[Holder] {
+        self.holders.get(group).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the usable holders of a leaf's group, best rank first.
+    #[must_use]
+    pub fn holders_of_leaf(&self, leaf: &LeafId) -> &[Holder] {
+        self.view
+            .group_of(leaf)
+            .map_or(&[], |group| self.holders(group))
+    }
+}
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -10,7 +10,6 @@
 
 use arc_swap::ArcSwap;
 use medlarpin_core::canary::FingerprintTable;
-use medlarpin_core::ownership::active_holder;
 use medlarpin_core::pause::{PauseDetector, Paused};
 use medlarpin_core::prelude::*;
 use medlarpin_core::tickets::{TicketBook, TicketLimits};
@@ -23,7 +22,8 @@
 use crate::leafs::{LeafSlot, LeafTable};
 use crate::lifecycle::Lifecycle;
 use crate::operators::{Metrics, RecentAnswers};
-use crate::view::{FleetView, GroupView};
+use crate::routes::RouteTable;
+use crate::view::FleetView;
 use crate::workers::WorkerPool;
 
 /// Longest time that readiness waits for the daemon's shares of the teams' limits.
@@ -71,6 +71,8 @@
     view: ArcSwap<FleetView>,
     /// Usable VMs, sorted; a copy of what the membership says, so that routing takes no lock.
     usable: ArcSwap<Vec<VmName>>,
+    /// Usable holders of all groups; computed from the view and the usable VMs.
+    routes: ArcSwap<RouteTable>,
     /// Pauses of this process; locked for one call at a time and never with another table.
     pub pause: Mutex<PauseDetector>,
 }
@@ -121,6 +123,7 @@
             news: Notify::new(),
             shares_seen: AtomicBool::new(false),
             usable: ArcSwap::default(),
+            routes: ArcSwap::default(),
             pause: Mutex::new(PauseDetector::new(
                 now,
                 Duration::from_millis(settings.pause_threshold_ms),
@@ -174,6 +177,18 @@
     /// Puts a new view in force.
     pub fn set_view(&self, view: FleetView) {
         self.view.store(Arc::new(view));
+        self.publish_routes();
+    }
+
+    /// Returns the usable holders of all groups.
+    #[must_use]
+    pub fn routes(&self) -> Arc<RouteTable> {
+        self.routes.load_full()
+    }
+
+    fn publish_routes(&self) {
+        let table = RouteTable::build(&self.view(), &self.usable(), self.me(), self.rpc_address);
+        self.routes.store(Arc::new(table));
     }
 
     /// Returns the usable VMs, sorted.
@@ -187,6 +202,7 @@
         let usable = fleet.membership.usable();
         if **self.usable.load() != usable {
             self.usable.store(Arc::new(usable));
+            self.publish_routes();
         }
     }
 
@@ -214,38 +230,15 @@
         self.pause.lock().check(now)
     }
 
-    /// Returns the usable holders of a group, best rank first, with their RPC addresses.
-    #[must_use]
-    pub fn usable_holders(&self, view: &FleetView, group: &GroupView) -> Vec<(VmName, SocketAddr)> {
-        let members = self.usable();
-        let usable = group
-            .holders
-            .iter()
-            .filter(|vm| *vm == self.me() || members.binary_search(vm).is_ok());
-        usable
-            .filter_map(|vm| {
-                let entry = view.vm_list().get(vm);
-                let address = entry.map_or(self.rpc_address, |entry| entry.rpc_address);
-                (entry.is_some() || vm == self.me()).then(|| (vm.clone(), address))
-            })
-            .collect()
-    }
-
     /// Returns true if this daemon is the active holder of a leaf.
     #[must_use]
     pub fn is_active_for(&self, slot: &LeafSlot) -> bool {
-        let view = self.view();
-        let Some(service) = view.service(slot.service.as_str()) else {
-            return false;
-        };
-        let Some(group) = service.group_of(&slot.leaf.id) else {
+        let routes = self.routes();
+        let Some(service) = routes.service(&slot.service) else {
             return false;
         };
-        let holders = &service.groups[group].holders;
-        let members = self.usable();
-        active_holder(holders, |vm| {
-            vm == self.me() || members.binary_search(vm).is_ok()
-        }) == Some(self.me())
+        let holders = service.holders_of_leaf(&slot.leaf.id);
+        holders.first().is_some_and(|(vm, _)| vm == self.me())
     }
 
     /// Counts an answer and keeps it for the dump.
--- a/crates/daemon/tests/platform_outage.rs
+++ b/crates/daemon/tests/platform_outage.rs
@@ -77,6 +77,22 @@
     }
 }
 
+/// Guards against changes that only the daemons that watch the platform take over: three of these
+/// six watch, and the others learn from them.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_reach_daemons_that_do_not_watch() {
+    let mut config = FleetConfig::new();
+    config.daemons = 6;
+    config.deployment.failure_domains = 1;
+    config.service().replicas = 1;
+    let fleet = Fleet::start(config).await;
+    for number in 0..3 {
+        let team = format!("team-{number}");
+        fleet.deployment().publish_team(&TeamConfig::new(&team));
+        wait_known(&fleet, &team, CHANGE_LIMIT).await;
+    }
+}
+
 /// Guards against an outage that touches queries, and against changes missed after it.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_outage_changes_nothing() {
--- a/crates/stand-ins/src/leaf/faults.rs
+++ b/crates/stand-ins/src/leaf/faults.rs
@@ -56,7 +56,7 @@
     None,
     /// The reply leaves after this delay, even past the deadline.
     Late(Duration),
-    /// The reply names another request.
+    /// The reply names another request and carries the rows of another query.
     OtherRequest,
     /// The reply names the next shard and carries its rows.
     OtherShard,
--- a/crates/stand-ins/src/leaf/search.rs
+++ b/crates/stand-ins/src/leaf/search.rs
@@ -187,6 +187,7 @@
         }
         let rows = match fault {
             ReplyFault::Oversized(size) => vec!["x".repeat(size)],
+            ReplyFault::OtherRequest => rows(&self.config.service, version, shard, "other query"),
             _ => rows(&self.config.service, version, shard, &request.query),
         };
         render(
