Cover the hedge budget and a lone daemon's lost leaf with tests that bite

Trials with mutated code (unlimited hedges; a lost leaf without trial requests) left the old tests green: four slow queries cannot exceed the budget, and other entries kept sending to the lost leaf.

--- a/crates/daemon/tests/upstream_faults.rs
+++ b/crates/daemon/tests/upstream_faults.rs
@@ -71,10 +71,39 @@
     assert!(extras * 20 <= earning, "{extras} extra for {earning}");
 }
 
+/// Guards against hedges beyond 5% when a straggler asks for more of them than the budget holds.
+#[tokio::test(flavor = "multi_thread")]
+async fn hedges_stay_within_the_budget() {
+    let fleet = Fleet::start(FleetConfig::new()).await;
+    let earlier_requests = fleet.deployment().total_requests();
+    let straggler = fleet.deployment().leaf(LEAF);
+    straggler.update_faults(|faults| faults.extra_delay = Duration::from_mins(1));
+    let (mut queries, mut extras) = (0, 0);
+    while queries < 120 {
+        let reply = fleet.query(0, &query("smoked", 100)).await;
+        check_answer(&reply, "smoked", SHARDS);
+        (queries, extras) = (queries + 1, extras + extra(&reply.body));
+    }
+    let earning = queries * u64::from(SHARDS) + earlier_requests;
+    assert!(extras * 20 <= earning, "{extras} extra for {earning}");
+}
+
 /// Guards against a lost leaf that loses answers, and against one that is never used again.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lost_leaf_is_replaced_and_returns() {
-    let fleet = Arc::new(Fleet::start(FleetConfig::new()).await);
+    check_lost_leaf(3).await;
+}
+
+/// Guards against a holder that plans around a lost leaf for good: no other entry sends to it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_leaf_returns_to_a_lone_daemon() {
+    check_lost_leaf(1).await;
+}
+
+async fn check_lost_leaf(daemons: usize) {
+    let mut config = FleetConfig::new();
+    config.daemons = daemons;
+    let fleet = Arc::new(Fleet::start(config).await);
     let load = Load::start(&fleet, 4, 2000);
     load.wait_answers(50).await;
     let leaf = fleet.deployment().leaf(LEAF);
