--- a/crates/daemon/src/entry/admission.rs
+++ b/crates/daemon/src/entry/admission.rs
@@ -1,20 +1,13 @@
 //! Admission of queries against the teams' limits, and the budgets of extra leaf requests.
 
-use std::sync::Arc;
-
-use medlarpin_core::concurrency_limiter::ConcurrencyLimiter;
 use medlarpin_core::extra_budget::{ExtraBudget, try_spend_both};
 use medlarpin_core::latency_window::{LatencyWindow, hedge_delay};
 use medlarpin_core::prelude::*;
-use medlarpin_core::rate_limiter::RateLimiter;
-use medlarpin_core::team_share::{Lease, LeaseRequest, ShareLedger, UNITS_PER_QUERY, UnitKind};
+use medlarpin_core::team_share::{Lease, LeaseRequest};
 
-use crate::shared::Shared;
+use crate::entry::team_admission::TeamAdmission;
 use crate::view::FleetView;
 
-/// Retry time of a query that finds no permit; a query takes some 10 ms to some 100 ms.
-const CONCURRENCY_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// Which limit of a team units belong to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Limit {
@@ -50,17 +43,6 @@
     pub extra_budget: u64,
 }
 
-#[derive(Debug)]
-struct TeamAdmission {
-    team: TeamName,
-    rate_ledger: ShareLedger,
-    rate: RateLimiter,
-    concurrency_ledger: ShareLedger,
-    concurrency: ConcurrencyLimiter,
-    extra: ExtraBudget,
-    admitted: u64,
-}
-
 #[derive(Debug)]
 struct ServiceBudget {
     service: ServiceName,
@@ -131,17 +113,13 @@
     /// Returns true if all ledgers allow that the newest VM list is acknowledged.
     #[must_use]
     pub fn may_acknowledge(&self, now: Instant) -> bool {
-        self.teams.iter().all(|entry| {
-            entry.rate_ledger.may_acknowledge(now) && entry.concurrency_ledger.may_acknowledge(now)
-        })
+        self.teams.iter().all(|entry| entry.may_acknowledge(now))
     }
 
     /// Returns true if nothing here depends on an earlier process of another VM.
     #[must_use]
     pub fn is_clear_of(&self, vm: &VmName, now: Instant) -> bool {
-        self.teams.iter().all(|entry| {
-            entry.rate_ledger.is_clear_of(vm, now) && entry.concurrency_ledger.is_clear_of(vm, now)
-        })
+        self.teams.iter().all(|entry| entry.is_clear_of(vm, now))
     }
 
     /// Returns true if a query of each team would be admitted now.
@@ -149,10 +127,7 @@
     /// Without the check of the rate, a daemon that has just started would report ready and refuse
     /// its first callers, because its buckets start empty.
     pub fn would_admit_all(&mut self, now: Instant) -> bool {
-        self.teams.iter_mut().all(|entry| {
-            let rate = entry.rate_ledger.available(now);
-            entry.concurrency_ledger.available(now) > 0 && entry.rate.holds_query(now, rate)
-        })
+        self.teams.iter_mut().all(|entry| entry.would_admit(now))
     }
 
     /// Admits one query; the caller returns its permit with [`Self::release`].
@@ -175,10 +150,7 @@
     /// Returns the permit of a query.
     pub fn release(&mut self, team: &TeamName) {
         if let Ok(index) = self.find_team(team) {
-            let entry = &mut self.teams[index];
-            entry.concurrency.release();
-            let in_use = entry.concurrency.in_use();
-            entry.concurrency_ledger.set_in_use(in_use);
+            self.teams[index].release();
         }
     }
 
@@ -240,11 +212,10 @@
     ) -> Vec<(TeamName, Limit, LeaseRequest)> {
         let mut requests = Vec::new();
         for entry in &mut self.teams {
-            let team = &entry.team;
-            let rate = entry.rate_ledger.request(&is_usable, now);
-            requests.extend(rate.map(|request| (team.clone(), Limit::Rate, request)));
-            let concurrency = entry.concurrency_ledger.request(&is_usable, now);
-            requests.extend(concurrency.map(|request| (team.clone(), Limit::Concurrency, request)));
+            for limit in [Limit::Rate, Limit::Concurrency] {
+                let request = entry.ledger(limit).request(&is_usable, now);
+                requests.extend(request.map(|request| (entry.team.clone(), limit, request)));
+            }
         }
         requests
     }
@@ -280,15 +251,7 @@
     /// Returns the state of all teams for the dump.
     #[must_use]
     pub fn report(&self, now: Instant) -> Vec<TeamReport> {
-        let report = |entry: &TeamAdmission| TeamReport {
-            team: entry.team.clone(),
-            rate_share_milli: entry.rate_ledger.available(now),
-            concurrency_share: entry.concurrency_ledger.available(now),
-            running: entry.concurrency.in_use(),
-            admitted: entry.admitted,
-            extra_budget: entry.extra.extra_requests(),
-        };
-        self.teams.iter().map(report).collect()
+        self.teams.iter().map(|entry| entry.report(now)).collect()
     }
 
     fn position_or_insert(&mut self, team: &TeamSettings, now: Instant) -> usize {
@@ -324,112 +287,3 @@
         ))
     }
 }
-
-impl TeamAdmission {
-    fn new(team: &TeamSettings, me: &VmName, now: Instant) -> Self {
-        let ledger =
-            |units, kind| ShareLedger::new(team.name.clone(), me.clone(), units, kind, now);
-        Self {
-            team: team.name.clone(),
-            rate_ledger: ledger(rate_units(team), UnitKind::Rate),
-            rate: RateLimiter::new(now),
-            concurrency_ledger: ledger(u64::from(team.concurrency_limit), concurrency_kind(team)),
-            concurrency: ConcurrencyLimiter::new(),
-            extra: ExtraBudget::new(),
-            admitted: 0,
-        }
-    }
-
-    fn set_limits(&mut self, team: &TeamSettings, now: Instant) {
-        self.rate_ledger
-            .set_limit(rate_units(team), UnitKind::Rate, now);
-        let concurrency = u64::from(team.concurrency_limit);
-        self.concurrency_ledger
-            .set_limit(concurrency, concurrency_kind(team), now);
-    }
-
-    fn set_base(&mut self, vms: &VmList, all_acknowledged: bool, now: Instant) {
-        self.rate_ledger.set_base(vms, all_acknowledged, now);
-        self.concurrency_ledger.set_base(vms, all_acknowledged, now);
-    }
-
-    fn confirm_start(&mut self, now: Instant) {
-        self.rate_ledger.confirm_start(now);
-        self.concurrency_ledger.confirm_start(now);
-    }
-
-    fn admit(&mut self, deadline: Instant, now: Instant) -> Result<(), Refusal> {
-        self.rate_ledger.record_demand(UNITS_PER_QUERY, now);
-        self.concurrency_ledger
-            .record_demand(self.concurrency.in_use() + 1, now);
-        let units = self.concurrency_ledger.available_until(deadline, now);
-        if !self.concurrency.try_acquire(units) {
-            return Err(Refusal {
-                reason: NotRunReason::ConcurrencyLimit,
-                retry_after: CONCURRENCY_RETRY_AFTER,
-            });
-        }
-        let rate = self.rate_ledger.available(now);
-        if let Err(retry_after) = self.rate.try_take(now, rate) {
-            self.concurrency.release();
-            return Err(Refusal {
-                reason: NotRunReason::RateLimit,
-                retry_after,
-            });
-        }
-        self.concurrency_ledger
-            .set_in_use(self.concurrency.in_use());
-        self.admitted += 1;
-        Ok(())
-    }
-
-    fn ledger(&mut self, limit: Limit) -> &mut ShareLedger {
-        match limit {
-            Limit::Rate => &mut self.rate_ledger,
-            Limit::Concurrency => &mut self.concurrency_ledger,
-        }
-    }
-}
-
-fn rate_units(team: &TeamSettings) -> u64 {
-    u64::from(team.rate_limit_per_s) * UNITS_PER_QUERY
-}
-
-fn concurrency_kind(team: &TeamSettings) -> UnitKind {
-    UnitKind::Concurrency {
-        hold: Duration::from_millis(u64::from(team.deadline_cap_ms)),
-    }
-}
-
-/// The permit of an admitted query; returned when dropped.
-#[derive(Debug)]
-pub struct TeamPermit {
-    shared: Arc<Shared>,
-    team: TeamName,
-}
-
-impl TeamPermit {
-    /// Admits a query.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the team is above one of its limits.
-    pub fn acquire(
-        shared: &Arc<Shared>,
-        team: &TeamName,
-        deadline: Instant,
-    ) -> Result<Self, Refusal> {
-        let now = shared.clock.now();
-        shared.admission.lock().admit(team, deadline, now)?;
-        Ok(Self {
-            shared: Arc::clone(shared),
-            team: team.clone(),
-        })
-    }
-}
-
-impl Drop for TeamPermit {
-    fn drop(&mut self) {
-        self.shared.admission.lock().release(&self.team);
-    }
-}
--- /dev/null
+++ b/crates/daemon/src/entry/canary_choice.rs
@@ -0,0 +1,55 @@
+//! Choice of a canary's shard and leaf.
+
+use medlarpin_core::canary::canary_group;
+use medlarpin_core::plan::{Batch, Task};
+use medlarpin_core::prelude::*;
+
+use crate::entry::group::Routes;
+use crate::view::ServiceView;
+
+/// Picks the canary in the group that all entries pick for the fingerprint, so that one holder sees
+/// all canaries of the fingerprint. Returns `None` if no shard asked has a usable replica.
+pub fn canary_batch(
+    fingerprint: Fingerprint,
+    shards: &[ShardId],
+    map: &ShardMap,
+    service: &ServiceView,
+    routes: &Routes,
+) -> Option<Batch> {
+    // The first shard of each group that has a usable replica in it; sorted by group.
+    let mut groups: Vec<(usize, ShardId, &LeafId)> = Vec::new();
+    for shard in shards {
+        for leaf in usable_replicas(*shard, map, routes) {
+            let Some(group) = service.group_of(leaf) else {
+                continue;
+            };
+            if let Err(index) = groups.binary_search_by_key(&group, |(group, ..)| *group) {
+                groups.insert(index, (group, *shard, leaf));
+            }
+        }
+    }
+    let key = |(group, ..): &(usize, ShardId, &LeafId)| service.groups[*group].key.as_str();
+    let keys: Vec<&str> = groups.iter().map(key).collect();
+    let (group, shard, leaf) = groups[canary_group(fingerprint, &keys)?];
+    let others = usable_replicas(shard, map, routes).filter(|other| *other != leaf);
+    Some(Batch {
+        group,
+        tasks: vec![Task {
+            shard,
+            leaf: leaf.clone(),
+            alternatives: others.cloned().collect(),
+        }],
+    })
+}
+
+fn usable_replicas<'a>(
+    shard: ShardId,
+    map: &'a ShardMap,
+    routes: &Routes,
+) -> impl Iterator<Item = &'a LeafId> {
+    let replicas = map.replicas(shard).unwrap_or_default();
+    let version = map.version();
+    replicas
+        .iter()
+        .filter(move |leaf| routes.serves(leaf, version))
+}
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -3,11 +3,14 @@
 mod admission;
 mod answer;
 mod body;
+mod canary_choice;
 mod gone;
 mod group;
 mod http;
+mod permit;
 mod request;
 mod run;
+mod team_admission;
 mod ticketed;
 
 pub use admission::{AdmissionTable, Limit};
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -5,17 +5,19 @@
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use medlarpin_core::canary::{Clearance, canary_group};
+use medlarpin_core::canary::Clearance;
 use medlarpin_core::coverage::Merge;
-use medlarpin_core::plan::{Batch as PlannedBatch, Task, plan};
+use medlarpin_core::plan::{Batch as PlannedBatch, plan};
 use medlarpin_core::prelude::*;
 use medlarpin_core::snapshot::choose_version;
 use tokio::sync::oneshot;
 use wire::BatchReply;
 
-use crate::entry::admission::{Refusal, TeamPermit};
+use crate::entry::admission::Refusal;
 use crate::entry::answer::{AnswerBody, RowBody, UncoveredBody};
+use crate::entry::canary_choice::canary_batch;
 use crate::entry::group::{ATTEMPTS_PER_SHARD, GroupCall, Routes};
+use crate::entry::permit::TeamPermit;
 use crate::entry::request::{Query, RequestError};
 use crate::view::ServiceView;
 use crate::workers::Worker;
@@ -175,7 +177,8 @@
     /// Asks one shard first; returns false if the others must not be asked.
     async fn ask_canary(&mut self, shards: &mut Vec<ShardId>) -> bool {
         let fingerprint = self.query.fingerprint();
-        let Some(batch) = self.canary_batch(fingerprint, shards) else {
+        let Some(batch) = canary_batch(fingerprint, shards, &self.map, &self.service, &self.routes)
+        else {
             return true;
         };
         let Some(shard) = batch.tasks.first().map(|task| task.shard) else {
@@ -213,42 +216,6 @@
         }
     }
 
-    /// Picks the canary's shard and leaf in the group that all entries pick for the fingerprint.
-    fn canary_batch(&self, fingerprint: Fingerprint, shards: &[ShardId]) -> Option<PlannedBatch> {
-        let mut groups: Vec<(usize, Task)> = Vec::new();
-        for shard in shards {
-            let replicas = self.map.replicas(*shard).unwrap_or_default();
-            let usable = replicas
-                .iter()
-                .filter(|leaf| self.routes.serves(leaf, self.map.version()));
-            let usable: Vec<&LeafId> = usable.collect();
-            for leaf in &usable {
-                let Some(group) = self.service.group_of(leaf) else {
-                    continue;
-                };
-                if let Err(index) = groups.binary_search_by_key(&group, |(group, _)| *group) {
-                    let others = usable.iter().filter(|other| other != &leaf);
-                    let task = Task {
-                        shard: *shard,
-                        leaf: (*leaf).clone(),
-                        alternatives: others.map(|other| (*other).clone()).collect(),
-                    };
-                    groups.insert(index, (group, task));
-                }
-            }
-        }
-        let keys: Vec<&str> = groups
-            .iter()
-            .map(|(group, _)| self.service.groups[*group].key.as_str())
-            .collect();
-        let chosen = canary_group(fingerprint, &keys)?;
-        let (group, task) = groups.swap_remove(chosen);
-        Some(PlannedBatch {
-            group,
-            tasks: vec![task],
-        })
-    }
-
     fn call(&mut self, batch: PlannedBatch, canary: bool) -> GroupCall {
         let first_attempt = self.next_attempt;
         let shards = u32::try_from(batch.tasks.len()).unwrap_or(u32::MAX);
