Make the tool fit the daemon and record every refusal

The tool had only met its own stand-in. Against a real daemon, status showed no ticket counts, explain of a shard needed a settings tree and took shards that do not exist, and explain of a request showed no reason of uncovered shards. A refusal before the daemon has joined, and the refusal of a ticket, were not recorded, so nobody could find their reason.

The state now holds the newest shard map, the age of each recent answer and its uncovered reasons, and every refusal; team lists the newest refused requests. Refusals at the start no longer use the unchecked team name as a metric label.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -161,7 +161,7 @@
 fn explain() -> impl Parser<Options> {
     let (operator, json) = (operator(), json());
     let tree = long("tree")
-        .help("Directory with the settings tree; it tells which leafs hold the shard")
+        .help("Directory with a settings tree to use instead of the daemon's shard map")
         .argument::<PathBuf>("DIR")
         .optional();
     let subject = positional::<String>("SHARD|REQUEST")
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use medlarpin_core::prelude::{LeafId, ShardId, ShardMap};
+use medlarpin_core::prelude::{ShardId, ShardMap};
 use serde_json::{Value, json};
 use settings::{Subtree, parse_subtree};
 
@@ -70,33 +70,28 @@
             line("  reason", format!("{reason}: {}", reason_text(reason)));
         }
         line("  version", request.text("index_version"));
-        let (covered, uncovered) = (count(request, "covered"), count(request, "uncovered"));
+        let [covered, uncovered] = ["covered", "uncovered"].map(|key| request.text(key));
         line(
             "  shards",
             format!("{covered} covered, {uncovered} uncovered"),
         );
-        for shard in request.get("uncovered").items() {
-            let reason = shard.text("reason");
-            let number = shard.text("shard");
+        for uncovered in request.get("uncovered_reasons").items() {
+            let [reason, count] = ["reason", "count"].map(|key| uncovered.text(key));
             line(
                 "  uncovered",
-                format!("shard {number}: {}", reason_text(&reason)),
+                format!("{count} with {reason}: {}", reason_text(&reason)),
             );
         }
+        line("  extra", request.text("extra_leaf_requests"));
         line("  elapsed", duration_text(request.get("elapsed_ms")));
+        line(
+            "  answered",
+            format!("{} ago", duration_text(request.get("age_ms"))),
+        );
     }
     Ok(Report::text_only(table.render(), Exit::Success))
 }
 
-/// Counts shards; the state gives a number or a list.
-fn count(request: View<'_>, key: &str) -> String {
-    let member = request.get(key);
-    member
-        .value()
-        .as_array()
-        .map_or_else(|| member.to_text(), |list| list.len().to_string())
-}
-
 fn explain_shard(
     view: View<'_>,
     tree: Option<&Path>,
@@ -111,31 +106,23 @@
             known: known(services, "service"),
         });
     };
-    let map = tree
-        .map(|root| newest_map(root, service))
-        .transpose()?
-        .flatten();
-    let leafs = match &map {
-        Some(map) => Some(map.replicas(shard).ok_or_else(|| CliError::NoShard {
-            service: service.to_owned(),
-            shard: shard.0,
-            version: map.version().0.to_string(),
-        })?),
-        None => None,
+    let placed = match tree {
+        Some(root) => placed_by_tree(root, service, shard)?,
+        None => placed_by_state(entry, shard)?,
     };
+    let leafs = placed.as_ref().map(|placed| &*placed.leafs);
     let groups: Vec<View<'_>> = view
         .get("groups")
         .items()
         .filter(|group| group.is("service", service) && serves(*group, leafs))
         .collect();
     if json {
-        let leafs = leafs.map(|leafs| leafs.iter().map(LeafId::as_str).collect::<Vec<_>>());
         let groups: Vec<&Value> = groups.iter().map(|group| group.value()).collect();
         let body = json!({
             "service": service,
             "shard": shard.0,
             "versions": entry.get("versions").value(),
-            "shard_map_version": map.as_ref().map(|map| map.version().0),
+            "shard_map_version": placed.as_ref().map(|placed| &placed.version),
             "leafs": leafs,
             "groups": groups,
         });
@@ -144,15 +131,14 @@
     let mut table = Table::default();
     table.push(["shard".to_owned(), format!("{} of {service}", shard.0)]);
     table.push(["versions".to_owned(), entry.text("versions")]);
-    match (&map, leafs) {
-        (Some(map), Some(leafs)) => {
-            let ids: Vec<&str> = leafs.iter().map(LeafId::as_str).collect();
-            let text = format!("{} at version {}", ids.join(", "), map.version().0);
+    match &placed {
+        Some(Placed { version, leafs }) => {
+            let text = format!("{} at version {version}", leafs.join(", "));
             table.push(["leafs".to_owned(), text]);
         }
-        _ => table.push([
+        None => table.push([
             "leafs",
-            "not known without --tree; all groups of the service follow",
+            "the daemon does not tell them; add --tree; all groups of the service follow",
         ]),
     }
     for group in groups {
@@ -161,7 +147,7 @@
     Ok(Report::text_only(table.render(), Exit::Success))
 }
 
-fn push_group(table: &mut Table, view: View<'_>, group: View<'_>, leafs: Option<&[LeafId]>) {
+fn push_group(table: &mut Table, view: View<'_>, group: View<'_>, leafs: Option<&[String]>) {
     let mut line = |label: &str, text: String| table.push([label.to_owned(), text]);
     line("group", group.text("group"));
     line("  active", group.text("active"));
@@ -179,28 +165,71 @@
             .get("leafs")
             .items()
             .any(|listed| listed.to_text() == id);
-        let wanted = leafs.is_none_or(|leafs| leafs.iter().any(|leaf| leaf.as_str() == id));
+        let wanted = leafs.is_none_or(|leafs| leafs.contains(&id));
         if in_group && wanted && leaf.text("service") == group.text("service") {
-            let [condition, in_flight, queued, p95_ms] =
-                ["condition", "in_flight", "queued", "p95_ms"].map(|key| leaf.text(key));
+            let [condition, in_flight, queued] =
+                ["condition", "in_flight", "queued"].map(|key| leaf.text(key));
+            let p95 = match leaf.get("p95_ms").value().as_f64() {
+                Some(p95_ms) => format!("{p95_ms:.1} ms"),
+                None => "-".to_owned(),
+            };
             line(
                 "  leaf",
-                format!(
-                    "{id}: {condition}, {in_flight} in flight, {queued} queued, p95 {p95_ms} ms"
-                ),
+                format!("{id}: {condition}, {in_flight} in flight, {queued} queued, p95 {p95}"),
             );
         }
     }
 }
 
-fn serves(group: View<'_>, leafs: Option<&[LeafId]>) -> bool {
+fn serves(group: View<'_>, leafs: Option<&[String]>) -> bool {
     let Some(leafs) = leafs else {
         return true;
     };
     let listed = group.get("leafs");
-    listed
-        .items()
-        .any(|id| leafs.iter().any(|leaf| leaf.as_str() == id.to_text()))
+    listed.items().any(|id| leafs.contains(&id.to_text()))
+}
+
+/// The leafs of a shard at one index version.
+struct Placed {
+    version: String,
+    leafs: Vec<String>,
+}
+
+/// Reads the leafs of a shard from the newest shard map that the daemon has in force.
+fn placed_by_state(service: View<'_>, shard: ShardId) -> Result<Option<Placed>, CliError> {
+    let mut shards = service.get("replicas").items().peekable();
+    if shards.peek().is_none() {
+        return Ok(None);
+    }
+    let version = service.text("map_version");
+    let Some(found) =
+        shards.find(|entry| entry.get("shard").value().as_u64() == Some(shard.0.into()))
+    else {
+        return Err(CliError::NoShard {
+            service: service.text("service"),
+            shard: shard.0,
+            version,
+        });
+    };
+    let leafs = found.get("leafs").items().map(View::to_text).collect();
+    Ok(Some(Placed { version, leafs }))
+}
+
+/// Reads the leafs of a shard from the newest shard map in a settings tree.
+fn placed_by_tree(root: &Path, service: &str, shard: ShardId) -> Result<Option<Placed>, CliError> {
+    let Some(map) = newest_map(root, service)? else {
+        return Ok(None);
+    };
+    let version = map.version().0.to_string();
+    let Some(leafs) = map.replicas(shard) else {
+        return Err(CliError::NoShard {
+            service: service.to_owned(),
+            shard: shard.0,
+            version,
+        });
+    };
+    let leafs = leafs.iter().map(|leaf| leaf.as_str().to_owned()).collect();
+    Ok(Some(Placed { version, leafs }))
 }
 
 /// Returns the newest valid shard map of a service in a settings tree.
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -132,8 +132,8 @@
 }
 
 fn tickets_line(tickets: View<'_>) -> String {
-    let [open, running, finished] = ["open", "running", "finished"].map(|key| tickets.text(key));
-    format!("{open} open, {running} running, {finished} finished")
+    let [records, bytes] = ["records", "outcome_bytes"].map(|key| tickets.text(key));
+    format!("{records} kept, with {bytes} bytes of outcomes")
 }
 
 fn held_groups(view: View<'_>) -> usize {
--- a/crates/cli/src/teams.rs
+++ b/crates/cli/src/teams.rs
@@ -4,8 +4,12 @@
 
 use crate::error::CliError;
 use crate::exit::Exit;
+use crate::reasons::reason_text;
 use crate::report::{Report, Table};
-use crate::state::{State, View};
+use crate::state::{State, View, duration_text};
+
+/// Newest refused requests that `team` lists.
+const REFUSALS_SHOWN: usize = 5;
 
 /// All teams, one line each.
 pub(crate) fn teams(state: &State, json: bool) -> Report {
@@ -71,7 +75,21 @@
     line("refused", refused_total(team).to_string());
     for refused in team.get("refused").items() {
         let reason = refused.text("reason");
-        line("", format!("{} {reason}", refused.text("count")));
+        let text = format!(
+            "{} {reason}: {}",
+            refused.text("count"),
+            reason_text(&reason)
+        );
+        line("", text);
+    }
+    let recent = state.view().get("recent");
+    let refusals = recent
+        .items()
+        .filter(|request| request.is("team", name) && request.is("outcome", "not_run"));
+    for request in refusals.take(REFUSALS_SHOWN) {
+        let [id, reason] = ["request_id", "reason"].map(|key| request.text(key));
+        let age = duration_text(request.get("age_ms"));
+        line("not run", format!("{id} {reason}, {age} ago"));
     }
     Ok(Report::text_only(table.render(), Exit::Success))
 }
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -39,7 +39,10 @@
     match parse_query(shared, &headers, body, arrived_at) {
         Ok((query, ticket)) => answer_query(&node, query, ticket, arrived_at).await,
         Err(Refusal::Invalid(error)) => invalid(shared, &error),
-        Err(Refusal::NotRun(body)) => answer(shared, &body),
+        Err(Refusal::NotRun(body)) => {
+            shared.keep_answer(&body);
+            answer(shared, &body)
+        }
     }
 }
 
@@ -184,7 +187,10 @@
 
 pub(super) fn answer(shared: &Shared, body: &AnswerBody) -> Response {
     if let (Some(reason), Some(_)) = (&body.reason, body.retry_after_ms) {
-        let labels = [body.team.as_str(), reason.as_str()];
+        // A refusal at the start precedes the check of the team, and labels must stay bounded.
+        let view = shared.view();
+        let team = view.team(&body.team).map_or("", |team| team.name.as_str());
+        let labels = [team, reason.as_str()];
         shared.metrics.refusals.with_label_values(&labels).inc();
     }
     let mut response = json(body.outcome.status(), body.to_json());
--- a/crates/daemon/src/entry/ticketed.rs
+++ b/crates/daemon/src/entry/ticketed.rs
@@ -52,10 +52,9 @@
             let outcome = not_run(NotRunReason::TicketLimit, TICKET_RETRY_AFTER);
             let request = RequestId(rand::random());
             let service = ServiceName::new("");
-            answer(
-                shared,
-                &AnswerBody::without_rows(request, team, &service, outcome),
-            )
+            let body = AnswerBody::without_rows(request, team, &service, outcome);
+            shared.keep_answer(&body);
+            answer(shared, &body)
         }
     }
 }
--- a/crates/daemon/src/operators/dump.rs
+++ b/crates/daemon/src/operators/dump.rs
@@ -113,6 +113,15 @@
     service: String,
     versions: Vec<u64>,
     shards: usize,
+    /// Version of `replicas`, the newest one.
+    map_version: Option<u64>,
+    replicas: Vec<ReplicasDump>,
+}
+
+#[derive(Debug, Serialize)]
+struct ReplicasDump {
+    shard: u32,
+    leafs: Vec<String>,
 }
 
 #[derive(Debug, Serialize)]
@@ -151,7 +160,7 @@
         services: dump_services(&view),
         quarantined: dump_quarantines(shared, now),
         tickets: dump_tickets(shared),
-        recent: shared.recent.lock().newest_first(),
+        recent: shared.recent.lock().newest_first(now),
     }
 }
 
@@ -305,10 +314,20 @@
 }
 
 fn dump_services(view: &FleetView) -> Vec<ServiceDump> {
-    let services = view.services().iter().map(|service| ServiceDump {
-        service: service.service.name().as_str().to_owned(),
-        versions: service.maps.iter().map(|map| map.version().0).collect(),
-        shards: service.maps.last().map_or(0, |map| map.shards().len()),
+    let services = view.services().iter().map(|service| {
+        let newest = service.maps.last();
+        let shards = newest.map_or(&[][..], |map| map.shards());
+        let replicas = shards.iter().map(|(shard, leafs)| ReplicasDump {
+            shard: shard.0,
+            leafs: leafs.iter().map(|leaf| leaf.as_str().to_owned()).collect(),
+        });
+        ServiceDump {
+            service: service.service.name().as_str().to_owned(),
+            versions: service.maps.iter().map(|map| map.version().0).collect(),
+            shards: shards.len(),
+            map_version: newest.map(|map| map.version().0),
+            replicas: replicas.collect(),
+        }
     });
     services.collect()
 }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -228,13 +228,20 @@
             let labels = [shard.reason.as_str()];
             metrics.shards_uncovered.with_label_values(&labels).inc();
         }
+        self.keep_answer(body);
+    }
+
+    /// Logs an answer that is not complete, and keeps every answer for the dump.
+    pub fn keep_answer(&self, body: &AnswerBody) {
         if body.outcome != OutcomeName::Complete {
             let reason = body.reason.as_deref().unwrap_or("uncovered shards");
             log::info!(
-                "entry: Request {} ended {outcome}: {reason}.",
-                body.request_id
+                "entry: Request {} ended {}: {reason}.",
+                body.request_id,
+                body.outcome.as_str()
             );
         }
-        self.recent.lock().push(body);
+        let now = self.clock.now();
+        self.recent.lock().push(body, now);
     }
 }
--- a/crates/daemon/tests/platform_outage.rs
+++ b/crates/daemon/tests/platform_outage.rs
@@ -207,6 +207,14 @@
             reply.text
         );
         assert!(!fleet.is_ready(0).await);
+        // An operator finds the refusal and its reason.
+        let state = fleet.state(0).await.expect("a state");
+        assert_eq!(state["recent"][0]["reason"], "starting");
+        assert_eq!(
+            state["recent"][0]["request_id"], reply.body["request_id"],
+            "{}",
+            reply.text
+        );
         true
     })
     .await;
