--- a/crates/medlarpin-core/src/leaf_state/back_off.rs
+++ b/crates/medlarpin-core/src/leaf_state/back_off.rs
@@ -11,8 +11,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct BackOff {
     /// Back-offs without an answer in between.
-    streak: u32,
-    until: Option<Instant>,
+    pub(super) streak: u32,
+    pub(super) until: Option<Instant>,
 }
 
 impl BackOff {
--- a/crates/medlarpin-core/src/leaf_state/drain.rs
+++ b/crates/medlarpin-core/src/leaf_state/drain.rs
@@ -18,9 +18,9 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Drain {
     /// Time of the last sign; `None` if the leaf was removed from the settings.
-    last_sign: Option<Instant>,
-    next_probe: Option<Instant>,
-    ready_reports: u32,
+    pub(super) last_sign: Option<Instant>,
+    pub(super) next_probe: Option<Instant>,
+    pub(super) ready_reports: u32,
 }
 
 impl Drain {
--- a/crates/medlarpin-core/src/leaf_state/mod.rs
+++ b/crates/medlarpin-core/src/leaf_state/mod.rs
@@ -3,6 +3,7 @@
 mod back_off;
 mod drain;
 mod slow_start;
+mod snapshot;
 
 use std::time::{Duration, Instant};
 
@@ -13,6 +14,7 @@
 use slow_start::SlowStart;
 
 pub use drain::{DRAIN_FORGOTTEN, PROBE_INTERVAL};
+pub use snapshot::{LeafSnapshot, PhaseSnapshot};
 
 /// Requests beyond the leaf's slots that are kept in flight to hide the round trip.
 pub const PIPELINE: u32 = 1;
--- a/crates/medlarpin-core/src/leaf_state/slow_start.rs
+++ b/crates/medlarpin-core/src/leaf_state/slow_start.rs
@@ -10,12 +10,12 @@
 /// Window that starts at one request and doubles with successful answers.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct SlowStart {
-    window: u32,
+    pub(super) window: u32,
     /// Answers since the last doubling.
-    answers: u32,
-    doubled_at: Option<Instant>,
+    pub(super) answers: u32,
+    pub(super) doubled_at: Option<Instant>,
     /// True until the first answer after the leaf came back.
-    is_return: bool,
+    pub(super) is_return: bool,
 }
 
 impl SlowStart {
--- /dev/null
+++ b/crates/replay/src/subjects/leaf.rs
@@ -0,0 +1,241 @@
+use std::time::Instant;
+
+use medlarpin_core::leaf_state::{
+    HealthReport, HealthState, LeafCondition, LeafSnapshot, LeafState, PhaseSnapshot, Wait,
+};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::timeline::{Millis, SignedMillis, Timeline};
+
+/// Events of a leaf.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum LeafEvent {
+    /// The leaf is new to the daemon.
+    New {
+        /// Slots of the leaf.
+        slots: u32,
+    },
+    /// A recording starts with this state.
+    Restore(Box<LeafStart>),
+    /// A request was sent.
+    Sent,
+    /// A request was answered.
+    Answered {
+        /// Time from send to answer.
+        latency_ms: Millis,
+    },
+    /// A request was shed.
+    Shed {
+        /// The leaf's `retry_after_ms`.
+        retry_after_ms: Millis,
+    },
+    /// A request ended without an answer.
+    Released,
+    /// The leaf refused work because it drains.
+    Draining,
+    /// The settings no longer name the leaf.
+    Removed,
+    /// A connection was lost or refused.
+    ConnectionLost,
+    /// A health report arrived.
+    Health {
+        /// Reported state.
+        state: LeafHealth,
+        /// Reported load.
+        load: f64,
+    },
+    /// Nothing happens.
+    Look,
+}
+
+/// State in a health report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LeafHealth {
+    /// The leaf loads its index.
+    Starting,
+    /// The leaf takes requests.
+    Ready,
+    /// The leaf is about to stop.
+    Draining,
+}
+
+/// State of a leaf when its recording starts; see [`LeafSnapshot`] for the fields.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LeafStart {
+    slots: u32,
+    in_flight: u32,
+    phase: PhaseStart,
+    window: u32,
+    answers: u32,
+    doubled_at: Option<SignedMillis>,
+    is_return: bool,
+    streak: u32,
+    back_off_until: Option<SignedMillis>,
+    last_answer: Option<SignedMillis>,
+    suspected_at: Option<SignedMillis>,
+    false_returns: u32,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+enum PhaseStart {
+    Serving,
+    Draining {
+        last_sign: Option<SignedMillis>,
+        next_probe: Option<SignedMillis>,
+        ready_reports: u32,
+    },
+    Lost {
+        since: SignedMillis,
+        next_trial: SignedMillis,
+    },
+}
+
+impl LeafStart {
+    /// Translates a snapshot into the times of a trace.
+    #[must_use]
+    pub fn of(leaf: &LeafSnapshot, time: Timeline) -> Self {
+        let at = |instant: Option<Instant>| instant.map(|instant| time.signed(instant));
+        Self {
+            slots: leaf.slots,
+            in_flight: leaf.in_flight,
+            phase: match leaf.phase {
+                PhaseSnapshot::Serving => PhaseStart::Serving,
+                PhaseSnapshot::Draining {
+                    last_sign,
+                    next_probe,
+                    ready_reports,
+                } => PhaseStart::Draining {
+                    last_sign: at(last_sign),
+                    next_probe: at(next_probe),
+                    ready_reports,
+                },
+                PhaseSnapshot::Lost { since, next_trial } => PhaseStart::Lost {
+                    since: time.signed(since),
+                    next_trial: time.signed(next_trial),
+                },
+            },
+            window: leaf.window,
+            answers: leaf.answers,
+            doubled_at: at(leaf.doubled_at),
+            is_return: leaf.is_return,
+            streak: leaf.streak,
+            back_off_until: at(leaf.back_off_until),
+            last_answer: at(leaf.last_answer),
+            suspected_at: at(leaf.suspected_at),
+            false_returns: leaf.false_returns,
+        }
+    }
+
+    fn to_snapshot(&self, time: Timeline) -> LeafSnapshot {
+        let at = |signed: Option<SignedMillis>| signed.map(|signed| time.instant_of(signed));
+        LeafSnapshot {
+            slots: self.slots,
+            in_flight: self.in_flight,
+            phase: match self.phase {
+                PhaseStart::Serving => PhaseSnapshot::Serving,
+                PhaseStart::Draining {
+                    last_sign,
+                    next_probe,
+                    ready_reports,
+                } => PhaseSnapshot::Draining {
+                    last_sign: at(last_sign),
+                    next_probe: at(next_probe),
+                    ready_reports,
+                },
+                PhaseStart::Lost { since, next_trial } => PhaseSnapshot::Lost {
+                    since: time.instant_of(since),
+                    next_trial: time.instant_of(next_trial),
+                },
+            },
+            window: self.window,
+            answers: self.answers,
+            doubled_at: at(self.doubled_at),
+            is_return: self.is_return,
+            streak: self.streak,
+            back_off_until: at(self.back_off_until),
+            last_answer: at(self.last_answer),
+            suspected_at: at(self.suspected_at),
+            false_returns: self.false_returns,
+        }
+    }
+}
+
+impl From<HealthState> for LeafHealth {
+    fn from(state: HealthState) -> Self {
+        match state {
+            HealthState::Starting => Self::Starting,
+            HealthState::Ready => Self::Ready,
+            HealthState::Draining => Self::Draining,
+        }
+    }
+}
+
+impl From<LeafHealth> for HealthState {
+    fn from(state: LeafHealth) -> Self {
+        match state {
+            LeafHealth::Starting => Self::Starting,
+            LeafHealth::Ready => Self::Ready,
+            LeafHealth::Draining => Self::Draining,
+        }
+    }
+}
+
+pub(crate) fn apply(
+    subject: &mut Option<LeafState>,
+    event: &LeafEvent,
+    now: Instant,
+    time: Timeline,
+) -> Option<Value> {
+    match event {
+        LeafEvent::New { slots } => *subject = Some(LeafState::new(*slots, now)),
+        LeafEvent::Restore(start) => {
+            *subject = Some(LeafState::restore(&start.to_snapshot(time), now));
+        }
+        _ => {}
+    }
+    let leaf = subject.as_mut()?;
+    match event {
+        LeafEvent::New { .. } | LeafEvent::Restore(_) | LeafEvent::Look => {}
+        LeafEvent::Sent => leaf.sent(now),
+        LeafEvent::Answered { latency_ms } => leaf.answered(latency_ms.0, now),
+        LeafEvent::Shed { retry_after_ms } => leaf.shed(retry_after_ms.0, now),
+        LeafEvent::Released => leaf.released(now),
+        LeafEvent::Draining => leaf.draining(now),
+        LeafEvent::Removed => leaf.removed(),
+        LeafEvent::ConnectionLost => leaf.connection_lost(now),
+        LeafEvent::Health { state, load } => {
+            let state = HealthState::from(*state);
+            leaf.health(HealthReport { state, load: *load }, now);
+        }
+    }
+    Some(outcome(leaf, now, time))
+}
+
+/// Returns what a leaf's state decides.
+#[must_use]
+pub fn outcome(leaf: &LeafState, now: Instant, time: Timeline) -> Value {
+    let condition = match leaf.condition(now) {
+        LeafCondition::Starting => "starting",
+        LeafCondition::Ready => "ready",
+        LeafCondition::BackingOff { .. } => "backing_off",
+        LeafCondition::Draining => "draining",
+        LeafCondition::Lost { .. } => "lost",
+    };
+    let may_send = match leaf.may_send(now) {
+        Ok(()) => json!("now"),
+        Err(Wait::Until(at)) => json!({"from_ms": time.whole_ms(at)}),
+        Err(Wait::InFlight) => json!("after_an_answer"),
+        Err(Wait::Draining) => json!("never"),
+    };
+    json!({
+        "condition": condition,
+        "window": leaf.window(now),
+        "in_flight": leaf.in_flight(),
+        "may_send": may_send,
+    })
+}
--- /dev/null
+++ b/crates/replay/src/subjects/shares.rs
@@ -0,0 +1,114 @@
+use std::time::Instant;
+
+use medlarpin_core::ids::{TeamName, VmName};
+use medlarpin_core::team_share::{Lease, ShareLedger, UnitKind};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use super::vm_list;
+use crate::timeline::{Millis, Timeline};
+
+/// Events of a team's share ledger of rate units.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum ShareEvent {
+    New {
+        team: String,
+        vm: String,
+        limit_units: u64,
+    },
+    /// A VM list is adopted.
+    List {
+        revision: u64,
+        vms: Vec<String>,
+        all_acknowledged: bool,
+    },
+    /// All other VMs have reported that they hold nothing of this VM's earlier process.
+    ConfirmStart,
+    /// Queries arrive.
+    Demand {
+        units: u64,
+    },
+    /// The daemon looks for a lender among these VMs.
+    Request {
+        usable: Vec<String>,
+    },
+    /// Another daemon asks for units.
+    Lend {
+        borrower: String,
+        units: u64,
+    },
+    /// A lender's reply arrives.
+    Accept {
+        lender: String,
+        units: u64,
+        asked_ms: Millis,
+        duration_ms: Millis,
+    },
+    Tick,
+}
+
+pub(crate) fn apply(
+    subject: &mut Option<ShareLedger>,
+    event: &ShareEvent,
+    now: Instant,
+    time: Timeline,
+) -> Option<Value> {
+    if let ShareEvent::New {
+        team,
+        vm,
+        limit_units,
+    } = event
+    {
+        let (team, vm) = (TeamName::new(team), VmName::new(vm));
+        *subject = Some(ShareLedger::new(
+            team,
+            vm,
+            *limit_units,
+            UnitKind::Rate,
+            now,
+        ));
+    }
+    let ledger = subject.as_mut()?;
+    let result = change(ledger, event, now, time);
+    Some(json!({"result": result, "available": ledger.available(now)}))
+}
+
+fn change(ledger: &mut ShareLedger, event: &ShareEvent, now: Instant, time: Timeline) -> Value {
+    match event {
+        ShareEvent::New { .. } => {}
+        ShareEvent::List {
+            revision,
+            vms,
+            all_acknowledged,
+        } => ledger.set_base(&vm_list(*revision, vms, &[]), *all_acknowledged, now),
+        ShareEvent::ConfirmStart => ledger.confirm_start(now),
+        ShareEvent::Demand { units } => ledger.record_demand(*units, now),
+        ShareEvent::Request { usable } => {
+            let is_usable = |vm: &VmName| usable.iter().any(|name| name == vm.as_str());
+            return match ledger.request(is_usable, now) {
+                Some(request) => json!({"lender": request.lender.as_str(), "units": request.units}),
+                None => json!("none"),
+            };
+        }
+        ShareEvent::Lend { borrower, units } => {
+            let lease = ledger.lend(&VmName::new(borrower), *units, now);
+            return json!({"units": lease.units});
+        }
+        ShareEvent::Accept {
+            lender,
+            units,
+            asked_ms,
+            duration_ms,
+        } => {
+            let lease = Lease {
+                lender: VmName::new(lender),
+                units: *units,
+                duration: duration_ms.0,
+            };
+            ledger.accept(&lease, time.instant(*asked_ms), now);
+        }
+        ShareEvent::Tick => ledger.tick(now),
+    }
+    json!("done")
+}
--- /dev/null
+++ b/crates/replay/src/timeline.rs
@@ -0,0 +1,78 @@
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+const NANOS_PER_MS: f64 = 1e6;
+
+/// A duration as milliseconds; fractions keep recorded times exact to the nanosecond.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(from = "f64", into = "f64")]
+pub struct Millis(pub Duration);
+
+impl From<f64> for Millis {
+    fn from(ms: f64) -> Self {
+        let rounded = (ms * NANOS_PER_MS).round() / 1e9;
+        Self(Duration::try_from_secs_f64(rounded).unwrap_or_default())
+    }
+}
+
+impl From<Millis> for f64 {
+    fn from(ms: Millis) -> Self {
+        ms.0.as_nanos() as Self / NANOS_PER_MS
+    }
+}
+
+/// A time relative to the start of a trace; recorded state may hold earlier times.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SignedMillis(pub f64);
+
+/// Translates between the times of a trace and instants.
+#[derive(Debug, Clone, Copy)]
+pub struct Timeline {
+    start: Instant,
+}
+
+impl Timeline {
+    /// Creates the timeline of a trace that starts at an instant.
+    #[must_use]
+    pub fn new(start: Instant) -> Self {
+        Self { start }
+    }
+
+    /// Returns the instant of a time in the trace.
+    #[must_use]
+    pub fn instant(&self, at: Millis) -> Instant {
+        self.start + at.0
+    }
+
+    /// Returns the time since the start; zero for an earlier instant.
+    #[must_use]
+    pub fn millis(&self, at: Instant) -> Millis {
+        Millis(at.saturating_duration_since(self.start))
+    }
+
+    /// Returns the whole milliseconds since the start, as outcomes state times.
+    #[must_use]
+    pub fn whole_ms(&self, at: Instant) -> u64 {
+        u64::try_from(self.millis(at).0.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Returns an instant relative to the start.
+    #[must_use]
+    pub fn signed(&self, at: Instant) -> SignedMillis {
+        let after = f64::from(self.millis(at));
+        let before = f64::from(Millis(self.start.saturating_duration_since(at)));
+        SignedMillis(after - before)
+    }
+
+    /// Returns the instant of a relative time; the earliest representable one if it lies before.
+    #[must_use]
+    pub fn instant_of(&self, at: SignedMillis) -> Instant {
+        if at.0 >= 0.0 {
+            return self.instant(Millis::from(at.0));
+        }
+        let before = Millis::from(-at.0).0;
+        self.start.checked_sub(before).unwrap_or(self.start)
+    }
+}
--- /dev/null
+++ b/crates/replay/src/trace.rs
@@ -0,0 +1,130 @@
+use jsonc_parser::ast;
+use jsonc_parser::common::Ranged;
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast, parse_to_serde_value};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::error::TraceError;
+use crate::event::{Event, read};
+use crate::timeline::Millis;
+
+/// A sequence of events with their outcomes.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Trace {
+    /// What the trace shows.
+    pub about: String,
+    /// Seed of every random draw of the replay.
+    pub seed: u64,
+    /// The events in the order of time.
+    pub events: Vec<TraceEvent>,
+}
+
+/// One event and the outcome that it must have.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct TraceEvent {
+    /// Line in the text, counted from 1; 0 for a recorded event.
+    #[serde(skip)]
+    pub line: usize,
+    /// Time since the start of the trace.
+    pub at_ms: Millis,
+    /// Kind and name of the subject.
+    pub on: String,
+    /// What happens.
+    #[serde(rename = "do")]
+    pub event: Event,
+    /// The outcome.
+    pub expect: Value,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TraceBody {
+    about: String,
+    seed: u64,
+    events: Vec<Value>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct EventBody {
+    at_ms: Millis,
+    on: String,
+    #[serde(rename = "do")]
+    event: Value,
+    expect: Value,
+}
+
+impl Trace {
+    /// Parses a trace from JSON with comments.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the line of the first fault.
+    pub fn parse(text: &str) -> Result<Self, TraceError> {
+        let line_of = |offset: usize| {
+            let before = text.as_bytes().iter().take(offset);
+            before.filter(|byte| **byte == b'\n').count() + 1
+        };
+        let syntax = |offset, reason| TraceError::Syntax {
+            line: line_of(offset),
+            reason,
+        };
+        let options = strict_options();
+        let parsed = parse_to_ast(text, &CollectOptions::default(), &options)
+            .map_err(|error| syntax(error.range().start, error.kind().to_string()))?;
+        let root = parsed
+            .value
+            .ok_or_else(|| syntax(0, "the text is empty".to_owned()))?;
+        let lines = event_lines(&root, line_of);
+        let value = parse_to_serde_value(text, &options)
+            .map_err(|error| syntax(error.range().start, error.kind().to_string()))?;
+        let body: TraceBody = read(value, 1)?;
+        let events = body.events.into_iter().zip(lines);
+        let events = events.map(|(event, line)| TraceEvent::parse(event, line));
+        Ok(Self {
+            about: body.about,
+            seed: body.seed,
+            events: events.collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+impl TraceEvent {
+    fn parse(value: Value, line: usize) -> Result<Self, TraceError> {
+        let body: EventBody = read(value, line)?;
+        let event = Event::parse(&body.on, body.event, line)?;
+        Ok(Self {
+            line,
+            at_ms: body.at_ms,
+            on: body.on,
+            event,
+            expect: body.expect,
+        })
+    }
+}
+
+fn event_lines(root: &ast::Value<'_>, line_of: impl Fn(usize) -> usize) -> Vec<usize> {
+    let events = match root {
+        ast::Value::Object(object) => object.get_array("events"),
+        _ => None,
+    };
+    let elements = events.map(|events| events.elements.as_slice());
+    let lines = elements.unwrap_or_default().iter();
+    lines.map(|event| line_of(event.start())).collect()
+}
+
+/// Only comments and trailing commas go beyond JSON.
+fn strict_options() -> ParseOptions {
+    ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    }
+}
