Record a daemon's decisions as a trace on request

A failure seen in operation could not be run again, because the daemon kept no record of the events that its decisions followed from. POST /trace/start and /trace/stop on the operators' address switch a recorder of the last 4,096 events; GET /trace returns them as a trace that the replay crate runs against the shipped code. Leaf events and fingerprint events are recorded; a trace holds no query text and no row. Changes of a leaf and of the fingerprint table now read the clock under their lock, so that recorded times have the order of the changes.

--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -93,7 +93,7 @@
 
 fn check_quarantine(worker: &Worker, query: &Query, now: Instant) -> Result<Clearance, Refusal> {
     let table = worker.shared.fingerprints.lock();
-    match table.check(query.fingerprint(), now) {
+    match table.table().check(query.fingerprint(), now) {
         Clearance::Quarantined { until } => Err(Refusal {
             reason: NotRunReason::Quarantined,
             retry_after: until.saturating_duration_since(now),
@@ -191,9 +191,8 @@
         self.accept_reply(reply);
         if covered {
             shards.retain(|asked| *asked != shard);
-            let now = self.worker.shared.clock.now();
             let mut table = self.worker.shared.fingerprints.lock();
-            table.canary_ok(fingerprint, now);
+            table.canary_ok(fingerprint);
             return true;
         }
         self.refuse_rest(shards, shard);
@@ -317,7 +316,7 @@
                 fingerprint,
                 until: now + left,
             };
-            if shared.fingerprints.lock().learn(&[quarantine], now) > 0 {
+            if shared.fingerprints.lock().learn(&[quarantine]) > 0 {
                 shared.news.notify_one();
             }
         }
--- a/crates/daemon/src/fleet/gossip.rs
+++ b/crates/daemon/src/fleet/gossip.rs
@@ -144,7 +144,7 @@
 
 fn build_heartbeat(shared: &Shared, peer: &VmName) -> HeartbeatMessage {
     let now = shared.clock.now();
-    let mut quarantines = shared.fingerprints.lock().active(now);
+    let mut quarantines = shared.fingerprints.lock().table().active(now);
     // The longest quarantines are the newest and the least known.
     quarantines.sort_by_key(|entry| std::cmp::Reverse(entry.until));
     quarantines.truncate(QUARANTINES_MAX);
@@ -208,7 +208,7 @@
             until: now + *left,
         })
         .collect();
-    if !quarantines.is_empty() && shared.fingerprints.lock().learn(&quarantines, now) > 0 {
+    if !quarantines.is_empty() && shared.fingerprints.lock().learn(&quarantines) > 0 {
         shared.news.notify_one();
     }
 }
--- a/crates/daemon/src/gather.rs
+++ b/crates/daemon/src/gather.rs
@@ -63,7 +63,9 @@
     reply.extra_leaf_requests = gathering.extra_leaf_requests.get();
     reply.version_gone_leafs = gathering.version_gone.take();
     let now = shared.clock.now();
-    if let Clearance::Quarantined { until } = shared.fingerprints.lock().check(fingerprint, now) {
+    if let Clearance::Quarantined { until } =
+        shared.fingerprints.lock().table().check(fingerprint, now)
+    {
         reply.quarantine = Some((fingerprint, until.saturating_duration_since(now)));
     }
     reply
@@ -74,6 +76,7 @@
     let clearance = shared
         .fingerprints
         .lock()
+        .table()
         .check(gathering.fingerprint, shared.clock.now());
     if matches!(clearance, Clearance::Quarantined { .. }) {
         return refuse(&gathering.batch, UncoveredReason::Quarantined);
@@ -138,12 +141,11 @@
     /// Counts a lost connection against the fingerprint and announces a new quarantine.
     fn strike(&self, leaf: &LeafId) {
         let shared = &self.worker.shared;
-        let now = shared.clock.now();
         let request = self.batch.request;
         let quarantine = shared
             .fingerprints
             .lock()
-            .strike(self.fingerprint, leaf, request, now);
+            .strike(self.fingerprint, leaf, request);
         if quarantine.is_some() {
             log::warn!(
                 "gather: Request {request} crashed its second leaf; fingerprint {} is quarantined.",
--- a/crates/daemon/src/gather/canary.rs
+++ b/crates/daemon/src/gather/canary.rs
@@ -38,12 +38,12 @@
         {
             let now = shared.clock.now();
             let mut table = shared.fingerprints.lock();
-            match table.check(gathering.fingerprint, now) {
+            match table.table().check(gathering.fingerprint, now) {
                 Clearance::Proven => return Turn::Proven,
                 Clearance::Quarantined { .. } => {
                     return Turn::Refused(UncoveredReason::Quarantined);
                 }
-                Clearance::NeedsCanary if table.start_canary(gathering.fingerprint, now) => {
+                Clearance::NeedsCanary if table.start_canary(gathering.fingerprint) => {
                     return Turn::Canary;
                 }
                 Clearance::NeedsCanary | Clearance::CanaryRunning => {}
@@ -71,9 +71,8 @@
     let outcome = shard::run(gathering, &task).await;
     if matches!(outcome, ShardOutcome::Covered { .. }) {
         let shared = &gathering.worker.shared;
-        let now = shared.clock.now();
         let mut table = shared.fingerprints.lock();
-        table.canary_ok(gathering.fingerprint, now);
+        table.canary_ok(gathering.fingerprint);
     }
     drop(claim);
     reply(gathering, outcome)
@@ -93,6 +92,7 @@
     let struck = shared
         .fingerprints
         .lock()
+        .table()
         .struck_leafs(gathering.fingerprint, now);
     let leafs = std::iter::once(&task.leaf).chain(&task.alternatives);
     let mut fit = leafs.filter(|leaf| struck.binary_search(leaf).is_err());
--- a/crates/daemon/src/leafs/mod.rs
+++ b/crates/daemon/src/leafs/mod.rs
@@ -4,6 +4,7 @@
 mod connection;
 mod maintenance;
 mod protocol;
+mod recorded;
 mod slot;
 mod table;
 
--- a/crates/daemon/src/leafs/slot.rs
+++ b/crates/daemon/src/leafs/slot.rs
@@ -3,12 +3,15 @@
 use std::sync::Arc;
 
 use medlarpin_core::fair_queue::{Discipline, FairQueue, Popped, QueueRefusal};
-use medlarpin_core::leaf_state::{HealthReport, LeafCondition, LeafState, PIPELINE, Wait};
+use medlarpin_core::leaf_state::{HealthReport, LeafCondition, PIPELINE, Wait};
 use medlarpin_core::prelude::*;
 use parking_lot::Mutex;
+use replay::{LeafEvent, Millis};
 use tokio::sync::oneshot;
 
 use crate::leafs::connection::ConnectionPool;
+use crate::leafs::recorded::RecordedLeaf;
+use crate::recorder::Recorder;
 
 /// What a queued request receives when its turn comes or the leaf becomes unavailable.
 #[derive(Debug)]
@@ -38,7 +41,7 @@
 #[derive(Debug)]
 struct SlotCore {
     queue: FairQueue<Waiter>,
-    state: LeafState,
+    state: RecordedLeaf,
     /// Versions that the leaf reported as gone, sorted.
     gone: Vec<IndexVersion>,
     /// Time of the pending wake-up of the queue.
@@ -76,11 +79,12 @@
         connection_share: u32,
         discipline: Discipline,
         clock: Arc<dyn Clock>,
+        recorder: Arc<Recorder>,
     ) -> Self {
         let mut queue = FairQueue::new(discipline);
         // Service times run from send to answer, so they include the wait of the pipelined request.
         queue.set_parallelism(leaf.slots + PIPELINE);
-        let state = LeafState::new(leaf.slots, clock.now());
+        let state = RecordedLeaf::new(&service, &leaf, recorder, clock.now());
         Self {
             service,
             connections: ConnectionPool::new(leaf.address, connection_share),
@@ -125,8 +129,10 @@
     /// Grants queued requests as far as the leaf's state allows.
     pub fn dispatch(self: &Arc<Self>) {
         loop {
+            let mut core = self.core.lock();
             let now = self.clock.now();
-            let step = self.core.lock().next_step(now, self.connections.share());
+            let step = core.next_step(now, self.connections.share());
+            drop(core);
             match step {
                 Step::Grant(waiter) => {
                     let permit = Permit {
@@ -155,10 +161,10 @@
     pub fn serves(&self, version: IndexVersion) -> bool {
         let core = self.core.lock();
         let now = self.clock.now();
-        let available = match core.state.condition(now) {
+        let available = match core.state.get().condition(now) {
             LeafCondition::Draining => false,
             // Without its trial requests a lost leaf would never be found again.
-            LeafCondition::Lost { .. } => core.state.may_send(now).is_ok(),
+            LeafCondition::Lost { .. } => core.state.get().may_send(now).is_ok(),
             LeafCondition::Starting | LeafCondition::Ready | LeafCondition::BackingOff { .. } => {
                 true
             }
@@ -171,7 +177,7 @@
     pub fn load(&self) -> u32 {
         let core = self.core.lock();
         let queued = u32::try_from(core.queue.len()).unwrap_or(u32::MAX);
-        core.state.in_flight().saturating_add(queued)
+        core.state.get().in_flight().saturating_add(queued)
     }
 
     /// Returns the time after which an unanswered request is hedged.
@@ -179,7 +185,7 @@
     pub fn hedge_delay(&self, time_left: Duration) -> Duration {
         let core = self.core.lock();
         let now = self.clock.now();
-        medlarpin_core::latency_window::hedge_delay(core.state.latencies(), time_left, now)
+        medlarpin_core::latency_window::hedge_delay(core.state.get().latencies(), time_left, now)
     }
 
     /// Records that the leaf no longer holds a version.
@@ -197,27 +203,31 @@
 
     /// Records that a connection was lost or refused.
     pub fn connection_lost(self: &Arc<Self>) {
-        self.core.lock().state.connection_lost(self.clock.now());
+        self.update(|core, now| core.state.apply(LeafEvent::ConnectionLost, now));
         self.dispatch();
     }
 
     /// Records that the leaf refused work because it drains.
     pub fn draining(self: &Arc<Self>) {
-        self.core.lock().state.draining(self.clock.now());
+        self.update(|core, now| core.state.apply(LeafEvent::Draining, now));
         self.dispatch();
     }
 
     /// Takes in a health report.
     pub fn health(self: &Arc<Self>, report: HealthReport) {
-        self.core.lock().state.health(report, self.clock.now());
+        let event = LeafEvent::Health {
+            state: report.state.into(),
+            load: report.load,
+        };
+        self.update(|core, now| core.state.apply(event, now));
         self.dispatch();
     }
 
     /// Stops all new work for the leaf, because it left the settings or this daemon's holding.
     pub fn retire(self: &Arc<Self>) {
-        self.update(|core, _now| {
+        self.update(|core, now| {
             core.retired = true;
-            core.state.removed();
+            core.state.apply(LeafEvent::Removed, now);
         });
         self.dispatch();
     }
@@ -226,7 +236,7 @@
     #[must_use]
     pub fn is_idle(&self) -> bool {
         let core = self.core.lock();
-        core.state.in_flight() == 0 && core.queue.is_empty()
+        core.state.get().in_flight() == 0 && core.queue.is_empty()
     }
 
     /// Returns how many connections should be open ahead of need.
@@ -236,7 +246,7 @@
         if core.retired {
             return 0;
         }
-        core.state.connections_wanted(self.clock.now())
+        core.state.get().connections_wanted(self.clock.now())
     }
 
     /// Returns true when a draining leaf's health is to be asked for.
@@ -252,10 +262,10 @@
         let core = self.core.lock();
         let now = self.clock.now();
         LeafReport {
-            condition: core.state.condition(now),
-            in_flight: core.state.in_flight(),
+            condition: core.state.get().condition(now),
+            in_flight: core.state.get().in_flight(),
             queued: core.queue.len(),
-            p95: core.state.latencies().quantile(0.95, now),
+            p95: core.state.get().latencies().quantile(0.95, now),
             queue_wait: core.queue.mean_queue_wait(now),
         }
     }
@@ -274,7 +284,8 @@
     }
 
     fn update(&self, update: impl FnOnce(&mut SlotCore, Instant)) {
-        update(&mut self.core.lock(), self.clock.now());
+        let mut core = self.core.lock();
+        update(&mut core, self.clock.now());
     }
 }
 
@@ -299,16 +310,16 @@
         if self.queue.is_empty() {
             return Step::Done;
         }
-        if self.state.in_flight() >= connection_share {
+        if self.state.get().in_flight() >= connection_share {
             return Step::Done;
         }
-        match self.state.may_send(now) {
+        match self.state.get().may_send(now) {
             Ok(()) => self.pop(now),
             Err(Wait::InFlight) => Step::Done,
             Err(Wait::Draining) => self.refuse_one(now),
             Err(Wait::Until(at)) => {
                 // Requests that wait for a lost leaf can fail over at once.
-                if matches!(self.state.condition(now), LeafCondition::Lost { .. }) {
+                if matches!(self.state.get().condition(now), LeafCondition::Lost { .. }) {
                     self.refuse_one(now)
                 } else {
                     Step::WakeAt(at)
@@ -322,7 +333,7 @@
             match self.queue.pop(now) {
                 Popped::Ready(waiter) if waiter.sender.is_closed() => {}
                 Popped::Ready(waiter) => {
-                    self.state.sent(now);
+                    self.state.apply(LeafEvent::Sent, now);
                     return Step::Grant(waiter);
                 }
                 Popped::Expired(waiter) => return Step::Refuse(waiter, Grant::Expired),
@@ -364,7 +375,8 @@
         let sent_at = self.sent_at;
         self.slot.update(|core, now| {
             let latency = now.saturating_duration_since(sent_at);
-            core.state.answered(latency, now);
+            let latency_ms = Millis(latency);
+            core.state.apply(LeafEvent::Answered { latency_ms }, now);
             core.queue.record_service_time(latency);
         });
         self.close();
@@ -372,14 +384,16 @@
 
     /// Ends the request, because the leaf shed it.
     pub fn shed(mut self, retry_after: Duration) {
+        let retry_after_ms = Millis(retry_after);
         self.slot
-            .update(|core, now| core.state.shed(retry_after, now));
+            .update(|core, now| core.state.apply(LeafEvent::Shed { retry_after_ms }, now));
         self.close();
     }
 
     /// Ends the request without granting the next one; the caller dispatches.
     fn discard(mut self) {
-        self.slot.update(|core, now| core.state.released(now));
+        self.slot
+            .update(|core, now| core.state.apply(LeafEvent::Released, now));
         self.open = false;
     }
 
@@ -392,7 +406,8 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         if self.open {
-            self.slot.update(|core, now| core.state.released(now));
+            self.slot
+                .update(|core, now| core.state.apply(LeafEvent::Released, now));
             self.close();
         }
     }
--- a/crates/daemon/src/leafs/table.rs
+++ b/crates/daemon/src/leafs/table.rs
@@ -8,11 +8,13 @@
 use parking_lot::RwLock;
 
 use crate::leafs::slot::LeafSlot;
+use crate::recorder::Recorder;
 
 /// All leafs that this daemon holds, and those that it is giving up.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LeafTable {
     inner: RwLock<Inner>,
+    recorder: Arc<Recorder>,
 }
 
 #[derive(Debug, Default)]
@@ -35,6 +37,15 @@
 }
 
 impl LeafTable {
+    /// Creates the table of a daemon that holds no leaf.
+    #[must_use]
+    pub fn new(recorder: Arc<Recorder>) -> Self {
+        Self {
+            inner: RwLock::default(),
+            recorder,
+        }
+    }
+
     /// Finds a held leaf.
     #[must_use]
     pub fn get(&self, service: &ServiceName, leaf: &LeafId) -> Option<Arc<LeafSlot>> {
@@ -94,6 +105,7 @@
                     holding.connection_share,
                     discipline,
                     Arc::clone(clock),
+                    Arc::clone(&self.recorder),
                 )),
             };
             inner.held.push(slot);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod logging;
 mod operators;
 mod peers;
+mod recorder;
 mod shared;
 mod view;
 mod workers;
--- a/crates/daemon/src/operators/dump.rs
+++ b/crates/daemon/src/operators/dump.rs
@@ -314,7 +314,7 @@
 }
 
 fn dump_quarantines(shared: &Shared, now: Instant) -> Vec<QuarantineDump> {
-    let active = shared.fingerprints.lock().active(now);
+    let active = shared.fingerprints.lock().table().active(now);
     let dump = active.into_iter().map(|entry| QuarantineDump {
         fingerprint: entry.fingerprint.to_string(),
         left_ms: millis(entry.until.saturating_duration_since(now)),
--- a/crates/daemon/src/operators/http.rs
+++ b/crates/daemon/src/operators/http.rs
@@ -5,7 +5,7 @@
 use axum::extract::State;
 use axum::http::{StatusCode, header};
 use axum::response::{IntoResponse, Response};
-use axum::routing::get;
+use axum::routing::{get, post};
 use axum::{Json, Router};
 
 use crate::operators::dump;
@@ -18,6 +18,9 @@
         .route("/ready", get(ready))
         .route("/live", get(live))
         .route("/state", get(state))
+        .route("/trace", get(trace))
+        .route("/trace/start", post(start_trace))
+        .route("/trace/stop", post(stop_trace))
         .with_state(shared)
 }
 
@@ -47,3 +50,19 @@
 async fn state(State(shared): State<Arc<Shared>>) -> Response {
     Json(dump::dump(&shared)).into_response()
 }
+
+async fn trace(State(shared): State<Arc<Shared>>) -> Response {
+    Json(shared.recorder.trace(shared.me())).into_response()
+}
+
+async fn start_trace(State(shared): State<Arc<Shared>>) -> StatusCode {
+    shared.recorder.start(shared.clock.now());
+    log::info!("operators: Recording of decisions is on.");
+    StatusCode::NO_CONTENT
+}
+
+async fn stop_trace(State(shared): State<Arc<Shared>>) -> StatusCode {
+    shared.recorder.stop();
+    log::info!("operators: Recording of decisions is off.");
+    StatusCode::NO_CONTENT
+}
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -2,14 +2,13 @@
 //!
 //! A mutex is taken only while none of a later place is held, and never across an await:
 //! 1 fleet, 2 admission, 3 leafs (one at a time), 4 fingerprints, 5 tickets, 6 gone
-//! versions, 7 recent answers.
+//! versions, 7 recent answers, 8 recorder.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwap;
-use medlarpin_core::canary::FingerprintTable;
 use medlarpin_core::ownership::active_holder;
 use medlarpin_core::pause::Paused;
 use medlarpin_core::prelude::*;
@@ -23,6 +22,7 @@
 use crate::leafs::{LeafSlot, LeafTable};
 use crate::lifecycle::Lifecycle;
 use crate::operators::{Metrics, RecentAnswers};
+use crate::recorder::{RecordedFingerprints, Recorder};
 use crate::view::{FleetView, GroupView};
 use crate::workers::WorkerPool;
 
@@ -49,13 +49,15 @@
     /// Lock order 3; each leaf has its own lock.
     pub leafs: LeafTable,
     /// Lock order 4.
-    pub fingerprints: Mutex<FingerprintTable>,
+    pub fingerprints: Mutex<RecordedFingerprints>,
     /// Lock order 5.
     pub tickets: Mutex<TicketBook>,
     /// Lock order 6.
     pub gone: Mutex<GoneVersions>,
     /// Lock order 7.
     pub recent: Mutex<RecentAnswers>,
+    /// Lock order 8.
+    pub recorder: Arc<Recorder>,
     /// Metrics; they need no lock.
     pub metrics: Metrics,
     /// Start and stop.
@@ -91,6 +93,7 @@
         metrics: Metrics,
     ) -> Self {
         let now = clock.now();
+        let recorder = Arc::new(Recorder::default());
         let ticket_limits = TicketLimits {
             lifetime: Duration::from_millis(settings.ticket_lifetime_ms),
             ..TicketLimits::default()
@@ -101,8 +104,11 @@
             rpc_address,
             fleet: Mutex::new(FleetTable::new(&settings, incarnation, now)),
             admission: Mutex::new(AdmissionTable::new(settings.vm.clone())),
-            leafs: LeafTable::default(),
-            fingerprints: Mutex::new(FingerprintTable::new()),
+            leafs: LeafTable::new(Arc::clone(&recorder)),
+            fingerprints: Mutex::new(RecordedFingerprints::new(
+                Arc::clone(&recorder),
+                Arc::clone(&clock),
+            )),
             tickets: Mutex::new(TicketBook::new(
                 settings.vm.clone(),
                 incarnation,
@@ -110,6 +116,7 @@
             )),
             gone: Mutex::new(GoneVersions::default()),
             recent: Mutex::new(RecentAnswers::default()),
+            recorder,
             metrics,
             lifecycle: Lifecycle::default(),
             ticket_ended: Notify::new(),
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -266,6 +266,11 @@
         .await;
     }
 
+    /// Returns the address of a daemon's listener for operators.
+    pub fn operator_address(&self, daemon: usize) -> SocketAddr {
+        self.operator_addresses[daemon]
+    }
+
     /// Returns the address of a daemon's listener for callers.
     pub fn query_address(&self, daemon: usize) -> SocketAddr {
         self.query_addresses[daemon]
--- a/crates/replay/src/subjects/leaf.rs
+++ b/crates/replay/src/subjects/leaf.rs
@@ -165,6 +165,26 @@
     }
 }
 
+impl LeafEvent {
+    /// Calls the method of the state that the event stands for; the other events change nothing.
+    pub fn apply_to(&self, leaf: &mut LeafState, now: Instant) {
+        match self {
+            Self::New { .. } | Self::Restore(_) | Self::Look => {}
+            Self::Sent => leaf.sent(now),
+            Self::Answered { latency_ms } => leaf.answered(latency_ms.0, now),
+            Self::Shed { retry_after_ms } => leaf.shed(retry_after_ms.0, now),
+            Self::Released => leaf.released(now),
+            Self::Draining => leaf.draining(now),
+            Self::Removed => leaf.removed(),
+            Self::ConnectionLost => leaf.connection_lost(now),
+            Self::Health { state, load } => {
+                let state = HealthState::from(*state);
+                leaf.health(HealthReport { state, load: *load }, now);
+            }
+        }
+    }
+}
+
 impl From<HealthState> for LeafHealth {
     fn from(state: HealthState) -> Self {
         match state {
@@ -199,20 +219,7 @@
         _ => {}
     }
     let leaf = subject.as_mut()?;
-    match event {
-        LeafEvent::New { .. } | LeafEvent::Restore(_) | LeafEvent::Look => {}
-        LeafEvent::Sent => leaf.sent(now),
-        LeafEvent::Answered { latency_ms } => leaf.answered(latency_ms.0, now),
-        LeafEvent::Shed { retry_after_ms } => leaf.shed(retry_after_ms.0, now),
-        LeafEvent::Released => leaf.released(now),
-        LeafEvent::Draining => leaf.draining(now),
-        LeafEvent::Removed => leaf.removed(),
-        LeafEvent::ConnectionLost => leaf.connection_lost(now),
-        LeafEvent::Health { state, load } => {
-            let state = HealthState::from(*state);
-            leaf.health(HealthReport { state, load: *load }, now);
-        }
-    }
+    event.apply_to(leaf, now);
     Some(outcome(leaf, now, time))
 }
 
