Give each log line its part as target

A part's level was set by module, but the prefixes did not follow the modules: lines with entry and gossip prefixes came from modules that belonged to shutdown or to none, config had no lines at all, and peers, worker and operators were no parts. The target of each line is now its part, the pattern prints the target as the prefix, and each part has one logger. Libraries log warnings and errors. Two warnings for single leaf replies are at debug; both are counted in invalid_replies_total.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+use crate::logging::{ENTRY, GOSSIP, SHUTDOWN};
 use crate::operators::Metrics;
 use crate::shared::{Node, Shared};
 use crate::workers::{WorkerError, WorkerPool};
@@ -77,7 +78,7 @@
             serve(query, entry::router(Arc::clone(&node))),
             serve(operator, operators::router(Arc::clone(&shared))),
         ];
-        log::info!("entry: Listening to callers on {query_address}.");
+        log::info!(target: ENTRY, "Listening to callers on {query_address}.");
         Ok(Self {
             node,
             query_address,
@@ -116,7 +117,7 @@
     /// time, so that the load balancer sees it, and until the last request has ended.
     pub async fn shutdown(self) {
         let shared = &self.node.shared;
-        log::info!("shutdown: Readiness is false; peers are told.");
+        log::info!(target: SHUTDOWN, "Readiness is false; peers are told.");
         shared.lifecycle.set_stopping();
         shared.fleet.lock().membership.leave();
         shared.news.notify_one();
@@ -127,7 +128,7 @@
             .is_err()
         {
             let left = shared.lifecycle.in_flight();
-            log::warn!("shutdown: {left} requests did not end within the drain limit.");
+            log::warn!(target: SHUTDOWN, "{left} requests did not end within the drain limit.");
         }
         // The last answers have been handed to the connections, which still write them.
         tokio::time::sleep(LAST_WRITE_WAIT).await;
@@ -140,9 +141,9 @@
             .await
             .is_err()
         {
-            log::error!("shutdown: The workers did not stop in order.");
+            log::error!(target: SHUTDOWN, "The workers did not stop in order.");
         }
-        log::info!("shutdown: All requests have ended.");
+        log::info!(target: SHUTDOWN, "All requests have ended.");
     }
 }
 
@@ -159,7 +160,7 @@
 fn serve(listener: TcpListener, router: axum::Router) -> JoinHandle<()> {
     tokio::spawn(async move {
         if let Err(error) = axum::serve(listener, router).await {
-            log::error!("entry: A listener ended: {error}.");
+            log::error!(target: ENTRY, "A listener ended: {error}.");
         }
     })
 }
@@ -171,11 +172,13 @@
                 let prepared = stream.set_nodelay(true).and_then(|()| stream.into_std());
                 match prepared {
                     Ok(stream) => node.workers.accept(stream),
-                    Err(error) => log::debug!("peers: A connection failed at once: {error}."),
+                    Err(error) => {
+                        log::debug!(target: GOSSIP, "A connection failed at once: {error}.");
+                    }
                 }
             }
             Err(error) => {
-                log::warn!("peers: A connection cannot be accepted: {error}.");
+                log::warn!(target: GOSSIP, "A connection cannot be accepted: {error}.");
                 // The usual cause is a lack of file descriptors, which takes a moment to end.
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
@@ -195,7 +198,7 @@
         fleet::join(Rc::clone(&worker), Rc::clone(&client)).await;
         tokio::task::spawn_local(fleet::watch_platform(worker, client));
         if tasks.await.is_err() {
-            log::error!("gossip: The housekeeping task ended.");
+            log::error!(target: GOSSIP, "The housekeeping task ended.");
         }
     });
 }
--- a/crates/daemon/src/entry/group.rs
+++ b/crates/daemon/src/entry/group.rs
@@ -10,6 +10,7 @@
 
 use crate::entry::request::Query;
 use crate::gather::gather;
+use crate::logging::ENTRY;
 use crate::peers::PeerError;
 use crate::shared::Shared;
 use crate::view::{FleetView, ServiceView};
@@ -285,7 +286,7 @@
         let shared = &self.worker.shared;
         shared.metrics.batches.with_label_values(&["failed"]).inc();
         let request = self.batch.request;
-        log::debug!("entry: Request {request}: VM {vm} failed: {error}.");
+        log::debug!(target: ENTRY, "Request {request}: VM {vm} failed: {error}.");
         let too_short = matches!(error, PeerError::Timeout(_)) && timeout < UNREACHABLE_AFTER;
         let now = shared.clock.now();
         if !too_short {
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -17,6 +17,7 @@
 use crate::entry::answer::{AnswerBody, RowBody, UncoveredBody};
 use crate::entry::group::{ATTEMPTS_PER_SHARD, GroupCall, Routes};
 use crate::entry::request::{Query, RequestError};
+use crate::logging::ENTRY;
 use crate::view::ServiceView;
 use crate::workers::Worker;
 
@@ -74,7 +75,7 @@
         && let Some(map) = run.newer_map()
     {
         log::info!(
-            "entry: Request {} restarts at version {}.",
+            target: ENTRY, "Request {} restarts at version {}.",
             query.request,
             map.version().0
         );
@@ -330,7 +331,8 @@
         let version = self.map.version();
         let request = self.query.request;
         if let Err(error) = self.merge.accept(shard, version, request, outcome) {
-            log::warn!("entry: Request {request}: a result was not merged: {error}.");
+            self.worker.shared.metrics.invalid_replies.inc();
+            log::debug!(target: ENTRY, "Request {request}: a result was not merged: {error}.");
         }
     }
 
--- a/crates/daemon/src/entry/ticketed.rs
+++ b/crates/daemon/src/entry/ticketed.rs
@@ -15,6 +15,7 @@
 use crate::entry::http::{answer, json};
 use crate::entry::request::{Query, RequestError};
 use crate::entry::run::{QueryResult, run_query};
+use crate::logging::ENTRY;
 use crate::shared::Shared;
 use crate::workers::Worker;
 
@@ -48,7 +49,7 @@
         }
         Err(refusal) => {
             events.with_label_values(&["refused"]).inc();
-            log::info!("entry: Team {team} got no ticket: {refusal}.");
+            log::info!(target: ENTRY, "Team {team} got no ticket: {refusal}.");
             let outcome = not_run(NotRunReason::TicketLimit, TICKET_RETRY_AFTER);
             let request = RequestId(rand::random());
             let service = ServiceName::new("");
@@ -231,7 +232,7 @@
         Err(error) => {
             // Even if this submission was not sent, an earlier one through another VM may have run.
             let request = query.request;
-            log::info!("entry: Request {request}: the ticket's issuer failed: {error}.");
+            log::info!(target: ENTRY, "Request {request}: the ticket's issuer failed: {error}.");
             Ok(unknown(query, UnknownReason::IssuerLost))
         }
     }
--- a/crates/daemon/src/fleet/gossip.rs
+++ b/crates/daemon/src/fleet/gossip.rs
@@ -9,6 +9,7 @@
 use wire::HeartbeatMessage;
 
 use crate::fleet::refresh::{accept_transfer, accept_vm_list};
+use crate::logging::{CONFIG, GOSSIP};
 use crate::shared::Shared;
 use crate::workers::Worker;
 
@@ -66,7 +67,7 @@
                 .with_label_values(&["answered"])
                 .inc();
             if shared.fleet.lock().pause.rejoined(started_at, now) {
-                log::info!("gossip: This daemon has rejoined the fleet.");
+                log::info!(target: GOSSIP, "This daemon has rejoined the fleet.");
             }
             take_in(&worker, &reply);
             true
@@ -77,7 +78,7 @@
                 .exchanges
                 .with_label_values(&["failed"])
                 .inc();
-            log::debug!("gossip: VM {vm} gave no answer: {error}.");
+            log::debug!(target: GOSSIP, "VM {vm} gave no answer: {error}.");
             let mut fleet = shared.fleet.lock();
             // After a pause of this process the failure may be its own.
             if fleet.pause.check(now).is_ok() {
@@ -111,7 +112,7 @@
     let mut fleet = shared.fleet.lock();
     if fleet.pause.check(now).is_ok() {
         for verdict in fleet.membership.tick(now) {
-            log::info!("gossip: VM {} is dead.", verdict.vm);
+            log::info!(target: GOSSIP, "VM {} is dead.", verdict.vm);
         }
     }
     let mut targets: Vec<VmName> = fleet
@@ -228,7 +229,7 @@
     {
         Ok(Some(tree)) => accept_transfer(&worker.shared, &tree),
         Ok(None) => {}
-        Err(error) => log::debug!("config: Peer {address} gave no settings: {error}."),
+        Err(error) => log::debug!(target: CONFIG, "Peer {address} gave no settings: {error}."),
     }
 }
 
@@ -242,6 +243,6 @@
     {
         Ok(Some(list)) => accept_vm_list(&worker.shared, &list),
         Ok(None) => {}
-        Err(error) => log::debug!("gossip: Peer {address} gave no VM list: {error}."),
+        Err(error) => log::debug!(target: GOSSIP, "Peer {address} gave no VM list: {error}."),
     }
 }
--- a/crates/daemon/src/fleet/housekeeping.rs
+++ b/crates/daemon/src/fleet/housekeeping.rs
@@ -6,6 +6,7 @@
 use medlarpin_core::prelude::*;
 
 use crate::fleet::refresh::update_holdings;
+use crate::logging::GOSSIP;
 use crate::shared::Shared;
 use crate::workers::Worker;
 
@@ -23,7 +24,7 @@
             if fleet.pause.tick(now) {
                 shared.metrics.pauses.inc();
                 log::warn!(
-                    "gossip: This process was paused; it refuses work until it has rejoined."
+                    target: GOSSIP, "This process was paused; it refuses work until it has rejoined."
                 );
             }
         }
--- a/crates/daemon/src/fleet/join.rs
+++ b/crates/daemon/src/fleet/join.rs
@@ -7,6 +7,7 @@
 
 use crate::fleet::gossip::{choose_peers, exchange, fetch_settings_above};
 use crate::fleet::refresh::{accept_published, accept_vm_list};
+use crate::logging::{CONFIG, GOSSIP};
 use crate::workers::Worker;
 
 /// Time between two tries to join.
@@ -24,7 +25,7 @@
     loop {
         if try_join(&worker, &client).await {
             worker.shared.lifecycle.set_joined();
-            log::info!("gossip: This daemon has joined the fleet.");
+            log::info!(target: GOSSIP, "This daemon has joined the fleet.");
             break;
         }
         tokio::time::sleep(RETRY_INTERVAL).await;
@@ -36,12 +37,12 @@
     let shared = &worker.shared;
     match client.vm_list().await {
         Ok(list) => accept_vm_list(shared, &list),
-        Err(error) => log::debug!("gossip: The platform gave no VM list: {error}."),
+        Err(error) => log::debug!(target: GOSSIP, "The platform gave no VM list: {error}."),
     }
     match client.settings(None, Duration::ZERO).await {
         Ok(Some(tree)) => accept_published(shared, tree.revision, tree.texts),
         Ok(None) => {}
-        Err(error) => log::debug!("config: The platform gave no settings: {error}."),
+        Err(error) => log::debug!(target: CONFIG, "The platform gave no settings: {error}."),
     }
     let peers = choose_peers(shared, PEERS_ASKED);
     for vm in &peers {
--- a/crates/daemon/src/fleet/platform_watch.rs
+++ b/crates/daemon/src/fleet/platform_watch.rs
@@ -6,6 +6,7 @@
 use platform::PlatformClient;
 
 use crate::fleet::refresh::{accept_published, accept_vm_list};
+use crate::logging::{CONFIG, GOSSIP};
 use crate::shared::Shared;
 use crate::workers::Worker;
 
@@ -43,7 +44,7 @@
             Ok(Some(_stale)) => tokio::time::sleep(RETRY_INTERVAL).await,
             Ok(None) => {}
             Err(error) => {
-                log::debug!("config: The platform gave no settings: {error}.");
+                log::debug!(target: CONFIG, "The platform gave no settings: {error}.");
                 tokio::time::sleep(RETRY_INTERVAL).await;
             }
         }
@@ -61,7 +62,7 @@
         }
         match client.vm_list().await {
             Ok(list) => accept_vm_list(shared, &list),
-            Err(error) => log::debug!("gossip: The platform gave no VM list: {error}."),
+            Err(error) => log::debug!(target: GOSSIP, "The platform gave no VM list: {error}."),
         }
     }
 }
--- a/crates/daemon/src/fleet/refresh.rs
+++ b/crates/daemon/src/fleet/refresh.rs
@@ -10,6 +10,7 @@
 
 use crate::fleet::table::FleetTable;
 use crate::leafs::Holding;
+use crate::logging::{CONFIG, GOSSIP};
 use crate::shared::Shared;
 use crate::view::FleetView;
 
@@ -36,7 +37,7 @@
         fleet.removed.push((vm.name.clone(), now));
     }
     fleet.removed.retain(|(vm, _)| list.get(vm).is_none());
-    log::info!("gossip: VM list {} is in use.", list.revision().0);
+    log::info!(target: GOSSIP, "VM list {} is in use.", list.revision().0);
     put_in_force(shared, &mut fleet, &old, now);
     shared.news.notify_one();
 }
@@ -80,7 +81,7 @@
             if newer {
                 fleet.tree_accepted_at = Some(now);
                 log_rejected(&fleet.tree);
-                log::info!("config: Revision {} is in force.", fleet.tree.revision().0);
+                log::info!(target: CONFIG, "Revision {} is in force.", fleet.tree.revision().0);
                 shared.news.notify_one();
             }
             let list = fleet.membership.list().clone();
@@ -90,7 +91,7 @@
             fleet.conflicts += 1;
             shared.metrics.settings_conflicts.inc();
             log::warn!(
-                "config: Revision {} has two digests; the held one stays.",
+                target: CONFIG, "Revision {} has two digests; the held one stays.",
                 revision.0
             );
         }
@@ -105,7 +106,7 @@
         {
             let path = entry.path();
             let error = &rejected.error;
-            log::warn!("config: The new text of {path} is invalid and not in force: {error}.");
+            log::warn!(target: CONFIG, "The new text of {path} is invalid and not in force: {error}.");
         }
     }
 }
--- a/crates/daemon/src/fleet/shares.rs
+++ b/crates/daemon/src/fleet/shares.rs
@@ -7,6 +7,7 @@
 use wire::peer_capnp::TeamLimit;
 
 use crate::entry::Limit;
+use crate::logging::GOSSIP;
 use crate::peers::Loan;
 use crate::workers::Worker;
 
@@ -66,6 +67,6 @@
             let mut admission = shared.admission.lock();
             admission.accept(&team, limit, &lease, request.asked_at, now);
         }
-        Err(error) => log::debug!("gossip: VM {} lent nothing: {error}.", request.lender),
+        Err(error) => log::debug!(target: GOSSIP, "VM {} lent nothing: {error}.", request.lender),
     }
 }
--- a/crates/daemon/src/gather.rs
+++ b/crates/daemon/src/gather.rs
@@ -12,6 +12,7 @@
 use medlarpin_core::prelude::*;
 use wire::{Batch, BatchReply, ShardResult, ShardTask};
 
+use crate::logging::GATHER;
 use crate::view::ServiceView;
 use crate::workers::Worker;
 
@@ -146,7 +147,7 @@
             .strike(self.fingerprint, leaf, request, now);
         if quarantine.is_some() {
             log::warn!(
-                "gather: Request {request} crashed its second leaf; fingerprint {} is quarantined.",
+                target: GATHER, "Request {request} crashed its second leaf; fingerprint {} is quarantined.",
                 self.fingerprint
             );
             shared.news.notify_one();
--- a/crates/daemon/src/leafs/attempt.rs
+++ b/crates/daemon/src/leafs/attempt.rs
@@ -11,6 +11,7 @@
 use crate::leafs::connection::{ConnectError, Connection};
 use crate::leafs::protocol::{CancelBody, ExchangeError, LeafReply, LeafRequest, exchange};
 use crate::leafs::slot::{Grant, LeafSlot, Permit};
+use crate::logging::LEAF;
 use crate::workers::Worker;
 
 /// Time after the deadline for which a late answer is awaited, so that the connection and the
@@ -180,7 +181,7 @@
             Ok(reply) => reply,
             Err(ExchangeError::NotSent) => return AttemptEnd::Unsent(Unsent::NoConnection),
             Err(ExchangeError::Lost(error)) => {
-                log::debug!("leaf: Request {} lost: {error}.", self.request.id());
+                log::debug!(target: LEAF, "Request {} lost: {error}.", self.request.id());
                 drop(self.permit);
                 self.slot.connection_lost();
                 return AttemptEnd::Lost;
@@ -198,7 +199,7 @@
                 // A leaf that mixed up one reply may mix up the next on this connection too, so
                 // the connection is not used again.
                 let id = self.request.id();
-                log::warn!("leaf: Request {id}: leaf {}: {error}.", self.slot.leaf.id);
+                log::debug!(target: LEAF, "Request {id}: leaf {}: {error}.", self.slot.leaf.id);
                 AttemptEnd::InvalidReply
             }
         }
--- a/crates/daemon/src/leafs/connection.rs
+++ b/crates/daemon/src/leafs/connection.rs
@@ -13,6 +13,8 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 
+use crate::logging::LEAF;
+
 /// Longest wait for a connection; the slowest published one takes 6 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -147,7 +149,7 @@
             .map_err(|_error| ConnectError::Refused)?;
         tokio::spawn(async move {
             if let Err(error) = driver.await {
-                log::debug!("leaf: A connection ended: {error}.");
+                log::debug!(target: LEAF, "A connection ended: {error}.");
             }
         });
         opening.opened = true;
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -17,8 +17,22 @@
     Installed(#[from] log::SetLoggerError),
 }
 
-/// Line format: time, level, message. Each message starts with the prefix of its part.
-const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m}{n}";
+/// Target of the lines about callers' requests.
+pub(crate) const ENTRY: &str = LogPart::Entry.as_str();
+/// Target of the lines about batches and leaf groups.
+pub(crate) const GATHER: &str = LogPart::Gather.as_str();
+/// Target of the lines about leafs.
+pub(crate) const LEAF: &str = LogPart::Leaf.as_str();
+/// Target of the lines about other daemons and the VM list.
+pub(crate) const GOSSIP: &str = LogPart::Gossip.as_str();
+/// Target of the lines about settings.
+pub(crate) const CONFIG: &str = LogPart::Config.as_str();
+/// Target of the lines about the end of the daemon.
+pub(crate) const SHUTDOWN: &str = LogPart::Shutdown.as_str();
+
+/// Line format: time, level, part, message. The target of each line is its part, so the prefix and
+/// the logger that sets its level cannot differ.
+const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {t}: {m}{n}";
 
 /// Installs the process-wide logger, which writes to standard error.
 ///
@@ -33,29 +47,17 @@
         .build();
     let mut config =
         Config::builder().appender(Appender::builder().build(CONSOLE, Box::new(appender)));
-    for (part, level) in &settings.parts {
-        let logger = Logger::builder().build(module_of(*part), filter(*level));
-        config = config.logger(logger);
+    for part in LogPart::ALL {
+        let level = filter(settings.level_of(part));
+        config = config.logger(Logger::builder().build(part.as_str(), level));
     }
-    let root = Root::builder()
-        .appender(CONSOLE)
-        .build(filter(settings.level));
+    // The level is that of the parts; libraries only report what may need attention.
+    let libraries = filter(settings.level).min(LevelFilter::Warn);
+    let root = Root::builder().appender(CONSOLE).build(libraries);
     log4rs::init_config(config.build(root)?)?;
     Ok(())
 }
 
-/// Returns the module whose log lines carry the part's prefix.
-fn module_of(part: LogPart) -> &'static str {
-    match part {
-        LogPart::Entry => "daemon::entry",
-        LogPart::Gather => "daemon::gather",
-        LogPart::Leaf => "daemon::leafs",
-        LogPart::Gossip => "daemon::fleet",
-        LogPart::Config => "platform",
-        LogPart::Shutdown => "daemon::daemon",
-    }
-}
-
 fn filter(level: LogLevel) -> LevelFilter {
     match level {
         LogLevel::Off => LevelFilter::Off,
--- a/crates/daemon/src/operators/http.rs
+++ b/crates/daemon/src/operators/http.rs
@@ -8,6 +8,7 @@
 use axum::routing::get;
 use axum::{Json, Router};
 
+use crate::logging::ENTRY;
 use crate::operators::dump;
 use crate::shared::Shared;
 
@@ -26,7 +27,7 @@
     match shared.metrics.encode() {
         Ok(text) => ([(header::CONTENT_TYPE, "text/plain; version=0.0.4")], text).into_response(),
         Err(error) => {
-            log::error!("operators: Metrics cannot be encoded: {error}.");
+            log::error!(target: ENTRY, "Metrics cannot be encoded: {error}.");
             StatusCode::SERVICE_UNAVAILABLE.into_response()
         }
     }
--- a/crates/daemon/src/operators/metrics.rs
+++ b/crates/daemon/src/operators/metrics.rs
@@ -28,7 +28,7 @@
     pub invalid_requests: IntCounterVec,
     /// Leaf requests sent, by kind: first, hedge or retry.
     pub leaf_requests: IntCounterVec,
-    /// Leaf replies that belonged to another request, version or shard.
+    /// Leaf replies and gatherers' results that belonged to another request, version or shard.
     pub invalid_replies: IntCounter,
     /// Time that leaf requests waited in the fair queues.
     pub queue_wait_seconds: HistogramVec,
@@ -89,7 +89,7 @@
                 &["code"],
             )?,
             leaf_requests: counters(r, "leaf_requests_total", "Leaf requests sent.", &["kind"])?,
-            invalid_replies: counter(r, "invalid_replies_total", "Leaf replies not used.")?,
+            invalid_replies: counter(r, "invalid_replies_total", "Replies not used.")?,
             queue_wait_seconds: histogram(
                 r,
                 "queue_wait_seconds",
--- a/crates/daemon/src/peers/pool.rs
+++ b/crates/daemon/src/peers/pool.rs
@@ -16,6 +16,8 @@
 use wire::peer_capnp::{TeamLimit, peer};
 use wire::{Batch, BatchReply, CallerAnswer, CallerQuery, HeartbeatMessage, WireError};
 
+use crate::logging::GOSSIP;
+
 /// Longest wait for a TCP connection to a peer; a live peer answers within a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -289,7 +291,7 @@
     let ended_by_task = Rc::clone(&ended);
     tokio::task::spawn_local(async move {
         if let Err(error) = system.await {
-            log::debug!("peers: A connection ended: {error}.");
+            log::debug!(target: GOSSIP, "A connection ended: {error}.");
         }
         ended_by_task.set(true);
     });
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -14,6 +14,7 @@
 use crate::entry::{Limit, run_forwarded};
 use crate::fleet::answer_heartbeat;
 use crate::gather::gather;
+use crate::logging::GOSSIP;
 use crate::workers::Worker;
 
 /// Serves one accepted connection until it ends.
@@ -21,7 +22,7 @@
     let stream = match tokio::net::TcpStream::from_std(stream) {
         Ok(stream) => stream,
         Err(error) => {
-            log::warn!("peers: An accepted connection cannot be used: {error}.");
+            log::warn!(target: GOSSIP, "An accepted connection cannot be used: {error}.");
             return;
         }
     };
@@ -35,7 +36,7 @@
     let client: peer::Client = capnp_rpc::new_client(PeerService { worker });
     let system = RpcSystem::new(Box::new(network), Some(client.client));
     if let Err(error) = system.await {
-        log::debug!("peers: An accepted connection ended: {error}.");
+        log::debug!(target: GOSSIP, "An accepted connection ended: {error}.");
     }
 }
 
@@ -45,7 +46,7 @@
 
 /// Reports a malformed message to the peer that sent it.
 fn refuse(error: &WireError) -> capnp::Error {
-    log::warn!("peers: A message was refused: {error}.");
+    log::warn!(target: GOSSIP, "A message was refused: {error}.");
     capnp::Error::failed(error.to_string())
 }
 
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -22,6 +22,7 @@
 use crate::fleet::FleetTable;
 use crate::leafs::{LeafSlot, LeafTable};
 use crate::lifecycle::Lifecycle;
+use crate::logging::ENTRY;
 use crate::operators::{Metrics, RecentAnswers};
 use crate::view::{FleetView, GroupView};
 use crate::workers::WorkerPool;
@@ -236,7 +237,7 @@
         if body.outcome != OutcomeName::Complete {
             let reason = body.reason.as_deref().unwrap_or("uncovered shards");
             log::info!(
-                "entry: Request {} ended {}: {reason}.",
+                target: ENTRY, "Request {} ended {}: {reason}.",
                 body.request_id,
                 body.outcome.as_str()
             );
--- a/crates/daemon/src/workers.rs
+++ b/crates/daemon/src/workers.rs
@@ -19,6 +19,7 @@
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
+use crate::logging::SHUTDOWN;
 use crate::peers::{PeerPool, serve_peer};
 use crate::shared::Shared;
 
@@ -111,7 +112,7 @@
         let threads = std::mem::take(&mut *self.threads.lock());
         for thread in threads {
             if thread.join().is_err() {
-                log::error!("worker: A worker thread panicked.");
+                log::error!(target: SHUTDOWN, "A worker thread panicked.");
             }
         }
     }
@@ -119,7 +120,7 @@
     fn send(&self, job: Job) {
         let index = self.next.fetch_add(1, Ordering::Relaxed) % self.senders.len();
         if self.senders[index].send(job).is_err() {
-            log::debug!("worker: A job arrived after the stop.");
+            log::debug!(target: SHUTDOWN, "A job arrived after the stop.");
         }
     }
 }
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -168,6 +168,11 @@
         self.daemons[daemon].lock().signal(signal);
     }
 
+    /// Returns what a daemon has logged.
+    pub fn log(&self, daemon: usize) -> String {
+        self.daemons[daemon].lock().log().expect("a log file")
+    }
+
     /// Ends a daemon at once.
     pub fn kill(&self, daemon: usize) {
         self.daemons[daemon].lock().kill();
--- a/crates/daemon/tests/fleet/process.rs
+++ b/crates/daemon/tests/fleet/process.rs
@@ -109,6 +109,11 @@
         std::fs::write(&self.settings_path, text)
     }
 
+    /// Returns what the process has logged since it was first started.
+    pub fn log(&self) -> io::Result<String> {
+        std::fs::read_to_string(&self.log_path)
+    }
+
     /// Starts the process; its output is appended to the log.
     pub fn start(&mut self) -> io::Result<()> {
         assert!(self.child.is_none(), "{} runs already", self.name);
--- /dev/null
+++ b/crates/daemon/tests/logging.rs
@@ -0,0 +1,77 @@
+//! Log lines carry the prefix of their part, and a part's level governs exactly its lines.
+
+mod fleet;
+
+use serde_json::{Value, json};
+
+use crate::fleet::Fleet;
+use crate::fleet::config::{FleetConfig, TEAM, query, ticketed};
+use crate::fleet::process::Signal;
+
+const PARTS: [&str; 6] = ["entry", "gather", "leaf", "gossip", "config", "shutdown"];
+
+/// Runs queries, one of them refused, and returns the log of a daemon that stopped in order.
+async fn log_of_a_run(logs: Value) -> String {
+    let mut config = FleetConfig::new();
+    config.daemons = 1;
+    config.team().rate_limit_per_s = 20;
+    config.set("logs", logs);
+    let fleet = Fleet::start(config).await;
+    let ticket = fleet.ticket(0, TEAM).await;
+    fleet.query(0, &ticketed("once", &ticket, 5000)).await;
+    while fleet.query(0, &query("q", 5000)).await.outcome() != "not_run" {}
+    fleet.signal(0, Signal::Term);
+    fleet.wait_end(0).await;
+    fleet.log(0)
+}
+
+/// Returns the level, the part and the message of a line.
+fn split(line: &str) -> (&str, &str, &str) {
+    let mut words = line.splitn(4, ' ');
+    let (_time, level, part) = (words.next(), words.next(), words.next());
+    let part = part.and_then(|part| part.strip_suffix(':'));
+    (
+        level.unwrap_or_default(),
+        part.unwrap_or_default(),
+        words.next().unwrap_or_default(),
+    )
+}
+
+async fn check(logs: Value, parts: &[&str]) {
+    let log = log_of_a_run(logs).await;
+    let mut found: Vec<&str> = log.lines().map(|line| split(line).1).collect();
+    found.sort_unstable();
+    found.dedup();
+    assert_eq!(found, parts, "{log}");
+}
+
+/// Guards against a level that leaves out lines of its part or lets those of others through.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_level_governs_its_part_only() {
+    check(json!({ "level": "off" }), &[]).await;
+    let parts = json!({ "config": "debug", "shutdown": "info" });
+    check(
+        json!({ "level": "off", "parts": parts }),
+        &["config", "shutdown"],
+    )
+    .await;
+    let parts = json!({ "gossip": "off" });
+    check(json!({ "parts": parts }), &["config", "entry", "shutdown"]).await;
+}
+
+/// Guards against lines without the prefix of a part, refusals without their request id, and lines
+/// for single leaf requests at info or above.
+#[tokio::test(flavor = "multi_thread")]
+async fn lines_are_short_sentences_with_a_prefix() {
+    let log = log_of_a_run(json!({ "level": "debug" })).await;
+    for line in log.lines() {
+        let (level, part, message) = split(line);
+        assert!(PARTS.contains(&part), "{line}");
+        assert!(message.ends_with('.'), "{line}");
+        assert!(level == "DEBUG" || part != "leaf", "{line}");
+    }
+    let refused = log.lines().map(|line| split(line).2);
+    let refused = refused.filter(|message| message.ends_with("ended not_run: rate_limit."));
+    let id = |message: &str| message.split(' ').nth(1).map_or(0, str::len);
+    assert!(refused.map(id).any(|length| length == 32), "{log}");
+}
--- a/crates/settings/src/logs.rs
+++ b/crates/settings/src/logs.rs
@@ -72,7 +72,7 @@
 
     /// Returns the part's name.
     #[must_use]
-    pub fn as_str(self) -> &'static str {
+    pub const fn as_str(self) -> &'static str {
         match self {
             Self::Entry => "entry",
             Self::Gather => "gather",
