--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+use crate::logging::{ENTRY, GOSSIP, SHUTDOWN};
 use crate::operators::Metrics;
 use crate::shared::{Node, Shared};
 use crate::workers::{WorkerError, WorkerPool};
@@ -82,7 +83,7 @@
             serve(operator, operators::router(Arc::clone(&shared)), &closing),
         ];
         let peer_listener = tokio::spawn(accept_peers(Arc::clone(&node), rpc));
-        log::info!("entry: Listening to callers on {query_address}.");
+        log::info!(target: ENTRY, "Listening to callers on {query_address}.");
         Ok(Self {
             node,
             query_address,
@@ -123,7 +124,7 @@
     /// time, so that the load balancer sees it, and until the last request has ended.
     pub async fn shutdown(self) {
         let shared = &self.node.shared;
-        log::info!("shutdown: Readiness is false; peers are told.");
+        log::info!(target: SHUTDOWN, "Readiness is false; peers are told.");
         shared.lifecycle.set_stopping();
         shared.leave();
         tokio::time::sleep(Duration::from_millis(shared.settings.shutdown_grace_ms)).await;
@@ -134,7 +135,7 @@
             .is_err()
         {
             let left = shared.lifecycle.in_flight();
-            log::warn!("shutdown: {left} requests did not end within the drain limit.");
+            log::warn!(target: SHUTDOWN, "{left} requests did not end within the drain limit.");
         }
         // The last replies have been handed to the connections, which still write them.
         tokio::time::sleep(LAST_WRITE_WAIT).await;
@@ -145,9 +146,9 @@
             .await
             .is_err()
         {
-            log::error!("shutdown: The workers did not stop in order.");
+            log::error!(target: SHUTDOWN, "The workers did not stop in order.");
         }
-        log::info!("shutdown: All requests have ended.");
+        log::info!(target: SHUTDOWN, "All requests have ended.");
     }
 }
 
@@ -155,7 +156,7 @@
 async fn drain(shared: &Shared, servers: Vec<JoinHandle<()>>) {
     for server in servers {
         if server.await.is_err() {
-            log::error!("shutdown: A listener did not end in order.");
+            log::error!(target: SHUTDOWN, "A listener did not end in order.");
         }
     }
     shared.lifecycle.wait_idle().await;
@@ -183,7 +184,7 @@
     tokio::spawn(async move {
         let server = axum::serve(listener, router).with_graceful_shutdown(closing);
         if let Err(error) = server.await {
-            log::error!("entry: A listener ended: {error}.");
+            log::error!(target: ENTRY, "A listener ended: {error}.");
         }
     })
 }
@@ -195,11 +196,13 @@
                 let prepared = stream.set_nodelay(true).and_then(|()| stream.into_std());
                 match prepared {
                     Ok(stream) => node.workers.accept(stream),
-                    Err(error) => log::debug!("peers: A connection failed at once: {error}."),
+                    Err(error) => {
+                        log::debug!(target: GOSSIP, "A connection failed at once: {error}.");
+                    }
                 }
             }
             Err(error) => {
-                log::warn!("peers: A connection cannot be accepted: {error}.");
+                log::warn!(target: GOSSIP, "A connection cannot be accepted: {error}.");
                 // The usual cause is a lack of file descriptors, which takes a moment to end.
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
@@ -219,7 +222,7 @@
         fleet::join(Rc::clone(&worker), Rc::clone(&client)).await;
         tokio::task::spawn_local(fleet::watch_platform(worker, client));
         if tasks.await.is_err() {
-            log::error!("gossip: The housekeeping task ended.");
+            log::error!(target: GOSSIP, "The housekeeping task ended.");
         }
     });
 }
--- a/crates/daemon/src/fleet/housekeeping.rs
+++ b/crates/daemon/src/fleet/housekeeping.rs
@@ -6,6 +6,7 @@
 use medlarpin_core::prelude::*;
 
 use crate::fleet::refresh::update_holdings;
+use crate::logging::GOSSIP;
 use crate::shared::Shared;
 use crate::workers::Worker;
 
@@ -20,7 +21,7 @@
         let now = shared.clock.now();
         if shared.pause.lock().tick(now) {
             shared.metrics.pauses.inc();
-            log::warn!("gossip: This process was paused; it refuses work until it has rejoined.");
+            log::warn!(target: GOSSIP, "This process was paused; it refuses work until it has rejoined.");
         }
         move_ownership(shared, now);
         update_gauges(shared, now);
--- a/crates/daemon/src/fleet/platform_watch.rs
+++ b/crates/daemon/src/fleet/platform_watch.rs
@@ -6,6 +6,7 @@
 use platform::PlatformClient;
 
 use crate::fleet::refresh::{accept_published, accept_vm_list};
+use crate::logging::{CONFIG, GOSSIP};
 use crate::shared::Shared;
 use crate::workers::Worker;
 
@@ -43,7 +44,7 @@
             Ok(Some(_stale)) => tokio::time::sleep(RETRY_INTERVAL).await,
             Ok(None) => {}
             Err(error) => {
-                log::debug!("config: The platform gave no settings: {error}.");
+                log::debug!(target: CONFIG, "The platform gave no settings: {error}.");
                 tokio::time::sleep(RETRY_INTERVAL).await;
             }
         }
@@ -65,7 +66,7 @@
                 accept_vm_list(shared, &list);
                 rejoin_alone(shared, &list, started_at);
             }
-            Err(error) => log::debug!("gossip: The platform gave no VM list: {error}."),
+            Err(error) => log::debug!(target: GOSSIP, "The platform gave no VM list: {error}."),
         }
     }
 }
@@ -83,6 +84,6 @@
     let alone = list.vms().iter().all(|vm| vm.name == *shared.me());
     let now = shared.clock.now();
     if alone && shared.pause.lock().rejoined(started_at, now) {
-        log::info!("gossip: This daemon has rejoined; no other VM is listed.");
+        log::info!(target: GOSSIP, "This daemon has rejoined; no other VM is listed.");
     }
 }
--- a/crates/daemon/src/gather.rs
+++ b/crates/daemon/src/gather.rs
@@ -12,6 +12,7 @@
 use medlarpin_core::prelude::*;
 use wire::{Batch, BatchReply, ShardResult, ShardTask};
 
+use crate::logging::GATHER;
 use crate::workers::Worker;
 
 /// What the shards of one batch have in common.
@@ -149,7 +150,7 @@
             .strike(self.fingerprint, leaf, request);
         if quarantine.is_some() {
             log::warn!(
-                "gather: Request {request} crashed its second leaf; fingerprint {} is quarantined.",
+                target: GATHER, "Request {request} crashed its second leaf; fingerprint {} is quarantined.",
                 self.fingerprint
             );
             shared.news.notify_one();
--- a/crates/daemon/src/operators/http.rs
+++ b/crates/daemon/src/operators/http.rs
@@ -8,6 +8,8 @@
 use axum::routing::{get, post};
 use axum::{Json, Router};
 
+use crate::logging::CONFIG;
+use crate::logging::ENTRY;
 use crate::operators::dump;
 use crate::shared::Shared;
 
@@ -29,7 +31,7 @@
     match shared.metrics.encode() {
         Ok(text) => ([(header::CONTENT_TYPE, "text/plain; version=0.0.4")], text).into_response(),
         Err(error) => {
-            log::error!("operators: Metrics cannot be encoded: {error}.");
+            log::error!(target: ENTRY, "Metrics cannot be encoded: {error}.");
             StatusCode::SERVICE_UNAVAILABLE.into_response()
         }
     }
@@ -57,12 +59,12 @@
 
 async fn start_trace(State(shared): State<Arc<Shared>>) -> StatusCode {
     shared.recorder.start(shared.clock.now());
-    log::info!("operators: Recording of decisions is on.");
+    log::info!(target: CONFIG, "Recording of decisions is on.");
     StatusCode::NO_CONTENT
 }
 
 async fn stop_trace(State(shared): State<Arc<Shared>>) -> StatusCode {
     shared.recorder.stop();
-    log::info!("operators: Recording of decisions is off.");
+    log::info!(target: CONFIG, "Recording of decisions is off.");
     StatusCode::NO_CONTENT
 }
