--- a/crates/daemon/src/gather/shard.rs
+++ b/crates/daemon/src/gather/shard.rs
@@ -354,6 +354,8 @@
         } => match reason {
             UncoveredReason::LeafRefused => AttemptEnd::Refused,
             UncoveredReason::QueueFull => AttemptEnd::Unsent(Unsent::QueueFull),
+            UncoveredReason::NoConnection => AttemptEnd::Unsent(Unsent::NoConnection),
+            UncoveredReason::DeadlinePassed => AttemptEnd::Unsent(Unsent::DeadlinePassed),
             _ => AttemptEnd::Unsent(Unsent::NotHeld),
         },
         // The other gatherer has counted the strike of a lost connection.
--- a/crates/daemon/tests/whole_path.rs
+++ b/crates/daemon/tests/whole_path.rs
@@ -74,6 +74,9 @@
                 let reply = fleet.query(daemon, &query("smoked", 800)).await;
                 check_answer(&reply, "smoked", SHARDS);
                 assert_ne!(reply.outcome(), "complete", "{}", reply.text);
+                // All daemons run, so a missing shard must not be blamed on one of them.
+                let blamed = |(_, reason): &(u64, String)| reason == "gatherer_lost";
+                assert!(!reply.uncovered().iter().any(blamed), "{}", reply.text);
                 reply.covered() == expected
             },
         )
