Show the team at the daemon that refused its query

The printed team command asked the first daemon, which had refused nothing, so the reader saw no refusal. It now asks the last one.

--- a/crates/quickstart/src/show.rs
+++ b/crates/quickstart/src/show.rs
@@ -56,9 +56,11 @@
 
 /// Prints commands to try while the fleet is running.
 pub(crate) fn commands(fleet: &Fleet) {
-    let Some(daemon) = fleet.daemons().first() else {
+    let (Some(daemon), Some(last)) = (fleet.daemons().first(), fleet.daemons().last()) else {
         return;
     };
+    // The last daemon refused the query above the rate limit and keeps the reason.
+    let refusing = last.operator_address();
     let (query, operator) = (daemon.query_address(), daemon.operator_address());
     let body = format!(r#"{{"team": "{ORDERS}", "service": "{SERVICE}", "query": "kelp"}}"#);
     let tool = "cargo run -q --release --bin medlarpin --";
@@ -70,7 +72,7 @@
   curl -s http://{operator}/state
   {tool} status --operator {operator}
   {tool} teams --operator {operator}
-  {tool} team {EXPORTS} --operator {operator}
+  {tool} team {EXPORTS} --operator {refusing}
   {tool} query --at {query} --team {ORDERS} --service {SERVICE} kelp
   {tool} query --at {query} --team {ORDERS} --service {SERVICE} --once 'invoice 4711'
   {tool} explain {SERVICE}/0 --operator {operator}
