Check every border with generated input

Input from callers, the platform, peers and leafs was tested with examples only. Property tests with fixed seeds now send random, damaged and huge input to each border and check that it is answered with a typed error, changes no state and is never taken for something else.

One fault found and corrected: a leaf's 409 reply counted as `version_gone`, and so as not run, whatever its `error` said.

--- a/crates/daemon/src/entry/request.rs
+++ b/crates/daemon/src/entry/request.rs
@@ -6,6 +6,9 @@
 use serde::Deserialize;
 use thiserror::Error;
 
+#[cfg(test)]
+mod tests;
+
 /// Longest query text.
 pub const QUERY_LIMIT_BYTES: usize = 64 * 1024;
 
--- a/crates/daemon/src/leafs/protocol.rs
+++ b/crates/daemon/src/leafs/protocol.rs
@@ -9,6 +9,9 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+#[cfg(test)]
+mod tests;
+
 /// Largest reply accepted from a leaf.
 const REPLY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 
@@ -226,9 +229,18 @@
 
 #[derive(Debug, Deserialize)]
 struct VersionGoneBody {
+    /// Another conflict would not say that the leaf did not run the request.
+    #[serde(rename = "error")]
+    _error: ConflictName,
     versions: Vec<u64>,
 }
 
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum ConflictName {
+    VersionGone,
+}
+
 #[derive(Debug, Deserialize)]
 struct RefusalBody {
     error: RefusalName,
--- /dev/null
+++ b/crates/daemon/src/leafs/protocol/tests.rs
@@ -0,0 +1,131 @@
+//! Guards against a leaf's reply that panics or is accepted for another request.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use serde_json::{Value, json};
+
+use super::*;
+
+const STATUSES: [StatusCode; 5] = [
+    StatusCode::OK,
+    StatusCode::CONFLICT,
+    StatusCode::SERVICE_UNAVAILABLE,
+    StatusCode::NO_CONTENT,
+    StatusCode::INTERNAL_SERVER_ERROR,
+];
+
+fn request() -> LeafRequest {
+    LeafRequest {
+        request: RequestId(0xabc),
+        attempt: 2,
+        team: "orders".into(),
+        query: "dulse".to_owned(),
+        version: IndexVersion(7),
+        shard: ShardId(3),
+    }
+}
+
+/// Checks that rows are accepted only from a body that names exactly this request.
+fn check(status: StatusCode, body: &[u8]) {
+    let request = request();
+    match request.parse_reply(status, body) {
+        Ok(LeafReply::Rows(_)) => {
+            let body: Value = serde_json::from_slice(body).unwrap();
+            assert_eq!(status, StatusCode::OK);
+            assert_eq!(body["request_id"], request.id());
+            assert_eq!(body["index_version"], json!(7));
+            assert_eq!(body["shard"], json!(3));
+        }
+        Ok(LeafReply::VersionGone { .. }) => assert_eq!(status, StatusCode::CONFLICT),
+        Ok(LeafReply::Shedding { .. } | LeafReply::Draining) => {
+            assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+        }
+        Err(_typed) => {}
+    }
+}
+
+fn valid_body() -> String {
+    let request_id = request().id();
+    json!({"request_id": request_id, "index_version": 7, "shard": 3, "rows": ["a"]}).to_string()
+}
+
+/// Guards against a check that refuses everything, and against a refusal whose cause is unknown.
+#[test]
+fn only_stated_replies_are_accepted() {
+    let parse = |status, body: &str| request().parse_reply(status, body.as_bytes());
+    let rows = LeafReply::Rows(vec!["a".to_owned()]);
+    assert_eq!(parse(StatusCode::OK, &valid_body()).unwrap(), rows);
+    let gone = r#"{"error": "version_gone", "versions": [8]}"#;
+    let versions = vec![IndexVersion(8)];
+    let expected = LeafReply::VersionGone { versions };
+    assert_eq!(parse(StatusCode::CONFLICT, gone).unwrap(), expected);
+    // Only the stated errors promise that the leaf did not run the request.
+    for (status, body) in [
+        (
+            StatusCode::CONFLICT,
+            r#"{"error": "shedding", "versions": [8]}"#,
+        ),
+        (StatusCode::CONFLICT, r#"{"versions": [8]}"#),
+        (StatusCode::SERVICE_UNAVAILABLE, r#"{"error": "crashed"}"#),
+        (StatusCode::SERVICE_UNAVAILABLE, "{}"),
+    ] {
+        let error = parse(status, body).unwrap_err();
+        assert!(matches!(error, ReplyError::Malformed(_)), "{body}: {error}");
+    }
+}
+
+/// A number as text, also beyond every type.
+fn number() -> impl Strategy<Value = String> {
+    prop_oneof![
+        Just("7".to_owned()),
+        Just("3".to_owned()),
+        any::<u64>().prop_map(|number| number.to_string()),
+        any::<i64>().prop_map(|number| number.to_string()),
+        any::<f64>().prop_map(|number| format!("{number:e}")),
+        "[0-9]{1,400}",
+        "[0-9]{1,3}e[0-9]{1,5}",
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_253),
+        failure_persistence: None,
+        cases: 2_000,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a panic on bytes that are no reply.
+    #[test]
+    fn any_bytes_are_answered(status in 0..STATUSES.len(), body in prop::collection::vec(any::<u8>(), 0..200)) {
+        check(STATUSES[status], &body);
+    }
+
+    /// Guards against rows of another attempt, request, version or shard, and against numbers that
+    /// wrap or are rounded to the expected ones.
+    #[test]
+    fn foreign_replies_are_refused(
+        status in 0..STATUSES.len(),
+        id in prop_oneof!["0{29}abc-[0-9]{1,3}", "[0-9a-f]{32}-2", ".{0,40}"],
+        version in number(),
+        shard in number(),
+    ) {
+        let id = json!(id);
+        let body = format!(r#"{{"request_id": {id}, "index_version": {version}, "shard": {shard}, "rows": ["x"]}}"#);
+        check(STATUSES[status], body.as_bytes());
+        let refusal = format!(r#"{{"error": "shedding", "retry_after_ms": {version}, "versions": [{shard}]}}"#);
+        check(STATUSES[status], refusal.as_bytes());
+    }
+
+    /// Guards against a damaged reply that is taken for a whole one.
+    #[test]
+    fn damaged_replies_are_refused(at in any::<prop::sample::Index>(), byte in any::<u8>(), cut in any::<bool>()) {
+        let mut body = valid_body().into_bytes();
+        let at = at.index(body.len());
+        body[at] = byte;
+        if cut {
+            body.truncate(at);
+        }
+        check(StatusCode::OK, &body);
+    }
+}
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -271,6 +271,14 @@
         self.operator_addresses[daemon]
     }
 
+    /// Returns what all daemons have logged.
+    pub fn logs(&self) -> String {
+        let names = self.daemons.iter().map(|daemon| daemon.lock().name.clone());
+        let paths = names.map(|name| self.directory.join(format!("{name}.log")));
+        let logs = paths.map(|path| std::fs::read_to_string(path).expect("a log"));
+        logs.collect()
+    }
+
     /// Returns the address of a daemon's listener for callers.
     pub fn query_address(&self, daemon: usize) -> SocketAddr {
         self.query_addresses[daemon]
--- /dev/null
+++ b/crates/settings/tests/border.rs
@@ -0,0 +1,96 @@
+//! Guards against published values of any size or content that panic or revert what is in force.
+
+use std::sync::LazyLock;
+
+use medlarpin_core::prelude::Revision;
+use medlarpin_core::settings_tree::SettingsTree;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use settings::TEXT_LIMIT_BYTES;
+use settings::prelude::*;
+
+const PATH: &str = "teams/inspectors";
+const VALID: &str = r#"{"rate_limit_per_s": 200, "concurrency_limit": 50}"#;
+
+static IN_FORCE: LazyLock<SettingsTree<Subtree>> = LazyLock::new(|| {
+    let texts = vec![(PATH.to_owned(), VALID.to_owned())];
+    SettingsTree::new()
+        .apply(Revision(1), texts, parse_subtree)
+        .unwrap()
+});
+
+/// Publishes a text; an invalid one must leave the value in force as it is.
+fn check_published(text: String) -> bool {
+    let parsed = parse_subtree(PATH, &text);
+    let texts = vec![(PATH.to_owned(), text)];
+    let tree = IN_FORCE.apply(Revision(2), texts, parse_subtree).unwrap();
+    let entry = tree.entry(PATH).unwrap();
+    let value = &entry.in_force().unwrap().value;
+    assert_eq!(entry.rejected().is_some(), parsed.is_err());
+    let held = &IN_FORCE.entry(PATH).unwrap().in_force().unwrap().value;
+    assert_eq!(value, parsed.as_ref().unwrap_or(held));
+    parsed.is_ok()
+}
+
+/// Returns a text of exactly this size, filled up in one of several places.
+fn sized(which: usize, bytes: usize) -> String {
+    let (before, fill, after) = [
+        ("", " ", VALID),
+        (VALID, "\n", ""),
+        (
+            "//",
+            "x",
+            concat!(
+                "\n",
+                r#"{"rate_limit_per_s": 200, "concurrency_limit": 50}"#
+            ),
+        ),
+        (r#"{"rate_limit_per_s": 2"#, "0", "}"),
+        (r#"{"coverage_wanted": ""#, "é", r#""}"#),
+        ("[", "[", ""),
+    ][which];
+    let room = bytes.saturating_sub(before.len() + after.len());
+    let mut text = format!("{before}{}", fill.repeat(room / fill.len()));
+    text.extend(std::iter::repeat_n(' ', room % fill.len()));
+    text + after
+}
+
+/// Guards against a limit that is off by one, and against an error that quotes a huge value.
+#[test]
+fn values_around_the_limit_are_judged() {
+    for which in 0..6 {
+        for bytes in [
+            TEXT_LIMIT_BYTES - 1,
+            TEXT_LIMIT_BYTES,
+            TEXT_LIMIT_BYTES + 1,
+            4 << 20,
+        ] {
+            let text = sized(which, bytes);
+            assert_eq!(text.len(), bytes);
+            if let Err(error) = parse_subtree(PATH, &text) {
+                let is_too_large = matches!(error, SettingsError::TooLarge { .. });
+                assert_eq!(is_too_large, bytes > TEXT_LIMIT_BYTES, "{error}");
+                assert!(error.to_string().len() < 1_000);
+            }
+            let fits = which < 3 && bytes <= TEXT_LIMIT_BYTES;
+            assert_eq!(check_published(text), fits, "fill {which}, {bytes} bytes");
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_255),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against an invalid text that replaces or removes the valid one.
+    #[test]
+    fn invalid_texts_leave_the_value_in_force(at in any::<prop::sample::Index>(), insert in "\\PC{0,20}", cut in 0_usize..10) {
+        let at = at.index(VALID.len());
+        let end = (at + cut).min(VALID.len());
+        check_published(format!("{}{insert}{}", &VALID[..at], &VALID[end..]));
+        check_published(insert);
+    }
+}
