Hold the connection bound through skipped VM lists and restarts

No RPC carried the holders' history, so a daemon that missed lists guessed the former holders by rank. Daemons now exchange histories; without one, every VM ever listed is awaited, but DISPUTED. A list could be acknowledged while connections lost through it were open: the check ran before the fleet's lock, and a leaf given up could still be connected to. The model of the handover calls the shipped gate, and the model of revisions the shipped store.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -189,6 +189,7 @@
         let client = Rc::new(PlatformClient::new(addresses));
         let tasks = tokio::task::spawn_local(fleet::housekeep(Rc::clone(&worker)));
         tokio::task::spawn_local(fleet::probe(Rc::clone(&worker)));
+        tokio::task::spawn_local(fleet::keep_histories(Rc::clone(&worker)));
         tokio::task::spawn_local(fleet::send_news(Rc::clone(&worker)));
         tokio::task::spawn_local(fleet::renew_shares(Rc::clone(&worker)));
         tokio::task::spawn_local(leafs::maintain(Rc::clone(&worker)));
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The daemon's part in the fleet: membership, settings, VM list, ownership and share leases.
 
 mod gossip;
+mod history;
 mod housekeeping;
 mod join;
 mod platform_watch;
@@ -9,6 +10,7 @@
 mod table;
 
 pub use gossip::{answer_heartbeat, probe, send_news};
+pub use history::{holder_histories, keep_histories};
 pub use housekeeping::housekeep;
 pub use join::join;
 pub use platform_watch::watch_platform;
--- a/crates/daemon/src/fleet/gossip.rs
+++ b/crates/daemon/src/fleet/gossip.rs
@@ -21,6 +21,10 @@
 /// Peers that hear of news at once; the others learn by gossip.
 const NEWS_FAN_OUT: usize = 4;
 
+/// Awaited VMs probed each second. More would add to the control traffic for as long as several listed
+/// VMs are down; fewer would delay a fleet that starts together.
+const AWAITED_PROBES: usize = 16;
+
 /// Quarantines in one heartbeat.
 const QUARANTINES_MAX: usize = 16;
 
@@ -126,20 +130,21 @@
     targets
 }
 
-/// Returns one VM whose acknowledgement delays a handover; a probe shortens the wait.
-fn awaited(fleet: &crate::fleet::FleetTable, me: &VmName) -> Option<VmName> {
+/// Returns some VMs whose acknowledgements delay a handover; probes shorten the wait.
+fn awaited(fleet: &crate::fleet::FleetTable, me: &VmName) -> Vec<VmName> {
     let list = fleet.membership.list();
     let awaited = fleet
         .handover
         .awaited_by_any()
         .into_iter()
         .filter(|vm| *vm != me && list.get(vm).is_some());
-    let awaited: Vec<&VmName> = awaited.collect();
-    if awaited.is_empty() {
-        return None;
+    let mut awaited: Vec<VmName> = awaited.cloned().collect();
+    let mut chosen = Vec::new();
+    while chosen.len() < AWAITED_PROBES && !awaited.is_empty() {
+        let index = rand::random_range(0..awaited.len());
+        chosen.push(awaited.swap_remove(index));
     }
-    let index = rand::random_range(0..awaited.len());
-    Some(awaited[index].clone())
+    chosen
 }
 
 fn build_heartbeat(shared: &Shared, peer: &VmName) -> HeartbeatMessage {
@@ -178,6 +183,10 @@
         fleet
             .handover
             .acknowledge(sender, heartbeat.vm_list_revision);
+        // A VM off the list that still gives signs has not stopped.
+        if let Some(removed) = fleet.removed.iter_mut().find(|(vm, _)| vm == sender) {
+            removed.1 = now;
+        }
         if message.clear_of_receiver {
             fleet.record_clear(sender);
         }
--- a/crates/daemon/src/fleet/housekeeping.rs
+++ b/crates/daemon/src/fleet/housekeeping.rs
@@ -33,17 +33,19 @@
 }
 
 fn move_ownership(shared: &Shared, now: Instant) {
-    let retired_closed = shared.leafs.close_retired();
-    let view = shared.view();
     let mut fleet = shared.fleet.lock();
+    let view = shared.view();
     confirm_stopped(&mut fleet, now);
     update_holdings(shared, &mut fleet, &view);
+    // Under the fleet's lock, so that no list accepted meanwhile is acknowledged unseen.
+    let retired_closed = shared.leafs.close_retired();
     let revision = fleet.membership.list().revision();
     let all_acknowledged = fleet.all_acknowledged();
     let all_clear = fleet.all_clear() && !view.vm_list().vms().is_empty();
     let mut admission = shared.admission.lock();
     if fleet.acknowledged < revision && retired_closed && admission.may_acknowledge(now) {
         fleet.acknowledged = revision;
+        fleet.handover.acknowledge(shared.me(), revision);
         shared.news.notify_one();
     }
     if all_clear {
--- a/crates/daemon/src/fleet/join.rs
+++ b/crates/daemon/src/fleet/join.rs
@@ -6,6 +6,7 @@
 use platform::PlatformClient;
 
 use crate::fleet::gossip::{choose_peers, exchange, fetch_settings_above};
+use crate::fleet::history::fetch_missing;
 use crate::fleet::refresh::{accept_published, accept_vm_list};
 use crate::workers::Worker;
 
@@ -30,6 +31,7 @@
         tokio::time::sleep(RETRY_INTERVAL).await;
     }
     greet(&worker).await;
+    fetch_missing(&worker).await;
 }
 
 async fn try_join(worker: &Rc<Worker>, client: &PlatformClient) -> bool {
--- a/crates/daemon/src/fleet/refresh.rs
+++ b/crates/daemon/src/fleet/refresh.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use medlarpin_core::fair_queue::Discipline;
-use medlarpin_core::ownership::{self, Routing};
+use medlarpin_core::ownership::{self, GroupId, Routing};
 use medlarpin_core::prelude::*;
 use medlarpin_core::settings_tree::{SettingsTree, SettingsTreeError, TransferTree};
 use settings::{QueueDiscipline, Subtree};
@@ -38,12 +38,15 @@
     fleet.removed.retain(|(vm, _)| list.get(vm).is_none());
     log::info!("gossip: VM list {} is in use.", list.revision().0);
     put_in_force(shared, &mut fleet, &old, now);
+    shared.list_accepted.notify_one();
     shared.news.notify_one();
 }
 
 /// Holds the leafs of all groups whose handover has ended.
 pub fn update_holdings(shared: &Shared, fleet: &mut FleetTable, view: &FleetView) {
-    let holdings = wanted_holdings(shared, fleet, view);
+    let mut holdings = wanted_holdings(shared, fleet, view);
+    // A rank that was lost and regained must not add new connections to those still closing.
+    holdings.retain(|holding| !shared.leafs.is_closing(holding));
     let same = |a: &Holding, b: &Holding| {
         a.service == b.service && a.leaf == b.leaf && a.connection_share == b.connection_share
     };
@@ -139,7 +142,7 @@
     for service in view.services() {
         for group in &service.groups {
             let mine = group.holders.contains(shared.me())
-                && (direct || fleet.handover.may_open(group.group.id()));
+                && (direct || may_open(fleet, group.group.id()));
             if !mine {
                 continue;
             }
@@ -163,6 +166,13 @@
     holdings
 }
 
+/// Peers are asked for a missing history before the gate's stricter rule may open the group: they may
+/// know of VMs that this daemon has never seen listed.
+fn may_open(fleet: &mut FleetTable, group: &GroupId) -> bool {
+    let asked = fleet.history_asked >= fleet.membership.list().revision();
+    (asked || !fleet.handover.lacks_history(group)) && fleet.handover.may_open(group)
+}
+
 fn core_routing(routing: settings::Routing) -> Routing {
     match routing {
         settings::Routing::Owners => Routing::Owners,
--- a/crates/daemon/src/fleet/table.rs
+++ b/crates/daemon/src/fleet/table.rs
@@ -29,11 +29,13 @@
     /// Newest VM list that this daemon has acknowledged: it no longer uses anything that the list
     /// takes away.
     pub acknowledged: Revision,
+    /// Newest VM list for which peers were asked for the histories that held groups lack.
+    pub history_asked: Revision,
     /// Leafs held at present, as given to the leaf table.
     pub holdings: Vec<Holding>,
     /// VMs that reported that nothing of theirs depends on an earlier process of this VM, sorted.
     pub clear: Vec<VmName>,
-    /// VMs that left the list and when; sorted by name.
+    /// VMs that left the list, and when they left it or last gave a sign.
     pub removed: Vec<(VmName, Instant)>,
 }
 
@@ -54,6 +56,7 @@
             tree_accepted_at: None,
             conflicts: 0,
             acknowledged: Revision::default(),
+            history_asked: Revision::default(),
             holdings: Vec::new(),
             clear: Vec::new(),
             removed: Vec::new(),
--- a/crates/daemon/src/leafs/attempt.rs
+++ b/crates/daemon/src/leafs/attempt.rs
@@ -73,7 +73,7 @@
         Ok(connection) => connection,
         Err(error) => {
             drop(permit);
-            if error != ConnectError::ShareUsed {
+            if !matches!(error, ConnectError::ShareUsed | ConnectError::Closed) {
                 slot.connection_lost();
             }
             return AttemptEnd::Unsent(Unsent::NoConnection);
--- a/crates/daemon/src/leafs/connection.rs
+++ b/crates/daemon/src/leafs/connection.rs
@@ -23,6 +23,8 @@
 pub enum ConnectError {
     /// all connections of this daemon's share are in use
     ShareUsed,
+    /// this daemon no longer holds the leaf
+    Closed,
     /// the leaf refused the connection
     Refused,
     /// the leaf did not accept the connection in time
@@ -46,6 +48,10 @@
     open: u32,
     /// Connections being opened.
     connecting: u32,
+    /// Sockets not yet closed; a connection's driver closes its socket some time after its last use.
+    sockets: u32,
+    /// True once the leaf is no longer held: nothing is opened or kept any more.
+    closed: bool,
     /// Most connections that were open at once.
     peak: u32,
 }
@@ -104,10 +110,11 @@
         }
     }
 
-    /// Closes all idle connections.
-    pub fn close_idle(&self) {
+    /// Closes all idle connections, and those in use when their requests end; opens none any more.
+    pub fn close(&self) {
         let closed = {
             let mut state = self.state.lock();
+            state.closed = true;
             let idle = std::mem::take(&mut state.idle);
             state.open -= u32::try_from(idle.len()).unwrap_or(0);
             idle
@@ -115,6 +122,12 @@
         drop(closed);
     }
 
+    /// Returns true if the pool was closed and the last socket is gone.
+    pub fn is_closed(&self) -> bool {
+        let state = self.state.lock();
+        state.closed && state.open == 0 && state.sockets == 0
+    }
+
     fn lacks(&self, wanted: u32) -> bool {
         let mut state = self.state.lock();
         let before = state.idle.len();
@@ -145,10 +158,13 @@
         let (sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|_error| ConnectError::Refused)?;
+        self.state.lock().sockets += 1;
+        let socket = Socket(Arc::clone(&self.state));
         tokio::spawn(async move {
             if let Err(error) = driver.await {
                 log::debug!("leaf: A connection ended: {error}.");
             }
+            drop(socket);
         });
         opening.opened = true;
         Ok(Connection {
@@ -159,6 +175,9 @@
 
     fn reserve(&self) -> Result<Opening, ConnectError> {
         let mut state = self.state.lock();
+        if state.closed {
+            return Err(ConnectError::Closed);
+        }
         if state.open >= self.share {
             return Err(ConnectError::ShareUsed);
         }
@@ -189,6 +208,15 @@
     }
 }
 
+/// The socket of a connection, held by its driver.
+struct Socket(Arc<Mutex<PoolState>>);
+
+impl Drop for Socket {
+    fn drop(&mut self) {
+        self.0.lock().sockets -= 1;
+    }
+}
+
 /// A connection in use; closed when dropped without being recycled.
 #[derive(Debug)]
 pub struct Connection {
@@ -205,9 +233,16 @@
 
     /// Gives the connection back for the next request.
     pub fn recycle(mut self) {
+        let mut state = self.state.lock();
+        if state.closed {
+            // The drop of `self` takes the lock again.
+            drop(state);
+            return;
+        }
         if let Some(sender) = self.sender.take_if(|sender| !sender.is_closed()) {
-            self.state.lock().idle.push(sender);
+            state.idle.push(sender);
         }
+        drop(state);
     }
 
     async fn is_usable(&mut self) -> bool {
--- a/crates/daemon/src/leafs/slot.rs
+++ b/crates/daemon/src/leafs/slot.rs
@@ -219,6 +219,7 @@
             core.retired = true;
             core.state.removed();
         });
+        self.connections.close();
         self.dispatch();
     }
 
--- a/crates/daemon/src/leafs/table.rs
+++ b/crates/daemon/src/leafs/table.rs
@@ -102,16 +102,24 @@
         known
     }
 
+    /// Returns true if connections of an earlier holding of the leaf have yet to close.
+    pub fn is_closing(&self, holding: &Holding) -> bool {
+        let inner = self.inner.read();
+        let mut held = inner.held.iter();
+        let same = |slot: &Arc<LeafSlot>| slot.leaf.address == holding.leaf.address;
+        !held.any(same) && inner.retired.iter().any(same)
+    }
+
     /// Closes the connections of retired leafs; returns true once none is left.
     pub fn close_retired(&self) -> bool {
         let retired = self.inner.read().retired.clone();
         for slot in &retired {
-            slot.connections.close_idle();
+            slot.connections.close();
         }
         let mut inner = self.inner.write();
         inner
             .retired
-            .retain(|slot| slot.connections.open() > 0 || !slot.is_idle());
+            .retain(|slot| !slot.connections.is_closed() || !slot.is_idle());
         inner.retired.is_empty()
     }
 }
--- a/crates/daemon/src/peers/pool.rs
+++ b/crates/daemon/src/peers/pool.rs
@@ -7,6 +7,7 @@
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use displaydoc::Display;
 use futures::AsyncReadExt;
+use medlarpin_core::ownership::GroupId;
 use medlarpin_core::prelude::*;
 use medlarpin_core::settings_tree::TransferTree;
 use thiserror::Error;
@@ -14,7 +15,9 @@
 use tokio::sync::OnceCell;
 use tokio_util::compat::TokioAsyncReadCompatExt;
 use wire::peer_capnp::{TeamLimit, peer};
-use wire::{Batch, BatchReply, CallerAnswer, CallerQuery, HeartbeatMessage, WireError};
+use wire::{
+    Batch, BatchReply, CallerAnswer, CallerQuery, GroupHistory, HeartbeatMessage, WireError,
+};
 
 /// Longest wait for a TCP connection to a peer; a live peer answers within a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -181,6 +184,27 @@
         .await
     }
 
+    /// Fetches a peer's histories of the groups' former holders.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer cannot be reached or does not answer in time.
+    pub async fn fetch_holder_history(
+        &self,
+        address: SocketAddr,
+        groups: &[GroupId],
+        timeout: Duration,
+    ) -> Result<Vec<GroupHistory>, PeerError> {
+        self.call(address, timeout, async |client| {
+            let mut request = client.fetch_holder_history_request();
+            let count = u32::try_from(groups.len()).unwrap_or(u32::MAX);
+            wire::write_groups(groups, request.get().init_groups(count));
+            let response = request.send().promise.await?;
+            Ok(wire::read_histories(response.get()?.get_histories()?)?)
+        })
+        .await
+    }
+
     /// Asks a peer for a lease of units of a team's limit; returns the units and the lease time.
     ///
     /// # Errors
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -12,7 +12,7 @@
 use wire::{Batch, CallerQuery, WireError};
 
 use crate::entry::{Limit, run_forwarded};
-use crate::fleet::answer_heartbeat;
+use crate::fleet::{answer_heartbeat, holder_histories};
 use crate::gather::gather;
 use crate::workers::Worker;
 
@@ -146,4 +146,17 @@
         }
         Ok(())
     }
+
+    async fn fetch_holder_history(
+        self: Rc<Self>,
+        params: peer::FetchHolderHistoryParams,
+        mut results: peer::FetchHolderHistoryResults,
+    ) -> Result<(), capnp::Error> {
+        let groups =
+            wire::read_groups(params.get()?.get_groups()?).map_err(|error| refuse(&error))?;
+        let histories = holder_histories(&self.worker.shared, groups);
+        let count = u32::try_from(histories.len()).unwrap_or(u32::MAX);
+        wire::write_histories(&histories, results.get().init_histories(count));
+        Ok(())
+    }
 }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -66,6 +66,8 @@
     pub canary_ended: Notify,
     /// Notified when this daemon's settings, VM list or quarantines changed and peers should hear.
     pub news: Notify,
+    /// Notified when a VM list was accepted, which may have left out lists in between.
+    pub list_accepted: Notify,
     /// True once the daemon could admit queries of all teams after its start.
     shares_seen: AtomicBool,
     view: ArcSwap<FleetView>,
@@ -115,6 +117,7 @@
             ticket_ended: Notify::new(),
             canary_ended: Notify::new(),
             news: Notify::new(),
+            list_accepted: Notify::new(),
             shares_seen: AtomicBool::new(false),
             view: ArcSwap::from_pointee(FleetView::default()),
             settings,
--- /dev/null
+++ b/crates/daemon/tests/connection_bound.rs
@@ -0,0 +1,126 @@
+//! Connections to a leaf stay within its limit while VM lists change.
+
+mod fleet;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use stand_ins::prelude::*;
+
+use crate::fleet::Fleet;
+use crate::fleet::config::{FleetConfig, check_answer, query};
+use crate::fleet::load::Load;
+use crate::fleet::process::Signal;
+
+const SHARDS: u32 = 6;
+const LIMIT: usize = 12;
+
+async fn start(daemons: usize) -> Arc<Fleet> {
+    let mut config = FleetConfig::new();
+    config.daemons = daemons;
+    config.relays = true;
+    config.set("suspect_timeout_ms", json!(1000));
+    config.service().connection_limit = LIMIT;
+    // Requests that end after a list took their leaf away are the hardest case.
+    config.service().service_time = Duration::from_millis(150);
+    Arc::new(Fleet::start(config).await)
+}
+
+fn check_bound(fleet: &Fleet) {
+    let leafs = fleet.deployment().leafs();
+    let peaks: Vec<u64> = leafs.map(LeafFake::peak_connections).collect();
+    println!("peaks of connections to a leaf: {peaks:?}, limit {LIMIT}");
+    assert!(peaks.iter().all(|peak| *peak <= LIMIT as u64), "{peaks:?}");
+    for leaf in fleet.deployment().leafs() {
+        assert_eq!(leaf.rejected_connections(), 0, "{}", leaf.id());
+    }
+}
+
+async fn check_answers(load: Load) {
+    for sent in load.stop().await {
+        if let Some(reply) = sent.reply {
+            check_answer(&reply, &sent.text, SHARDS);
+        }
+    }
+}
+
+/// Guards against a holder that opens while others still have connections, in quick changes that
+/// daemons skip, miss in a partition or sleep through, and against a handover that never ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn quick_list_changes_keep_the_bound() {
+    const CUT_OFF: usize = 1;
+    const STOPPED: usize = 2;
+    let fleet = start(6).await;
+    let load = Load::start(&fleet, 12, 1000);
+    load.wait_answers(50).await;
+    fleet.split(&BTreeSet::from([CUT_OFF]));
+    let lists: [&[usize]; 8] = [
+        &[0, 1, 2, 3],
+        &[2, 3, 4, 5],
+        &[0, 1, 4, 5],
+        &[0, 1, 2, 3, 4, 5],
+        &[0, 3, 4, 5],
+        &[1, 2, 3],
+        &[0, 3, 4, 5],
+        &[0, 1, 2, 3, 4, 5],
+    ];
+    for (number, list) in lists.into_iter().enumerate() {
+        match number {
+            2 => fleet.signal(STOPPED, Signal::Stop),
+            5 => fleet.signal(STOPPED, Signal::Continue),
+            6 => fleet.heal(),
+            _ => {}
+        }
+        fleet.publish_vms(list);
+        // Every second list is replaced before the daemons' next read, so they skip it.
+        if number % 2 == 1 {
+            load.wait_answers(40).await;
+        }
+    }
+    for daemon in 0..fleet.len() {
+        fleet.wait_complete(daemon).await;
+    }
+    load.wait_answers(50).await;
+    check_answers(load).await;
+    check_bound(&fleet);
+}
+
+/// Guards against new holders that open while all former ones run cut off and keep their
+/// connections. Eight daemons: fewer could not exceed the limit with their shares of 2.
+#[tokio::test(flavor = "multi_thread")]
+async fn replaced_holders_out_of_reach_keep_the_bound() {
+    const FORMER: [usize; 4] = [0, 1, 2, 3];
+    const NEW: [usize; 4] = [4, 5, 6, 7];
+    let fleet = start(8).await;
+    fleet.publish_vms(&FORMER);
+    for daemon in 0..fleet.len() {
+        fleet
+            .wait_state(daemon, "has the list", |state| {
+                state["vm_list"]["revision"] == 2
+            })
+            .await;
+    }
+    let load = Load::start(&fleet, 32, 1000);
+    load.wait_answers(100).await;
+    // Each former holder is alone, so all of them consider themselves active.
+    for daemon in FORMER {
+        fleet.split(&BTreeSet::from([daemon]));
+    }
+    fleet.publish_vms(&NEW);
+    let until = Instant::now() + Duration::from_secs(8);
+    while Instant::now() < until {
+        load.wait_answers(20).await;
+        let reply = fleet
+            .query(NEW[0], &query("awaits the former holders", 500))
+            .await;
+        check_answer(&reply, "awaits the former holders", SHARDS);
+    }
+    fleet.heal();
+    for daemon in NEW {
+        fleet.wait_complete(daemon).await;
+    }
+    check_answers(load).await;
+    check_bound(&fleet);
+}
--- a/crates/medlarpin-core/src/ownership/handover.rs
+++ b/crates/medlarpin-core/src/ownership/handover.rs
@@ -2,19 +2,18 @@
 
 use crate::catalog::VmList;
 use crate::ids::{Revision, VmName};
-use crate::ownership::holders::rank_without;
 use crate::ownership::{DISPUTED, GroupId, LeafGroup, rank_holders};
 
 /// A VM that held a group at an earlier list and may still have connections to its leafs.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct FormerHolder {
     /// Name of the VM.
     pub vm: VmName,
-    /// Newest list that ranked it.
+    /// Newest list that ranked it, or may have ranked it.
     pub last_ranked: Revision,
 }
 
-/// What a daemon knows about a group's past holders, for daemons that started later.
+/// What a daemon knows about a group's past holders, for daemons that missed lists.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HolderHistory {
     /// Newest list that the history covers.
@@ -30,30 +29,38 @@
 /// daemons have an open gate for a group: all others with an open gate are ranked by the list at
 /// which the newest gate opened, or were counted as former holders by it.
 ///
-/// The bound needs two things from the caller. A daemon acknowledges a list only after it has closed
-/// its connections to the groups that the list takes away. And a daemon that missed lists (its first
-/// list, or a gap in the revisions) takes over the history of a peer with [`HandoverGate::inherit`]
-/// before it asks [`HandoverGate::may_open`]. Without such a peer, the next ranks below the holders
-/// are presumed to be the former ones; this covers one replacement of all holders, and several in a
-/// row, with former holders that still run, can exceed the bound.
-#[derive(Debug)]
+/// A daemon that missed lists (its first list, or a gap in the revisions) does not know whom they
+/// ranked. It takes over the history of a peer with [`HandoverGate::inherit`]; without one, every VM
+/// that it has ever seen listed counts as a former holder until it acknowledges a list from the
+/// adopted one on.
+///
+/// The bound needs two things from the caller: a daemon acknowledges a list only after it has closed
+/// its connections to the groups that the list takes away, and a daemon that starts adopts the newest
+/// list that its peers and the platform know of.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct HandoverGate {
     me: VmName,
+    /// Former holders whose acknowledgement may be missing when a gate opens.
+    disputed: usize,
     /// Sorted by group.
     gates: Vec<GroupGate>,
     /// Highest acknowledged list of each VM, sorted by name.
     acknowledged: Vec<(VmName, Revision)>,
+    /// VMs that any adopted list named, sorted.
+    listed: Vec<VmName>,
+    /// Newest list whose VMs `listed` holds.
+    listed_revision: Revision,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct GroupGate {
     group: GroupId,
     revision: Revision,
     holders: Vec<VmName>,
     /// Former holders without an acknowledgement, sorted by name, none of them in `holders`.
     former: Vec<FormerHolder>,
-    /// VMs presumed to be former holders because lists were missed; `None` if none was.
-    presumed: Option<Vec<VmName>>,
+    /// True if lists were missed and no history has replaced them since.
+    missed_lists: bool,
     /// True from the moment when the gate opens until a list takes the rank away.
     open: bool,
 }
@@ -62,10 +69,19 @@
     /// Creates the gates of a daemon that has no list yet.
     #[must_use]
     pub fn new(me: VmName) -> Self {
+        Self::with_disputed(me, DISPUTED)
+    }
+
+    /// Creates gates with another allowance than [`DISPUTED`], for checks at a smaller scale.
+    #[must_use]
+    pub fn with_disputed(me: VmName, disputed: usize) -> Self {
         Self {
             me,
+            disputed,
             gates: Vec::new(),
             acknowledged: Vec::new(),
+            listed: Vec::new(),
+            listed_revision: Revision::default(),
         }
     }
 
@@ -74,22 +90,46 @@
     /// Every daemon adopts lists for every group, because the history must also cover the groups
     /// that it may come to hold. A list that is not newer than the adopted one changes nothing.
     pub fn adopt(&mut self, group: &LeafGroup, old: &VmList, new: &VmList) {
-        let holders = rank_holders(group, new);
-        match self.position(group.id()) {
+        for list in [old, new] {
+            self.note_listed(list.revision(), list.vms().iter().map(|vm| &vm.name));
+        }
+        self.adopt_ranking(group.id(), new.revision(), rank_holders(group, new));
+    }
+
+    /// Records the VMs that a list names; a list no newer than the last one changes nothing.
+    pub fn note_listed<'a>(
+        &mut self,
+        revision: Revision,
+        vms: impl IntoIterator<Item = &'a VmName>,
+    ) {
+        if revision <= self.listed_revision {
+            return;
+        }
+        self.listed_revision = revision;
+        self.listed.extend(vms.into_iter().cloned());
+        self.listed.sort_unstable();
+        self.listed.dedup();
+    }
+
+    /// Takes over the holders of a group at a list whose VMs have been noted.
+    pub fn adopt_ranking(&mut self, group: &GroupId, revision: Revision, holders: Vec<VmName>) {
+        let index = match self.position(group) {
             Ok(index) => {
-                let gate = &mut self.gates[index];
-                gate.adopt(holders, new);
-                gate.open &= gate.holders.contains(&self.me);
-                gate.forget_settled(&self.acknowledged);
+                self.gates[index].adopt(holders, revision, &self.listed);
+                index
             }
             Err(index) => {
-                let gate = GroupGate::first(group, old, holders, new);
+                let gate = GroupGate::first(group.clone(), holders, revision, &self.listed);
                 self.gates.insert(index, gate);
+                index
             }
-        }
+        };
+        let gate = &mut self.gates[index];
+        gate.open &= gate.holders.contains(&self.me);
+        gate.forget_settled(&self.acknowledged);
     }
 
-    /// Records the list revision that a VM's heartbeat carried.
+    /// Records a list that a VM has acknowledged; this daemon's own acknowledgements belong here too.
     pub fn acknowledge(&mut self, vm: &VmName, list_revision: Revision) {
         match self.acknowledged.binary_search_by(|(name, _)| name.cmp(vm)) {
             Ok(index) => {
@@ -102,7 +142,7 @@
             Err(index) => self.acknowledged.insert(index, (vm.clone(), list_revision)),
         }
         for gate in &mut self.gates {
-            gate.forget_settled(&self.acknowledged);
+            gate.forget_if_settled(vm, list_revision);
         }
     }
 
@@ -113,28 +153,29 @@
     pub fn confirm_stopped(&mut self, vm: &VmName) {
         for gate in &mut self.gates {
             gate.former.retain(|former| former.vm != *vm);
-            if let Some(presumed) = &mut gate.presumed {
-                presumed.retain(|name| name != vm);
-            }
         }
         self.acknowledged.retain(|(name, _)| name != vm);
+        self.listed.retain(|name| name != vm);
     }
 
-    /// Adds a peer's history of a group, so that lists missed by this daemon count as seen.
+    /// Takes over a peer's history of a group, so that lists missed by this daemon count as seen.
     ///
-    /// A history that ends before this daemon's list leaves a gap and is ignored.
+    /// The history must cover exactly the lists up to the adopted one or the one before: an earlier
+    /// end leaves a gap, and a later one shows that this daemon's list is out of date.
     pub fn inherit(&mut self, group: &GroupId, history: &HolderHistory) {
         let Ok(index) = self.position(group) else {
             return;
         };
         let gate = &mut self.gates[index];
-        if history.revision < gate.revision {
+        let covers = [gate.revision.0, gate.revision.0.saturating_sub(1)];
+        if !gate.missed_lists || !covers.contains(&history.revision.0) {
             return;
         }
+        gate.former.clear();
         for holder in &history.holders {
             gate.add_former(&holder.vm, holder.last_ranked);
         }
-        gate.presumed = None;
+        gate.missed_lists = false;
         gate.forget_settled(&self.acknowledged);
     }
 
@@ -142,7 +183,7 @@
     #[must_use]
     pub fn history(&self, group: &GroupId) -> Option<HolderHistory> {
         let gate = &self.gates[self.position(group).ok()?];
-        if gate.presumed.is_some() {
+        if gate.missed_lists {
             return None;
         }
         let mut holders = gate.former.clone();
@@ -157,21 +198,36 @@
         })
     }
 
+    /// Returns the groups of this daemon for which lists were missed; a peer's history helps them.
+    #[must_use]
+    pub fn without_history(&self) -> Vec<GroupId> {
+        let gates = self.gates.iter().filter(|gate| gate.missed_lists);
+        let mine = gates.filter(|gate| gate.holders.contains(&self.me));
+        mine.map(|gate| gate.group.clone()).collect()
+    }
+
+    /// Returns true if lists were missed for the group and no history has replaced them.
+    #[must_use]
+    pub fn lacks_history(&self, group: &GroupId) -> bool {
+        self.position(group)
+            .is_ok_and(|index| self.gates[index].missed_lists)
+    }
+
     /// Returns true if this daemon may open connections to the group's leafs.
     ///
     /// This call opens the gate, so a history must be inherited before it.
     pub fn may_open(&mut self, group: &GroupId) -> bool {
-        self.position(group)
-            .is_ok_and(|index| self.gates[index].try_open(&self.me, &self.acknowledged))
+        let Ok(index) = self.position(group) else {
+            return false;
+        };
+        self.gates[index].try_open(&self.me, self.disputed, &self.acknowledged)
     }
 
     /// Returns the VMs whose acknowledgement the group lacks; a probe of them shortens the wait.
     #[must_use]
     pub fn awaited(&self, group: &GroupId) -> Vec<&VmName> {
-        self.position(group).map_or_else(
-            |_| Vec::new(),
-            |index| self.gates[index].awaited(&self.acknowledged),
-        )
+        self.position(group)
+            .map_or_else(|_| Vec::new(), |index| self.gates[index].awaited())
     }
 
     /// Returns the VMs whose acknowledgement any group of this daemon lacks, sorted.
@@ -181,9 +237,7 @@
             .gates
             .iter()
             .filter(|gate| !gate.open && gate.holders.contains(&self.me));
-        let mut awaited: Vec<&VmName> = closed
-            .flat_map(|gate| gate.awaited(&self.acknowledged))
-            .collect();
+        let mut awaited: Vec<&VmName> = closed.flat_map(GroupGate::awaited).collect();
         awaited.sort();
         awaited.dedup();
         awaited
@@ -200,43 +254,47 @@
 }
 
 impl GroupGate {
-    fn first(group: &LeafGroup, old: &VmList, holders: Vec<VmName>, new: &VmList) -> Self {
+    fn first(group: GroupId, holders: Vec<VmName>, revision: Revision, listed: &[VmName]) -> Self {
         let mut gate = Self {
-            group: group.id().clone(),
-            revision: new.revision(),
+            group,
+            revision,
             holders,
             former: Vec::new(),
-            presumed: None,
+            missed_lists: true,
             open: false,
         };
-        for vm in rank_holders(group, old) {
-            gate.add_former(&vm, old.revision());
-        }
-        gate.note_missed_lists(new);
+        gate.presume_former(listed);
         gate
     }
 
-    fn adopt(&mut self, holders: Vec<VmName>, new: &VmList) {
-        if new.revision() <= self.revision {
+    fn adopt(&mut self, holders: Vec<VmName>, revision: Revision, listed: &[VmName]) {
+        if revision <= self.revision {
             return;
         }
-        let missed_lists = new.revision().0 > self.revision.0 + 1;
         let last_ranked = self.revision;
         let displaced = std::mem::replace(&mut self.holders, holders);
-        self.revision = new.revision();
+        self.revision = revision;
         // A VM that regains its rank is no former holder any more.
         self.former
             .retain(|former| !self.holders.contains(&former.vm));
         for vm in displaced {
             self.add_former(&vm, last_ranked);
         }
-        if missed_lists || self.presumed.is_some() {
-            self.note_missed_lists(new);
+        self.missed_lists |= revision.0 > last_ranked.0 + 1;
+        if self.missed_lists {
+            self.presume_former(listed);
         }
     }
 
-    fn note_missed_lists(&mut self, new: &VmList) {
-        self.presumed = Some(rank_without(&self.group, new, &self.holders));
+    /// Counts every VM outside the ranks as ranked by the list before, which was missed.
+    fn presume_former(&mut self, listed: &[VmName]) {
+        let missed = Revision(self.revision.0.saturating_sub(1));
+        for vm in listed {
+            self.add_former(vm, missed);
+        }
+        for former in &mut self.former {
+            former.last_ranked = missed;
+        }
     }
 
     fn add_former(&mut self, vm: &VmName, last_ranked: Revision) {
@@ -260,33 +318,50 @@
 
     /// Drops the former holders that have adopted a list, known here, that does not rank them.
     fn forget_settled(&mut self, acknowledged: &[(VmName, Revision)]) {
-        // An acknowledgement above the adopted list settles nothing: the VM may have skipped the
-        // lists that did not rank it and hold the group through a list that is unknown here.
         let revision = self.revision;
         self.former.retain(|former| {
-            let seen = acknowledged_by(acknowledged, &former.vm);
-            seen <= former.last_ranked || seen > revision
+            !former.is_settled(acknowledged_by(acknowledged, &former.vm), revision)
         });
     }
 
-    fn try_open(&mut self, me: &VmName, acknowledged: &[(VmName, Revision)]) -> bool {
+    fn forget_if_settled(&mut self, vm: &VmName, seen: Revision) {
+        if let Ok(index) = self.former.binary_search_by(|former| former.vm.cmp(vm))
+            && self.former[index].is_settled(seen, self.revision)
+        {
+            self.former.remove(index);
+        }
+    }
+
+    fn try_open(
+        &mut self,
+        me: &VmName,
+        disputed: usize,
+        acknowledged: &[(VmName, Revision)],
+    ) -> bool {
         if !self.open && self.holders.contains(me) {
             // A daemon without history may have restarted at a list that its earlier process had
             // left behind, so it opens nothing while a newer list is known to exist.
-            let behind = self.presumed.is_some()
-                && acknowledged.iter().any(|(_, seen)| *seen > self.revision);
-            self.open = !behind && self.awaited(acknowledged).len() <= DISPUTED;
+            let behind =
+                self.missed_lists && acknowledged.iter().any(|(_, seen)| *seen > self.revision);
+            self.open = !behind && self.former.len() <= disputed;
+            // Whoever is still awaited is among the former holders, so these are a history now.
+            self.missed_lists &= !self.open;
         }
         self.open
     }
 
-    fn awaited(&self, acknowledged: &[(VmName, Revision)]) -> Vec<&VmName> {
-        let mut awaited: Vec<&VmName> = self.former.iter().map(|former| &former.vm).collect();
-        let presumed = self.presumed.iter().flatten();
-        awaited.extend(presumed.filter(|vm| acknowledged_by(acknowledged, vm) < self.revision));
-        awaited.sort_unstable();
-        awaited.dedup();
-        awaited
+    fn awaited(&self) -> Vec<&VmName> {
+        self.former.iter().map(|former| &former.vm).collect()
+    }
+}
+
+impl FormerHolder {
+    /// Returns true if an acknowledgement shows that the VM has closed its connections.
+    ///
+    /// An acknowledgement above the adopted list settles nothing: the VM may have skipped the lists
+    /// that did not rank it and hold the group through a list that is unknown here.
+    fn is_settled(&self, seen: Revision, adopted: Revision) -> bool {
+        seen > self.last_ranked && seen <= adopted
     }
 }
 
--- a/crates/medlarpin-core/src/ownership/holders.rs
+++ b/crates/medlarpin-core/src/ownership/holders.rs
@@ -17,20 +17,11 @@
 /// The result depends on the group's identifier and the VM list only. Leaving VMs are not ranked.
 #[must_use]
 pub fn rank_holders(group: &LeafGroup, vms: &VmList) -> Vec<VmName> {
-    rank_without(group.id(), vms, &[])
-}
-
-/// Returns the first holder that the caller considers usable.
-pub fn active_holder(holders: &[VmName], is_usable: impl Fn(&VmName) -> bool) -> Option<&VmName> {
-    holders.iter().find(|holder| is_usable(holder))
-}
-
-/// Ranks the group's holders as if the excluded VMs were not listed.
-pub(super) fn rank_without(group: &GroupId, vms: &VmList, excluded: &[VmName]) -> Vec<VmName> {
+    let group = group.id();
     let mut candidates: Vec<(u64, &Vm)> = vms
         .vms()
         .iter()
-        .filter(|vm| vm.state == VmState::Live && !excluded.contains(&vm.name))
+        .filter(|vm| vm.state == VmState::Live)
         .map(|vm| (score(group, &vm.name), vm))
         .collect();
     let own_domain = &group.failure_domain;
@@ -49,6 +40,11 @@
     ranked.into_iter().map(|vm| vm.name.clone()).collect()
 }
 
+/// Returns the first holder that the caller considers usable.
+pub fn active_holder(holders: &[VmName], is_usable: impl Fn(&VmName) -> bool) -> Option<&VmName> {
+    holders.iter().find(|holder| is_usable(holder))
+}
+
 fn score(group: &GroupId, vm: &VmName) -> u64 {
     stable_hash(&[
         b"holder",
--- a/crates/spec/src/revisions.rs
+++ b/crates/spec/src/revisions.rs
@@ -7,6 +7,9 @@
 
 use std::collections::BTreeSet;
 
+use medlarpin_core::prelude::Revision;
+use medlarpin_core::revision_store::{Offer, OfferOutcome, RevisionStore};
+
 use crate::explore::{Report, explore};
 
 /// One way to get the protocol wrong.
@@ -102,9 +105,16 @@
 
 /// Decides whether an offered tree replaces the one held.
 ///
-/// The rule of section 4.9. The shipped `RevisionStore::offer` is to be called here.
+/// The rule of section 4.9, as the shipped store applies it.
 fn replaces(held: Tree, offered: Tree) -> bool {
-    offered.revision > held.revision
+    let offer = |tree: Tree| Offer {
+        revision: Revision(tree.revision.into()),
+        digest: tree.digest.into(),
+        value: tree,
+    };
+    let mut store = RevisionStore::new();
+    store.offer(offer(held));
+    store.offer(offer(offered)) == OfferOutcome::Accepted
 }
 
 impl Model {
--- a/crates/spec/tests/connections.rs
+++ b/crates/spec/tests/connections.rs
@@ -7,8 +7,15 @@
         daemons,
         holders: holders.to_vec(),
         restarts: 1,
+        histories: false,
+    };
+    let with_histories = |bounds: Bounds| Bounds {
+        histories: true,
+        ..bounds
     };
     vec![
+        with_histories(bounds(4, &[[0, 1], [2, 3], [0, 1]])),
+        with_histories(bounds(4, &[[0, 1], [1, 2], [2, 3]])),
         bounds(6, &[[0, 1], [2, 3], [4, 5]]),
         bounds(4, &[[0, 1], [2, 3], [0, 1]]),
         bounds(4, &[[0, 1], [1, 2], [2, 3]]),
@@ -35,6 +42,7 @@
         Mutation::OneMoreDisputed,
         Mutation::EarlierDisplacedForgotten,
         Mutation::LaterListAcknowledges,
+        Mutation::HistoryWithGap,
         Mutation::SkippedListIgnored,
         Mutation::StartsWithoutGate,
         Mutation::AcknowledgesBeforeClosing,
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -150,6 +150,26 @@
   texts @1 :List(SettingsText);
 }
 
+struct LeafGroup {
+  service @0 :Text;
+  failureDomain @1 :Text;
+  index @2 :UInt32;
+}
+
+struct FormerHolder {
+  vm @0 :Text;
+  # Newest VM list that ranked it, or may have ranked it.
+  lastRanked @1 :UInt64;
+}
+
+struct HolderHistory {
+  group @0 :LeafGroup;
+  # Newest VM list that the history covers.
+  revision @1 :UInt64;
+  # Current holders, and former ones that may still have connections.
+  holders @2 :List(FormerHolder);
+}
+
 # Limit of a team that units belong to.
 enum TeamLimit {
   rate @0;
@@ -163,4 +183,6 @@
   fetchSettings @3 (aboveRevision :UInt64) -> (tree :SettingsTree);
   borrowShare @4 (team :Text, limit :TeamLimit, borrower :Text, units :UInt64) -> (grantedUnits :UInt64, leaseMs :UInt64);
   fetchVmList @5 (aboveRevision :UInt64) -> (list :VmList);
+  # Groups of which the peer has no full history are left out of the reply.
+  fetchHolderHistory @6 (groups :List(LeafGroup)) -> (histories :List(HolderHistory));
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 mod batch;
 mod error;
 mod fleet;
+mod history;
 mod query;
 
 #[allow(
@@ -30,4 +31,7 @@
     HeartbeatMessage, read_heartbeat, read_settings_tree, read_vm_list, write_heartbeat,
     write_settings_tree, write_vm_list,
 };
+pub use crate::history::{
+    GroupHistory, read_groups, read_histories, write_groups, write_histories,
+};
 pub use crate::query::{CallerAnswer, CallerQuery};
