--- a/crates/daemon/src/fleet/table.rs
+++ b/crates/daemon/src/fleet/table.rs
@@ -28,11 +28,13 @@
     pub acknowledged: Revision,
     /// Whether every other listed VM had acknowledged the list when the shares were last computed.
     pub shares_acknowledged: bool,
+    /// Newest VM list for which peers were asked for the histories that held groups lack.
+    pub history_asked: Revision,
     /// Leafs held at present, as given to the leaf table.
     pub holdings: Vec<Holding>,
     /// VMs that reported that nothing of theirs depends on an earlier process of this VM, sorted.
     pub clear: Vec<VmName>,
-    /// VMs that left the list and when; sorted by name.
+    /// VMs that left the list, and when they left it or last gave a sign.
     pub removed: Vec<(VmName, Instant)>,
 }
 
@@ -53,6 +55,7 @@
             conflicts: 0,
             acknowledged: Revision::default(),
             shares_acknowledged: false,
+            history_asked: Revision::default(),
             holdings: Vec::new(),
             clear: Vec::new(),
             removed: Vec::new(),
--- a/crates/daemon/src/leafs/slot.rs
+++ b/crates/daemon/src/leafs/slot.rs
@@ -229,6 +229,7 @@
             core.retired = true;
             core.state.apply(LeafEvent::Removed, now);
         });
+        self.connections.close();
         self.dispatch();
     }
 
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -69,6 +69,8 @@
     pub canary_ended: Notify,
     /// Notified when this daemon's settings, VM list or quarantines changed and peers should hear.
     pub news: Notify,
+    /// Notified when a VM list was accepted, which may have left out lists in between.
+    pub list_accepted: Notify,
     /// True once the daemon could admit queries of all teams after its start.
     shares_seen: AtomicBool,
     view: ArcSwap<FleetView>,
@@ -129,6 +131,7 @@
             ticket_ended: Notify::new(),
             canary_ended: Notify::new(),
             news: Notify::new(),
+            list_accepted: Notify::new(),
             shares_seen: AtomicBool::new(false),
             usable: ArcSwap::default(),
             routes: ArcSwap::default(),
