--- a/crates/daemon/src/gather.rs
+++ b/crates/daemon/src/gather.rs
@@ -3,16 +3,19 @@
 mod canary;
 mod shard;
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 
 use futures::future::join_all;
 use medlarpin_core::canary::Clearance;
+use medlarpin_core::latency_window::{hedge_delay_after, late_after};
 use medlarpin_core::prelude::*;
 use wire::{Batch, BatchReply, ShardResult, ShardTask};
 
+use crate::leafs::LeafSlot;
 use crate::logging::GATHER;
+use crate::view::ServiceView;
 use crate::workers::Worker;
 
 /// What the shards of one batch have in common.
@@ -20,10 +23,13 @@
 struct Gathering {
     worker: Rc<Worker>,
     batch: Batch,
+    service: Arc<ServiceView>,
     fingerprint: Fingerprint,
     weight: u32,
     deadline: Instant,
     next_attempt: Cell<u32>,
+    /// 95th percentiles of the leafs of the batch's group, once a request may be hedged.
+    group_p95: OnceCell<Vec<Duration>>,
     leaf_requests: Cell<u32>,
     extra_leaf_requests: Cell<u32>,
     version_gone: RefCell<Vec<LeafId>>,
@@ -41,17 +47,19 @@
         return refuse(&batch, UncoveredReason::GathererLost);
     }
     let view = shared.view();
-    if view.service(batch.service.as_str()).is_none() {
+    let Some(service) = view.service(batch.service.as_str()) else {
         return refuse(&batch, UncoveredReason::GathererLost);
-    }
+    };
     let fingerprint = Fingerprint::of(&batch.team, &batch.service, &batch.query);
     let gathering = Rc::new(Gathering {
         weight: view.team(batch.team.as_str()).map_or(1, |team| team.weight),
         deadline: now + batch.time_left,
         next_attempt: Cell::new(batch.first_attempt),
+        group_p95: OnceCell::new(),
         leaf_requests: Cell::new(0),
         extra_leaf_requests: Cell::new(0),
         version_gone: RefCell::default(),
+        service: Arc::clone(service),
         fingerprint,
         batch,
         worker,
@@ -125,6 +133,22 @@
         self.deadline.saturating_duration_since(now)
     }
 
+    /// Returns the time after which a request to a leaf of the batch's group is hedged.
+    fn hedge_delay(&self, slot: &LeafSlot) -> Duration {
+        let group = self.group_p95.get_or_init(|| self.measure_group(slot));
+        hedge_delay_after(late_after(slot.p95(), group.clone()), self.time_left())
+    }
+
+    fn measure_group(&self, slot: &LeafSlot) -> Vec<Duration> {
+        let Some(group) = self.service.group_of(&slot.leaf.id) else {
+            return Vec::new();
+        };
+        let leafs = self.service.groups[group].group.leafs().iter();
+        let table = &self.worker.shared.leafs;
+        let held = leafs.filter_map(|leaf| table.get(&self.batch.service, leaf));
+        held.filter_map(|slot| slot.p95()).collect()
+    }
+
     fn try_extra(&self) -> bool {
         let shared = &self.worker.shared;
         let (team, service) = (&self.batch.team, &self.batch.service);
