Add the measurement of the whole system

Cause: no figures of the connected system existed for its routing, hedging, fairness, canary, overload, restart and cost.

Child processes let the daemons' processor time be told from that of the fakes and the generator, and a restart closes connections as in production.

--- /dev/null
+++ b/crates/xtask/src/measure/daemons.rs
@@ -0,0 +1,175 @@
+//! One `medlarpind` child process.
+
+use std::fs::File;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+use serde_json::{Value, json};
+use tokio::net::TcpSocket;
+
+use super::error::MeasureError;
+
+/// Ports of a daemon.
+///
+/// The sockets are bound and don't listen, so no other process gets the ports while the daemon is
+/// down, and connections are refused.
+#[derive(Debug)]
+struct Ports {
+    query: SocketAddr,
+    rpc: SocketAddr,
+    operator: SocketAddr,
+    _reservations: [TcpSocket; 3],
+}
+
+impl Ports {
+    fn reserve() -> Result<Self, MeasureError> {
+        let (query_socket, query) = reserve_port()?;
+        let (rpc_socket, rpc) = reserve_port()?;
+        let (operator_socket, operator) = reserve_port()?;
+        Ok(Self {
+            query,
+            rpc,
+            operator,
+            _reservations: [query_socket, rpc_socket, operator_socket],
+        })
+    }
+}
+
+fn reserve_port() -> Result<(TcpSocket, SocketAddr), MeasureError> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+    let address = socket.local_addr()?;
+    Ok((socket, address))
+}
+
+/// A daemon that can be started again on the same ports; dropping it ends the process.
+#[derive(Debug)]
+pub(super) struct DaemonProcess {
+    name: String,
+    failure_domain: String,
+    ports: Ports,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl DaemonProcess {
+    /// Reserves ports and writes the settings; no process is started.
+    pub(super) fn new(
+        position: usize,
+        failure_domain: &str,
+        directory: &Path,
+        platform: SocketAddr,
+        overrides: &[(&'static str, Value)],
+    ) -> Result<Self, MeasureError> {
+        let name = format!("vm-{position}");
+        let ports = Ports::reserve()?;
+        let mut settings = json!({
+            "vm": name,
+            "failure_domain": failure_domain,
+            "region": "region-0",
+            "query_address": ports.query.to_string(),
+            "rpc_address": ports.rpc.to_string(),
+            "operator_address": ports.operator.to_string(),
+            "platform_addresses": [platform.to_string()],
+            "workers": 2,
+        });
+        for (key, value) in overrides {
+            settings[*key] = value.clone();
+        }
+        let path = directory.join(format!("{name}.jsonc"));
+        std::fs::write(&path, format!("{settings:#}\n"))?;
+        Ok(Self {
+            failure_domain: failure_domain.to_owned(),
+            ports,
+            settings: path,
+            log: directory.join(format!("{name}.log")),
+            child: None,
+            name,
+        })
+    }
+
+    /// Starts the process.
+    pub(super) fn start(&mut self, program: &Path) -> Result<(), MeasureError> {
+        let log = File::create(&self.log)?;
+        let child = Command::new(program)
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Asks the process to shut down.
+    pub(super) fn terminate(&self) -> Result<(), MeasureError> {
+        let Some(child) = &self.child else {
+            return Ok(());
+        };
+        let id = child.id();
+        let status = Command::new("kill")
+            .args(["-TERM", &id.to_string()])
+            .status()?;
+        if status.success() {
+            Ok(())
+        } else {
+            Err(MeasureError::Signal(id))
+        }
+    }
+
+    /// Returns true once the process has ended.
+    pub(super) fn has_ended(&mut self) -> Result<bool, MeasureError> {
+        let Some(child) = &mut self.child else {
+            return Ok(true);
+        };
+        let ended = child.try_wait()?.is_some();
+        if ended {
+            self.child = None;
+        }
+        Ok(ended)
+    }
+
+    /// Returns the identifier of the running process.
+    pub(super) fn process_id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// Returns the VM's name.
+    pub(super) fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns the VM's failure domain.
+    pub(super) fn failure_domain(&self) -> &str {
+        &self.failure_domain
+    }
+
+    /// Returns the address for callers.
+    pub(super) fn query_address(&self) -> SocketAddr {
+        self.ports.query
+    }
+
+    /// Returns the address for other daemons.
+    pub(super) fn rpc_address(&self) -> SocketAddr {
+        self.ports.rpc
+    }
+
+    /// Returns the address for operators.
+    pub(super) fn operator_address(&self) -> SocketAddr {
+        self.ports.operator
+    }
+}
+
+impl Drop for DaemonProcess {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // Both fail only if the process has ended and been reaped.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
