Hedge by the group's latency and not by the slow leaf's own

Cause: the hedge delay of a request was the p95 of the planned leaf alone, so a leaf that had become slow by 100 ms was hedged only after more than 100 ms, when the hedge no longer helped. The alternatives' percentiles are usually known only to other holders.

Change: a request counts as late after the leaf's own p95 or the lower median p95 of its group, whichever is smaller. A leaf's p95 is computed at most every 100 ms instead of once for each shard.

--- a/crates/daemon/src/gather.rs
+++ b/crates/daemon/src/gather.rs
@@ -3,15 +3,17 @@
 mod canary;
 mod shard;
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 
 use futures::future::join_all;
 use medlarpin_core::canary::Clearance;
+use medlarpin_core::latency_window::{hedge_delay_after, late_after};
 use medlarpin_core::prelude::*;
 use wire::{Batch, BatchReply, ShardResult, ShardTask};
 
+use crate::leafs::LeafSlot;
 use crate::view::ServiceView;
 use crate::workers::Worker;
 
@@ -25,6 +27,8 @@
     weight: u32,
     deadline: Instant,
     next_attempt: Cell<u32>,
+    /// 95th percentiles of the leafs of the batch's group, once a request may be hedged.
+    group_p95: OnceCell<Vec<Duration>>,
     leaf_requests: Cell<u32>,
     extra_leaf_requests: Cell<u32>,
     version_gone: RefCell<Vec<LeafId>>,
@@ -46,6 +50,7 @@
         weight: view.team(batch.team.as_str()).map_or(1, |team| team.weight),
         deadline: now + batch.time_left,
         next_attempt: Cell::new(batch.first_attempt),
+        group_p95: OnceCell::new(),
         leaf_requests: Cell::new(0),
         extra_leaf_requests: Cell::new(0),
         version_gone: RefCell::default(),
@@ -120,6 +125,22 @@
         self.deadline.saturating_duration_since(now)
     }
 
+    /// Returns the time after which a request to a leaf of the batch's group is hedged.
+    fn hedge_delay(&self, slot: &LeafSlot) -> Duration {
+        let group = self.group_p95.get_or_init(|| self.measure_group(slot));
+        hedge_delay_after(late_after(slot.p95(), group.clone()), self.time_left())
+    }
+
+    fn measure_group(&self, slot: &LeafSlot) -> Vec<Duration> {
+        let Some(group) = self.service.group_of(&slot.leaf.id) else {
+            return Vec::new();
+        };
+        let leafs = self.service.groups[group].group.leafs().iter();
+        let table = &self.worker.shared.leafs;
+        let held = leafs.filter_map(|leaf| table.get(&self.batch.service, leaf));
+        held.filter_map(|slot| slot.p95()).collect()
+    }
+
     fn try_extra(&self) -> bool {
         let shared = &self.worker.shared;
         let (team, service) = (&self.batch.team, &self.batch.service);
--- a/crates/daemon/src/gather/shard.rs
+++ b/crates/daemon/src/gather/shard.rs
@@ -110,7 +110,7 @@
             return None;
         }
         let slot = shared.leafs.get(&batch.service, &self.first_leaf)?;
-        Some(shared.clock.now() + slot.hedge_delay(gathering.time_left()))
+        Some(shared.clock.now() + gathering.hedge_delay(&slot))
     }
 
     /// Starts a request to the next untried leaf; returns false if none is left.
--- a/crates/daemon/src/leafs/slot.rs
+++ b/crates/daemon/src/leafs/slot.rs
@@ -10,6 +10,9 @@
 
 use crate::leafs::connection::ConnectionPool;
 
+/// Merging the window's histograms for each request would cost more than a slightly older percentile.
+const P95_AGE: Duration = Duration::from_millis(100);
+
 /// What a queued request receives when its turn comes or the leaf becomes unavailable.
 #[derive(Debug)]
 pub enum Grant {
@@ -43,6 +46,8 @@
     gone: Vec<IndexVersion>,
     /// Time of the pending wake-up of the queue.
     wake_at: Option<Instant>,
+    /// The latest 95th percentile and when it was computed.
+    p95: Option<(Instant, Option<Duration>)>,
     retired: bool,
 }
 
@@ -91,6 +96,7 @@
                 state,
                 gone: Vec::new(),
                 wake_at: None,
+                p95: None,
                 retired: false,
             }),
         }
@@ -174,12 +180,19 @@
         core.state.in_flight().saturating_add(queued)
     }
 
-    /// Returns the time after which an unanswered request is hedged.
+    /// Returns the 95th percentile of the latency, at most [`P95_AGE`] old.
     #[must_use]
-    pub fn hedge_delay(&self, time_left: Duration) -> Duration {
-        let core = self.core.lock();
+    pub fn p95(&self) -> Option<Duration> {
         let now = self.clock.now();
-        medlarpin_core::latency_window::hedge_delay(core.state.latencies(), time_left, now)
+        let mut core = self.core.lock();
+        if let Some((at, p95)) = core.p95
+            && now.saturating_duration_since(at) < P95_AGE
+        {
+            return p95;
+        }
+        let p95 = core.state.latencies().quantile(0.95, now);
+        core.p95 = Some((now, p95));
+        p95
     }
 
     /// Records that the leaf no longer holds a version.
--- a/crates/medlarpin-core/tests/stragglers.rs
+++ b/crates/medlarpin-core/tests/stragglers.rs
@@ -1,7 +1,7 @@
 //! Tests of the latency window, the hedge delay and the budget of extra requests.
 
 use medlarpin_core::extra_budget::{BURST, ExtraBudget, try_spend_both};
-use medlarpin_core::latency_window::{LatencyWindow, hedge_delay};
+use medlarpin_core::latency_window::{LatencyWindow, hedge_delay, late_after};
 use medlarpin_core::prelude::*;
 
 const MS: Duration = Duration::from_millis(1);
@@ -64,6 +64,27 @@
     check(&[200; 50], 300, 150..150);
 }
 
+/// Guards against a slow leaf that delays the hedges of its own requests, and against slow peers that
+/// delay those of a fast leaf.
+#[test]
+fn a_slow_leaf_does_not_count_for_itself() {
+    let check = |own_ms: Option<u32>, group_ms: &[u32], expected_ms: Option<u32>| {
+        let group = group_ms.iter().map(|ms| MS * *ms).collect();
+        let late = late_after(own_ms.map(|ms| MS * ms), group);
+        assert_eq!(
+            late,
+            expected_ms.map(|ms| MS * ms),
+            "{own_ms:?} {group_ms:?}"
+        );
+    };
+    check(Some(100), &[100, 4, 5, 6], Some(5));
+    check(Some(100), &[100, 4], Some(4));
+    check(Some(4), &[100, 4, 100], Some(4));
+    check(Some(100), &[100], Some(100));
+    check(None, &[7, 5, 6], Some(6));
+    check(None, &[], None);
+}
+
 /// Guards against extra load above a twentieth and against bursts after a quiet time.
 #[test]
 fn earns_a_twentieth_up_to_the_burst() {
