--- a/crates/daemon/src/leafs/mod.rs
+++ b/crates/daemon/src/leafs/mod.rs
@@ -11,5 +11,6 @@
 pub use attempt::{AttemptEnd, Unsent, attempt};
 pub use maintenance::maintain;
 pub use protocol::LeafRequest;
+pub use recorded::RecordedLeaf;
 pub use slot::LeafSlot;
 pub use table::{Holding, LeafTable};
--- a/crates/daemon/src/leafs/slot.rs
+++ b/crates/daemon/src/leafs/slot.rs
@@ -9,8 +9,8 @@
 use replay::{LeafEvent, Millis};
 use tokio::sync::oneshot;
 
+use crate::leafs::RecordedLeaf;
 use crate::leafs::connection::ConnectionPool;
-use crate::leafs::recorded::RecordedLeaf;
 use crate::recorder::Recorder;
 
 /// What a queued request receives when its turn comes or the leaf becomes unavailable.
--- a/crates/daemon/src/recorder.rs
+++ b/crates/daemon/src/recorder.rs
@@ -1,6 +1,8 @@
 //! Recording of decisions as a trace that the `replay` crate runs again.
 
 mod fingerprints;
+#[cfg(test)]
+mod tests;
 
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/crates/replay/src/trace.rs
+++ b/crates/replay/src/trace.rs
@@ -1,3 +1,5 @@
+use std::ops::Range;
+
 use jsonc_parser::ast;
 use jsonc_parser::common::Ranged;
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast, parse_to_serde_value};
@@ -61,12 +63,8 @@
     ///
     /// Fails with the line of the first fault.
     pub fn parse(text: &str) -> Result<Self, TraceError> {
-        let line_of = |offset: usize| {
-            let before = text.as_bytes().iter().take(offset);
-            before.filter(|byte| **byte == b'\n').count() + 1
-        };
         let syntax = |offset, reason| TraceError::Syntax {
-            line: line_of(offset),
+            line: 1 + line_breaks(text, 0..offset),
             reason,
         };
         let options = strict_options();
@@ -75,7 +73,7 @@
         let root = parsed
             .value
             .ok_or_else(|| syntax(0, "the text is empty".to_owned()))?;
-        let lines = event_lines(&root, line_of);
+        let lines = event_lines(&root, text);
         let value = parse_to_serde_value(text, &options)
             .map_err(|error| syntax(error.range().start, error.kind().to_string()))?;
         let body: TraceBody = read(value, 1)?;
@@ -103,14 +101,25 @@
     }
 }
 
-fn event_lines(root: &ast::Value<'_>, line_of: impl Fn(usize) -> usize) -> Vec<usize> {
+/// Returns the line of each event; counts on from the event before, as recordings are long.
+fn event_lines(root: &ast::Value<'_>, text: &str) -> Vec<usize> {
     let events = match root {
         ast::Value::Object(object) => object.get_array("events"),
         _ => None,
     };
     let elements = events.map(|events| events.elements.as_slice());
-    let lines = elements.unwrap_or_default().iter();
-    lines.map(|event| line_of(event.start())).collect()
+    let (mut counted, mut line) = (0, 1);
+    let lines = elements.unwrap_or_default().iter().map(|event| {
+        line += line_breaks(text, counted..event.start());
+        counted = event.start();
+        line
+    });
+    lines.collect()
+}
+
+fn line_breaks(text: &str, range: Range<usize>) -> usize {
+    let part = text.get(range).unwrap_or_default();
+    part.matches('\n').count()
 }
 
 /// Only comments and trailing commas go beyond JSON.
