--- a/crates/daemon/src/leafs/slot.rs
+++ b/crates/daemon/src/leafs/slot.rs
@@ -9,8 +9,8 @@
 use replay::{LeafEvent, Millis};
 use tokio::sync::oneshot;
 
+use crate::leafs::RecordedLeaf;
 use crate::leafs::connection::ConnectionPool;
-use crate::leafs::recorded::RecordedLeaf;
 use crate::recorder::Recorder;
 
 /// Merging the window's histograms for each request would cost more than a slightly older percentile.
