Work out the capacity at the design size and stop renewing limits in vain

Every ledger compared and hashed the whole VM list in each round of 100 ms. With 50 teams and 500 VMs a renewal took 7,814 us (7.8% of a core), above the 1.1% allowed for control work. It now does so only for a newer list or another limit: 28.3 us (cargo xtask capacity).

--- a/crates/daemon/src/leafs/mod.rs
+++ b/crates/daemon/src/leafs/mod.rs
@@ -8,7 +8,8 @@
 mod table;
 
 pub use attempt::{AttemptEnd, Unsent, attempt};
+pub use connection::ConnectionPool;
 pub use maintenance::maintain;
-pub use protocol::LeafRequest;
+pub use protocol::{LeafReply, LeafRequest, exchange};
 pub use slot::LeafSlot;
 pub use table::{Holding, LeafTable};
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,3 +14,6 @@
 mod workers;
 
 pub use crate::daemon::{Daemon, StartError};
+pub use crate::entry::AdmissionTable;
+pub use crate::fleet::FleetTable;
+pub use crate::leafs::{ConnectionPool, LeafReply, LeafRequest, exchange};
--- a/crates/medlarpin-core/src/team_share/base.rs
+++ b/crates/medlarpin-core/src/team_share/base.rs
@@ -54,8 +54,11 @@
     }
 
     pub(super) fn set_limit(&mut self, limit_units: u64) {
-        self.limit_units = limit_units;
-        self.aim();
+        // The daemon repeats its limits every 100 ms, and aiming hashes the whole list.
+        if limit_units != self.limit_units {
+            self.limit_units = limit_units;
+            self.aim();
+        }
     }
 
     pub(super) fn units(&self) -> u64 {
@@ -80,7 +83,8 @@
             if list.revision() < known.revision() {
                 return;
             }
-            if known.vms().iter().any(|vm| list.get(&vm.name).is_none()) {
+            let is_newer = list.revision() > known.revision();
+            if is_newer && known.vms().iter().any(|vm| list.get(&vm.name).is_none()) {
                 self.lost_until = Some(now + delay);
             }
         }
--- a/crates/xtask/src/capacity/error.rs
+++ b/crates/xtask/src/capacity/error.rs
@@ -13,6 +13,10 @@
     },
     /// /proc/self/status names no resident memory
     NoResidentMemory,
+    /// /proc/thread-self/schedstat names no processor time
+    NoThreadTime,
+    /// a generated leaf request failed: {0}
+    Leaf(String),
     /// {0} has no block between the two marker comments
     NoMarkers(String),
     /// the page's table of slopes differs: {0}; run `cargo xtask capacity --write`
--- a/crates/xtask/src/capacity/leafs.rs
+++ b/crates/xtask/src/capacity/leafs.rs
@@ -20,7 +20,7 @@
 const LOOKUPS: usize = 1_000;
 
 /// Measures the costs of requests and of the two tables.
-pub fn measure(timer: &Timer) -> Vec<Slope> {
+pub fn measure(timer: Timer) -> Vec<Slope> {
     let per_request = |quantity, mechanism, run: fn(u32)| Slope {
         quantity,
         mechanism,
@@ -29,8 +29,8 @@
             .map(|n| (f64::from(n), timer.time_us(|| (), |()| run(n))))
             .to_vec(),
     };
-    let ticket = |timer: &Timer, size| ticket_us(timer, size);
-    let clearance = |timer: &Timer, size| clearance_us(timer, size);
+    let ticket = ticket_us;
+    let clearance = clearance_us;
     vec![
         per_request(
             "push and pop, 1 team waiting, us",
@@ -87,8 +87,8 @@
     mechanism: &'static str,
     size: &'static str,
     sizes: [usize; 3],
-    timer: &Timer,
-    cost: &dyn Fn(&Timer, usize) -> f64,
+    timer: Timer,
+    cost: &dyn Fn(Timer, usize) -> f64,
 ) -> Slope {
     let points = sizes.map(|size| (size as f64, cost(timer, size))).to_vec();
     Slope {
@@ -176,7 +176,7 @@
     }
 }
 
-fn ticket_us(timer: &Timer, size: usize) -> f64 {
+fn ticket_us(timer: Timer, size: usize) -> f64 {
     let now = Instant::now();
     let team = TeamName::new("e");
     let run = |mut book: medlarpin_core::tickets::TicketBook| {
@@ -190,7 +190,7 @@
     timer.time_us(|| filled_book(size), run) / LOOKUPS as f64
 }
 
-fn clearance_us(timer: &Timer, size: usize) -> f64 {
+fn clearance_us(timer: Timer, size: usize) -> f64 {
     let now = Instant::now();
     let keys: Vec<Fingerprint> = (0..LOOKUPS)
         .map(|index| fingerprint(index * 61 % size))
--- a/crates/xtask/src/capacity/membership.rs
+++ b/crates/xtask/src/capacity/membership.rs
@@ -1,6 +1,6 @@
 //! Gossip of a whole fleet in memory, with messages in their encoded form.
 
-use medlarpin_core::membership::{Heartbeat, HeartbeatContent, Membership, MembershipSettings};
+use medlarpin_core::membership::{HeartbeatContent, Membership, MembershipSettings};
 use medlarpin_core::prelude::*;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
@@ -55,6 +55,15 @@
     }
 }
 
+/// How heartbeats reach the peer.
+#[derive(Debug, Clone, Copy)]
+enum Form {
+    /// As RPC messages, whose bytes are counted.
+    Encoded,
+    /// As values, which is faster while nothing is measured.
+    Plain,
+}
+
 struct Fleet {
     daemons: Vec<Membership>,
     now: Instant,
@@ -87,15 +96,15 @@
         let members = self.daemons.len();
         let transmissions = 3 * (members.ilog2() as usize + 1);
         // A daemon sends about 16 claims a second: 8 in its own probe and 8 in a reply.
-        let seconds = 40 + members * transmissions / 16 * 2;
-        (0..seconds).try_for_each(|_| self.second())
+        let seconds = 40 + members * transmissions / 16 * 3 / 2;
+        (0..seconds).try_for_each(|_| self.second(Form::Plain))
     }
 
     /// Returns the traffic of one daemon and second.
     fn traffic(&mut self, seconds: u32) -> Result<Traffic, CapacityError> {
         (self.bytes, self.busy) = (0, Duration::ZERO);
         for _ in 0..seconds {
-            self.second()?;
+            self.second(Form::Encoded)?;
         }
         let daemon_seconds = self.daemons.len() as f64 * f64::from(seconds);
         Ok(Traffic {
@@ -105,7 +114,7 @@
     }
 
     /// Lets every daemon probe one member, in random order.
-    fn second(&mut self) -> Result<(), CapacityError> {
+    fn second(&mut self, form: Form) -> Result<(), CapacityError> {
         self.now += Duration::from_secs(1);
         let mut order: Vec<usize> = (0..self.daemons.len()).collect();
         order.shuffle(&mut self.rng);
@@ -116,7 +125,10 @@
             let peer = self.daemons[prober].next_probe(random);
             let peer = peer.map(|vm| vm.as_str()[3..].parse().unwrap_or(0));
             if let Some(peer) = peer {
-                self.exchange(prober, peer)?;
+                match form {
+                    Form::Encoded => self.exchange(prober, peer)?,
+                    Form::Plain => self.exchange_plain(prober, peer),
+                }
             }
             self.busy += started.elapsed();
         }
@@ -143,13 +155,20 @@
         Ok(())
     }
 
+    fn exchange_plain(&mut self, prober: usize, peer: usize) {
+        let question = self.message(prober, peer);
+        self.daemons[peer].acked(&question.heartbeat, self.now);
+        let answer = self.message(peer, prober);
+        self.daemons[prober].acked(&answer.heartbeat, self.now);
+    }
+
     fn message(&mut self, from: usize, to: usize) -> HeartbeatMessage {
         let content = HeartbeatContent {
             vm_list_revision: Revision(1),
             settings_revision: Revision(1),
             ..HeartbeatContent::default()
         };
-        let heartbeat: Heartbeat = self.daemons[from].heartbeat(&fixtures::vm_name(to), content);
+        let heartbeat = self.daemons[from].heartbeat(&fixtures::vm_name(to), content);
         HeartbeatMessage {
             heartbeat,
             sender_address: fixtures::address(from, 8081),
--- a/crates/xtask/src/capacity/memory.rs
+++ b/crates/xtask/src/capacity/memory.rs
@@ -10,20 +10,21 @@
 use medlarpin_core::latency_window::LatencyWindow;
 use medlarpin_core::leaf_state::LeafState;
 use medlarpin_core::membership::{Membership, MembershipSettings};
-use medlarpin_core::ownership::HandoverGate;
 use medlarpin_core::prelude::*;
 use medlarpin_core::tickets::{TicketBook, TicketLimits};
 
 use crate::capacity::error::CapacityError;
 use crate::capacity::slope::Slope;
-use crate::capacity::{fixtures, rpc, rpc_connections};
+use crate::capacity::{fixtures, ownership, rpc, rpc_connections};
 
 /// Members counted in all at each size; fewer would vanish in the page size.
 const MEMBERS: usize = 100_000;
 /// Trees and views counted at each size.
-const TREES: usize = 4;
-/// Leaf states counted for each recorded second.
-const LEAF_STATES: usize = 200;
+const TREES: usize = 20;
+/// Leaf states counted at each size.
+const LEAF_STATES: usize = 2_000;
+/// Sets of gates counted at each size.
+const GATE_SETS: usize = 100;
 
 /// Values that must stay in memory until all readings are done.
 type Kept = Vec<Box<dyn Any>>;
@@ -34,11 +35,12 @@
     Ok(vec![
         membership(&mut kept)?,
         gates(&mut kept)?,
-        settings(&mut kept)?,
         leaf_states(&mut kept)?,
         tickets(&mut kept)?,
         fingerprints(&mut kept)?,
         rpc_connections::memory()?,
+        // Parsing leaves freed memory behind, which later readings would not count.
+        settings(&mut kept)?,
     ])
 }
 
@@ -96,25 +98,15 @@
 }
 
 fn gates(kept: &mut Kept) -> Result<Slope, CapacityError> {
-    const COPIES: usize = 20;
     let list = fixtures::vm_list(1, 0..fixtures::VMS);
     let mut points = Vec::new();
     for leafs in [1_000, 2_000, fixtures::LEAFS] {
-        let view = fixtures::view(&fixtures::tree(1, fixtures::texts(leafs, 1))?, list.clone());
-        let service = view
-            .service(fixtures::SERVICE)
-            .ok_or(CapacityError::NoService)?;
+        let groups = ownership::groups(leafs);
         let bytes = grown(kept, || {
-            let one = |_| {
-                let mut gate = HandoverGate::new(fixtures::vm_name(0));
-                for group in &service.groups {
-                    gate.adopt(&group.group, &VmList::default(), &list);
-                }
-                gate
-            };
-            Ok((0..COPIES).map(one).collect::<Vec<_>>())
+            let one = |_| ownership::gate(&groups, &list);
+            Ok((0..GATE_SETS).map(one).collect::<Vec<_>>())
         })?;
-        points.push((leafs as f64, bytes / COPIES as f64));
+        points.push((leafs as f64, bytes / GATE_SETS as f64));
     }
     Ok(Slope {
         quantity: "memory of the handover gates, B",
--- a/crates/xtask/src/capacity/mod.rs
+++ b/crates/xtask/src/capacity/mod.rs
@@ -5,16 +5,20 @@
 
 mod error;
 mod fixtures;
+mod leaf_exchange;
 mod leafs;
 mod membership;
 mod memory;
 mod ownership;
 mod page;
+mod periodic;
 mod queries;
 mod rpc;
 mod rpc_connections;
 mod settings;
 mod slope;
+#[cfg(test)]
+mod tests;
 mod timing;
 mod wire_batches;
 
@@ -40,8 +44,8 @@
 /// Fails if a measurement cannot run, or if the page differs or cannot be written.
 pub fn run(options: &Options) -> Result<(), CapacityError> {
     // The check compares no figures, so one run of each measurement is enough.
-    let timer = Timer::new(if options.check { 1 } else { 15 });
-    let slopes = measure_all(&timer)?;
+    let timer = Timer::new(if options.check { 1 } else { 9 });
+    let slopes = measure_all(timer)?;
     let table = page::table(&slopes);
     print!("{table}");
     if options.check {
@@ -53,7 +57,7 @@
     Ok(())
 }
 
-fn measure_all(timer: &Timer) -> Result<Vec<Slope>, CapacityError> {
+fn measure_all(timer: Timer) -> Result<Vec<Slope>, CapacityError> {
     // Memory comes first: later measurements would find memory that earlier ones have freed.
     let mut slopes = memory::measure()?;
     slopes.extend(membership::measure()?);
@@ -62,5 +66,8 @@
     slopes.extend(queries::measure(timer)?);
     slopes.extend(leafs::measure(timer));
     slopes.extend(wire_batches::measure(timer)?);
+    slopes.extend(periodic::measure(timer)?);
+    slopes.push(rpc_connections::calls()?);
+    slopes.push(leaf_exchange::measure()?);
     Ok(slopes)
 }
--- a/crates/xtask/src/capacity/ownership.rs
+++ b/crates/xtask/src/capacity/ownership.rs
@@ -10,15 +10,15 @@
 const MECHANISM: &str = "medlarpin-core ownership";
 
 /// Measures both for many leafs and for many VMs.
-pub fn measure(timer: &Timer) -> Vec<Slope> {
+pub fn measure(timer: Timer) -> Vec<Slope> {
     let leafs = [1_000, 2_000, 3_000, fixtures::LEAFS];
     let vms = [125, 250, fixtures::VMS];
-    let by_leafs = |cost: fn(&Timer, usize, usize) -> f64| {
+    let by_leafs = |cost: fn(Timer, usize, usize) -> f64| {
         leafs
             .map(|leafs| (leafs as f64, cost(timer, leafs, fixtures::VMS)))
             .to_vec()
     };
-    let by_vms = |cost: fn(&Timer, usize, usize) -> f64| {
+    let by_vms = |cost: fn(Timer, usize, usize) -> f64| {
         vms.map(|vms| (vms as f64, cost(timer, fixtures::LEAFS, vms)))
             .to_vec()
     };
@@ -60,7 +60,8 @@
     }
 }
 
-fn groups(leafs: usize) -> Vec<LeafGroup> {
+/// Returns the groups of a service with many leafs.
+pub fn groups(leafs: usize) -> Vec<LeafGroup> {
     let leaf = |index| Leaf {
         id: LeafId::new(&fixtures::leaf_name(index)),
         address: fixtures::address(index, 9000),
@@ -78,7 +79,7 @@
     ))
 }
 
-fn rank_us(timer: &Timer, leafs: usize, vms: usize) -> f64 {
+fn rank_us(timer: Timer, leafs: usize, vms: usize) -> f64 {
     let list = fixtures::vm_list(1, 0..vms);
     let groups = groups(leafs);
     let rank_all = |()| {
@@ -90,7 +91,7 @@
     timer.time_us(|| (), rank_all)
 }
 
-fn adopt_us(timer: &Timer, leafs: usize, vms: usize) -> f64 {
+fn adopt_us(timer: Timer, leafs: usize, vms: usize) -> f64 {
     let old = fixtures::vm_list(1, 0..vms);
     let new = fixtures::vm_list(2, 1..vms);
     let groups = groups(leafs);
@@ -103,7 +104,7 @@
     timer.time_us(|| gate(&groups, &old), adopt)
 }
 
-fn acknowledge_us(timer: &Timer, leafs: usize, vms: usize) -> f64 {
+fn acknowledge_us(timer: Timer, leafs: usize, vms: usize) -> f64 {
     let list = fixtures::vm_list(1, 0..vms);
     let groups = groups(leafs);
     let acknowledge = |mut gate: HandoverGate| {
@@ -113,7 +114,8 @@
     timer.time_us(|| gate(&groups, &list), acknowledge)
 }
 
-fn gate(groups: &[LeafGroup], list: &VmList) -> HandoverGate {
+/// Returns the gates of a daemon that has adopted its first list.
+pub fn gate(groups: &[LeafGroup], list: &VmList) -> HandoverGate {
     let mut gate = HandoverGate::new(fixtures::vm_name(0));
     for group in groups {
         gate.adopt(group, &VmList::default(), list);
--- a/crates/xtask/src/capacity/page.rs
+++ b/crates/xtask/src/capacity/page.rs
@@ -40,8 +40,12 @@
 
 /// Compares the rows and mechanisms of the page's table, but not its figures.
 pub fn check(slopes: &[Slope]) -> Result<(), CapacityError> {
-    let page = read()?;
-    let (start, end) = block(&page)?;
+    compare(&read()?, slopes)
+}
+
+/// Compares the rows and mechanisms of a page's table with the slopes.
+pub fn compare(page: &str, slopes: &[Slope]) -> Result<(), CapacityError> {
+    let (start, end) = block(page)?;
     let held: Vec<String> = page[start..end].lines().skip(2).map(key).collect();
     let table = table(slopes);
     let measured: Vec<String> = table.lines().skip(2).map(key).collect();
@@ -64,15 +68,19 @@
 
 /// Replaces the page's table.
 pub fn write(table: &str) -> Result<(), CapacityError> {
-    let page = read()?;
-    let (start, end) = block(&page)?;
-    let page = format!("{}{table}{}", &page[..start], &page[end..]);
+    let page = replace(&read()?, table)?;
     std::fs::write(path(), page).map_err(|error| CapacityError::File {
         path: path(),
         error,
     })
 }
 
+/// Returns a page with another table.
+pub fn replace(page: &str, table: &str) -> Result<String, CapacityError> {
+    let (start, end) = block(page)?;
+    Ok(format!("{}{table}{}", &page[..start], &page[end..]))
+}
+
 fn read() -> Result<String, CapacityError> {
     std::fs::read_to_string(path()).map_err(|error| CapacityError::File {
         path: path(),
--- a/crates/xtask/src/capacity/queries.rs
+++ b/crates/xtask/src/capacity/queries.rs
@@ -19,7 +19,7 @@
 const SEEDS: u64 = 20;
 
 /// Measures plan, version choice, canary choice and merge for queries of several sizes.
-pub fn measure(timer: &Timer) -> Result<Vec<Slope>, CapacityError> {
+pub fn measure(timer: Timer) -> Result<Vec<Slope>, CapacityError> {
     let tree = fixtures::tree(1, fixtures::texts(fixtures::LEAFS, fixtures::TEAMS))?;
     let view = fixtures::view(&tree, fixtures::vm_list(1, 0..fixtures::VMS));
     let service = service(&view)?;
@@ -71,7 +71,7 @@
     service.map(AsRef::as_ref).ok_or(CapacityError::NoService)
 }
 
-fn plan_us(timer: &Timer, service: &ServiceView, map: &ShardMap, asked: &[ShardId]) -> f64 {
+fn plan_us(timer: Timer, service: &ServiceView, map: &ShardMap, asked: &[ShardId]) -> f64 {
     let plan_all = |()| {
         let one = |seed| {
             plan(
@@ -104,7 +104,7 @@
     (0..SEEDS).map(one).sum::<usize>() as f64 / SEEDS as f64
 }
 
-fn version_us(timer: &Timer, map: &ShardMap, asked: &[ShardId]) -> f64 {
+fn version_us(timer: Timer, map: &ShardMap, asked: &[ShardId]) -> f64 {
     let rows = map.shards()[..asked.len()].to_vec();
     let version = |number| {
         Arc::new(ShardMap::new(
@@ -122,7 +122,7 @@
 }
 
 /// A query of some shards can use up to as many groups as there are, at most those of the service.
-fn canary_us(timer: &Timer, service: &ServiceView, asked: &[ShardId]) -> f64 {
+fn canary_us(timer: Timer, service: &ServiceView, asked: &[ShardId]) -> f64 {
     let groups = &service.groups[..asked.len().min(service.groups.len())];
     let choose = |()| {
         (0..SEEDS)
@@ -132,7 +132,7 @@
     timer.time_us(|| (), choose) / SEEDS as f64
 }
 
-fn merge_us(timer: &Timer, map: &ShardMap, asked: &[ShardId]) -> f64 {
+fn merge_us(timer: Timer, map: &ShardMap, asked: &[ShardId]) -> f64 {
     let request = RequestId(1);
     let outcome = || ShardOutcome::Covered {
         rows: vec!["x".repeat(64)],
--- a/crates/xtask/src/capacity/rpc_connections.rs
+++ b/crates/xtask/src/capacity/rpc_connections.rs
@@ -11,6 +11,7 @@
 use crate::capacity::error::CapacityError;
 use crate::capacity::memory::resident_bytes;
 use crate::capacity::slope::Slope;
+use crate::capacity::timing::thread_time_us;
 
 /// Answers calls of `exchange` with an empty heartbeat.
 struct EmptyPeer;
@@ -28,10 +29,7 @@
 
 /// Measures the memory of connections that each made one call, without the kernel's buffers.
 pub fn memory() -> Result<Slope, CapacityError> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(socket_error)?;
+    let runtime = runtime()?;
     let local = tokio::task::LocalSet::new();
     let points = local.block_on(&runtime, async {
         let listener = TcpListener::bind("127.0.0.1:0")
@@ -57,6 +55,40 @@
     })
 }
 
+/// Measures the processor time of calls on one connection, eight at a time, for both ends together.
+pub fn calls() -> Result<Slope, CapacityError> {
+    const AT_ONCE: u32 = 8;
+    let runtime = runtime()?;
+    let local = tokio::task::LocalSet::new();
+    let points = local.block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .map_err(socket_error)?;
+        let client = connect(&listener).await?;
+        let mut points = Vec::new();
+        for calls in [2_000, 8_000, 16_000] {
+            let before = thread_time_us()?;
+            for _ in 0..calls / AT_ONCE {
+                let sent = (0..AT_ONCE).map(|_| client.exchange_request().send().promise);
+                futures::future::try_join_all(sent).await?;
+            }
+            points.push((f64::from(calls), thread_time_us()? - before));
+        }
+        Ok::<_, CapacityError>(points)
+    })?;
+    Ok(Slope {
+        quantity: "processor time of empty RPC calls, both ends, us",
+        mechanism: "daemon peers",
+        size: "calls",
+        points,
+    })
+}
+
+fn runtime() -> Result<tokio::runtime::Runtime, CapacityError> {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    builder.enable_all().build().map_err(socket_error)
+}
+
 /// Opens a connection as the daemon's pool and server do, and makes one call.
 async fn connect(listener: &TcpListener) -> Result<peer::Client, CapacityError> {
     let address = listener.local_addr().map_err(socket_error)?;
@@ -64,26 +96,26 @@
     let (accepted, _) = listener.accept().await.map_err(socket_error)?;
     let service: peer::Client = capnp_rpc::new_client(EmptyPeer);
     let server = network(accepted, rpc_twoparty_capnp::Side::Server);
-    tokio::task::spawn_local(RpcSystem::new(server, Some(service.client)));
+    tokio::task::spawn_local(RpcSystem::new(Box::new(server), Some(service.client)));
     let client = network(stream, rpc_twoparty_capnp::Side::Client);
-    let mut system = RpcSystem::new(client, None);
+    let mut system = RpcSystem::new(Box::new(client), None);
     let client: peer::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
     tokio::task::spawn_local(system);
     client.exchange_request().send().promise.await?;
     Ok(client)
 }
 
-type Network = Box<twoparty::VatNetwork<futures::io::BufReader<Half>>>;
+type Network = twoparty::VatNetwork<futures::io::BufReader<Half>>;
 type Half = futures::io::ReadHalf<tokio_util::compat::Compat<TcpStream>>;
 
 fn network(stream: TcpStream, side: rpc_twoparty_capnp::Side) -> Network {
     let (reader, writer) = stream.compat().split();
-    Box::new(twoparty::VatNetwork::new(
+    twoparty::VatNetwork::new(
         futures::io::BufReader::new(reader),
         futures::io::BufWriter::new(writer),
         side,
         capnp::message::ReaderOptions::default(),
-    ))
+    )
 }
 
 fn socket_error(error: std::io::Error) -> CapacityError {
--- a/crates/xtask/src/capacity/settings.rs
+++ b/crates/xtask/src/capacity/settings.rs
@@ -34,7 +34,7 @@
 }
 
 /// Measures the costs of trees with many leafs and with many teams.
-pub fn measure(timer: &Timer) -> Result<Vec<Slope>, CapacityError> {
+pub fn measure(timer: Timer) -> Result<Vec<Slope>, CapacityError> {
     let by_leafs = LEAFS.map(|leafs| (leafs, costs(timer, leafs, fixtures::TEAMS)));
     let by_teams = TEAMS.map(|teams| (teams, costs(timer, 500, teams)));
     let mut slopes = slopes("leafs", by_leafs)?;
@@ -101,7 +101,7 @@
     Ok(slopes)
 }
 
-fn costs(timer: &Timer, leafs: usize, teams: usize) -> Result<Costs, CapacityError> {
+fn costs(timer: Timer, leafs: usize, teams: usize) -> Result<Costs, CapacityError> {
     let texts = fixtures::texts(leafs, teams);
     let held = fixtures::tree(1, texts.clone())?;
     let team_changed = changed(&held, texts.clone(), |path| path == "teams/team-000")?;
--- a/crates/xtask/src/capacity/timing.rs
+++ b/crates/xtask/src/capacity/timing.rs
@@ -1,5 +1,7 @@
 use std::time::Instant;
 
+use crate::capacity::error::CapacityError;
+
 /// Runs measurements several times.
 #[derive(Debug, Clone, Copy)]
 pub struct Timer {
@@ -19,7 +21,7 @@
     /// Other processes only add time, so the lower part of the runs describes the code best. The
     /// input is prepared, and the result dropped, outside the measured time.
     pub fn time_us<I, O>(
-        &self,
+        self,
         mut prepare: impl FnMut() -> I,
         mut work: impl FnMut(I) -> O,
     ) -> f64 {
@@ -36,3 +38,14 @@
         times[times.len() / 4]
     }
 }
+
+/// Returns the processor time that this thread has used, in microseconds.
+pub fn thread_time_us() -> Result<f64, CapacityError> {
+    const PATH: &str = "/proc/thread-self/schedstat";
+    let text = std::fs::read_to_string(PATH).map_err(|error| CapacityError::File {
+        path: PATH.to_owned(),
+        error,
+    })?;
+    let nanoseconds: Option<f64> = text.split(' ').next().and_then(|text| text.parse().ok());
+    Ok(nanoseconds.ok_or(CapacityError::NoThreadTime)? / 1e3)
+}
--- a/crates/xtask/src/capacity/wire_batches.rs
+++ b/crates/xtask/src/capacity/wire_batches.rs
@@ -17,7 +17,7 @@
 const ROW_BYTES: usize = 64;
 
 /// Measures sizes and times by the number of tasks.
-pub fn measure(timer: &Timer) -> Result<Vec<Slope>, CapacityError> {
+pub fn measure(timer: Timer) -> Result<Vec<Slope>, CapacityError> {
     let mut slopes = [
         ("size of a gather call, B", "wire batch"),
         (
@@ -43,7 +43,7 @@
     Ok(slopes.to_vec())
 }
 
-fn costs(timer: &Timer, tasks: u32) -> Result<[f64; 6], CapacityError> {
+fn costs(timer: Timer, tasks: u32) -> Result<[f64; 6], CapacityError> {
     let (batch, reply) = (sample_batch(tasks), sample_reply(tasks));
     let call = rpc::call(|content| {
         batch.write(content.init_as::<gather_params::Builder<'_>>().init_batch());
