--- a/crates/daemon/src/leafs/connection.rs
+++ b/crates/daemon/src/leafs/connection.rs
@@ -125,6 +125,7 @@
     }
 
     /// Returns true if the pool was closed and the last socket is gone.
+    #[must_use]
     pub fn is_closed(&self) -> bool {
         let state = self.state.lock();
         state.closed && state.open == 0 && state.sockets == 0
--- a/crates/daemon/src/leafs/mod.rs
+++ b/crates/daemon/src/leafs/mod.rs
@@ -9,8 +9,9 @@
 mod table;
 
 pub use attempt::{AttemptEnd, Unsent, attempt};
+pub use connection::ConnectionPool;
 pub use maintenance::maintain;
-pub use protocol::LeafRequest;
+pub use protocol::{LeafReply, LeafRequest, exchange};
 pub use recorded::RecordedLeaf;
 pub use slot::LeafSlot;
 pub use table::{Holding, LeafTable};
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,7 +12,10 @@
 mod recorder;
 mod routes;
 mod shared;
-mod view;
+pub mod view;
 mod workers;
 
 pub use crate::daemon::{Daemon, StartError};
+pub use crate::entry::AdmissionTable;
+pub use crate::fleet::FleetTable;
+pub use crate::leafs::{ConnectionPool, LeafReply, LeafRequest, exchange};
--- a/crates/xtask/src/measure.rs
+++ b/crates/xtask/src/measure.rs
@@ -23,7 +23,7 @@
 use bpaf::Bpaf;
 use tokio::runtime::{Builder, Handle, Runtime};
 
-use self::error::MeasureError;
+pub(crate) use self::error::MeasureError;
 use self::report::Report;
 
 /// Options of a measurement.
