Plan around slow leafs and refuse whole queries under overload

Cause: one slow leaf of a group gets more than 5% of its holder's requests, so the hedge budget cannot cover it (p99 147 ms with one leaf slower by 100 ms); and under overload nearly all queries were admitted and each lost some shards (87 of 1,175 complete). Change: holders report leafs whose latency, counting requests in flight and given up, is above three times their group's median and 10 ms more; entries plan on other replicas for 2 s, but for one query in 16. A gate for each team and service falls with the share of shards refused for overload and rises again within 3 s.

--- a/crates/daemon/src/entry/admission.rs
+++ b/crates/daemon/src/entry/admission.rs
@@ -2,6 +2,7 @@
 
 use medlarpin_core::extra_budget::{ExtraBudget, try_spend_both};
 use medlarpin_core::latency_window::{LatencyWindow, hedge_delay};
+use medlarpin_core::overload_gate;
 use medlarpin_core::prelude::*;
 use medlarpin_core::team_share::{Lease, LeaseRequest};
 
@@ -147,6 +148,45 @@
         self.teams[index].admit(deadline, now)
     }
 
+    /// Refuses a part of a team's queries to a service while their shards are refused for overload.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the query is in that part.
+    pub fn check_overload(
+        &mut self,
+        team: &TeamName,
+        service: &ServiceName,
+        random: f64,
+        now: Instant,
+    ) -> Result<(), Refusal> {
+        let Ok(index) = self.find_team(team) else {
+            return Ok(());
+        };
+        if self.teams[index].gate(service, now).admits(random, now) {
+            return Ok(());
+        }
+        Err(Refusal {
+            reason: NotRunReason::Overloaded,
+            retry_after: overload_gate::INTERVAL,
+        })
+    }
+
+    /// Records how many shards of a query were refused for overload, and how many were asked.
+    pub fn record_shards(
+        &mut self,
+        team: &TeamName,
+        service: &ServiceName,
+        refused: u64,
+        total: u64,
+        now: Instant,
+    ) {
+        if let Ok(index) = self.find_team(team) {
+            let gate = self.teams[index].gate(service, now);
+            gate.record(refused, total, now);
+        }
+    }
+
     /// Returns the permit of a query.
     pub fn release(&mut self, team: &TeamName) {
         if let Ok(index) = self.find_team(team) {
--- a/crates/daemon/src/entry/group.rs
+++ b/crates/daemon/src/entry/group.rs
@@ -69,6 +69,23 @@
         held.map_or(0, |slot| slot.load())
     }
 
+    /// Returns true if a leaf is much slower than its group.
+    #[must_use]
+    pub fn is_slow(&self, leaf: &LeafId) -> bool {
+        let now = self.shared.clock.now();
+        let name = self.service.view.service.name();
+        self.shared.slow.lock().contains(name, leaf, (), now)
+    }
+
+    /// Remembers leafs that are much slower than their group.
+    pub fn mark_slow(&self, leafs: &[LeafId]) {
+        let now = self.shared.clock.now();
+        let mut slow = self.shared.slow.lock();
+        for leaf in leafs {
+            slow.insert(self.service.view.service.name(), leaf, (), now);
+        }
+    }
+
     /// Remembers leafs that no longer hold a version.
     pub fn mark_gone(&self, leafs: &[LeafId], version: IndexVersion) {
         let now = self.shared.clock.now();
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -4,9 +4,9 @@
 mod answer;
 mod body;
 mod canary_choice;
-mod gone;
 mod group;
 mod http;
+mod leaf_reports;
 mod permit;
 mod request;
 mod run;
@@ -15,6 +15,6 @@
 
 pub use admission::{AdmissionTable, Limit};
 pub use answer::{AnswerBody, OutcomeName};
-pub use gone::GoneVersions;
 pub use http::router;
+pub use leaf_reports::LeafReports;
 pub use ticketed::run_forwarded;
--- a/crates/daemon/src/entry/permit.rs
+++ b/crates/daemon/src/entry/permit.rs
@@ -5,6 +5,7 @@
 use medlarpin_core::prelude::*;
 
 use crate::entry::admission::Refusal;
+use crate::entry::request::Query;
 use crate::shared::Shared;
 
 /// The permit of an admitted query; returned when dropped.
@@ -19,17 +20,16 @@
     ///
     /// # Errors
     ///
-    /// Fails if the team is above one of its limits.
-    pub fn acquire(
-        shared: &Arc<Shared>,
-        team: &TeamName,
-        deadline: Instant,
-    ) -> Result<Self, Refusal> {
+    /// Fails if the service is overloaded for the team or the team is above one of its limits.
+    pub fn acquire(shared: &Arc<Shared>, query: &Query) -> Result<Self, Refusal> {
         let now = shared.clock.now();
-        shared.admission.lock().admit(team, deadline, now)?;
+        let mut admission = shared.admission.lock();
+        admission.check_overload(&query.team, &query.service, rand::random(), now)?;
+        admission.admit(&query.team, query.deadline, now)?;
+        drop(admission);
         Ok(Self {
             shared: Arc::clone(shared),
-            team: team.clone(),
+            team: query.team.clone(),
         })
     }
 }
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -7,7 +7,8 @@
 use futures::stream::FuturesUnordered;
 use medlarpin_core::canary::Clearance;
 use medlarpin_core::coverage::Merge;
-use medlarpin_core::plan::{Batch as PlannedBatch, plan};
+use medlarpin_core::outlier::PROBE_INTERVAL;
+use medlarpin_core::plan::{Batch as PlannedBatch, Plan, plan};
 use medlarpin_core::prelude::*;
 use medlarpin_core::snapshot::choose_version;
 use tokio::sync::oneshot;
@@ -68,7 +69,7 @@
     let started_at = shared.clock.now();
     check_pause(worker, started_at)?;
     let clearance = check_quarantine(worker, query, started_at)?;
-    let _permit = TeamPermit::acquire(shared, &query.team, query.deadline)?;
+    let _permit = TeamPermit::acquire(shared, query)?;
     let total_time = query.deadline.saturating_duration_since(started_at);
     let mut run = QueryRun::pin(worker, query)?;
     let needs_canary = shared.settings.canary && clearance != Clearance::Proven;
@@ -84,6 +85,7 @@
         run.restart(map);
         run.ask(false).await;
     }
+    run.record_overload();
     Ok(run.into_body())
 }
 
@@ -158,15 +160,7 @@
             }
             self.renew_routes();
         }
-        let routes = &self.routes;
-        let plan = plan(
-            &self.map,
-            &shards,
-            |leaf| self.service.group_of(leaf),
-            |leaf, version| routes.serves(leaf, version),
-            |leaf| routes.load(leaf),
-            rand::random(),
-        );
+        let plan = self.plan(&shards);
         for shard in &plan.no_replica {
             self.accept(*shard, not_sent(UncoveredReason::NoReplica));
         }
@@ -178,6 +172,29 @@
         self.collect(calls).await;
     }
 
+    /// Assigns each shard to a replica; slow leafs are used only where no other replica serves.
+    fn plan(&self, shards: &[ShardId]) -> Plan {
+        let avoids_slow = !rand::random_ratio(1, PROBE_INTERVAL);
+        let mut first = self.plan_with(shards, |leaf| avoids_slow && self.routes.is_slow(leaf));
+        if avoids_slow && !first.no_replica.is_empty() {
+            let second = self.plan_with(&first.no_replica, |_leaf| false);
+            first.batches.extend(second.batches);
+            first.no_replica = second.no_replica;
+        }
+        first
+    }
+
+    fn plan_with(&self, shards: &[ShardId], avoid: impl Fn(&LeafId) -> bool) -> Plan {
+        plan(
+            &self.map,
+            shards,
+            |leaf| self.service.group_of(leaf),
+            |leaf, version| self.routes.serves(leaf, version) && !avoid(leaf),
+            |leaf| self.routes.load(leaf),
+            rand::random(),
+        )
+    }
+
     /// Asks one shard first; returns false if the others must not be asked.
     async fn ask_canary(&mut self, shards: &mut Vec<ShardId>) -> bool {
         let fingerprint = self.query.fingerprint();
@@ -293,6 +310,7 @@
         let now = shared.clock.now();
         self.routes
             .mark_gone(&reply.version_gone_leafs, self.map.version());
+        self.routes.mark_slow(&reply.slow_leafs);
         if let Some((fingerprint, left)) = reply.quarantine {
             let quarantine = medlarpin_core::canary::Quarantine {
                 fingerprint,
@@ -316,6 +334,23 @@
         }
     }
 
+    /// Tells the overload gate how many shards were refused because queues or leafs were full.
+    fn record_overload(&self) {
+        let shared = &self.worker.shared;
+        let uncovered = self.merge.uncovered();
+        let refused = uncovered.iter().filter(|entry| {
+            matches!(
+                entry.reason,
+                UncoveredReason::QueueFull | UncoveredReason::LeafRefused
+            )
+        });
+        let refused = refused.count() as u64;
+        let total = self.merge.asked_count() as u64;
+        let now = shared.clock.now();
+        let mut admission = shared.admission.lock();
+        admission.record_shards(&self.query.team, &self.query.service, refused, total, now);
+    }
+
     fn should_restart(&self, total_time: Duration) -> bool {
         let now = self.worker.shared.clock.now();
         let time_left = self.query.deadline.saturating_duration_since(now);
--- a/crates/daemon/src/entry/team_admission.rs
+++ b/crates/daemon/src/entry/team_admission.rs
@@ -2,6 +2,7 @@
 
 use medlarpin_core::concurrency_limiter::ConcurrencyLimiter;
 use medlarpin_core::extra_budget::ExtraBudget;
+use medlarpin_core::overload_gate::OverloadGate;
 use medlarpin_core::prelude::*;
 use medlarpin_core::rate_limiter::RateLimiter;
 use medlarpin_core::team_share::{ShareLedger, UNITS_PER_QUERY, UnitKind};
@@ -20,6 +21,8 @@
     concurrency: ConcurrencyLimiter,
     pub(super) extra: ExtraBudget,
     admitted: u64,
+    /// One gate for each service that the team has asked, sorted by service.
+    gates: Vec<(ServiceName, OverloadGate)>,
 }
 
 impl TeamAdmission {
@@ -34,6 +37,7 @@
             concurrency: ConcurrencyLimiter::new(),
             extra: ExtraBudget::new(),
             admitted: 0,
+            gates: Vec::new(),
         }
     }
 
@@ -80,6 +84,16 @@
         Ok(())
     }
 
+    pub(super) fn gate(&mut self, service: &ServiceName, now: Instant) -> &mut OverloadGate {
+        let found = self.gates.binary_search_by(|(name, _)| name.cmp(service));
+        let index = found.unwrap_or_else(|index| {
+            let gate = OverloadGate::new(now);
+            self.gates.insert(index, (service.clone(), gate));
+            index
+        });
+        &mut self.gates[index].1
+    }
+
     pub(super) fn release(&mut self) {
         self.concurrency.release();
         self.concurrency_ledger
--- a/crates/daemon/src/gather.rs
+++ b/crates/daemon/src/gather.rs
@@ -10,6 +10,7 @@
 use futures::future::join_all;
 use medlarpin_core::canary::Clearance;
 use medlarpin_core::latency_window::{hedge_delay_after, late_after};
+use medlarpin_core::outlier::is_slow;
 use medlarpin_core::prelude::*;
 use wire::{Batch, BatchReply, ShardResult, ShardTask};
 
@@ -72,6 +73,7 @@
     reply.leaf_requests = gathering.leaf_requests.get();
     reply.extra_leaf_requests = gathering.extra_leaf_requests.get();
     reply.version_gone_leafs = gathering.version_gone.take();
+    reply.slow_leafs = gathering.slow_leafs();
     let now = shared.clock.now();
     if let Clearance::Quarantined { until } =
         shared.fingerprints.lock().table().check(fingerprint, now)
@@ -149,6 +151,26 @@
         held.filter_map(|slot| slot.p95()).collect()
     }
 
+    /// Returns the leafs of the batch's group that entries should avoid.
+    fn slow_leafs(&self) -> Vec<LeafId> {
+        let Some(task) = self.batch.tasks.first() else {
+            return Vec::new();
+        };
+        let Some(group) = self.service.group_of(&task.leaf) else {
+            return Vec::new();
+        };
+        let table = &self.worker.shared.leafs;
+        let leafs = self.service.groups[group].group.leafs().iter();
+        let known: Vec<(&LeafId, Duration)> = leafs
+            .filter_map(|leaf| Some((leaf, table.get(&self.batch.service, leaf)?.slowness()?)))
+            .collect();
+        let latencies: Vec<Duration> = known.iter().map(|(_, p95)| *p95).collect();
+        let slow = known
+            .into_iter()
+            .filter(|(_, p95)| is_slow(*p95, &latencies));
+        slow.map(|(leaf, _)| leaf.clone()).collect()
+    }
+
     fn try_extra(&self) -> bool {
         let shared = &self.worker.shared;
         let (team, service) = (&self.batch.team, &self.batch.service);
--- a/crates/daemon/src/leafs/mod.rs
+++ b/crates/daemon/src/leafs/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod connection;
+mod latency;
 mod maintenance;
 mod protocol;
 mod recorded;
--- a/crates/daemon/src/leafs/slot.rs
+++ b/crates/daemon/src/leafs/slot.rs
@@ -11,11 +11,9 @@
 
 use crate::leafs::RecordedLeaf;
 use crate::leafs::connection::ConnectionPool;
+use crate::leafs::latency::LeafLatency;
 use crate::recorder::Recorder;
 
-/// Merging the window's histograms for each request would cost more than a slightly older percentile.
-const P95_AGE: Duration = Duration::from_millis(100);
-
 /// What a queued request receives when its turn comes or the leaf becomes unavailable.
 #[derive(Debug)]
 pub enum Grant {
@@ -49,8 +47,7 @@
     gone: Vec<IndexVersion>,
     /// Time of the pending wake-up of the queue.
     wake_at: Option<Instant>,
-    /// The latest 95th percentile and when it was computed.
-    p95: Option<(Instant, Option<Duration>)>,
+    latency: LeafLatency,
     retired: bool,
 }
 
@@ -100,7 +97,7 @@
                 state,
                 gone: Vec::new(),
                 wake_at: None,
-                p95: None,
+                latency: LeafLatency::default(),
                 retired: false,
             }),
         }
@@ -186,19 +183,16 @@
         core.state.get().in_flight().saturating_add(queued)
     }
 
-    /// Returns the 95th percentile of the latency, at most [`P95_AGE`] old.
+    /// Returns the 95th percentile of the latency.
     #[must_use]
     pub fn p95(&self) -> Option<Duration> {
-        let now = self.clock.now();
-        let mut core = self.core.lock();
-        if let Some((at, p95)) = core.p95
-            && now.saturating_duration_since(at) < P95_AGE
-        {
-            return p95;
-        }
-        let p95 = core.state.get().latencies().quantile(0.95, now);
-        core.p95 = Some((now, p95));
-        p95
+        self.core.lock().latency.p95(self.clock.now())
+    }
+
+    /// Returns the latency by which the leaf is compared with the others of its group.
+    #[must_use]
+    pub fn slowness(&self) -> Option<Duration> {
+        self.core.lock().latency.slowness(self.clock.now())
     }
 
     /// Records that the leaf no longer holds a version.
@@ -348,6 +342,7 @@
                 Popped::Ready(waiter) if waiter.sender.is_closed() => {}
                 Popped::Ready(waiter) => {
                     self.state.apply(LeafEvent::Sent, now);
+                    self.latency.sent(now);
                     return Step::Grant(waiter);
                 }
                 Popped::Expired(waiter) => return Step::Refuse(waiter, Grant::Expired),
@@ -391,6 +386,7 @@
             let latency = now.saturating_duration_since(sent_at);
             let latency_ms = Millis(latency);
             core.state.apply(LeafEvent::Answered { latency_ms }, now);
+            core.latency.ended(sent_at, now);
             core.queue.record_service_time(latency);
         });
         self.close();
@@ -399,15 +395,21 @@
     /// Ends the request, because the leaf shed it.
     pub fn shed(mut self, retry_after: Duration) {
         let retry_after_ms = Millis(retry_after);
-        self.slot
-            .update(|core, now| core.state.apply(LeafEvent::Shed { retry_after_ms }, now));
+        let sent_at = self.sent_at;
+        self.slot.update(|core, now| {
+            core.state.apply(LeafEvent::Shed { retry_after_ms }, now);
+            core.latency.discard(sent_at);
+        });
         self.close();
     }
 
     /// Ends the request without granting the next one; the caller dispatches.
     fn discard(mut self) {
-        self.slot
-            .update(|core, now| core.state.apply(LeafEvent::Released, now));
+        let sent_at = self.sent_at;
+        self.slot.update(|core, now| {
+            core.state.apply(LeafEvent::Released, now);
+            core.latency.discard(sent_at);
+        });
         self.open = false;
     }
 
@@ -420,8 +422,11 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         if self.open {
-            self.slot
-                .update(|core, now| core.state.apply(LeafEvent::Released, now));
+            let sent_at = self.sent_at;
+            self.slot.update(|core, now| {
+                core.state.apply(LeafEvent::Released, now);
+                core.latency.ended(sent_at, now);
+            });
             self.close();
         }
     }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwap;
+use medlarpin_core::outlier::AVOIDED_FOR;
 use medlarpin_core::pause::{PauseDetector, Paused};
 use medlarpin_core::prelude::*;
 use medlarpin_core::tickets::{TicketBook, TicketLimits};
@@ -16,7 +17,7 @@
 use settings::DaemonSettings;
 use tokio::sync::Notify;
 
-use crate::entry::{AdmissionTable, AnswerBody, GoneVersions, OutcomeName};
+use crate::entry::{AdmissionTable, AnswerBody, LeafReports, OutcomeName};
 use crate::fleet::FleetTable;
 use crate::leafs::{LeafSlot, LeafTable};
 use crate::lifecycle::Lifecycle;
@@ -27,6 +28,9 @@
 use crate::view::FleetView;
 use crate::workers::WorkerPool;
 
+/// Time for which a leaf that lacks a version is not asked for it; it may load it again.
+const VERSION_GONE_FOR: Duration = Duration::from_secs(10);
+
 /// Longest time that readiness waits for the daemon's shares of the teams' limits.
 const SHARES_AWAITED: Duration = Duration::from_secs(5);
 
@@ -54,7 +58,9 @@
     /// Lock order 5.
     pub tickets: Mutex<TicketBook>,
     /// Lock order 6.
-    pub gone: Mutex<GoneVersions>,
+    pub gone: Mutex<LeafReports<IndexVersion>>,
+    /// Leafs that are much slower than their group; lock order 6, never with `gone`.
+    pub slow: Mutex<LeafReports<()>>,
     /// Lock order 7.
     pub recent: Mutex<RecentAnswers>,
     /// Lock order 8.
@@ -123,7 +129,8 @@
                 incarnation,
                 ticket_limits,
             )),
-            gone: Mutex::new(GoneVersions::default()),
+            gone: Mutex::new(LeafReports::new(VERSION_GONE_FOR)),
+            slow: Mutex::new(LeafReports::new(AVOIDED_FOR)),
             recent: Mutex::new(RecentAnswers::default()),
             recorder,
             metrics,
--- a/crates/medlarpin-core/src/lib.rs
+++ b/crates/medlarpin-core/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod latency_window;
 pub mod leaf_state;
 pub mod membership;
+pub mod outlier;
+pub mod overload_gate;
 pub mod ownership;
 pub mod pause;
 pub mod plan;
--- /dev/null
+++ b/crates/medlarpin-core/tests/overload_gate.rs
@@ -0,0 +1,68 @@
+//! Refusal of whole queries, and the choice of slow leafs.
+
+use medlarpin_core::outlier::is_slow;
+use medlarpin_core::overload_gate::{INTERVAL, OverloadGate};
+use medlarpin_core::prelude::*;
+
+/// Feeds intervals of (refused, total) shards and compares the share, in percent, after each.
+fn check_share(intervals: &[(u64, u64, f64)]) {
+    let mut now = Instant::now();
+    let mut gate = OverloadGate::new(now);
+    for (step, (refused, total, percent)) in intervals.iter().enumerate() {
+        gate.record(*refused, *total, now);
+        now += INTERVAL;
+        let admits_below = gate.admits(percent / 100.0 - 0.005, now);
+        let admits_above = gate.admits(percent / 100.0 + 0.005, now);
+        assert!(
+            admits_below && !admits_above,
+            "step {step}: {}",
+            gate.share()
+        );
+    }
+}
+
+/// Guards against a gate that stays open under overload, shuts wholly, or does not open again.
+#[test]
+fn share_follows_the_refusals() {
+    check_share(&[(10, 100, 100.0)]);
+    check_share(&[(40, 100, 60.0), (0, 100, 70.0), (0, 0, 80.0)]);
+    check_share(&[
+        (90, 100, 50.0),
+        (90, 100, 25.0),
+        (60, 100, 12.5),
+        (60, 100, 6.25),
+        (100, 100, 5.0),
+        (100, 100, 5.0),
+        (1, 100, 15.0),
+    ]);
+}
+
+/// Guards against a gate that stays closed while nothing is asked.
+#[test]
+fn idle_time_opens_the_gate() {
+    let now = Instant::now();
+    let mut gate = OverloadGate::new(now);
+    gate.record(90, 100, now);
+    assert!(!gate.admits(0.6, now + INTERVAL));
+    assert!(gate.admits(0.99, now + INTERVAL * 7));
+}
+
+/// Guards against a straggler that goes unnoticed and against ordinary spread taken for one.
+#[test]
+fn slow_leafs_stand_out_of_their_group() {
+    let check = |own_ms: u64, group_ms: &[u64], expected: bool| {
+        let group: Vec<Duration> = group_ms
+            .iter()
+            .copied()
+            .map(Duration::from_millis)
+            .collect();
+        let slow = is_slow(Duration::from_millis(own_ms), &group);
+        assert_eq!(slow, expected, "{own_ms} in {group_ms:?}");
+    };
+    check(105, &[5, 6, 5, 105], true);
+    check(16, &[5, 6, 5, 16], true);
+    check(15, &[5, 6, 5, 15], false);
+    check(12, &[2, 2, 3, 12], false);
+    check(105, &[5, 105], false);
+    check(105, &[100, 105, 110], false);
+}
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -61,6 +61,8 @@
   quarantine @3 :Quarantine;
   # Leaf requests sent in all.
   leafRequests @4 :UInt32;
+  # Leafs of the group that are much slower than the others.
+  slowLeafs @5 :List(Text);
 }
 
 struct Quarantine {
--- a/crates/wire/src/batch.rs
+++ b/crates/wire/src/batch.rs
@@ -130,6 +130,8 @@
     pub extra_leaf_requests: u32,
     /// Leafs that answered that they no longer hold the version.
     pub version_gone_leafs: Vec<LeafId>,
+    /// Leafs of the group that are much slower than the others.
+    pub slow_leafs: Vec<LeafId>,
     /// Quarantine of the batch's fingerprint and the time left of it.
     pub quarantine: Option<(Fingerprint, Duration)>,
 }
@@ -151,6 +153,10 @@
         for leaf in reader.get_version_gone_leafs()? {
             version_gone_leafs.push(LeafId::new(leaf?.to_str()?));
         }
+        let mut slow_leafs = Vec::new();
+        for leaf in reader.get_slow_leafs()? {
+            slow_leafs.push(LeafId::new(leaf?.to_str()?));
+        }
         let quarantine = reader.get_quarantine()?;
         let fingerprint = quarantine.get_fingerprint();
         Ok(Self {
@@ -158,6 +164,7 @@
             leaf_requests: reader.get_leaf_requests(),
             extra_leaf_requests: reader.get_extra_leaf_requests(),
             version_gone_leafs,
+            slow_leafs,
             quarantine: (fingerprint != 0).then(|| {
                 let left = Duration::from_millis(quarantine.get_time_left_ms());
                 (Fingerprint(fingerprint), left)
@@ -179,6 +186,12 @@
         for (index, leaf) in (0..).zip(&self.version_gone_leafs) {
             leafs.set(index, leaf.as_str());
         }
+        let mut leafs = builder
+            .reborrow()
+            .init_slow_leafs(list_length(&self.slow_leafs));
+        for (index, leaf) in (0..).zip(&self.slow_leafs) {
+            leafs.set(index, leaf.as_str());
+        }
         if let Some((fingerprint, left)) = self.quarantine {
             let mut quarantine = builder.init_quarantine();
             quarantine.set_fingerprint(fingerprint.0);
--- a/crates/wire/tests/border.rs
+++ b/crates/wire/tests/border.rs
@@ -106,6 +106,7 @@
             .collect(),
         leaf_requests: 3,
         extra_leaf_requests: 1,
+        slow_leafs: vec!["leaf-3".into()],
         version_gone_leafs: vec!["a".into()],
         quarantine: Some((Fingerprint(9), Duration::from_mins(10))),
     };
