Open the overload gate by a factor and back off failed joins

Cause: the gate rose by 0.1 in 300 ms, so refusals lasted 2.4 s after an overload had ended; a fleet that starts while the platform fails would make up to 6,500 calls/s (computed in docs/CAPACITY.md).

--- a/crates/daemon/src/fleet/join.rs
+++ b/crates/daemon/src/fleet/join.rs
@@ -11,8 +11,12 @@
 use crate::logging::{CONFIG, GOSSIP};
 use crate::workers::Worker;
 
-/// Time between two tries to join.
-const RETRY_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after the first failed try to join; doubled after each further one.
+const RETRY_MIN: Duration = Duration::from_millis(200);
+
+/// Longest time between two tries. Each makes up to two calls to each platform replica, and 500
+/// daemons that start during an outage together stay below 500 calls a second to one replica.
+const RETRY_MAX: Duration = Duration::from_secs(3);
 
 /// Peers whose settings are compared before the daemon accepts work.
 const PEERS_ASKED: usize = 3;
@@ -23,13 +27,16 @@
 
 /// Takes the highest settings of the peers and the platform, then marks the daemon as joined.
 pub async fn join(worker: Rc<Worker>, client: Rc<PlatformClient>) {
+    let mut delay = RETRY_MIN;
     loop {
         if try_join(&worker, &client).await {
             worker.shared.lifecycle.set_joined();
             log::info!(target: GOSSIP, "This daemon has joined the fleet.");
             break;
         }
-        tokio::time::sleep(RETRY_INTERVAL).await;
+        // The random part keeps daemons that started together from calling together.
+        tokio::time::sleep(delay.mul_f64(rand::random_range(0.75..1.25))).await;
+        delay = (delay * 2).min(RETRY_MAX);
     }
     greet(&worker).await;
     fetch_missing(&worker).await;
--- a/crates/medlarpin-core/src/overload_gate.rs
+++ b/crates/medlarpin-core/src/overload_gate.rs
@@ -16,8 +16,9 @@
 /// Least share of queries admitted, so that the end of the overload is noticed.
 pub const SHARE_MIN: f64 = 0.05;
 
-/// Rise of the share in each interval without overload; a closed gate opens within 3 s.
-const RISE: f64 = 0.1;
+/// Rise of the share in each interval without overload, as a factor; the share that twice the
+/// capacity leads to is back at 1 within 1 s, and the least one within 3 s.
+const RISE: f64 = 1.5;
 
 /// Largest fall of the share in one interval, as a factor.
 const FALL_MIN: f64 = 0.5;
@@ -74,7 +75,7 @@
         } else {
             // Idle intervals count as well, so a gate does not stay closed after its last query.
             let intervals = elapsed.as_secs_f64() / INTERVAL.as_secs_f64();
-            self.share = (self.share + RISE * intervals.floor()).min(1.0);
+            self.share = (self.share * RISE.powf(intervals.floor())).min(1.0);
         }
         self.interval_start = now;
         (self.refused, self.total) = (0, 0);
