Leave out texts that the peer holds, and fetch each revision once

Change: a peer leaves out texts that are not newer than the caller's revision and gives their hashes; a caller that lacks one fetches the whole tree; one fetch for each announced revision, a second one only after 500 ms.

--- a/crates/daemon/src/fleet/gossip.rs
+++ b/crates/daemon/src/fleet/gossip.rs
@@ -6,6 +6,7 @@
 
 use medlarpin_core::canary::Quarantine;
 use medlarpin_core::prelude::*;
+use medlarpin_core::settings_tree::TransferTree;
 use wire::HeartbeatMessage;
 
 use crate::fleet::refresh::{accept_transfer, accept_vm_list};
@@ -196,7 +197,7 @@
             fleet.record_clear(sender);
         }
         (
-            heartbeat.settings_revision > fleet.tree.revision(),
+            fleet.start_fetch(heartbeat.settings_revision, now),
             heartbeat.vm_list_revision > fleet.membership.list().revision(),
         )
     };
@@ -240,6 +241,25 @@
         .fetch_settings(address, above, FETCH_TIMEOUT)
         .await
     {
+        Ok(Some(tree)) => take_over(worker, address, tree).await,
+        Ok(None) => {}
+        Err(error) => log::debug!(target: CONFIG, "Peer {address} gave no settings: {error}."),
+    }
+}
+
+/// Takes over a peer's tree; a text that the peer left out and this daemon lacks is fetched with the
+/// whole tree.
+async fn take_over(worker: &Worker, address: SocketAddr, tree: TransferTree) {
+    let held = Arc::clone(&worker.shared.fleet.lock().tree);
+    if let Some(tree) = held.complete(tree) {
+        accept_transfer(&worker.shared, &tree);
+        return;
+    }
+    let whole = worker
+        .peers
+        .fetch_settings(address, Revision::default(), FETCH_TIMEOUT)
+        .await;
+    match whole {
         Ok(Some(tree)) => accept_transfer(&worker.shared, &tree),
         Ok(None) => {}
         Err(error) => log::debug!(target: CONFIG, "Peer {address} gave no settings: {error}."),
--- a/crates/daemon/src/fleet/table.rs
+++ b/crates/daemon/src/fleet/table.rs
@@ -10,6 +10,9 @@
 
 use crate::leafs::Holding;
 
+/// Time after which a second peer is asked for a revision; well within the 6 s for a change.
+const SECOND_FETCH_AFTER: Duration = Duration::from_millis(500);
+
 /// What the daemon knows about the fleet.
 #[derive(Debug)]
 pub struct FleetTable {
@@ -19,6 +22,8 @@
     pub handover: HandoverGate,
     /// The settings tree in force.
     pub tree: Arc<SettingsTree<Arc<Subtree>>>,
+    /// Newest revision being fetched from a peer and since when.
+    pub fetching: Option<(Revision, Instant)>,
     /// When the tree was accepted.
     pub tree_accepted_at: Option<Instant>,
     /// Trees of the held revision with other texts.
@@ -51,6 +56,7 @@
             membership: Membership::new(me.clone(), incarnation, membership_settings),
             handover: HandoverGate::new(me),
             tree: Arc::new(SettingsTree::new()),
+            fetching: None,
             tree_accepted_at: None,
             conflicts: 0,
             acknowledged: Revision::default(),
@@ -73,6 +79,20 @@
         }
     }
 
+    /// Decides whether a revision that a peer announced is to be fetched now.
+    ///
+    /// Several peers announce each change, and one fetch is enough unless it takes long.
+    pub fn start_fetch(&mut self, announced: Revision, now: Instant) -> bool {
+        let running = self.fetching.is_some_and(|(revision, since)| {
+            revision >= announced && now.saturating_duration_since(since) < SECOND_FETCH_AFTER
+        });
+        let wanted = announced > self.tree.revision() && !running;
+        if wanted {
+            self.fetching = Some((announced, now));
+        }
+        wanted
+    }
+
     /// Returns true if every other listed VM has acknowledged the VM list in use.
     #[must_use]
     pub fn all_acknowledged(&self) -> bool {
--- a/crates/medlarpin-core/src/settings_tree.rs
+++ b/crates/medlarpin-core/src/settings_tree.rs
@@ -88,6 +88,8 @@
     pub in_force: Option<SettingsText>,
     /// The published text, if the sender found it invalid.
     pub rejected: Option<SettingsText>,
+    /// Hash of the text in force, if it was left out because the receiver should hold it.
+    pub known_hash: Option<u64>,
 }
 
 /// Why a tree was not taken over.
@@ -229,6 +231,7 @@
             path: entry.path.clone(),
             in_force: entry.in_force.as_ref().map(|part| part.source.clone()),
             rejected: entry.rejected.as_ref().map(|part| part.source.clone()),
+            known_hash: None,
         });
         TransferTree {
             revision: self.revision,
@@ -236,6 +239,39 @@
         }
     }
 
+    /// Returns the tree for a peer that holds a revision, without the texts that are older than it.
+    ///
+    /// Most changes touch one path, so whole trees would make up most of a daemon's control traffic.
+    #[must_use]
+    pub fn to_transfer_above(&self, above: Revision) -> TransferTree {
+        let mut transfer = self.to_transfer();
+        for entry in &mut transfer.entries {
+            if let Some(text) = &mut entry.in_force
+                && entry.rejected.is_none()
+                && text.revision <= above
+            {
+                entry.known_hash = Some(stable_hash(&[text.text.as_bytes()]));
+                text.text.clear();
+            }
+        }
+        transfer
+    }
+
+    /// Fills in the texts that a peer left out; `None` if this tree does not hold one of them.
+    #[must_use]
+    pub fn complete(&self, mut transfer: TransferTree) -> Option<TransferTree> {
+        for entry in &mut transfer.entries {
+            let Some(hash) = entry.known_hash.take() else {
+                continue;
+            };
+            let ours = self.entry(&entry.path)?.in_force()?;
+            let matches = stable_hash(&[ours.source.text.as_bytes()]) == hash;
+            let text = entry.in_force.as_mut().filter(|_| matches)?;
+            text.text.clone_from(&ours.source.text);
+        }
+        Some(transfer)
+    }
+
     fn with_entries(revision: Revision, mut entries: Vec<SettingsEntry<V>>) -> Self {
         entries.sort_by(|a, b| a.path.cmp(&b.path));
         entries.dedup_by(|a, b| a.path == b.path);
--- a/crates/medlarpin-core/tests/settings_tree.rs
+++ b/crates/medlarpin-core/tests/settings_tree.rs
@@ -143,6 +143,16 @@
     assert_eq!(early.merge(&late.to_transfer(), parse), Ok(early.clone()));
     let conflict = early.merge(&tree(&[&[], &[("p", "x")]]).to_transfer(), parse);
     assert_eq!(conflict, Err(SettingsTreeError::Conflict(Revision(2))));
+    // A peer that holds an older revision gets only newer texts, and completes the rest from its own.
+    let partial = late.to_transfer_above(early.revision());
+    assert!(
+        partial
+            .entries
+            .iter()
+            .any(|entry| entry.known_hash.is_some())
+    );
+    assert_eq!(early.complete(partial.clone()), Some(late.to_transfer()));
+    assert_eq!(Tree::new().complete(partial), None);
     let stale = early.merge(&tree(&[&[("p", "1")]]).to_transfer(), parse);
     assert!(matches!(stale, Err(SettingsTreeError::Stale { .. })));
     // This daemon's parser decides, so a text that only the peer rejects is in force here.
--- a/crates/replay/src/subjects/settings.rs
+++ b/crates/replay/src/subjects/settings.rs
@@ -94,6 +94,7 @@
             path: self.path.clone(),
             in_force: text(&self.in_force),
             rejected: text(&self.rejected),
+            known_hash: None,
         }
     }
 }
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -144,6 +144,8 @@
   # A later text of the same path that did not parse; revision 0 means that there is none.
   rejectedRevision @3 :UInt64;
   rejectedText @4 :Text;
+  # Hash of the text in force, if it was left out because the receiver should hold it; else zero.
+  knownHash @5 :UInt64;
 }
 
 struct SettingsTree {
--- a/crates/wire/src/fleet.rs
+++ b/crates/wire/src/fleet.rs
@@ -107,6 +107,7 @@
             path: entry.get_path()?.to_string()?,
             in_force: read_text(entry.get_revision(), entry.get_text()?)?,
             rejected: read_text(entry.get_rejected_revision(), entry.get_rejected_text()?)?,
+            known_hash: Some(entry.get_known_hash()).filter(|hash| *hash != 0),
         });
     }
     Ok(Some(TransferTree {
@@ -122,6 +123,7 @@
     for (index, text) in (0..).zip(&tree.entries) {
         let mut entry = texts.reborrow().get(index);
         entry.set_path(&text.path);
+        entry.set_known_hash(text.known_hash.unwrap_or(0));
         if let Some(in_force) = &text.in_force {
             entry.set_revision(in_force.revision.0);
             entry.set_text(&in_force.text);
--- a/crates/wire/tests/border.rs
+++ b/crates/wire/tests/border.rs
@@ -160,6 +160,7 @@
             path: "teams/orders".to_owned(),
             in_force: Some(text(7, "{}")),
             rejected: Some(text(8, "{")),
+            known_hash: Some(7),
         }],
     };
     let vm = Vm {
--- a/crates/xtask/src/capacity/settings.rs
+++ b/crates/xtask/src/capacity/settings.rs
@@ -24,6 +24,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Costs {
     bytes: f64,
+    change_bytes: f64,
     encode_us: f64,
     decode_us: f64,
     first_merge_us: f64,
@@ -50,8 +51,9 @@
     let all = "wire, settings_tree, daemon view, ownership";
     let mut slopes = [
         ("size of the encoded tree, B", transfer),
+        ("size of a change of one team as fetched, B", transfer),
         (
-            "fetched by one daemon at 900 changes a day, one fetch each, B/s",
+            "fetched by one daemon at 900 team changes a day, one fetch each, B/s",
             transfer,
         ),
         ("encode the tree, us", transfer),
@@ -77,7 +79,8 @@
         let rest_us = costs.decode_us + costs.view_us + costs.adopt_us;
         let values = [
             costs.bytes,
-            costs.bytes * CHANGES_PER_DAY / DAY_S,
+            costs.change_bytes,
+            costs.change_bytes * CHANGES_PER_DAY / DAY_S,
             costs.encode_us,
             costs.decode_us,
             costs.first_merge_us,
@@ -104,8 +107,10 @@
 fn costs(timer: Timer, leafs: usize, teams: usize) -> Result<Costs, CapacityError> {
     let texts = fixtures::texts(leafs, teams);
     let held = fixtures::tree(1, texts.clone())?;
-    let team_changed = changed(&held, texts.clone(), |path| path == "teams/team-000")?;
-    let service_changed = changed(&held, texts, |path| path.starts_with("services/"))?;
+    let team_tree = changed(&held, texts.clone(), |path| path == "teams/team-000")?;
+    let team_changed = team_tree.to_transfer();
+    let service_tree = changed(&held, texts, |path| path.starts_with("services/"))?;
+    let service_changed = service_tree.to_transfer();
     let list = fixtures::vm_list(1, 0..fixtures::VMS);
     let encoded = encode(&held.to_transfer());
     let mut gate = HandoverGate::new(fixtures::vm_name(0));
@@ -115,6 +120,7 @@
     };
     Ok(Costs {
         bytes: encoded.len() as f64,
+        change_bytes: encode(&team_tree.to_transfer_above(held.revision())).len() as f64,
         encode_us: timer.time_us(|| (), |()| encode(&held.to_transfer())),
         decode_us: timer.time_us(|| (), |()| decode(&encoded).is_ok()),
         first_merge_us: merge(&SettingsTree::<Arc<Subtree>>::new(), &held.to_transfer()),
@@ -137,13 +143,11 @@
     held: &Tree,
     mut texts: Vec<(String, String)>,
     is_changed: impl Fn(&str) -> bool,
-) -> Result<TransferTree, CapacityError> {
+) -> Result<Tree, CapacityError> {
     for (_, text) in texts.iter_mut().filter(|(path, _)| is_changed(path)) {
         text.push(' ');
     }
-    Ok(held
-        .apply(Revision(2), texts, fixtures::parse)?
-        .to_transfer())
+    Ok(held.apply(Revision(2), texts, fixtures::parse)?)
 }
 
 fn encode(tree: &TransferTree) -> Vec<u8> {
