--- a/crates/daemon/src/entry/answer.rs
+++ b/crates/daemon/src/entry/answer.rs
@@ -1,9 +1,12 @@
 //! Bodies of answers.
 
 use axum::http::StatusCode;
+use medlarpin_core::coverage::Merge;
 use medlarpin_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::entry::request::Query;
+
 /// One row of an answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RowBody {
@@ -132,6 +135,31 @@
         }
     }
 
+    /// Creates the body of a query's merged answer.
+    #[must_use]
+    pub fn of_merge(query: &Query, merge: &Merge, extra_leaf_requests: u32) -> Self {
+        let outcome = merge.outcome();
+        let mut body = Self::without_rows(query.request, &query.team, &query.service, outcome);
+        body.extra_leaf_requests = extra_leaf_requests;
+        if !matches!(outcome, Outcome::Complete | Outcome::Partial) {
+            return body;
+        }
+        body.index_version = Some(merge.version().0);
+        body.covered = merge.covered().iter().map(|shard| shard.0).collect();
+        let uncovered = merge.uncovered();
+        let uncovered = uncovered.iter().map(|entry| UncoveredBody {
+            shard: entry.shard.0,
+            reason: entry.reason.as_str().to_owned(),
+        });
+        body.uncovered = uncovered.collect();
+        let rows = merge.rows().map(|(shard, row)| RowBody {
+            shard: shard.0,
+            row: row.to_owned(),
+        });
+        body.rows = rows.collect();
+        body
+    }
+
     /// Serialises the body.
     #[must_use]
     pub fn to_json(&self) -> Vec<u8> {
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -15,7 +15,7 @@
 use wire::BatchReply;
 
 use crate::entry::admission::Refusal;
-use crate::entry::answer::{AnswerBody, RowBody, UncoveredBody};
+use crate::entry::answer::AnswerBody;
 use crate::entry::canary_choice::canary_batch;
 use crate::entry::group::{ATTEMPTS_PER_SHARD, GroupCall, Routes};
 use crate::entry::permit::TeamPermit;
@@ -86,7 +86,11 @@
         run.ask(false).await;
     }
     run.record_overload();
-    Ok(run.into_body())
+    Ok(AnswerBody::of_merge(
+        query,
+        &run.merge,
+        run.extra_leaf_requests,
+    ))
 }
 
 fn check_pause(worker: &Worker, now: Instant) -> Result<(), Refusal> {
@@ -379,31 +383,6 @@
         self.map = map;
         self.renew_routes();
     }
-
-    fn into_body(self) -> AnswerBody {
-        let query = self.query;
-        let outcome = self.merge.outcome();
-        let mut body =
-            AnswerBody::without_rows(query.request, &query.team, &query.service, outcome);
-        body.extra_leaf_requests = self.extra_leaf_requests;
-        if !matches!(outcome, Outcome::Complete | Outcome::Partial) {
-            return body;
-        }
-        body.index_version = Some(self.map.version().0);
-        body.covered = self.merge.covered().iter().map(|shard| shard.0).collect();
-        let uncovered = self.merge.uncovered();
-        let uncovered = uncovered.iter().map(|entry| UncoveredBody {
-            shard: entry.shard.0,
-            reason: entry.reason.as_str().to_owned(),
-        });
-        body.uncovered = uncovered.collect();
-        let rows = self.merge.rows().map(|(shard, row)| RowBody {
-            shard: shard.0,
-            row: row.to_owned(),
-        });
-        body.rows = rows.collect();
-        body
-    }
 }
 
 fn asked_shards(query: &Query, map: &ShardMap) -> Vec<ShardId> {
--- a/crates/daemon/src/leafs/attempt.rs
+++ b/crates/daemon/src/leafs/attempt.rs
@@ -9,8 +9,9 @@
 use tokio::sync::oneshot;
 
 use crate::leafs::connection::{ConnectError, Connection};
+use crate::leafs::permit::Permit;
 use crate::leafs::protocol::{CancelBody, ExchangeError, LeafReply, LeafRequest, exchange};
-use crate::leafs::slot::{Grant, LeafSlot, Permit};
+use crate::leafs::slot::{Grant, LeafSlot};
 use crate::logging::LEAF;
 use crate::workers::Worker;
 
--- a/crates/daemon/src/leafs/mod.rs
+++ b/crates/daemon/src/leafs/mod.rs
@@ -4,6 +4,7 @@
 mod connection;
 mod latency;
 mod maintenance;
+mod permit;
 mod protocol;
 mod recorded;
 mod slot;
--- a/crates/daemon/src/leafs/slot.rs
+++ b/crates/daemon/src/leafs/slot.rs
@@ -1,4 +1,4 @@
-//! One held leaf: its fair queue, its state and the permits to send to it.
+//! One held leaf: its fair queue and its state.
 
 use std::sync::Arc;
 
@@ -12,6 +12,7 @@
 use crate::leafs::RecordedLeaf;
 use crate::leafs::connection::ConnectionPool;
 use crate::leafs::latency::LeafLatency;
+use crate::leafs::permit::Permit;
 use crate::recorder::Recorder;
 
 /// What a queued request receives when its turn comes or the leaf becomes unavailable.
@@ -138,15 +139,12 @@
             drop(core);
             match step {
                 Step::Grant(waiter) => {
-                    let permit = Permit {
-                        slot: Arc::clone(self),
-                        sent_at: now,
-                        queue_wait: now.saturating_duration_since(waiter.queued_at),
-                        open: true,
-                    };
-                    // A waiter that gave up drops the permit, which ends the request here.
+                    let queue_wait = now.saturating_duration_since(waiter.queued_at);
+                    let permit = Permit::new(Arc::clone(self), now, queue_wait);
+                    // Dropping the permit of a waiter that gave up would dispatch within this loop.
                     if let Err(Grant::Permit(permit)) = waiter.sender.send(Grant::Permit(permit)) {
-                        permit.discard();
+                        permit.defuse();
+                        self.end_unsent(now);
                     }
                 }
                 Step::Refuse(waiter, grant) => {
@@ -291,6 +289,42 @@
         });
     }
 
+    /// Records that a request was answered.
+    pub(super) fn end_answered(&self, sent_at: Instant) {
+        self.update(|core, now| {
+            let latency = now.saturating_duration_since(sent_at);
+            let latency_ms = Millis(latency);
+            core.state.apply(LeafEvent::Answered { latency_ms }, now);
+            core.latency.ended(sent_at, now);
+            core.queue.record_service_time(latency);
+        });
+    }
+
+    /// Records that the leaf shed a request.
+    pub(super) fn end_shed(&self, sent_at: Instant, retry_after: Duration) {
+        let retry_after_ms = Millis(retry_after);
+        self.update(|core, now| {
+            core.state.apply(LeafEvent::Shed { retry_after_ms }, now);
+            core.latency.discard(sent_at);
+        });
+    }
+
+    /// Records that a request ended without an answer.
+    pub(super) fn end_released(&self, sent_at: Instant) {
+        self.update(|core, now| {
+            core.state.apply(LeafEvent::Released, now);
+            core.latency.ended(sent_at, now);
+        });
+    }
+
+    /// Records that a request that counted as sent was not sent after all.
+    fn end_unsent(&self, sent_at: Instant) {
+        self.update(|core, now| {
+            core.state.apply(LeafEvent::Released, now);
+            core.latency.discard(sent_at);
+        });
+    }
+
     fn update(&self, update: impl FnOnce(&mut SlotCore, Instant)) {
         let mut core = self.core.lock();
         update(&mut core, self.clock.now());
@@ -360,74 +394,3 @@
         }
     }
 }
-
-/// The right to have one request in flight at a leaf.
-///
-/// It counts against the leaf's slots until it ends, also when nobody waits for the answer any more.
-#[derive(Debug)]
-pub struct Permit {
-    slot: Arc<LeafSlot>,
-    sent_at: Instant,
-    queue_wait: Duration,
-    open: bool,
-}
-
-impl Permit {
-    /// Returns the time that the request was queued.
-    #[must_use]
-    pub fn queue_wait(&self) -> Duration {
-        self.queue_wait
-    }
-
-    /// Ends the request with an answer.
-    pub fn answered(mut self) {
-        let sent_at = self.sent_at;
-        self.slot.update(|core, now| {
-            let latency = now.saturating_duration_since(sent_at);
-            let latency_ms = Millis(latency);
-            core.state.apply(LeafEvent::Answered { latency_ms }, now);
-            core.latency.ended(sent_at, now);
-            core.queue.record_service_time(latency);
-        });
-        self.close();
-    }
-
-    /// Ends the request, because the leaf shed it.
-    pub fn shed(mut self, retry_after: Duration) {
-        let retry_after_ms = Millis(retry_after);
-        let sent_at = self.sent_at;
-        self.slot.update(|core, now| {
-            core.state.apply(LeafEvent::Shed { retry_after_ms }, now);
-            core.latency.discard(sent_at);
-        });
-        self.close();
-    }
-
-    /// Ends the request without granting the next one; the caller dispatches.
-    fn discard(mut self) {
-        let sent_at = self.sent_at;
-        self.slot.update(|core, now| {
-            core.state.apply(LeafEvent::Released, now);
-            core.latency.discard(sent_at);
-        });
-        self.open = false;
-    }
-
-    fn close(&mut self) {
-        self.open = false;
-        self.slot.dispatch();
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        if self.open {
-            let sent_at = self.sent_at;
-            self.slot.update(|core, now| {
-                core.state.apply(LeafEvent::Released, now);
-                core.latency.ended(sent_at, now);
-            });
-            self.close();
-        }
-    }
-}
