--- a/crates/daemon/tests/upstream_faults.rs
+++ b/crates/daemon/tests/upstream_faults.rs
@@ -88,6 +88,31 @@
     assert!(extras * 20 <= earning, "{extras} extra for {earning}");
 }
 
+/// Guards against queries that are still planned on a slow leaf: beside the queries that test it, it
+/// would get a sixth of all requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_leaf_is_planned_around() {
+    let mut config = FleetConfig::new();
+    // A leaf is compared with its group, which needs three leafs.
+    config.deployment.failure_domains = 2;
+    let fleet = Fleet::start(config).await;
+    let slow = fleet.deployment().leaf(LEAF);
+    slow.update_faults(|faults| faults.extra_delay = Duration::from_millis(100));
+    let ask = async |queries: usize| {
+        for number in 0..queries {
+            let reply = fleet
+                .query(number % fleet.len(), &query("smoked", 2000))
+                .await;
+            check_answer(&reply, "smoked", SHARDS);
+        }
+    };
+    ask(60).await;
+    let before = slow.run_count();
+    ask(120).await;
+    let runs = slow.run_count() - before;
+    assert!(runs <= 60, "{runs} of 720 requests went to the slow leaf");
+}
+
 /// Guards against a lost leaf that loses answers, and against one that is never used again.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lost_leaf_is_replaced_and_returns() {
