Share the group lookup and the JSON options, drop a reason that nothing gives

The read-through found the held leafs of a group looked up in two places, the same JSON options in settings and replay, slow leafs computed for replies whose receiver ignores them, and a not_run reason that no code produces. One function serves each now; behaviour stays as it was.

--- a/crates/cli/src/reasons.rs
+++ b/crates/cli/src/reasons.rs
@@ -19,7 +19,6 @@
         "overloaded" => "the fair queues cannot serve the query in time",
         "no_version" => "no published index version of the service can be served",
         "starting" => "the daemon has no settings yet",
-        "shutting_down" => "the daemon is shutting down",
         "ticket_invalid" => "the ticket has expired or was never issued",
         "ticket_limit" => "too many tickets are outstanding",
         "issuer_lost" => "the ticket's issuer is lost or has restarted",
--- a/crates/daemon/src/gather.rs
+++ b/crates/daemon/src/gather.rs
@@ -142,35 +142,40 @@
     }
 
     fn measure_group(&self, slot: &LeafSlot) -> Vec<Duration> {
-        let Some(group) = self.service.group_of(&slot.leaf.id) else {
-            return Vec::new();
-        };
-        let leafs = self.service.groups[group].group.leafs().iter();
-        let table = &self.worker.shared.leafs;
-        let held = leafs.filter_map(|leaf| table.get(&self.batch.service, leaf));
-        held.filter_map(|slot| slot.p95()).collect()
+        let held = self.held_group(&slot.leaf.id);
+        held.iter().filter_map(|slot| slot.p95()).collect()
     }
 
     /// Returns the leafs of the batch's group that entries should avoid.
     fn slow_leafs(&self) -> Vec<LeafId> {
-        let Some(task) = self.batch.tasks.first() else {
+        // The reply to a hedge or retry goes to a gatherer, which plans nothing.
+        let Some(task) = self.batch.tasks.first().filter(|_| !self.batch.extra) else {
             return Vec::new();
         };
-        let Some(group) = self.service.group_of(&task.leaf) else {
-            return Vec::new();
-        };
-        let table = &self.worker.shared.leafs;
-        let leafs = self.service.groups[group].group.leafs().iter();
-        let known: Vec<(&LeafId, Duration)> = leafs
-            .filter_map(|leaf| Some((leaf, table.get(&self.batch.service, leaf)?.slowness()?)))
-            .collect();
-        let latencies: Vec<Duration> = known.iter().map(|(_, p95)| *p95).collect();
+        let held = self.held_group(&task.leaf);
+        let known = held
+            .iter()
+            .filter_map(|slot| Some((&slot.leaf.id, slot.slowness()?)));
+        let known: Vec<(&LeafId, Duration)> = known.collect();
+        let latencies: Vec<Duration> = known.iter().map(|(_, latency)| *latency).collect();
         let slow = known
             .into_iter()
-            .filter(|(_, p95)| is_slow(*p95, &latencies));
+            .filter(|(_, latency)| is_slow(*latency, &latencies));
         slow.map(|(leaf, _)| leaf.clone()).collect()
     }
 
+    /// Returns the leafs of a leaf's group that this daemon holds.
+    fn held_group(&self, leaf: &LeafId) -> Vec<Arc<LeafSlot>> {
+        let Some(group) = self.service.group_of(leaf) else {
+            return Vec::new();
+        };
+        let leafs = self.service.groups[group].group.leafs().iter();
+        let table = &self.worker.shared.leafs;
+        leafs
+            .filter_map(|leaf| table.get(&self.batch.service, leaf))
+            .collect()
+    }
+
     fn try_extra(&self) -> bool {
         let shared = &self.worker.shared;
         let (team, service) = (&self.batch.team, &self.batch.service);
--- a/crates/medlarpin-core/src/answer.rs
+++ b/crates/medlarpin-core/src/answer.rs
@@ -101,8 +101,6 @@
     Paused,
     /// The daemon has no settings yet.
     Starting,
-    /// The daemon is shutting down.
-    ShuttingDown,
     /// The ticket has expired or its issuer never issued it.
     TicketInvalid,
     /// Too many tickets are outstanding.
@@ -123,7 +121,6 @@
             Self::NoReplica => "no_replica",
             Self::Paused => "paused",
             Self::Starting => "starting",
-            Self::ShuttingDown => "shutting_down",
             Self::TicketInvalid => "ticket_invalid",
             Self::TicketLimit => "ticket_limit",
         }
--- a/crates/replay/src/trace.rs
+++ b/crates/replay/src/trace.rs
@@ -2,9 +2,10 @@
 
 use jsonc_parser::ast;
 use jsonc_parser::common::Ranged;
-use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast, parse_to_serde_value};
+use jsonc_parser::{CollectOptions, parse_to_ast, parse_to_serde_value};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use settings::strict_options;
 
 use crate::error::TraceError;
 use crate::event::{Event, read};
@@ -121,19 +122,3 @@
     let part = text.get(range).unwrap_or_default();
     part.matches('\n').count()
 }
-
-/// Only comments and trailing commas go beyond JSON.
-fn strict_options() -> ParseOptions {
-    ParseOptions {
-        allow_comments: true,
-        allow_trailing_commas: true,
-        allow_loose_object_property_names: false,
-        allow_missing_commas: false,
-        allow_single_quoted_strings: false,
-        allow_hexadecimal_numbers: false,
-        allow_unary_plus_numbers: false,
-        allow_bare_decimal_point_numbers: false,
-        allow_non_finite_numbers: false,
-        allow_extended_string_escapes: false,
-    }
-}
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -68,8 +68,10 @@
     read(&Field::root(source, &value))
 }
 
-/// Only comments and trailing commas go beyond JSON.
-fn strict_options() -> ParseOptions {
+/// Returns the syntax of all files of this project: JSON with comments and trailing commas, and no
+/// further extension.
+#[must_use]
+pub fn strict_options() -> ParseOptions {
     ParseOptions {
         allow_comments: true,
         allow_trailing_commas: true,
