--- a/crates/platform/tests/border.rs
+++ b/crates/config-service/tests/border.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use axum::Router;
+use config_service::prelude::*;
 use medlarpin_core::prelude::Revision;
-use platform::prelude::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
 use tokio::runtime::Runtime;
--- a/crates/platform/tests/client.rs
+++ b/crates/config-service/tests/client.rs
@@ -7,8 +7,8 @@
 use axum::body::Body;
 use axum::http::{StatusCode, Uri};
 use axum::response::IntoResponse;
+use config_service::prelude::*;
 use medlarpin_core::prelude::{Revision, VmName, VmState};
-use platform::prelude::*;
 
 const TREE: &str = r#"{"revision": 7, "subtrees": {"teams/b": "{}", "teams/a": "{}"}, "new": 1}"#;
 const VMS: &str = r#"{"revision": 3, "vms": [{"name": "vm-2", "rpc_address": "127.0.0.1:1",
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -6,9 +6,9 @@
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use config_service::PlatformClient;
 use displaydoc::Display;
 use medlarpin_core::prelude::*;
-use platform::PlatformClient;
 use settings::DaemonSettings;
 use thiserror::Error;
 use tokio::net::TcpListener;
--- a/crates/daemon/src/fleet/join.rs
+++ b/crates/daemon/src/fleet/join.rs
@@ -2,8 +2,8 @@
 
 use std::rc::Rc;
 
+use config_service::PlatformClient;
 use medlarpin_core::prelude::*;
-use platform::PlatformClient;
 
 use crate::fleet::gossip::{choose_peers, exchange, fetch_settings_above};
 use crate::fleet::history::fetch_missing;
--- a/crates/daemon/src/fleet/platform_watch.rs
+++ b/crates/daemon/src/fleet/platform_watch.rs
@@ -2,8 +2,8 @@
 
 use std::rc::Rc;
 
+use config_service::PlatformClient;
 use medlarpin_core::prelude::*;
-use platform::PlatformClient;
 
 use crate::fleet::refresh::{accept_published, accept_vm_list};
 use crate::logging::{CONFIG, GOSSIP};
--- a/crates/medlarpin-core/src/lib.rs
+++ b/crates/medlarpin-core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod prelude;
 pub mod rate_limiter;
 pub mod revision_store;
+pub mod routing;
 pub mod settings_tree;
 pub mod sliding_window;
 pub mod snapshot;
--- /dev/null
+++ b/crates/medlarpin-core/src/routing/gather_policy.rs
@@ -0,0 +1,91 @@
+use std::time::{Duration, Instant};
+
+/// What to do with a query that is being gathered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GatherStep {
+    /// Wait for more shards, at most until this time.
+    Wait {
+        /// Time of the next decision.
+        until: Instant,
+    },
+    /// Answer with the shards that are covered.
+    Answer,
+    /// Give the query up: too few shards are covered.
+    GiveUp,
+}
+
+/// Part of the target latency that is kept for the way of the answer to the caller.
+const ANSWER_MARGIN_SHARE: f64 = 0.1;
+/// Least time that is kept for the way to the caller and back.
+const ANSWER_MARGIN_MIN: Duration = Duration::from_millis(8);
+
+/// Decides when a query over many shards is answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GatherPolicy {
+    /// Number of shards of the query; at least 1.
+    pub asked: usize,
+    /// Least number of covered shards of a successful answer; from 1 to `asked`.
+    pub needed: usize,
+    /// Time at which an answer with missing shards is sent rather than a late one.
+    pub answer_by: Instant,
+    /// Time at which the query is given up.
+    pub deadline: Instant,
+}
+
+impl GatherPolicy {
+    /// Creates the policy of a query that has just arrived.
+    #[must_use]
+    pub fn new(
+        asked: usize,
+        coverage_min: f64,
+        target_latency: Duration,
+        time_left: Duration,
+        now: Instant,
+    ) -> Self {
+        let margin = target_latency
+            .mul_f64(ANSWER_MARGIN_SHARE)
+            .max(ANSWER_MARGIN_MIN);
+        let deadline = now + time_left;
+        let answer_by = now + target_latency.saturating_sub(margin);
+        Self {
+            asked,
+            needed: shards_needed(asked, coverage_min),
+            answer_by: answer_by.min(deadline),
+            deadline,
+        }
+    }
+
+    /// Decides the next step; `pending` shards still have a leaf request in flight.
+    #[must_use]
+    pub fn step(&self, covered: usize, pending: usize, now: Instant) -> GatherStep {
+        let is_enough = covered >= self.needed;
+        let is_final = covered >= self.asked || pending == 0 || now >= self.deadline;
+        if is_final || covered + pending < self.needed {
+            return if is_enough {
+                GatherStep::Answer
+            } else {
+                GatherStep::GiveUp
+            };
+        }
+        if now < self.answer_by {
+            return GatherStep::Wait {
+                until: self.answer_by,
+            };
+        }
+        if is_enough {
+            return GatherStep::Answer;
+        }
+        GatherStep::Wait {
+            until: self.deadline,
+        }
+    }
+}
+
+fn shards_needed(asked: usize, coverage_min: f64) -> usize {
+    // The product may lie just above a whole number only because of rounding.
+    const ROUNDING: f64 = 1e-9;
+    let least = (coverage_min * asked as f64 - ROUNDING).ceil().max(1.0);
+    (1..=asked)
+        .find(|count| *count as f64 >= least)
+        .unwrap_or(asked)
+}
--- /dev/null
+++ b/crates/medlarpin-core/src/routing/leaf_directory.rs
@@ -0,0 +1,127 @@
+use std::time::{Duration, Instant};
+
+use super::{LeafEntry, LeafPhase};
+use crate::ids::LeafId;
+
+/// A published leaf and the end of its use.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Listed {
+    entry: LeafEntry,
+    /// End of new requests to a leaf that is leaving; `None` while it is ready.
+    leaves_at: Option<Instant>,
+    /// True once the entry was withdrawn.
+    withdrawn: bool,
+}
+
+/// The leafs that are published, and those that were withdrawn a moment ago.
+///
+/// A leaving leaf still serves for a while. It stays listed for `leaving_use`, as a last resort, so
+/// that a shard whose leafs all leave at once is covered until its new leafs are published.
+#[derive(Debug, Clone)]
+pub struct LeafDirectory {
+    /// Sorted by leaf, without duplicates.
+    listed: Vec<Listed>,
+    leaving_use: Duration,
+}
+
+impl LeafDirectory {
+    /// Creates an empty directory; `leaving_use` is shorter than a leaving leaf goes on serving.
+    #[must_use]
+    pub fn new(leaving_use: Duration) -> Self {
+        Self {
+            listed: Vec::new(),
+            leaving_use,
+        }
+    }
+
+    /// Takes a published entry; returns false if it is older than the known one or repeats it.
+    pub fn publish(&mut self, entry: LeafEntry, now: Instant) -> bool {
+        let leaves_at = (entry.phase == LeafPhase::Draining).then(|| now + self.leaving_use);
+        let mut listed = Listed {
+            entry,
+            leaves_at,
+            withdrawn: false,
+        };
+        match self.position(&listed.entry.id) {
+            Err(index) => {
+                self.listed.insert(index, listed);
+                true
+            }
+            Ok(index) => {
+                let known = &mut self.listed[index];
+                if !known.withdrawn && listed.entry.is_older_than(&known.entry) {
+                    return false;
+                }
+                let repeats_drain = listed.entry.phase == LeafPhase::Draining
+                    && known.entry.phase == LeafPhase::Draining
+                    && listed.entry.started_unix_ms == known.entry.started_unix_ms;
+                if repeats_drain {
+                    listed.leaves_at = known.leaves_at;
+                }
+                let changed = *known != listed;
+                *known = listed;
+                changed
+            }
+        }
+    }
+
+    /// Records that an entry was withdrawn; returns false if the leaf was not listed.
+    pub fn withdraw(&mut self, id: &LeafId, now: Instant) -> bool {
+        let Ok(index) = self.position(id) else {
+            return false;
+        };
+        let known = &mut self.listed[index];
+        known.withdrawn = true;
+        known.leaves_at.get_or_insert(now + self.leaving_use);
+        true
+    }
+
+    /// Takes a complete list; leafs that are not in it count as withdrawn.
+    pub fn replace_all(&mut self, entries: Vec<LeafEntry>, now: Instant) {
+        let missing: Vec<LeafId> = self
+            .listed
+            .iter()
+            .filter(|known| !entries.iter().any(|entry| entry.id == known.entry.id))
+            .map(|known| known.entry.id.clone())
+            .collect();
+        for id in &missing {
+            self.withdraw(id, now);
+        }
+        for entry in entries {
+            self.publish(entry, now);
+        }
+    }
+
+    /// Drops the leafs whose time is over; returns them.
+    pub fn expire(&mut self, now: Instant) -> Vec<LeafId> {
+        let is_over =
+            |known: &Listed| known.withdrawn && known.leaves_at.is_some_and(|at| at <= now);
+        self.listed
+            .extract_if(.., |known| is_over(known))
+            .map(|known| known.entry.id)
+            .collect()
+    }
+
+    /// Returns the listed leafs, sorted by identifier, with the end of their use.
+    pub fn leafs(&self) -> impl Iterator<Item = (&LeafEntry, Option<Instant>)> {
+        self.listed
+            .iter()
+            .map(|known| (&known.entry, known.leaves_at))
+    }
+
+    /// Returns the number of listed leafs.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.listed.len()
+    }
+
+    /// Returns true if no leaf is listed.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.listed.is_empty()
+    }
+
+    fn position(&self, id: &LeafId) -> Result<usize, usize> {
+        self.listed.binary_search_by(|known| known.entry.id.cmp(id))
+    }
+}
--- /dev/null
+++ b/crates/medlarpin-core/src/routing/mod.rs
@@ -0,0 +1,28 @@
+//! Published routes and the leafs that serve them: where a caller's request goes, how often, and
+//! when it is answered.
+
+mod gather_policy;
+mod leaf_directory;
+mod leaf_entry;
+mod leaf_load;
+mod repeat_budget;
+mod replica_choice;
+mod route;
+mod route_pace;
+mod route_table;
+mod routing_config;
+mod split_choice;
+mod top_records;
+
+pub use gather_policy::{GatherPolicy, GatherStep};
+pub use leaf_directory::LeafDirectory;
+pub use leaf_entry::{LeafEntry, LeafPhase};
+pub use leaf_load::{FAILURE_BACK_OFF_MAX, FAILURE_BACK_OFF_MIN, LeafLoad, SHED_BACK_OFF};
+pub use repeat_budget::{RepeatBudget, RepeatLimits};
+pub use replica_choice::{Candidate, choose_replica};
+pub use route::{Repeatability, Route, RouteTarget, Scatter, WeightedService};
+pub use route_pace::RoutePace;
+pub use route_table::RouteTable;
+pub use routing_config::{CallerLimits, ConfigVersion, RoutedService, RoutingConfig};
+pub use split_choice::SplitChoice;
+pub use top_records::{RECORD_BYTES, top_records};
--- /dev/null
+++ b/crates/medlarpin-core/src/routing/top_records.rs
@@ -0,0 +1,19 @@
+/// Size of a record of an answer.
+pub const RECORD_BYTES: usize = 16;
+
+/// Returns the greatest records of the parts, greatest first, as one text.
+///
+/// Records are compared byte by byte; equal records all count. A remainder that is shorter than a
+/// record is ignored.
+#[must_use]
+pub fn top_records<'a>(parts: impl Iterator<Item = &'a [u8]>, records_max: usize) -> Vec<u8> {
+    let mut records: Vec<&[u8]> = parts
+        .flat_map(|part| part.chunks_exact(RECORD_BYTES))
+        .collect();
+    if records.len() > records_max && records_max > 0 {
+        records.select_nth_unstable_by(records_max - 1, |a, b| b.cmp(a));
+    }
+    records.truncate(records_max);
+    records.sort_unstable_by(|a, b| b.cmp(a));
+    records.concat()
+}
--- /dev/null
+++ b/crates/router/src/callers.rs
@@ -0,0 +1,171 @@
+//! The callers' side: requests in, answers out.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::{Request, Response};
+use medlarpin_core::prelude::ServiceName;
+use medlarpin_core::routing::{Route, RouteTarget, RoutingConfig};
+use platform::CallerHead;
+
+use crate::caller_request::CallerRequest;
+use crate::event::Event;
+use crate::refusal::Refusal;
+use crate::scatter::gather;
+use crate::shared::Shared;
+use crate::single::forward;
+
+/// An answer to a caller.
+pub(crate) type Answer = Response<Full<Bytes>>;
+
+/// Handles one request of a caller.
+pub(crate) async fn handle(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> Result<Answer, Infallible> {
+    let arrived_at = shared.now();
+    let (head, body) = request.into_parts();
+    let caller = platform::caller_head(&head);
+    let request_id = caller.as_ref().ok().map(|caller| caller.request_id.clone());
+    let mut route_name: Option<Arc<str>> = None;
+    let result = match caller {
+        Ok(caller) => {
+            let found = find_route(&shared, &caller, head.uri.path());
+            route_name = found
+                .as_ref()
+                .ok()
+                .map(|(_, route)| Arc::clone(&route.name));
+            match found {
+                Ok((config, route)) => {
+                    let accepted = read(&config, &route, caller, head, body, arrived_at).await;
+                    match accepted {
+                        Ok(request) => serve(&shared, &route, request).await,
+                        Err(refusal) => Err(refusal),
+                    }
+                }
+                Err(refusal) => Err(refusal),
+            }
+        }
+        Err(error) => {
+            Event::BadRequest { error: &error }.log();
+            Err(Refusal::BadRequest)
+        }
+    };
+    Ok(conclude(
+        &shared,
+        result,
+        request_id.as_ref(),
+        route_name.as_deref(),
+        arrived_at,
+    ))
+}
+
+/// Returns the configuration in force and the route of a request.
+fn find_route(
+    shared: &Shared,
+    caller: &CallerHead,
+    path: &str,
+) -> Result<(Arc<RoutingConfig>, Arc<Route>), Refusal> {
+    let config = shared.config.load_full().ok_or(Refusal::NoConfig)?;
+    let route = config.routes.find(&caller.host, path).cloned();
+    let route = route.ok_or(Refusal::NoRoute)?;
+    Ok((config, route))
+}
+
+/// Reads the body of a request.
+async fn read(
+    config: &RoutingConfig,
+    route: &Route,
+    caller: CallerHead,
+    head: hyper::http::request::Parts,
+    body: Incoming,
+    arrived_at: Instant,
+) -> Result<CallerRequest, Refusal> {
+    let read = Limited::new(body, config.limits.body_bytes).collect().await;
+    let body = read
+        .map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                Refusal::BodyTooLarge
+            } else {
+                Refusal::BodyBrokenOff
+            }
+        })?
+        .to_bytes();
+    let time_left = caller.time_left.unwrap_or(route.timeout).min(route.timeout);
+    Ok(CallerRequest {
+        id: caller.request_id,
+        head,
+        body,
+        arrived_at,
+        deadline: arrived_at + time_left,
+    })
+}
+
+async fn serve(
+    shared: &Arc<Shared>,
+    route: &Arc<Route>,
+    request: CallerRequest,
+) -> Result<Answer, Refusal> {
+    let request = Arc::new(request);
+    let state = shared.route_state(route);
+    let service = match &route.target {
+        RouteTarget::Scatter(scatter) => {
+            return gather(Arc::clone(shared), scatter, route, &state, &request).await;
+        }
+        RouteTarget::Service(service) => service.clone(),
+        RouteTarget::Split(parts) => {
+            let chosen = state.split.lock().next(parts);
+            chosen.map_or_else(|| ServiceName::new(""), |part| parts[part].service.clone())
+        }
+    };
+    let (shared, route) = (Arc::clone(shared), Arc::clone(route));
+    forward(shared, service, route, state, request).await
+}
+
+/// Logs and counts the end of a request and creates the answer of a refusal.
+fn conclude(
+    shared: &Shared,
+    result: Result<Answer, Refusal>,
+    request_id: Option<&HeaderValue>,
+    route: Option<&str>,
+    arrived_at: Instant,
+) -> Answer {
+    let elapsed = shared.now().saturating_duration_since(arrived_at);
+    let request = request_id.and_then(|id| id.to_str().ok()).unwrap_or("none");
+    match result {
+        Ok(answer) => {
+            shared.metrics.answered(route.unwrap_or("none"), elapsed);
+            Event::Answered {
+                request,
+                route: route.unwrap_or("none"),
+                status: answer.status().as_u16(),
+                after_ms: elapsed.as_millis(),
+            }
+            .log();
+            answer
+        }
+        Err(refusal) => {
+            shared.metrics.refused(refusal);
+            Event::Refused {
+                request,
+                route: route.unwrap_or("none"),
+                reason: refusal,
+                after_ms: elapsed.as_millis(),
+            }
+            .log();
+            refuse(refusal, request_id)
+        }
+    }
+}
+
+fn refuse(refusal: Refusal, request_id: Option<&HeaderValue>) -> Answer {
+    let mut response = Response::new(Full::new(Bytes::new()));
+    *response.status_mut() = refusal.status();
+    *response.headers_mut() = platform::refusal_headers(request_id, refusal.retry_after());
+    response
+}
--- /dev/null
+++ b/crates/router/src/event.rs
@@ -0,0 +1,145 @@
+use std::fmt;
+use std::net::SocketAddr;
+
+use platform::{EntryError, RequestError, StoreError};
+use serde::{Serialize, Serializer};
+
+use crate::attempt_end::LeafFailure;
+use crate::refusal::Refusal;
+
+/// One decision or observation, logged as one line of JSON.
+#[derive(Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub(crate) enum Event<'a> {
+    /// The process runs.
+    Started {
+        vm: &'a str,
+        failure_domain: &'a str,
+        query_address: SocketAddr,
+    },
+    /// The process was asked to stop.
+    Stopping { connections: usize },
+    /// The process ends.
+    Stopped { connections_cut: usize },
+    /// The settings were read again.
+    SettingsReloaded { changed: bool },
+    /// The settings file cannot be used.
+    SettingsUnusable { error: &'a str },
+    /// The store answers again, or for the first time.
+    StoreReached { after_ms: u128, revision: u64 },
+    /// A call to the store failed.
+    StoreFailed {
+        #[serde(serialize_with = "as_text")]
+        error: &'a StoreError,
+        attempt: u32,
+    },
+    /// A newer configuration is in force.
+    ConfigInForce {
+        version: u64,
+        previous_version: u64,
+        revision: u64,
+    },
+    /// A configuration that is not newer was ignored.
+    ConfigIgnored { version: u64, in_force: u64 },
+    /// A published item cannot be used.
+    EntryUnusable {
+        key: &'a str,
+        #[serde(serialize_with = "as_text")]
+        error: &'a EntryError,
+    },
+    /// What is believed about a leaf changed.
+    LeafChanged {
+        leaf: &'a str,
+        service: &'a str,
+        is_leaving: bool,
+        revision: u64,
+    },
+    /// A leaf's entry was withdrawn.
+    LeafWithdrawn { leaf: &'a str, revision: u64 },
+    /// A leaf request failed.
+    LeafFailed {
+        request: &'a str,
+        service: &'a str,
+        leaf: &'a str,
+        failure: LeafFailure,
+        after_ms: u128,
+    },
+    /// A request was sent to another leaf as well.
+    Hedged {
+        request: &'a str,
+        service: &'a str,
+        leaf: &'a str,
+        after_ms: u128,
+    },
+    /// A further leaf request was not sent because the limit of the service is reached.
+    RepeatDenied { request: &'a str, service: &'a str },
+    /// A query was answered without some of its shards.
+    ShardsMissing {
+        request: &'a str,
+        covered: usize,
+        asked: usize,
+        in_flight: usize,
+    },
+    /// A caller got an answer.
+    Answered {
+        request: &'a str,
+        route: &'a str,
+        status: u16,
+        after_ms: u128,
+    },
+    /// A caller got no answer of a leaf.
+    Refused {
+        request: &'a str,
+        route: &'a str,
+        reason: Refusal,
+        after_ms: u128,
+    },
+    /// A request is not well-formed.
+    BadRequest {
+        #[serde(serialize_with = "as_text")]
+        error: &'a RequestError,
+    },
+    /// A connection could not be accepted.
+    AcceptFailed { error: &'a str },
+}
+
+impl Event<'_> {
+    /// Logs the event; its part is the line's target.
+    pub(crate) fn log(&self) {
+        let part = self.part();
+        match serde_json::to_string(self) {
+            Ok(text) => log::info!(target: part, "{text}"),
+            Err(error) => log::error!(target: part, "{{\"error\":\"{error}\"}}"),
+        }
+    }
+
+    /// Returns the part of the daemon that the event belongs to.
+    fn part(&self) -> &'static str {
+        match self {
+            Self::Started { .. }
+            | Self::Stopping { .. }
+            | Self::Stopped { .. }
+            | Self::SettingsReloaded { .. }
+            | Self::SettingsUnusable { .. } => "lifecycle",
+            Self::StoreReached { .. }
+            | Self::StoreFailed { .. }
+            | Self::ConfigInForce { .. }
+            | Self::ConfigIgnored { .. }
+            | Self::EntryUnusable { .. } => "config",
+            Self::LeafChanged { .. } | Self::LeafWithdrawn { .. } | Self::LeafFailed { .. } => {
+                "leaf"
+            }
+            Self::Hedged { .. } | Self::RepeatDenied { .. } | Self::ShardsMissing { .. } => {
+                "gather"
+            }
+            Self::Answered { .. }
+            | Self::Refused { .. }
+            | Self::BadRequest { .. }
+            | Self::AcceptFailed { .. } => "entry",
+        }
+    }
+}
+
+fn as_text<S: Serializer>(value: impl fmt::Display, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.collect_str(&value)
+}
--- /dev/null
+++ b/crates/router/src/leaf_table.rs
@@ -0,0 +1,76 @@
+use std::sync::Arc;
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use medlarpin_core::prelude::ServiceName;
+use medlarpin_core::routing::LeafDirectory;
+
+use crate::leaf::Leaf;
+
+/// The leafs of each service; sorted by service, without duplicates.
+type ByService = Vec<(ServiceName, Vec<Arc<Leaf>>)>;
+
+/// The published leafs, grouped by service; replaced whole when the directory changes.
+#[derive(Debug, Default)]
+pub(crate) struct LeafTable {
+    by_service: ArcSwap<ByService>,
+}
+
+impl LeafTable {
+    /// Returns the leafs of a service.
+    pub(crate) fn of(&self, service: &ServiceName) -> Vec<Arc<Leaf>> {
+        let by_service = self.by_service.load();
+        by_service
+            .binary_search_by(|(name, _)| name.cmp(service))
+            .map(|index| by_service[index].1.clone())
+            .unwrap_or_default()
+    }
+
+    /// Returns all leafs.
+    pub(crate) fn all(&self) -> Vec<Arc<Leaf>> {
+        let by_service = self.by_service.load();
+        by_service
+            .iter()
+            .flat_map(|(_, leafs)| leafs.iter().cloned())
+            .collect()
+    }
+
+    /// Takes over the directory; leafs that are still the same keep their connections.
+    pub(crate) fn update(&self, directory: &LeafDirectory) {
+        let known = self.all();
+        let mut leafs: Vec<Arc<Leaf>> = directory
+            .leafs()
+            .map(|(entry, leaves_at)| {
+                let same = known.iter().find(|leaf| {
+                    leaf.entry.id == entry.id
+                        && leaf.entry.address == entry.address
+                        && leaf.entry.service == entry.service
+                        && leaf.entry.started_unix_ms == entry.started_unix_ms
+                });
+                same.map_or_else(
+                    || Arc::new(Leaf::new(entry.clone(), leaves_at)),
+                    |leaf| {
+                        *leaf.leaves_at.lock() = leaves_at;
+                        Arc::clone(leaf)
+                    },
+                )
+            })
+            .collect();
+        leafs.sort_by(|a, b| a.entry.service.cmp(&b.entry.service));
+        let mut by_service: ByService = Vec::new();
+        for leaf in leafs {
+            match by_service.last_mut() {
+                Some((service, group)) if *service == leaf.entry.service => group.push(leaf),
+                _ => by_service.push((leaf.entry.service.clone(), vec![leaf])),
+            }
+        }
+        self.by_service.store(Arc::new(by_service));
+    }
+
+    /// Closes idle connections whose time is over.
+    pub(crate) fn close_idle(&self, now: Instant) {
+        for leaf in self.all() {
+            leaf.close_idle(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/metrics.rs
@@ -0,0 +1,135 @@
+use std::time::Duration;
+
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+use crate::attempt_end::LeafFailure;
+use crate::refusal::Refusal;
+
+/// Upper bounds of the latency buckets in seconds, around the targets of 60 ms to 600 ms.
+const LATENCY_BUCKETS_S: [f64; 12] = [
+    0.005, 0.01, 0.02, 0.04, 0.06, 0.1, 0.15, 0.3, 0.6, 1.2, 2.5, 5.0,
+];
+
+/// Counters and latencies of the daemon.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    answer_latency: HistogramVec,
+    refusals: IntCounterVec,
+    pub(crate) missing_shards: IntCounter,
+    pub(crate) leaf_requests: IntCounter,
+    leaf_failures: IntCounterVec,
+    pub(crate) hedges: IntCounter,
+    pub(crate) hedges_denied: IntCounter,
+    pub(crate) retries_denied: IntCounter,
+    pub(crate) store_calls: IntCounter,
+    pub(crate) store_failures: IntCounter,
+    pub(crate) config_version: IntGauge,
+    pub(crate) leafs: IntGauge,
+    gather_latency: Histogram,
+}
+
+impl Metrics {
+    /// Creates and registers all metrics.
+    pub(crate) fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let latency = HistogramOpts::new(
+            "medlarpin_answer_seconds",
+            "Time from a caller's request to its answer",
+        )
+        .buckets(LATENCY_BUCKETS_S.to_vec());
+        let gather = HistogramOpts::new(
+            "medlarpin_gather_seconds",
+            "Time from a query over many shards to its merged answer",
+        )
+        .buckets(LATENCY_BUCKETS_S.to_vec());
+        let counter = |name: &str, help: &str| -> Result<IntCounter, prometheus::Error> {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let gauge = |name: &str, help: &str| -> Result<IntGauge, prometheus::Error> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let metrics = Self {
+            answer_latency: HistogramVec::new(latency, &["route"])?,
+            gather_latency: Histogram::with_opts(gather)?,
+            refusals: IntCounterVec::new(
+                Opts::new(
+                    "medlarpin_refusals_total",
+                    "Requests without a leaf's answer",
+                ),
+                &["reason"],
+            )?,
+            leaf_failures: IntCounterVec::new(
+                Opts::new("medlarpin_leaf_failures_total", "Failed leaf requests"),
+                &["failure"],
+            )?,
+            missing_shards: counter(
+                "medlarpin_missing_shards_total",
+                "Shards that answers do not cover",
+            )?,
+            leaf_requests: counter("medlarpin_leaf_requests_total", "Requests sent to leafs")?,
+            hedges: counter("medlarpin_hedges_total", "Hedged leaf requests")?,
+            hedges_denied: counter(
+                "medlarpin_hedges_denied_total",
+                "Hedges that the repeat limit prevented",
+            )?,
+            retries_denied: counter(
+                "medlarpin_retries_denied_total",
+                "Retries that the repeat limit prevented",
+            )?,
+            store_calls: counter("medlarpin_store_calls_total", "Calls to the store")?,
+            store_failures: counter(
+                "medlarpin_store_failures_total",
+                "Failed calls to the store",
+            )?,
+            config_version: gauge("medlarpin_config_version", "Version in force")?,
+            leafs: gauge("medlarpin_leafs", "Published leafs")?,
+            registry,
+        };
+        metrics
+            .registry
+            .register(Box::new(metrics.answer_latency.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.gather_latency.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.refusals.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.leaf_failures.clone()))?;
+        Ok(metrics)
+    }
+
+    pub(crate) fn answered(&self, route: &str, elapsed: Duration) {
+        self.answer_latency
+            .with_label_values(&[route])
+            .observe(elapsed.as_secs_f64());
+    }
+
+    pub(crate) fn gathered(&self, elapsed: Duration) {
+        self.gather_latency.observe(elapsed.as_secs_f64());
+    }
+
+    pub(crate) fn refused(&self, refusal: Refusal) {
+        self.refusals.with_label_values(&[refusal.as_str()]).inc();
+    }
+
+    pub(crate) fn leaf_failed(&self, failure: LeafFailure) {
+        self.leaf_failures
+            .with_label_values(&[failure.as_str()])
+            .inc();
+    }
+
+    /// Returns all metrics in the text format.
+    pub(crate) fn text(&self) -> Result<String, prometheus::Error> {
+        TextEncoder::new().encode_to_string(&self.registry.gather())
+    }
+}
--- /dev/null
+++ b/crates/router/src/operators.rs
@@ -0,0 +1,82 @@
+//! The operators' endpoints: metrics and a dump of the state.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::routing::get;
+use axum::{Json, Router};
+use serde::Serialize;
+
+use crate::shared::Shared;
+
+/// The daemon's state at one moment.
+#[derive(Debug, Serialize)]
+struct StateDump {
+    vm: String,
+    is_ready: bool,
+    is_stopping: bool,
+    config_version: Option<u64>,
+    routes: Vec<String>,
+    leafs: Vec<LeafDump>,
+}
+
+#[derive(Debug, Serialize)]
+struct LeafDump {
+    leaf: String,
+    service: String,
+    address: String,
+    is_leaving: bool,
+    open_connections: u32,
+    in_flight: usize,
+    latency_ratio: f64,
+    is_blocked: bool,
+}
+
+/// Returns the operators' endpoints.
+pub(crate) fn endpoint(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/metrics", get(metrics))
+        .route("/state", get(state))
+        .with_state(shared)
+}
+
+async fn metrics(State(shared): State<Arc<Shared>>) -> Result<String, (StatusCode, String)> {
+    shared
+        .metrics
+        .text()
+        .map_err(|error| (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()))
+}
+
+async fn state(State(shared): State<Arc<Shared>>) -> Json<StateDump> {
+    let now = shared.now();
+    let config = shared.config.load();
+    let leafs = shared.leafs.all().into_iter().map(|leaf| {
+        let load = leaf.load.lock();
+        LeafDump {
+            leaf: leaf.entry.id.to_string(),
+            service: leaf.entry.service.to_string(),
+            address: leaf.entry.address.to_string(),
+            is_leaving: leaf.is_leaving(),
+            open_connections: leaf.open_connections(),
+            in_flight: load.in_flight(),
+            latency_ratio: load.ratio(now),
+            is_blocked: load.blocked_until(now).is_some(),
+        }
+    });
+    let routes = config.as_ref().map(|config| {
+        let routes = config.routes.routes().iter();
+        routes
+            .map(|route| format!("{} {}{}", route.name, route.host, route.prefix))
+            .collect()
+    });
+    Json(StateDump {
+        vm: shared.settings.load().vm.to_string(),
+        is_ready: shared.is_ready(),
+        is_stopping: shared.is_stopping.load(Ordering::Relaxed),
+        config_version: config.as_ref().map(|config| config.version.0),
+        routes: routes.unwrap_or_default(),
+        leafs: leafs.collect(),
+    })
+}
--- /dev/null
+++ b/crates/router/src/refusal.rs
@@ -0,0 +1,81 @@
+use std::time::Duration;
+
+use hyper::StatusCode;
+use serde::Serialize;
+
+/// Time after which a caller may return if a daemon or all leafs of a service are unusable; new
+/// leafs and configurations appear within about a second.
+const RETRY_AFTER_UNAVAILABLE: Duration = Duration::from_millis(250);
+/// Time after which a caller may return if the leafs are full.
+const RETRY_AFTER_FULL: Duration = Duration::from_millis(100);
+
+/// Why a caller gets no answer of a leaf.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Refusal {
+    /// The request is not well-formed.
+    BadRequest,
+    /// No route matches.
+    NoRoute,
+    /// The body exceeds the limit.
+    BodyTooLarge,
+    /// The body broke off.
+    BodyBrokenOff,
+    /// The daemon has no configuration yet.
+    NoConfig,
+    /// No leaf can be sent to; none has run the request.
+    NoLeaf,
+    /// The leafs turned the request away; none has run it.
+    LeafsFull,
+    /// The leafs failed; one may have run the request.
+    LeafsFailed,
+    /// The time is over; a leaf may have run the request.
+    TimedOut,
+    /// The time was over before a leaf got the request.
+    Expired,
+}
+
+impl Refusal {
+    /// Returns the reason's label in metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad_request",
+            Self::NoRoute => "no_route",
+            Self::BodyTooLarge => "body_too_large",
+            Self::BodyBrokenOff => "body_broken_off",
+            Self::NoConfig => "no_config",
+            Self::NoLeaf => "no_leaf",
+            Self::LeafsFull => "leafs_full",
+            Self::LeafsFailed => "leafs_failed",
+            Self::TimedOut => "timed_out",
+            Self::Expired => "expired",
+        }
+    }
+
+    pub(crate) fn status(self) -> StatusCode {
+        match self {
+            Self::BadRequest | Self::BodyBrokenOff => StatusCode::BAD_REQUEST,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NoConfig | Self::NoLeaf | Self::LeafsFull | Self::Expired => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::LeafsFailed => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    pub(crate) fn retry_after(self) -> Option<Duration> {
+        match self {
+            Self::NoConfig | Self::NoLeaf => Some(RETRY_AFTER_UNAVAILABLE),
+            Self::LeafsFull => Some(RETRY_AFTER_FULL),
+            Self::BadRequest
+            | Self::NoRoute
+            | Self::BodyTooLarge
+            | Self::BodyBrokenOff
+            | Self::LeafsFailed
+            | Self::TimedOut
+            | Self::Expired => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/scatter.rs
@@ -0,0 +1,133 @@
+//! Queries that go to all shards.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream::{FuturesUnordered, StreamExt};
+use http_body_util::Full;
+use hyper::Response;
+use hyper::header::HeaderValue;
+use medlarpin_core::routing::{GatherPolicy, GatherStep, Route, Scatter, top_records};
+use platform::MergedHead;
+use tokio::time::{sleep_until, timeout};
+
+use crate::attempt_end::LeafAnswer;
+use crate::caller_request::CallerRequest;
+use crate::callers::Answer;
+use crate::event::Event;
+use crate::refusal::Refusal;
+use crate::route_state::RouteState;
+use crate::service_call::{ServiceCall, ServiceFailure};
+use crate::shared::Shared;
+use crate::single::refusal_of;
+
+/// Time for which shards that missed the answer may still end; see the grace of hedged requests.
+const LATE_SHARD_GRACE: Duration = Duration::from_millis(150);
+
+/// Sends a query to one leaf of each shard and merges the answers.
+pub(crate) async fn gather(
+    shared: Arc<Shared>,
+    scatter: &Scatter,
+    route: &Arc<Route>,
+    state: &Arc<RouteState>,
+    request: &Arc<CallerRequest>,
+) -> Result<Answer, Refusal> {
+    let policy = GatherPolicy::new(
+        scatter.shards.len(),
+        scatter.coverage_min,
+        route.target_latency,
+        request.time_left(request.arrived_at),
+        request.arrived_at,
+    );
+    let mut shards: FuturesUnordered<_> = scatter
+        .shards
+        .iter()
+        .map(|shard| {
+            let call = ServiceCall::new(
+                Arc::clone(&shared),
+                shard.clone(),
+                Arc::clone(route),
+                Arc::clone(state),
+                Arc::clone(request),
+            );
+            call.run()
+        })
+        .collect();
+    let mut answers: Vec<LeafAnswer> = Vec::with_capacity(policy.asked);
+    let mut failures: Vec<ServiceFailure> = Vec::new();
+    loop {
+        let until = match policy.step(answers.len(), shards.len(), shared.now()) {
+            GatherStep::Wait { until } => until,
+            GatherStep::Answer => break,
+            GatherStep::GiveUp => {
+                let in_flight = !shards.is_empty();
+                return Err(refusal_of_all(
+                    &failures,
+                    !answers.is_empty() || in_flight,
+                    in_flight,
+                ));
+            }
+        };
+        tokio::select! {
+            biased;
+            Some(end) = shards.next() => match end {
+                Ok(answer) => answers.push(answer),
+                Err(failure) => failures.push(failure),
+            },
+            () = sleep_until(until.into()) => {}
+        }
+    }
+    shared.metrics.gathered(shared.now() - request.arrived_at);
+    let missing = policy.asked - answers.len();
+    if missing > 0 {
+        shared.metrics.missing_shards.inc_by(missing as u64);
+        Event::ShardsMissing {
+            request: request.id_text(),
+            covered: answers.len(),
+            asked: policy.asked,
+            in_flight: shards.len(),
+        }
+        .log();
+    }
+    if !shards.is_empty() {
+        tokio::spawn(async move {
+            let all = async { while shards.next().await.is_some() {} };
+            // Dropping the rest closes their connections, which cancels them at the leafs.
+            let _ = timeout(LATE_SHARD_GRACE, all).await;
+        });
+    }
+    Ok(merge(scatter, policy.asked, &answers, &request.id))
+}
+
+/// Returns why a query is given up, from the failures of its shards.
+fn refusal_of_all(failures: &[ServiceFailure], any_ran: bool, timed_out: bool) -> Refusal {
+    let may_have_run = any_ran || failures.iter().any(|failure| failure.may_have_run);
+    let summary = ServiceFailure {
+        may_have_run,
+        last: failures.iter().find_map(|failure| failure.last),
+        leaf_answer: None,
+        timed_out: timed_out || failures.iter().any(|failure| failure.timed_out),
+    };
+    refusal_of(&summary)
+}
+
+fn merge(
+    scatter: &Scatter,
+    asked: usize,
+    answers: &[LeafAnswer],
+    request_id: &HeaderValue,
+) -> Answer {
+    let records = top_records(
+        answers.iter().map(|answer| &*answer.body),
+        scatter.records_max,
+    );
+    let stamps: Vec<HeaderValue> = answers.iter().map(|answer| answer.stamp.clone()).collect();
+    let mut response = Response::new(Full::new(Bytes::from(records)));
+    *response.headers_mut() = platform::merged_headers(MergedHead {
+        stamps: &stamps,
+        missing: asked - answers.len(),
+        request_id,
+    });
+    response
+}
--- /dev/null
+++ b/crates/router/src/shared.rs
@@ -0,0 +1,133 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Instant;
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use medlarpin_core::prelude::{Clock, ServiceName};
+use medlarpin_core::routing::{RepeatBudget, RepeatLimits, Route, RoutingConfig};
+use parking_lot::Mutex;
+use settings::RouterSettings;
+
+use crate::leaf_table::LeafTable;
+use crate::metrics::Metrics;
+use crate::route_state::RouteState;
+
+/// Number of daemons among which the slack of the repeats is divided until it is known better.
+const DAEMONS_ASSUMED: f64 = 32.0;
+/// Part of the repeat ratio that is used; the rest is kept for requests that end in another window.
+const RATIO_USED: f64 = 0.9;
+/// Connections of one daemon to a leaf, as a share of those that the leaf accepts.
+const CONNECTION_SHARE: u32 = 16;
+/// Connections to a leaf that a daemon may always open: one in use and one for a hedge.
+const CONNECTIONS_MIN: u32 = 2;
+
+/// State that all requests share.
+///
+/// Locks are held for single calls only, never across an await and never two at a time, except
+/// that `routes` is held while a route's state is created.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    /// Replaced when the settings file is read again.
+    pub(crate) settings: ArcSwap<RouterSettings>,
+    pub(crate) clock: Arc<dyn Clock>,
+    /// The configuration in force; `None` until the first one is known.
+    pub(crate) config: ArcSwapOption<RoutingConfig>,
+    pub(crate) leafs: LeafTable,
+    /// True once the leafs' entries were read.
+    pub(crate) leafs_known: AtomicBool,
+    /// True once the daemon has been asked to stop.
+    pub(crate) is_stopping: AtomicBool,
+    /// Sorted by name, without duplicates.
+    routes: Mutex<Vec<Arc<RouteState>>>,
+    /// Sorted by service, without duplicates.
+    budgets: Mutex<Vec<(ServiceName, RepeatBudget)>>,
+    pub(crate) metrics: Metrics,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: RouterSettings, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
+        Self {
+            settings: ArcSwap::from_pointee(settings),
+            clock,
+            config: ArcSwapOption::empty(),
+            leafs: LeafTable::default(),
+            leafs_known: AtomicBool::new(false),
+            is_stopping: AtomicBool::new(false),
+            routes: Mutex::default(),
+            budgets: Mutex::default(),
+            metrics,
+        }
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Returns true if the daemon can serve new connections.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.config.load().is_some()
+            && self.leafs_known.load(Ordering::Relaxed)
+            && !self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    /// Returns what is known about a route.
+    pub(crate) fn route_state(&self, route: &Route) -> Arc<RouteState> {
+        let mut routes = self.routes.lock();
+        match routes.binary_search_by(|state| state.name.cmp(&route.name)) {
+            Ok(index) => Arc::clone(&routes[index]),
+            Err(index) => {
+                let state = Arc::new(RouteState::new(route, self.now()));
+                routes.insert(index, Arc::clone(&state));
+                state
+            }
+        }
+    }
+
+    /// Counts a request for a service.
+    pub(crate) fn record_request(&self, service: &ServiceName, now: Instant) {
+        let limits = self.repeat_limits();
+        self.with_budget(service, now, |budget| budget.record_request(&limits, now));
+    }
+
+    /// Takes one repeated leaf request for a service if the limits allow it.
+    pub(crate) fn try_repeat(&self, service: &ServiceName, now: Instant) -> bool {
+        let limits = self.repeat_limits();
+        self.with_budget(service, now, |budget| budget.try_repeat(&limits, now))
+    }
+
+    /// Returns the number of connections that this daemon may open to a leaf of the service.
+    pub(crate) fn connections_max(&self, service: &ServiceName) -> u32 {
+        let config = self.config.load();
+        let published = config
+            .as_ref()
+            .and_then(|config| config.service(service).map(|known| known.connections_max));
+        published.map_or(CONNECTIONS_MIN, |all| {
+            (all / CONNECTION_SHARE).max(CONNECTIONS_MIN)
+        })
+    }
+
+    fn repeat_limits(&self) -> RepeatLimits {
+        let settings = self.settings.load();
+        RepeatLimits {
+            ratio: settings.repeat_ratio * RATIO_USED,
+            allowance: settings.repeat_slack / DAEMONS_ASSUMED,
+            window: settings.repeat_window,
+        }
+    }
+
+    fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        now: Instant,
+        act: impl FnOnce(&mut RepeatBudget) -> T,
+    ) -> T {
+        let mut budgets = self.budgets.lock();
+        let index = budgets
+            .binary_search_by(|(name, _)| name.cmp(service))
+            .unwrap_or_else(|index| {
+                budgets.insert(index, (service.clone(), RepeatBudget::new(now)));
+                index
+            });
+        act(&mut budgets[index].1)
+    }
+}
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -159,6 +159,22 @@
         Ok(u32::try_from(number).unwrap_or(*range.end()))
     }
 
+    /// Returns a number, possibly with a fraction, from `least` to `most`.
+    pub(crate) fn decimal(&self, least: f64, most: f64) -> Result<f64, SettingsError> {
+        let hint = format!("write a number from {least} to {most}{}", unit_of(self.key));
+        let Value::NumberLit(literal) = self.value else {
+            return Err(self.wrong_type("a number", hint));
+        };
+        match literal.value.parse::<f64>() {
+            Ok(number) if (least..=most).contains(&number) => Ok(number),
+            _ => Err(SettingsError::OutOfRange {
+                place: self.place(),
+                value: shorten(literal.value, QUOTE_LIMIT_CHARS),
+                hint,
+            }),
+        }
+    }
+
     /// Returns a share above 0 and below 1.
     pub(crate) fn share(&self) -> Result<f64, SettingsError> {
         let hint = "write a share above 0 and below 1, for example 0.99";
@@ -348,6 +364,8 @@
         " (bytes)"
     } else if key.ends_with("_per_s") {
         " (per second)"
+    } else if key.ends_with("_s") {
+        " (seconds)"
     } else {
         ""
     }
