Cut answers earlier, limit leafs to the target latency, watch less often

Leafs worked on requests whose query had been answered, which took slots from the next ones. Each of 50 leafs that published itself at the start cost each daemon a call to the store.

Change: margin of 13 ms; leaf requests of a scattered query carry the time until its target latency and, once that is over, all that is left; 700 ms between watches.

--- a/crates/medlarpin-core/src/routing/gather_policy.rs
+++ b/crates/medlarpin-core/src/routing/gather_policy.rs
@@ -17,7 +17,7 @@
 /// Part of the target latency that is kept for the way of the answer to the caller.
 const ANSWER_MARGIN_SHARE: f64 = 0.1;
 /// Least time that is kept for the way to the caller and back.
-const ANSWER_MARGIN_MIN: Duration = Duration::from_millis(8);
+const ANSWER_MARGIN_MIN: Duration = Duration::from_millis(13);
 
 /// Decides when a query over many shards is answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/router/src/caller_request.rs
+++ b/crates/router/src/caller_request.rs
@@ -16,6 +16,9 @@
     pub(crate) arrived_at: Instant,
     /// The earlier of the caller's deadline and the route's timeout.
     pub(crate) deadline: Instant,
+    /// Until this time, leafs are given only the time until then; later, all that is left. A leaf
+    /// that cannot answer in time then drops the request from its queue.
+    pub(crate) answer_by: Instant,
 }
 
 impl CallerRequest {
@@ -31,8 +34,13 @@
 
     /// Creates the request for a leaf.
     pub(crate) fn for_leaf(&self, leaf: &str, now: Instant) -> Option<Request<Full<Bytes>>> {
-        let headers =
-            platform::leaf_request_headers(&self.head.headers, leaf, self.time_left(now)).ok()?;
+        let limit = if now < self.answer_by {
+            self.answer_by.min(self.deadline)
+        } else {
+            self.deadline
+        };
+        let time_left = limit.saturating_duration_since(now);
+        let headers = platform::leaf_request_headers(&self.head.headers, leaf, time_left).ok()?;
         let path = self.head.uri.path_and_query()?.clone();
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.head.method.clone();
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -103,6 +103,10 @@
         body,
         arrived_at,
         deadline: arrived_at + time_left,
+        answer_by: match route.target {
+            RouteTarget::Scatter(_) => arrived_at + route.target_latency,
+            _ => arrived_at,
+        },
     })
 }
 
--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -16,7 +16,7 @@
 /// after it, so it is short against the time in which a configuration has to be in force.
 const WATCH_WAIT: Duration = Duration::from_secs(4);
 /// Pause between watches; changes that come in quick succession take one call together.
-const WATCH_PAUSE: Duration = Duration::from_millis(400);
+const WATCH_PAUSE: Duration = Duration::from_millis(700);
 /// First pause after a failed call.
 const RETRY_PAUSE_MIN: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls.
