Read all items after a gap of the watch, weigh rejections, refuse what cannot be served

(2) With 80% of the leafs rejecting 60% of their requests, repeats went to rejecting leafs as often as to others. (3) After a restart of all daemons the leafs' entries were not back yet, and queries without enough reachable shards ended with 504 although no leaf had got them.

Change: WatchCursor takes a revision that advances without a change as a gap; LeafLoad keeps a moving average of rejections that counts in the choice of the replica; a scattered query with too few reachable shards gets 503 at once. Leafs that may have run a request may run it again: the limit counts leafs.

--- a/crates/medlarpin-core/src/routing/leaf_load.rs
+++ b/crates/medlarpin-core/src/routing/leaf_load.rs
@@ -14,6 +14,11 @@
 const RATIO_HALF_LIFE: Duration = Duration::from_secs(2);
 /// Largest latency ratio that is recorded; bounds the time until a recovered leaf is tried again.
 const RATIO_MAX: f64 = 20.0;
+/// Weight of a new answer or rejection in the moving average of rejections.
+const SHED_WEIGHT: f64 = 0.2;
+/// How strongly a leaf's rejections count against it: a rejected request costs little time, but a
+/// part of the limited repeats.
+const SHED_PENALTY: f64 = 4.0;
 /// A request that takes longer than this multiple of the expected latency raises the estimate
 /// before it is answered.
 const OVERDUE_RATIO: f64 = 2.0;
@@ -27,6 +32,8 @@
     in_flight: Vec<Instant>,
     /// Moving average of latency over the route's usual latency; 1 for an ordinary leaf.
     ratio: Option<(f64, Instant)>,
+    /// Moving average of rejections, from 0 to 1.
+    shed_share: Option<(f64, Instant)>,
     /// Failed exchanges in a row.
     failures: u32,
     /// No requests before this time.
@@ -50,6 +57,7 @@
     pub fn answered(&mut self, latency: Duration, usual: Duration, now: Instant) {
         self.failures = 0;
         self.blocked_until = None;
+        self.observe_shed(0.0, now);
         self.observe(latency, usual, now);
     }
 
@@ -62,6 +70,7 @@
 
     /// Records that the leaf turned a request away because it is full.
     pub fn shed(&mut self, now: Instant) {
+        self.observe_shed(1.0, now);
         self.block(now + SHED_BACK_OFF);
     }
 
@@ -88,7 +97,8 @@
     #[must_use]
     pub fn expected_ratio(&self, slots: u32, usual: Duration, now: Instant) -> f64 {
         let queued = self.in_flight.len() as f64 / f64::from(slots.max(1));
-        let expected = self.ratio(now) * (1.0 + queued);
+        let rejections = 1.0 + SHED_PENALTY * self.shed_share(now);
+        let expected = self.ratio(now) * (1.0 + queued) * rejections;
         let overdue = self.overdue_ratio(usual, now);
         if overdue > expected * OVERDUE_RATIO {
             expected + overdue
@@ -103,9 +113,14 @@
         let Some((ratio, at)) = self.ratio else {
             return 1.0;
         };
-        let age = now.saturating_duration_since(at).as_secs_f64();
-        let kept = 0.5_f64.powf(age / RATIO_HALF_LIFE.as_secs_f64());
-        1.0 + (ratio - 1.0) * kept
+        1.0 + (ratio - 1.0) * kept_share(at, now)
+    }
+
+    /// Returns the share of requests that the leaf rejects, which returns to 0 with time.
+    #[must_use]
+    pub fn shed_share(&self, now: Instant) -> f64 {
+        self.shed_share
+            .map_or(0.0, |(share, at)| share * kept_share(at, now))
     }
 
     fn overdue_ratio(&self, usual: Duration, now: Instant) -> f64 {
@@ -119,11 +134,24 @@
         self.ratio = Some((before + (observed - before) * RATIO_WEIGHT, now));
     }
 
+    fn observe_shed(&mut self, observed: f64, now: Instant) {
+        let before = self.shed_share(now);
+        if before > 0.0 || observed > 0.0 {
+            self.shed_share = Some((before + (observed - before) * SHED_WEIGHT, now));
+        }
+    }
+
     fn block(&mut self, until: Instant) {
         self.blocked_until = self.blocked_until.max(Some(until));
     }
 }
 
+/// Returns the part of an observation that is not forgotten yet.
+fn kept_share(at: Instant, now: Instant) -> f64 {
+    let age = now.saturating_duration_since(at).as_secs_f64();
+    0.5_f64.powf(age / RATIO_HALF_LIFE.as_secs_f64())
+}
+
 fn ratio_of(latency: Duration, usual: Duration) -> f64 {
     latency.as_secs_f64() / usual.as_secs_f64().max(0.001)
 }
--- a/crates/medlarpin-core/src/routing/mod.rs
+++ b/crates/medlarpin-core/src/routing/mod.rs
@@ -13,6 +13,7 @@
 mod routing_config;
 mod split_choice;
 mod top_records;
+mod watch_cursor;
 
 pub use gather_policy::{GatherPolicy, GatherStep};
 pub use leaf_directory::LeafDirectory;
@@ -26,3 +27,4 @@
 pub use routing_config::{CallerLimits, ConfigVersion, RoutedService, RoutingConfig};
 pub use split_choice::SplitChoice;
 pub use top_records::{RECORD_BYTES, top_records};
+pub use watch_cursor::{NextRead, WatchCursor};
--- /dev/null
+++ b/crates/medlarpin-core/src/routing/watch_cursor.rs
@@ -0,0 +1,55 @@
+use crate::ids::Revision;
+
+/// How a store is followed next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NextRead {
+    /// Read all items.
+    All,
+    /// Wait for changes after this revision.
+    ChangesAfter(Revision),
+}
+
+/// Position of a watch over all items of a store.
+///
+/// The watch sees every item, so each revision comes with a change. A revision that advances without
+/// one shows that the watch has missed changes, and that its history may be gone before it is asked
+/// for again.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct WatchCursor {
+    /// Revision up to which all changes are known; `None` if all items have to be read.
+    known: Option<Revision>,
+}
+
+impl WatchCursor {
+    /// Returns how the store is followed next.
+    #[must_use]
+    pub fn next(&self) -> NextRead {
+        self.known.map_or(NextRead::All, NextRead::ChangesAfter)
+    }
+
+    /// Returns the revision up to which all changes are known.
+    #[must_use]
+    pub fn known(&self) -> Option<Revision> {
+        self.known
+    }
+
+    /// Records that all items were read at a revision.
+    pub fn all_read(&mut self, revision: Revision) {
+        self.known = Some(revision);
+    }
+
+    /// Records the result of a watch; returns false if it shows a gap, after which all is read.
+    pub fn watched(&mut self, changes: usize, revision: Revision) -> bool {
+        let is_gap = match self.known {
+            Some(known) => revision < known || (changes == 0 && revision > known),
+            None => true,
+        };
+        self.known = (!is_gap).then_some(revision);
+        !is_gap
+    }
+
+    /// Records that the history after the known revision is gone.
+    pub fn history_gone(&mut self) {
+        self.known = None;
+    }
+}
--- /dev/null
+++ b/crates/medlarpin-core/tests/routing_choice.rs
@@ -0,0 +1,198 @@
+//! Decisions on where a request goes: routes, shares of a split and replicas.
+
+use std::sync::Arc;
+
+use medlarpin_core::prelude::*;
+use medlarpin_core::routing::{
+    Candidate, LeafLoad, Repeatability, Route, RouteTable, RouteTarget, SHED_BACK_OFF, SplitChoice,
+    WeightedService, choose_replica,
+};
+
+const USUAL: Duration = Duration::from_millis(20);
+
+fn route(name: &str, host: &str, prefix: &str) -> Arc<Route> {
+    Arc::new(Route {
+        name: Arc::from(name),
+        host: Arc::from(host),
+        prefix: Arc::from(prefix),
+        target: RouteTarget::Service(ServiceName::new("a")),
+        repeatability: Repeatability::Idempotent,
+        leafs_max: 2,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(100),
+        priority: 1,
+    })
+}
+
+/// Guards against a request that runs at the service of a shorter prefix or of another host.
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = RouteTable::new(vec![
+        route("root", "a.example", "/"),
+        route("short", "a.example", "/x/"),
+        route("long", "a.example", "/x/y/"),
+        route("other", "b.example", "/x/y/z/"),
+    ]);
+    let check = |host: &str, path: &str, expected: Option<&str>| {
+        let found = table.find(host, path).map(|route| &*route.name);
+        assert_eq!(found, expected, "{host}{path}");
+    };
+    check("a.example", "/x/y/1", Some("long"));
+    check("a.example", "/x/y/", Some("long"));
+    check("a.example", "/x/y", Some("short"));
+    check("a.example", "/x/yy/1", Some("short"));
+    check("a.example", "/xx/1", Some("root"));
+    check("a.example", "/x/y/z/1", Some("long"));
+    check("b.example", "/x/y/z/1", Some("other"));
+    check("b.example", "/x/1", None);
+    check("c.example", "/x/1", None);
+}
+
+/// Guards against a share that is right only on average: 300 requests are enough to be judged.
+#[test]
+fn a_split_keeps_its_shares_over_short_runs() {
+    let check = |weights: &[u32], requests: u32| {
+        let services: Vec<WeightedService> = weights
+            .iter()
+            .map(|weight| WeightedService {
+                service: ServiceName::new("a"),
+                weight: *weight,
+            })
+            .collect();
+        let mut split = SplitChoice::default();
+        let mut counts = vec![0_u32; weights.len()];
+        for _ in 0..requests {
+            if let Some(index) = split.next(&services) {
+                counts[index] += 1;
+            }
+        }
+        let total: u32 = weights.iter().sum();
+        for (count, weight) in counts.iter().zip(weights) {
+            let expected = f64::from(requests * weight) / f64::from(total);
+            assert!(
+                (f64::from(*count) - expected).abs() <= 1.0,
+                "{weights:?}: {counts:?}"
+            );
+        }
+    };
+    check(&[1], 10);
+    check(&[9, 1], 30);
+    check(&[700, 300], 33);
+    check(&[0, 5], 12);
+    check(&[1, 1, 1], 7);
+}
+
+/// Guards against requests to a service without weight.
+#[test]
+fn a_split_without_weights_chooses_nothing() {
+    let services = [WeightedService {
+        service: ServiceName::new("a"),
+        weight: 0,
+    }];
+    assert_eq!(SplitChoice::default().next(&services), None);
+}
+
+/// Guards against a slow or unsound leaf that gets as many requests as the others.
+#[test]
+fn replicas_are_chosen_by_speed() {
+    const DRAWS: u32 = 1_000;
+    let check = |candidates: &[(f64, bool)], index: usize, least: f64, most: f64| {
+        let candidates: Vec<Candidate> = candidates
+            .iter()
+            .map(|(expected_ratio, is_sound)| Candidate {
+                expected_ratio: *expected_ratio,
+                is_sound: *is_sound,
+            })
+            .collect();
+        let hits = (0..DRAWS)
+            .filter(|draw| {
+                let random = (f64::from(*draw) + 0.5) / f64::from(DRAWS);
+                choose_replica(&candidates, random) == Some(index)
+            })
+            .count();
+        let share = hits as f64 / f64::from(DRAWS);
+        assert!(
+            (least..=most).contains(&share),
+            "{candidates:?}: {share} at {index}"
+        );
+    };
+    check(&[(1.0, true), (1.0, true)], 0, 0.45, 0.55);
+    check(&[(1.0, true), (2.0, true)], 1, 0.05, 0.15);
+    check(&[(1.0, true), (8.0, true)], 1, 0.0, 0.01);
+    check(&[(1.0, false), (8.0, true)], 0, 0.0, 0.0);
+    check(&[(1.0, false), (8.0, false)], 0, 0.9, 1.0);
+    check(&[(9.0, false)], 0, 1.0, 1.0);
+}
+
+/// Guards against a choice among no leafs.
+#[test]
+fn no_replica_is_chosen_of_none() {
+    assert_eq!(choose_replica(&[], 0.5), None);
+}
+
+/// Load pattern: a leaf stops answering. Guards against requests that go on to it until the first
+/// of them ends, which a silent leaf never lets happen.
+#[test]
+fn an_overdue_request_counts_before_it_ends() {
+    let start = Instant::now();
+    let mut load = LeafLoad::default();
+    load.sent(start);
+    let at = |ms| load.expected_ratio(2, USUAL, start + Duration::from_millis(ms));
+    assert!(at(10) < 2.0, "{}", at(10));
+    assert!(at(200) > 10.0, "{}", at(200));
+}
+
+/// Load pattern: a leaf is several times slower than the others for some seconds. Guards against a
+/// leaf that is avoided for ever after.
+#[test]
+fn a_slow_leaf_is_avoided_and_tried_again() {
+    let start = Instant::now();
+    let mut load = LeafLoad::default();
+    for request in 0..5_u64 {
+        let now = start + Duration::from_millis(100 * request);
+        load.answered(USUAL * 8, USUAL, now);
+    }
+    let now = start + Duration::from_millis(400);
+    assert!(load.ratio(now) > 5.0, "{}", load.ratio(now));
+    let later = now + Duration::from_secs(12);
+    assert!(load.ratio(later) < 1.2, "{}", load.ratio(later));
+}
+
+/// Load pattern: most leafs reject part of their requests at once. Guards against repeats that are
+/// spent at leafs that reject, while others do not.
+#[test]
+fn rejections_count_against_a_leaf() {
+    let start = Instant::now();
+    let mut load = LeafLoad::default();
+    for request in 0..6_u64 {
+        let now = start + Duration::from_millis(100 * request);
+        load.shed(now);
+        assert!(load.blocked_until(now).is_some());
+        assert!(load.blocked_until(now + SHED_BACK_OFF).is_none());
+    }
+    let now = start + Duration::from_millis(600);
+    assert!(load.expected_ratio(2, USUAL, now) > 2.5);
+    assert!(load.expected_ratio(2, USUAL, now + Duration::from_secs(12)) < 1.1);
+}
+
+/// Guards against a leaf that is asked at full rate although no connection to it succeeds, and
+/// against one that is never asked again.
+#[test]
+fn failures_back_off_up_to_a_limit() {
+    let mut now = Instant::now();
+    let mut load = LeafLoad::default();
+    let mut pauses_ms = Vec::new();
+    for _ in 0..5 {
+        load.failed(now);
+        let until = load.blocked_until(now).unwrap_or(now);
+        pauses_ms.push((until - now).as_millis());
+        now = until;
+    }
+    assert_eq!(pauses_ms, [100, 200, 400, 800, 800]);
+    load.answered(USUAL, USUAL, now);
+    load.failed(now);
+    assert_eq!(
+        load.blocked_until(now),
+        Some(now + Duration::from_millis(100))
+    );
+}
--- /dev/null
+++ b/crates/medlarpin-core/tests/routing_discovery.rs
@@ -0,0 +1,131 @@
+//! Decisions on what is believed about published leafs and revisions.
+
+use medlarpin_core::prelude::*;
+use medlarpin_core::routing::LeafPhase::{Draining, Ready};
+use medlarpin_core::routing::{LeafDirectory, LeafEntry, LeafPhase, NextRead, WatchCursor};
+
+const LEAVING_USE: Duration = Duration::from_secs(2);
+
+fn entry(id: &str, phase: LeafPhase, started_unix_ms: u64, sequence: u64) -> LeafEntry {
+    LeafEntry {
+        id: LeafId::new(id),
+        service: ServiceName::new("a"),
+        address: ([192, 0, 2, 1], 8080).into(),
+        failure_domain: FailureDomain::new("warmia-1"),
+        slots: 2,
+        phase,
+        warm_up_left: Duration::ZERO,
+        started_unix_ms: Some(started_unix_ms),
+        sequence,
+    }
+}
+
+fn state_of(directory: &LeafDirectory, id: &str) -> Option<(LeafPhase, Option<Instant>)> {
+    directory
+        .leafs()
+        .find(|(entry, _)| entry.id.as_str() == id)
+        .map(|(entry, leaves_at)| (entry.phase, leaves_at))
+}
+
+/// Guards against a delayed entry that makes a draining leaf ready again, or a restarted one that
+/// stays draining.
+#[test]
+fn an_older_entry_changes_nothing() {
+    let now = Instant::now();
+    let check = |first: LeafEntry, second: LeafEntry, expected: LeafPhase| {
+        let mut directory = LeafDirectory::new(LEAVING_USE);
+        assert!(directory.publish(first.clone(), now));
+        directory.publish(second.clone(), now);
+        let phase = state_of(&directory, "x").map(|(phase, _)| phase);
+        assert_eq!(phase, Some(expected), "{first:?} then {second:?}");
+    };
+    check(
+        entry("x", Draining, 10, 5),
+        entry("x", Ready, 10, 4),
+        Draining,
+    );
+    check(
+        entry("x", Draining, 10, 5),
+        entry("x", Ready, 9, 9),
+        Draining,
+    );
+    check(entry("x", Draining, 10, 5), entry("x", Ready, 20, 0), Ready);
+    check(
+        entry("x", Ready, 10, 5),
+        entry("x", Draining, 10, 6),
+        Draining,
+    );
+}
+
+/// Guards against a request that is sent to a leaving leaf later than it serves: repeated notices
+/// must not extend the time.
+#[test]
+fn a_leaving_leaf_is_used_for_a_bounded_time() {
+    let now = Instant::now();
+    let mut directory = LeafDirectory::new(LEAVING_USE);
+    directory.publish(entry("x", Ready, 10, 1), now);
+    directory.publish(entry("x", Draining, 10, 2), now);
+    let later = now + Duration::from_secs(1);
+    directory.publish(entry("x", Draining, 10, 3), later);
+    directory.withdraw(&LeafId::new("x"), later);
+    assert_eq!(
+        state_of(&directory, "x"),
+        Some((Draining, Some(now + LEAVING_USE)))
+    );
+    assert!(directory.expire(later).is_empty());
+    assert_eq!(directory.expire(now + LEAVING_USE), [LeafId::new("x")]);
+    assert!(directory.is_empty());
+}
+
+/// Guards against leafs that are dropped for good because their entries lapsed while the store was
+/// away: they are back within two seconds.
+#[test]
+fn a_withdrawn_leaf_that_returns_is_ready() {
+    let now = Instant::now();
+    let mut directory = LeafDirectory::new(LEAVING_USE);
+    directory.publish(entry("x", Ready, 10, 7), now);
+    directory.withdraw(&LeafId::new("x"), now);
+    directory.publish(entry("x", Ready, 10, 7), now + Duration::from_millis(900));
+    assert_eq!(state_of(&directory, "x"), Some((Ready, None)));
+    assert!(directory.expire(now + LEAVING_USE * 2).is_empty());
+}
+
+/// Guards against a leaf that a complete list no longer holds and that is still used.
+#[test]
+fn a_complete_list_withdraws_the_others() {
+    let now = Instant::now();
+    let mut directory = LeafDirectory::new(LEAVING_USE);
+    directory.publish(entry("x", Ready, 10, 1), now);
+    directory.publish(entry("y", Ready, 10, 1), now);
+    directory.replace_all(vec![entry("y", Ready, 10, 2)], now);
+    assert_eq!(directory.len(), 2);
+    assert_eq!(directory.expire(now + LEAVING_USE), [LeafId::new("x")]);
+    assert_eq!(state_of(&directory, "y"), Some((Ready, None)));
+}
+
+/// Guards against a configuration that is never seen: a store that is losing its history answers a
+/// watch with a newer revision and no changes, and the next watch starts behind the missed ones.
+#[test]
+fn a_revision_without_changes_is_a_gap() {
+    let check = |changes: usize, revision: u64, expected: NextRead| {
+        let mut cursor = WatchCursor::default();
+        assert_eq!(cursor.next(), NextRead::All);
+        cursor.all_read(Revision(52));
+        let complete = cursor.watched(changes, Revision(revision));
+        assert_eq!(cursor.next(), expected, "{changes} up to {revision}");
+        assert_eq!(complete, expected != NextRead::All);
+    };
+    check(0, 52, NextRead::ChangesAfter(Revision(52)));
+    check(1, 53, NextRead::ChangesAfter(Revision(53)));
+    check(0, 53, NextRead::All);
+    check(1, 51, NextRead::All);
+}
+
+/// Guards against a watch that goes on after its history is gone.
+#[test]
+fn lost_history_is_read_anew() {
+    let mut cursor = WatchCursor::default();
+    cursor.all_read(Revision(9));
+    cursor.history_gone();
+    assert_eq!(cursor.next(), NextRead::All);
+}
--- /dev/null
+++ b/crates/medlarpin-core/tests/routing_limits.rs
@@ -0,0 +1,159 @@
+//! Decisions on when a query is answered, and how often a request is repeated.
+
+use medlarpin_core::prelude::*;
+use medlarpin_core::routing::{
+    GatherPolicy, GatherStep, RECORD_BYTES, RepeatBudget, RepeatLimits, RoutePace, top_records,
+};
+
+const TARGET: Duration = Duration::from_millis(150);
+const TIME_LEFT: Duration = Duration::from_millis(800);
+
+/// Guards against answers below the least coverage, late answers for the last shard, and queries
+/// that wait although too few shards can still answer.
+#[test]
+fn a_query_is_answered_when_waiting_no_longer_pays() {
+    enum Expected {
+        Wait,
+        Answer,
+        GiveUp,
+    }
+    use Expected::{Answer, GiveUp, Wait};
+    let start = Instant::now();
+    let policy = GatherPolicy::new(20, 0.89, TARGET, TIME_LEFT, start);
+    assert_eq!(policy.needed, 18);
+    let check = |covered, pending, at_ms, expected: Expected| {
+        let step = policy.step(covered, pending, start + Duration::from_millis(at_ms));
+        let matches = match expected {
+            Wait => matches!(step, GatherStep::Wait { .. }),
+            Answer => step == GatherStep::Answer,
+            GiveUp => step == GatherStep::GiveUp,
+        };
+        assert!(matches, "{covered}+{pending} at {at_ms} ms: {step:?}");
+    };
+    check(20, 0, 10, Answer);
+    check(19, 1, 10, Wait);
+    check(19, 0, 10, Answer);
+    check(19, 1, 140, Answer);
+    check(17, 3, 140, Wait);
+    check(18, 2, 200, Answer);
+    check(17, 0, 10, GiveUp);
+    check(0, 17, 0, GiveUp);
+    check(17, 3, 800, GiveUp);
+    check(18, 2, 800, Answer);
+}
+
+/// Guards against an answer that leaves at the target latency and reaches a caller on a new
+/// connection after it.
+#[test]
+fn the_way_to_the_caller_is_part_of_the_target() {
+    let start = Instant::now();
+    let policy = GatherPolicy::new(20, 0.75, Duration::from_millis(60), TIME_LEFT, start);
+    // A new connection and the request and answer on it take 12 ms at 3 ms one way.
+    assert!(policy.answer_by + Duration::from_millis(12) < start + Duration::from_millis(60));
+}
+
+/// Guards against shares that a rounded product moves above the stated one.
+#[test]
+fn the_least_coverage_is_a_whole_number_of_shards() {
+    let check = |asked, coverage_min, expected| {
+        let policy = GatherPolicy::new(asked, coverage_min, TARGET, TIME_LEFT, Instant::now());
+        assert_eq!(policy.needed, expected, "{coverage_min} of {asked}");
+    };
+    check(20, 0.75, 15);
+    check(20, 0.9, 18);
+    check(10, 0.7, 7);
+    check(90, 0.95, 86);
+    check(3, 0.0, 1);
+    check(3, 1.0, 3);
+}
+
+/// Load pattern: a slow shard makes every query want a repeat. Guards against more repeats in any
+/// window than the ratio and the allowance permit.
+#[test]
+fn repeats_keep_the_limit_in_every_window() {
+    let limits = RepeatLimits {
+        ratio: 0.2,
+        allowance: 4.0,
+        window: Duration::from_secs(10),
+    };
+    let check = |request_every_ms: u64| {
+        let start = Instant::now();
+        let mut budget = RepeatBudget::new(start);
+        let mut requests_ms = Vec::new();
+        let mut repeats_ms = Vec::new();
+        for ms in (0..60_000).step_by(usize::try_from(request_every_ms).unwrap_or(1)) {
+            let now = start + Duration::from_millis(ms);
+            budget.record_request(&limits, now);
+            requests_ms.push(ms);
+            if budget.try_repeat(&limits, now) {
+                repeats_ms.push(ms);
+            }
+        }
+        for from in (0..50_000).step_by(250) {
+            let within = |times: &[u64]| {
+                let range = from..from + 10_000;
+                times.iter().filter(|ms| range.contains(*ms)).count() as f64
+            };
+            let (requests, repeats) = (within(&requests_ms), within(&repeats_ms));
+            // The requests of a window may also be counted half a window earlier.
+            let allowed = limits.ratio * (requests + 1.0) * 1.06 + limits.allowance;
+            assert!(
+                repeats <= allowed,
+                "every {request_every_ms} ms from {from}: {repeats} of {requests}"
+            );
+        }
+        assert!(!repeats_ms.is_empty());
+    };
+    for request_every_ms in [5, 20, 100, 1_000] {
+        check(request_every_ms);
+    }
+}
+
+/// Guards against a hedge before most answers can have arrived, and against one that is too late to
+/// be answered within the target.
+#[test]
+fn the_hedge_delay_follows_the_latencies() {
+    let check = |latency_ms: u64, least_ms: u64, most_ms: u64| {
+        let start = Instant::now();
+        let mut pace = RoutePace::new(TARGET, start);
+        for answer in 0..100_u64 {
+            let now = start + Duration::from_millis(answer * 10);
+            pace.record(Duration::from_millis(latency_ms), now);
+        }
+        let delay = pace.hedge_delay(start + Duration::from_millis(1_000));
+        let range = Duration::from_millis(least_ms)..=Duration::from_millis(most_ms);
+        assert!(range.contains(&delay), "{latency_ms} ms: {delay:?}");
+    };
+    check(1, 4, 4);
+    check(20, 18, 22);
+    check(500, 60, 60);
+}
+
+/// Guards against records that are cut, lost or put in another order.
+#[test]
+fn the_greatest_records_are_merged() {
+    let record = |first: u8, last: u8| {
+        let mut record = [0; RECORD_BYTES];
+        record[0] = first;
+        record[RECORD_BYTES - 1] = last;
+        record
+    };
+    let check = |parts: &[Vec<u8>], records_max: usize, expected: &[[u8; RECORD_BYTES]]| {
+        let merged = top_records(parts.iter().map(Vec::as_slice), records_max);
+        assert_eq!(merged, expected.concat(), "{records_max} of {parts:?}");
+    };
+    let parts = [
+        [record(1, 0), record(9, 1)].concat(),
+        [record(9, 2), record(5, 0), record(9, 1)].concat(),
+        [&record(7, 0)[..], &[255; 15]].concat(),
+        Vec::new(),
+    ];
+    check(
+        &parts,
+        4,
+        &[record(9, 2), record(9, 1), record(9, 1), record(7, 0)],
+    );
+    check(&parts, 1, &[record(9, 2)]);
+    check(&parts, 0, &[]);
+    check(&parts[2..], 5, &[record(7, 0)]);
+}
--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use medlarpin_core::prelude::Revision;
-use medlarpin_core::routing::{LeafDirectory, LeafPhase, RoutingConfig};
+use medlarpin_core::routing::{LeafDirectory, LeafPhase, NextRead, RoutingConfig, WatchCursor};
 use platform::{Change, Store, StoreError};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
@@ -32,8 +32,7 @@
     shared: Arc<Shared>,
     store: Store,
     directory: LeafDirectory,
-    /// Revision after which the next watch goes on; `None` if all items have to be read.
-    revision: Option<Revision>,
+    cursor: WatchCursor,
     /// Failed calls in a row.
     failures: u32,
 }
@@ -46,7 +45,7 @@
             store: Store::new(settings.store_address),
             directory: LeafDirectory::new(leaving_use),
             shared,
-            revision: None,
+            cursor: WatchCursor::default(),
             failures: 0,
         }
     }
@@ -55,14 +54,14 @@
     pub(crate) async fn run(mut self) {
         loop {
             let started = self.shared.now();
-            let was_failing = self.failures > 0 || self.revision.is_none();
+            let was_failing = self.failures > 0 || self.cursor.known().is_none();
             self.shared.metrics.store_calls.inc();
             match self.follow().await {
                 Ok(()) => {
                     if was_failing {
                         Event::StoreReached {
                             after_ms: (self.shared.now() - started).as_millis(),
-                            revision: self.revision.unwrap_or_default().0,
+                            revision: self.cursor.known().unwrap_or_default().0,
                         }
                         .log();
                     }
@@ -77,26 +76,33 @@
 
     /// Reads all items or waits for the next changes.
     async fn follow(&mut self) -> Result<(), StoreError> {
-        let (changes, revision) = match self.revision {
-            None => {
+        let (changes, revision) = match self.cursor.next() {
+            NextRead::All => {
                 let snapshot = self.store.read_all().await?;
                 self.take_snapshot(&snapshot.items);
+                self.cursor.all_read(snapshot.revision);
+                self.shared.leafs_known.store(true, Ordering::Relaxed);
                 (snapshot.items, snapshot.revision)
             }
-            Some(after) => {
-                let changes = self.store.watch(after, WATCH_WAIT).await?;
-                (changes.changes, changes.revision)
+            NextRead::ChangesAfter(after) => {
+                let watched = self.store.watch(after, WATCH_WAIT).await?;
+                if !self.cursor.watched(watched.total, watched.revision) {
+                    Event::ChangesMissed {
+                        known: after.0,
+                        revision: watched.revision.0,
+                    }
+                    .log();
+                }
+                if watched.changes.is_empty() {
+                    return Ok(());
+                }
+                (watched.changes, watched.revision)
             }
         };
-        let is_changed = !changes.is_empty();
         for change in changes {
             self.apply(change, revision);
         }
-        if is_changed || self.revision.is_none() {
-            self.publish_leafs();
-        }
-        self.revision = Some(revision);
-        self.shared.leafs_known.store(true, Ordering::Relaxed);
+        self.publish_leafs();
         Ok(())
     }
 
@@ -178,7 +184,7 @@
 
     async fn failed(&mut self, error: &StoreError) {
         if matches!(error, StoreError::HistoryGone) {
-            self.revision = None;
+            self.cursor.history_gone();
         }
         Event::StoreFailed {
             error,
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -27,6 +27,8 @@
     SettingsUnusable { error: &'a str },
     /// The store answers again, or for the first time.
     StoreReached { after_ms: u128, revision: u64 },
+    /// The store's revision advanced without a change, so changes were missed.
+    ChangesMissed { known: u64, revision: u64 },
     /// A call to the store failed.
     StoreFailed {
         #[serde(serialize_with = "as_text")]
@@ -123,6 +125,7 @@
             | Self::SettingsUnusable { .. } => "lifecycle",
             Self::StoreReached { .. }
             | Self::StoreFailed { .. }
+            | Self::ChangesMissed { .. }
             | Self::ConfigInForce { .. }
             | Self::ConfigIgnored { .. }
             | Self::EntryUnusable { .. } => "config",
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -5,7 +5,7 @@
 
 /// Time after which a caller may return if a daemon or all leafs of a service are unusable; new
 /// leafs and configurations appear within about a second.
-const RETRY_AFTER_UNAVAILABLE: Duration = Duration::from_millis(250);
+const RETRY_AFTER_UNAVAILABLE: Duration = Duration::from_millis(600);
 /// Time after which a caller may return if the leafs are full.
 const RETRY_AFTER_FULL: Duration = Duration::from_millis(100);
 
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use hyper::Response;
 use hyper::header::HeaderValue;
+use medlarpin_core::prelude::ServiceName;
 use medlarpin_core::routing::{GatherPolicy, GatherStep, Route, Scatter, top_records};
 use platform::MergedHead;
 use tokio::time::{sleep_until, timeout};
@@ -40,9 +41,17 @@
         request.time_left(request.arrived_at),
         request.arrived_at,
     );
-    let mut shards: FuturesUnordered<_> = scatter
+    let now = shared.now();
+    let reachable: Vec<&ServiceName> = scatter
         .shards
         .iter()
+        .filter(|shard| shared.can_send(shard, now))
+        .collect();
+    if reachable.len() < policy.needed {
+        return Err(Refusal::NoLeaf);
+    }
+    let mut shards: FuturesUnordered<_> = reachable
+        .into_iter()
         .map(|shard| {
             let call = ServiceCall::new(
                 Arc::clone(&shared),
@@ -61,12 +70,10 @@
             GatherStep::Wait { until } => until,
             GatherStep::Answer => break,
             GatherStep::GiveUp => {
-                let in_flight = !shards.is_empty();
-                return Err(refusal_of_all(
-                    &failures,
-                    !answers.is_empty() || in_flight,
-                    in_flight,
-                ));
+                // A leaf that was sent to may have run the query, whatever its shard's end.
+                let any_ran = !answers.is_empty() || !shards.is_empty();
+                let timed_out = shared.now() >= policy.deadline;
+                return Err(refusal_of_all(&failures, any_ran, timed_out));
             }
         };
         tokio::select! {
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -20,6 +20,9 @@
 const LOSER_GRACE: Duration = Duration::from_millis(200);
 /// Share of the target latency for which a request waits for a leaf that shed it.
 const SHED_WAIT_SHARE: f64 = 0.3;
+/// Preference for leafs in the daemon's own failure domain, whose bytes cost less; leafs elsewhere
+/// count as slower by this factor.
+const OTHER_DOMAIN_RATIO: f64 = 1.2;
 /// Leaf requests beyond the route's limit that did not run, such as those to full leafs.
 const NOT_RUN_MAX: u32 = 2;
 
@@ -48,8 +51,8 @@
     /// True if another leaf may get the request although an earlier one may have run it.
     may_repeat: bool,
     tried: Vec<LeafId>,
-    /// Leafs that may have run the request.
-    ran: u32,
+    /// Leafs that may have run the request, without duplicates.
+    ran: Vec<LeafId>,
     sent: u32,
     failure: ServiceFailure,
 }
@@ -71,7 +74,7 @@
             request,
             may_repeat,
             tried: Vec::new(),
-            ran: 0,
+            ran: Vec::new(),
             sent: 0,
             failure: ServiceFailure {
                 may_have_run: false,
@@ -135,9 +138,7 @@
 
     /// Sends the request to another leaf as well; returns true if a further hedge makes sense.
     fn hedge(&mut self, attempts: &mut FuturesUnordered<Attempt>, now: Instant) -> bool {
-        let limit = self.route.leafs_max;
-        let in_flight = u32::try_from(attempts.len()).unwrap_or(u32::MAX);
-        if self.ran + in_flight >= limit {
+        if self.ran.len() + attempts.len() >= self.leafs_max() {
             return false;
         }
         let Some(leaf) = self.choose(now, true) else {
@@ -167,8 +168,7 @@
         match end {
             Ok(answer) if answer.status.is_success() => Some(answer),
             Ok(answer) => {
-                self.ran += 1;
-                self.failure.may_have_run = true;
+                self.may_have_run(leaf);
                 self.failure.leaf_answer = Some(answer);
                 None
             }
@@ -184,8 +184,7 @@
                 .log();
                 self.shared.metrics.leaf_failed(failure);
                 if failure.may_have_run() {
-                    self.ran += 1;
-                    self.failure.may_have_run = true;
+                    self.may_have_run(leaf);
                 }
                 self.failure.last = Some(failure);
                 None
@@ -196,7 +195,7 @@
     /// Decides where the request goes while no attempt is in flight.
     fn next_leaf(&mut self, now: Instant) -> Next {
         let is_first = self.sent == 0;
-        let may_run_again = self.ran == 0 || (self.may_repeat && self.ran < self.route.leafs_max);
+        let may_run_again = self.ran.is_empty() || self.may_repeat;
         if !may_run_again || self.sent >= self.route.leafs_max + NOT_RUN_MAX {
             return Next::None;
         }
@@ -222,6 +221,18 @@
         }
     }
 
+    fn may_have_run(&mut self, leaf: &Leaf) {
+        self.failure.may_have_run = true;
+        if !self.ran.contains(&leaf.entry.id) {
+            self.ran.push(leaf.entry.id.clone());
+        }
+    }
+
+    /// Returns the most leafs that may run the request.
+    fn leafs_max(&self) -> usize {
+        usize::try_from(self.route.leafs_max).unwrap_or(usize::MAX)
+    }
+
     fn repeat_denied(&self) {
         Event::RepeatDenied {
             request: self.request.id_text(),
@@ -238,15 +249,20 @@
         let mut candidates = Vec::with_capacity(leafs.len());
         for leaf in leafs {
             let is_tried = self.tried.contains(&leaf.entry.id);
-            if !leaf.is_usable(now) || (untried_only && is_tried) {
+            // The limit counts leafs, so one that ran the request may run it again.
+            let is_within_limit =
+                self.ran.len() < self.leafs_max() || self.ran.contains(&leaf.entry.id);
+            if !leaf.is_usable(now) || !is_within_limit || (untried_only && is_tried) {
                 continue;
             }
             let load = leaf.load.lock();
             if load.blocked_until(now).is_some() {
                 continue;
             }
+            let is_near = leaf.entry.failure_domain == *self.shared.failure_domain();
+            let distance = if is_near { 1.0 } else { OTHER_DOMAIN_RATIO };
             candidates.push(Candidate {
-                expected_ratio: load.expected_ratio(leaf.entry.slots, usual, now),
+                expected_ratio: load.expected_ratio(leaf.entry.slots, usual, now) * distance,
                 is_sound: !is_tried && !leaf.is_leaving(),
             });
             drop(load);
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -3,8 +3,8 @@
 use std::time::Instant;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use medlarpin_core::prelude::{Clock, ServiceName};
-use medlarpin_core::routing::{RepeatBudget, RepeatLimits, Route, RoutingConfig};
+use medlarpin_core::prelude::{Clock, FailureDomain, ServiceName};
+use medlarpin_core::routing::{RepeatBudget, RepeatLimits, Route, RoutingConfig, SHED_BACK_OFF};
 use parking_lot::Mutex;
 use settings::RouterSettings;
 
@@ -29,6 +29,7 @@
 pub(crate) struct Shared {
     /// Replaced when the settings file is read again.
     pub(crate) settings: ArcSwap<RouterSettings>,
+    failure_domain: FailureDomain,
     pub(crate) clock: Arc<dyn Clock>,
     /// The configuration in force; `None` until the first one is known.
     pub(crate) config: ArcSwapOption<RoutingConfig>,
@@ -47,6 +48,7 @@
 impl Shared {
     pub(crate) fn new(settings: RouterSettings, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
         Self {
+            failure_domain: settings.failure_domain.clone(),
             settings: ArcSwap::from_pointee(settings),
             clock,
             config: ArcSwapOption::empty(),
@@ -59,6 +61,20 @@
         }
     }
 
+    /// Returns the failure domain of this daemon.
+    pub(crate) fn failure_domain(&self) -> &FailureDomain {
+        &self.failure_domain
+    }
+
+    /// Returns true if a leaf of the service can get a request now or in a moment.
+    pub(crate) fn can_send(&self, service: &ServiceName, now: Instant) -> bool {
+        let soon = now + SHED_BACK_OFF;
+        self.leafs
+            .of(service)
+            .iter()
+            .any(|leaf| leaf.is_usable(now) && leaf.load.lock().blocked_until(soon).is_none())
+    }
+
     pub(crate) fn now(&self) -> Instant {
         self.clock.now()
     }
