--- a/crates/router/src/connections.rs
+++ b/crates/router/src/connections.rs
@@ -1,9 +1,11 @@
 //! Callers' connections and their graceful end.
 
+use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -83,13 +85,27 @@
             limits.idle_timeout.max(limits.header_timeout)
         });
         let mut closing = self.closing.subscribe();
-        let service = service_fn(move |request| handle(Arc::clone(&shared), request));
+        // A connection that is ended before its first request would lose that request, which may be
+        // on its way; its answer ends it instead.
+        let has_served = Arc::new(AtomicBool::new(false));
+        let (served, is_closing) = (Arc::clone(&has_served), self.closing.subscribe());
+        let service = service_fn(move |request| {
+            served.store(true, Ordering::Relaxed);
+            let (shared, is_closing) = (Arc::clone(&shared), is_closing.clone());
+            async move {
+                let mut answer = handle(shared, request).await?;
+                if *is_closing.borrow() {
+                    let close = HeaderValue::from_static("close");
+                    answer.headers_mut().insert(CONNECTION, close);
+                }
+                Ok::<_, Infallible>(answer)
+            }
+        });
         let mut builder = http1::Builder::new();
         builder
             .timer(TokioTimer::new())
             // The library counts idle time as part of the time for the next head.
-            .header_read_timeout(idle + IDLE_MARGIN)
-            .keep_alive(!*closing.borrow());
+            .header_read_timeout(idle + IDLE_MARGIN);
         if let Some(limits) = limits {
             builder.max_buf_size(limits.header_bytes.max(BUFFER_BYTES_MIN));
         }
@@ -98,7 +114,10 @@
         tokio::select! {
             // A broken connection concerns its caller only; the request's own line tells its end.
             _ = connection.as_mut() => return,
-            _ = closing.wait_for(|closing| *closing) => connection.as_mut().graceful_shutdown(),
+            _ = closing.wait_for(|closing| *closing) => {}
+        }
+        if has_served.load(Ordering::Relaxed) {
+            connection.as_mut().graceful_shutdown();
         }
         let _ = connection.await;
     }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -27,6 +27,9 @@
 /// A running daemon that serves published routes.
 #[derive(Debug)]
 pub struct Router {
+    query_address: SocketAddr,
+    readiness_address: SocketAddr,
+    operator_address: SocketAddr,
     shared: Arc<Shared>,
     connections: Arc<Connections>,
 }
@@ -44,10 +47,13 @@
         let query = listen("callers", settings.query_address).await?;
         let checks = listen("readiness checks", settings.readiness_address).await?;
         let operators = listen("operators", settings.operator_address).await?;
+        let query_address = address_of(&query, settings.query_address);
+        let readiness_address = address_of(&checks, settings.readiness_address);
+        let operator_address = address_of(&operators, settings.operator_address);
         Event::Started {
             vm: settings.vm.as_str(),
             failure_domain: settings.failure_domain.as_str(),
-            query_address: settings.query_address,
+            query_address,
         }
         .log();
         let shared = Arc::new(Shared::new(settings, clock, Metrics::new()?));
@@ -60,11 +66,32 @@
         tokio::spawn(Discovery::new(Arc::clone(&shared)).run());
         tokio::spawn(close_idle_connections(Arc::clone(&shared)));
         Ok(Self {
+            query_address,
+            readiness_address,
+            operator_address,
             shared,
             connections,
         })
     }
 
+    /// Returns the address at which callers are served.
+    #[must_use]
+    pub fn query_address(&self) -> SocketAddr {
+        self.query_address
+    }
+
+    /// Returns the address at which the platform asks for readiness.
+    #[must_use]
+    pub fn readiness_address(&self) -> SocketAddr {
+        self.readiness_address
+    }
+
+    /// Returns the address of the operators' endpoints.
+    #[must_use]
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operator_address
+    }
+
     /// Takes over settings that were read again; addresses stay as they were at the start.
     pub fn reload(&self, settings: RouterSettings) {
         let changed = **self.shared.settings.load() != settings;
@@ -107,6 +134,11 @@
     }
 }
 
+/// Returns the address that a listener got; it differs from the asked one if that has port 0.
+fn address_of(listener: &TcpListener, asked: SocketAddr) -> SocketAddr {
+    listener.local_addr().unwrap_or(asked)
+}
+
 async fn listen(what: &'static str, address: SocketAddr) -> Result<TcpListener, RouterError> {
     TcpListener::bind(address)
         .await
--- /dev/null
+++ b/crates/router/tests/support/mod.rs
@@ -0,0 +1,200 @@
+//! A router over a fake store and fake leafs, and a caller.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::header::HeaderMap;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use medlarpin_core::prelude::SystemClock;
+use platform_stand_in::{LeafFake, StoreFake};
+use router::Router;
+use serde_json::{Value, json};
+use settings::RouterSettings;
+use tokio::net::TcpStream;
+
+/// Time within which a change is expected to be in force.
+pub const SOON: Duration = Duration::from_secs(10);
+
+/// A caller's view of an answer.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// Returns a header's text, or nothing.
+    pub fn header(&self, name: &str) -> &str {
+        let value = self.headers.get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or_default()
+    }
+
+    /// Returns the signatures of the shards that are covered.
+    pub fn stamps(&self) -> Vec<&str> {
+        let list = self.header("x-medlarpin-part-stamps");
+        list.split(", ").filter(|stamp| !stamp.is_empty()).collect()
+    }
+}
+
+/// A router and what it depends on.
+pub struct Fixture {
+    pub store: StoreFake,
+    pub leafs: Vec<LeafFake>,
+    pub router: Router,
+}
+
+impl Fixture {
+    /// Starts leafs of the services, the store with their entries and the configuration, and a
+    /// router that is ready. The leafs are named after their service and a number.
+    pub async fn start(services: &[(&str, usize)], config: &Value) -> Self {
+        let store = StoreFake::start().unwrap();
+        let mut leafs = Vec::new();
+        for (service, count) in services {
+            for number in 0..*count {
+                let id = format!("{service}{number}");
+                let mut record = [0; 16];
+                record[..service.len()].copy_from_slice(service.as_bytes());
+                let leaf = LeafFake::start(&id, record).unwrap();
+                store.put(&format!("servers/{id}"), &leaf.entry(service, "ready", 1));
+                leafs.push(leaf);
+            }
+        }
+        store.put("op/config", config);
+        let router = start_router(store.address()).await;
+        let fixture = Self {
+            store,
+            leafs,
+            router,
+        };
+        fixture.wait_until_ready().await;
+        fixture
+    }
+
+    pub fn ran(&self) -> usize {
+        self.leafs.iter().map(|leaf| leaf.ran().len()).sum()
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        let request = Request::get("/api/ready").body(Full::default()).unwrap();
+        let answer = send(self.router.readiness_address(), request).await;
+        answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+    }
+
+    pub async fn wait_until_ready(&self) {
+        let started = Instant::now();
+        while !self.is_ready().await {
+            assert!(started.elapsed() < SOON, "the router is not ready");
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Sends a request of a caller with a time limit of 800 ms.
+    pub async fn ask(&self, method: &str, path: &str, id: &str) -> Answer {
+        send(self.router.query_address(), caller(method, path, id, 800))
+            .await
+            .unwrap()
+    }
+
+    /// Repeats a request until an answer satisfies the condition.
+    pub async fn ask_until(&self, path: &str, condition: impl Fn(&Answer) -> bool) -> Answer {
+        let started = Instant::now();
+        let mut number = 0_u32;
+        loop {
+            number += 1;
+            let answer = self.ask("GET", path, &format!("repeat-{number}")).await;
+            if condition(&answer) {
+                return answer;
+            }
+            assert!(started.elapsed() < SOON, "last answer: {answer:?}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+pub async fn start_router(store_address: SocketAddr) -> Router {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let settings = RouterSettings {
+        vm: "vm-1".into(),
+        failure_domain: "z1".into(),
+        region: "r1".into(),
+        query_address: any,
+        readiness_address: any,
+        peer_address: None,
+        operator_address: any,
+        seed_addresses: Vec::new(),
+        store_address,
+        drain: Duration::from_secs(3),
+        shutdown_grace: Duration::from_secs(6),
+        repeat_ratio: 0.2,
+        repeat_window: Duration::from_secs(10),
+        repeat_slack: 640.0,
+        log_lines_per_s: 100,
+    };
+    Router::start(settings, Arc::new(SystemClock))
+        .await
+        .unwrap()
+}
+
+pub fn caller(method: &str, path: &str, id: &str, limit_ms: u64) -> Request<Full<Bytes>> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "a.example")
+        .header("x-medlarpin-request-id", id)
+        .header("x-medlarpin-deadline-ms", limit_ms)
+        .body(Full::default())
+        .unwrap()
+}
+
+/// Sends a request on a new connection.
+pub async fn send(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<Answer, hyper::Error> {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (mut sender, connection) =
+        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    let connection = tokio::spawn(connection);
+    let response = sender.send_request(request).await?;
+    let (head, body) = response.into_parts();
+    let body = body.collect().await?.to_bytes();
+    drop(sender);
+    connection.abort();
+    Ok(Answer {
+        status: head.status,
+        headers: head.headers,
+        body,
+    })
+}
+
+/// Returns a configuration with a scattered, a repeatable and an at-most-once route.
+pub fn config(version: u64, shards: &[&str], single: &str) -> Value {
+    let route = |name: &str, prefix: &str, repeat: &str| {
+        json!({
+            "name": name, "host": "a.example", "prefix": prefix, "type": repeat,
+            "timeoutMs": 800, "targetLatencyMs": 200, "priority": 1, "attempts": 2,
+        })
+    };
+    let mut scattered = route("scattered", "/all/", "idempotent");
+    scattered["fanout"] = json!(shards);
+    scattered["topK"] = json!(2);
+    scattered["minCoverage"] = json!(0.6);
+    let mut repeatable = route("repeatable", "/one/", "idempotent");
+    repeatable["service"] = json!(single);
+    let mut once = route("once", "/once/", "non_idempotent");
+    once["service"] = json!(single);
+    json!({
+        "version": version,
+        "routes": [scattered, repeatable, once],
+        "services": [{"name": single, "healthPath": "/health", "maxConns": 58}],
+        "limits": {
+            "maxHeaderBytes": 16_384, "maxBodyBytes": 1_000,
+            "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000,
+        },
+    })
+}
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -6,7 +6,7 @@
 pub mod deployment;
 pub mod leaf;
 pub mod platform;
-mod server;
+pub mod server;
 
 /// The types that most users of the fakes need.
 pub mod prelude {
--- a/crates/stand-ins/src/server.rs
+++ b/crates/stand-ins/src/server.rs
@@ -24,12 +24,13 @@
 
 /// the connection is closed without a reply
 #[derive(Debug, Clone, Copy, Display, Error)]
-pub(crate) struct CloseConnection;
+pub struct CloseConnection;
 
-pub(crate) type Reply = Result<Response<Full<Bytes>>, CloseConnection>;
+/// What a handler returns.
+pub type Reply = Result<Response<Full<Bytes>>, CloseConnection>;
 
 /// What a fake does with connections and requests.
-pub(crate) trait Handler: Send + Sync + 'static {
+pub trait Handler: Send + Sync + 'static {
     /// Kept by the server for as long as the connection is open.
     type Connection: Send + 'static;
 
@@ -49,10 +50,12 @@
 
 /// Opens and closes the port; cloned into handlers that crash their own server.
 #[derive(Debug, Clone)]
-pub(crate) struct Control(watch::Sender<State>);
+pub struct Control(watch::Sender<State>);
 
 impl Control {
-    pub(crate) fn new() -> Self {
+    /// Creates the control of a server that listens.
+    #[must_use]
+    pub fn new() -> Self {
         Self(watch::Sender::new(State {
             listening: true,
             epoch: 0,
@@ -60,7 +63,7 @@
     }
 
     /// Refuses connections from now on and closes those that are open.
-    pub(crate) fn go_down(&self) {
+    pub fn go_down(&self) {
         self.0.send_modify(|state| {
             state.listening = false;
             state.epoch += 1;
@@ -68,25 +71,38 @@
     }
 
     /// Refuses or accepts new connections; open ones are kept.
-    pub(crate) fn set_listening(&self, listening: bool) {
+    pub fn set_listening(&self, listening: bool) {
         self.0.send_modify(|state| state.listening = listening);
     }
 
-    pub(crate) fn is_listening(&self) -> bool {
+    /// Returns true if new connections are accepted.
+    #[must_use]
+    pub fn is_listening(&self) -> bool {
         self.0.borrow().listening
     }
 }
 
+impl Default for Control {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 /// A running server; dropping it closes the port and all connections.
 #[derive(Debug)]
-pub(crate) struct Server {
+pub struct Server {
     address: SocketAddr,
     /// Owns the connections' tasks, which end with it.
     task: JoinHandle<()>,
 }
 
 impl Server {
-    pub(crate) fn start<H: Handler>(handler: Arc<H>, control: Control) -> io::Result<Self> {
+    /// Starts a server on a port of 127.0.0.1 that the operating system assigns.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be listened on.
+    pub fn start<H: Handler>(handler: Arc<H>, control: Control) -> io::Result<Self> {
         let socket = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
         let address = socket.local_addr()?;
         let listener = socket.listen(BACKLOG)?;
@@ -94,7 +110,9 @@
         Ok(Self { address, task })
     }
 
-    pub(crate) fn address(&self) -> SocketAddr {
+    /// Returns the server's address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
         self.address
     }
 }
@@ -209,7 +227,8 @@
     }
 }
 
-pub(crate) fn json(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+/// Returns a reply with a JSON body.
+pub fn json(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(body.into()));
     *response.status_mut() = status;
     response
@@ -218,7 +237,9 @@
     response
 }
 
-pub(crate) fn empty(status: StatusCode) -> Response<Full<Bytes>> {
+/// Returns a reply without a body.
+#[must_use]
+pub fn empty(status: StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     *response.status_mut() = status;
     response
