Check the router's settings and follow a request through several logs

Cause: `medlarpin check` did not know the settings of a daemon that serves published routes, and an id had to be searched for by hand in the logs of all daemons.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -43,6 +43,10 @@
         tree: Option<PathBuf>,
         subject: String,
     },
+    History {
+        request: String,
+        files: Vec<PathBuf>,
+    },
     Query(QueryRequest),
 }
 
@@ -94,7 +98,12 @@
              'invoice 4711'",
         )
         .command("query");
-    construct!([check, status, dump, teams, team, explain, query])
+    let history = history()
+        .to_options()
+        .descr("Shows what the logs of daemons that serve published routes say about a request")
+        .footer("Examples:\n   medlarpin history 9c41d07be2a35f68 vm-01.log vm-02.log")
+        .command("history");
+    construct!([check, status, dump, teams, team, explain, history, query])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Operators' tool of medlarpin; it writes no shared state")
@@ -176,6 +185,18 @@
     })
 }
 
+fn history() -> impl Parser<Options> {
+    let json = json();
+    let request = positional::<String>("REQUEST").help("Identifier of the caller's request");
+    let files = positional::<PathBuf>("LOG")
+        .help("Files with the daemons' standard output")
+        .some("name at least one LOG");
+    construct!(json, request, files).map(|(json, request, files)| Options {
+        json,
+        command: Command::History { request, files },
+    })
+}
+
 fn query() -> impl Parser<Options> {
     let json = json();
     let at = long("at")
@@ -231,13 +252,13 @@
 
 fn as_kind() -> impl Parser<Option<Format>> {
     long("as")
-        .help("Kind of the files, if their path does not tell: daemon, team, service or index")
+        .help("Kind of the files, if their path does not tell: daemon, router, team, service or index")
         .argument::<String>("KIND")
         .parse(|text| {
             let found = Format::ALL
                 .into_iter()
                 .find(|format| format.as_str() == text);
-            found.ok_or("expected daemon, team, service or index")
+            found.ok_or("expected daemon, router, team, service or index")
         })
         .optional()
 }
--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 
 use serde_json::{Value, json};
-use settings::{Format, SettingsError, check_tree, parse_daemon, parse_subtree};
+use settings::{Format, SettingsError, check_tree, parse_daemon, parse_router, parse_subtree};
 
 use crate::check_files::{FileKind, SettingsFile, files_below, is_tree, read_file, read_in_tree};
 use crate::error::CliError;
@@ -94,6 +94,7 @@
     let name = file.to_string_lossy();
     let result = match &read.kind {
         FileKind::Daemon => parse_daemon(&read.text, &name).map(drop),
+        FileKind::Router => parse_router(&read.text, &name).map(drop),
         FileKind::Subtree(path) => parse_subtree(path, &read.text).map(drop),
     };
     result.map_err(|error| Finding::Refused(error.with_file(&name)))
@@ -132,6 +133,10 @@
                 let error = parse_daemon(&text, &name).err();
                 findings.extend(error.map(Finding::Refused));
             }
+            FileKind::Router => {
+                let error = parse_router(&text, &name).err();
+                findings.extend(error.map(Finding::Refused));
+            }
             FileKind::Subtree(path) => {
                 names.push((path.clone(), name));
                 texts.push((path, text));
--- a/crates/cli/src/check_files.rs
+++ b/crates/cli/src/check_files.rs
@@ -21,6 +21,7 @@
 #[derive(Debug)]
 pub(crate) enum FileKind {
     Daemon,
+    Router,
     /// Path within the settings tree.
     Subtree(String),
 }
@@ -129,10 +130,11 @@
             .is_ok()
             .then_some(FileKind::Subtree(path))
     };
-    let is_daemon = || parts.last().is_some_and(|name| name.starts_with("daemon"));
+    let is_named = |start: &str| parts.last().is_some_and(|name| name.starts_with(start));
     subtree(3)
         .or_else(|| subtree(2))
-        .or_else(|| is_daemon().then_some(FileKind::Daemon))
+        .or_else(|| is_named("daemon").then_some(FileKind::Daemon))
+        .or_else(|| is_named("router").then_some(FileKind::Router))
 }
 
 /// Returns the kind asked for; names that the path does not give are placeholders.
@@ -140,6 +142,7 @@
     let stem = file.file_stem().unwrap_or_default().to_string_lossy();
     let path = match format {
         Format::Daemon => return FileKind::Daemon,
+        Format::Router => return FileKind::Router,
         Format::Team => format!("teams/{stem}"),
         Format::Service => format!("services/{stem}"),
         Format::Index => match kind_of(file) {
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -67,6 +67,8 @@
     },
     /// the daemon has no recent request `{id}`; ask the VM that answered it
     NoRequest { id: String },
+    /// no line of the logs names request `{id}`; give the logs of the VM that answered it
+    NotLogged { id: String },
     /// `{subject}` is neither SERVICE/SHARD nor at least 8 hex digits of a request id
     BadSubject { subject: String },
 }
@@ -92,7 +94,8 @@
             Self::NoTeam { .. }
             | Self::NoService { .. }
             | Self::NoShard { .. }
-            | Self::NoRequest { .. } => Exit::NotFound,
+            | Self::NoRequest { .. }
+            | Self::NotLogged { .. } => Exit::NotFound,
             Self::BadSubject { .. } => Exit::Usage,
             Self::Status { status, .. } if (400..500).contains(status) => Exit::Refused,
             Self::Runtime { .. }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,6 +9,7 @@
 mod error;
 mod exit;
 mod explain;
+mod history;
 mod http;
 mod query;
 mod reasons;
@@ -59,6 +60,7 @@
     match options.command {
         Command::Check { as_kind, files } => Ok(check::check(as_kind, &files, json)),
         Command::Defaults { as_kind } => Ok(check::defaults(as_kind, json)),
+        Command::History { request, files } => history::history(&request, &files, json),
         Command::Query(request) => runtime.block_on(query::query(&request, json)),
         Command::Status { operator } => {
             let state = runtime.block_on(state::fetch(operator))?;
--- a/crates/cli/tests/check.rs
+++ b/crates/cli/tests/check.rs
@@ -32,7 +32,9 @@
 /// Guards against two different mistakes that an operator cannot tell apart.
 #[test]
 fn broken_files_have_useful_errors() {
-    let broken: [(&str, &[u8], &str); 11] = [
+    let broken: [(&str, &[u8], &str); 13] = [
+        ("router.jsonc", b"{\"vm\": \"a\", \"drain\": 3}", "router.jsonc:1:13: $.drain: unknown key `drain`; hint: did you mean `drain_s`?"),
+        ("router.jsonc", b"{\"vm\": \"a\", \"failure_domain\": \"b\", \"region\": \"c\", \"query_address\": \"front\"}", "router.jsonc:1:68: $.query_address: `front` is not a usable address; hint: write an IP address and a port, for example 192.0.2.7:9000; host names are not resolved, and a remote address needs a port other than 0"),
         ("teams/a.jsonc", b"{\"rate_limit\": 1}", "teams/a.jsonc:1:2: $.rate_limit: unknown key `rate_limit`; hint: did you mean `rate_limit_per_s`?"),
         ("teams/b.jsonc", b"{\n  \"weight\": 1,\n  \"weight\": 2\n}", "teams/b.jsonc:3:3: $.weight: duplicate key `weight`; hint: keep one of the two"),
         ("teams/c.jsonc", b"{\"weight\": 1,", "teams/c.jsonc:1:1: $: not valid JSON with comments: Unterminated object; hint: check the quotes, commas and brackets here and on the line before"),
--- a/crates/router/tests/promises.rs
+++ b/crates/router/tests/promises.rs
@@ -21,7 +21,12 @@
     let mut shards: Vec<&str> = answer.stamps().iter().map(|stamp| &stamp[..1]).collect();
     shards.sort_unstable();
     assert_eq!(shards, NAMES);
-    assert!(answer.stamps().iter().all(|stamp| stamp.ends_with(".r1")));
+    assert!(
+        answer
+            .stamps()
+            .iter()
+            .all(|stamp| stamp.split_once('.').is_some_and(|(_, id)| id == "r1"))
+    );
     assert_eq!(&answer.body[..1], b"c");
     assert_eq!(&answer.body[16..17], b"b");
     assert_eq!(answer.body.len(), 32);
--- a/crates/settings/src/format.rs
+++ b/crates/settings/src/format.rs
@@ -3,6 +3,8 @@
 pub enum Format {
     /// Settings of one daemon, read at its start.
     Daemon,
+    /// Settings of a daemon that serves published routes, read at its start.
+    Router,
     /// Settings of a team, at `teams/<team>`.
     Team,
     /// A service and its leafs, at `services/<service>`.
@@ -13,13 +15,20 @@
 
 impl Format {
     /// All formats.
-    pub const ALL: [Self; 4] = [Self::Daemon, Self::Team, Self::Service, Self::Index];
+    pub const ALL: [Self; 5] = [
+        Self::Daemon,
+        Self::Router,
+        Self::Team,
+        Self::Service,
+        Self::Index,
+    ];
 
     /// Returns the format's name.
     #[must_use]
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Daemon => "daemon",
+            Self::Router => "router",
             Self::Team => "team",
             Self::Service => "service",
             Self::Index => "index",
@@ -31,6 +40,7 @@
     pub fn defaults(self) -> &'static str {
         match self {
             Self::Daemon => include_str!("../defaults/daemon.jsonc"),
+            Self::Router => include_str!("../defaults/router.jsonc"),
             Self::Team => include_str!("../defaults/team.jsonc"),
             Self::Service => include_str!("../defaults/service.jsonc"),
             Self::Index => include_str!("../defaults/index.jsonc"),
--- a/crates/settings/tests/formats.rs
+++ b/crates/settings/tests/formats.rs
@@ -39,6 +39,38 @@
     }
 }
 
+/// Guards against defaults of the router's settings that are not accepted, and against numbers
+/// without a fraction or out of range that are.
+#[test]
+fn router_settings_are_checked() {
+    let defaults = Format::Router.defaults();
+    let parsed = parse_router(defaults, "defaults").unwrap();
+    assert_eq!(parsed.log_lines_per_s, 100);
+    let check = |from: &str, to: &str, expected: Option<&str>| {
+        let text = defaults.replace(from, to);
+        assert_ne!(text, defaults, "{from}");
+        let error = parse_router(&text, "router").err();
+        let message = error.map(|error| error.to_string());
+        assert_eq!(message.as_deref(), expected);
+    };
+    check("\"drain_s\": 3", "\"drain_s\": 3000e-3", None);
+    check(
+        "\"drain_s\": 3",
+        "\"drain_s\": -1",
+        Some(
+            "router:17:14: $.drain_s: -1 is out of range; hint: write a number from 0 to 3600 \
+             (seconds)",
+        ),
+    );
+    check(
+        "\"repeat_ratio\": 0.2,",
+        "",
+        Some(
+            "router:3:1: $: required key `repeat_ratio` is missing; hint: add \"repeat_ratio\": 0.2",
+        ),
+    );
+}
+
 fn check_refused(path: &str, text: &str, expected: &str) {
     let error = match path {
         "daemon.jsonc" => parse_daemon(text, path).unwrap_err(),
