Name the leafs and shards behind a refusal in the logs

Change: lines for leafs that stayed silent, for services without a usable leaf (published, leaving, blocked) and for the shards that an answer or a query that was given up lacks; refusals carry the version in force.

--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -159,6 +159,7 @@
                 request,
                 route: route.unwrap_or("none"),
                 reason: refusal,
+                config_version: shared.config_version(),
                 after_ms: elapsed.as_millis(),
             }
             .log();
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -66,6 +66,24 @@
         failure: LeafFailure,
         after_ms: u128,
     },
+    /// The time was over while leafs had not answered.
+    LeafsSilent {
+        request: &'a str,
+        service: &'a str,
+        leafs: &'a [&'a str],
+        after_ms: u128,
+    },
+    /// No leaf of a service could be sent to.
+    NoUsableLeaf {
+        request: &'a str,
+        service: &'a str,
+        /// Leafs that are published for the service.
+        published: usize,
+        /// Leafs that have announced their end.
+        leaving: usize,
+        /// Leafs that get no requests for a moment after failures or rejections.
+        blocked: usize,
+    },
     /// A request was sent to another leaf as well.
     Hedged {
         request: &'a str,
@@ -81,6 +99,8 @@
         covered: usize,
         asked: usize,
         in_flight: usize,
+        /// Some of the missing shards.
+        missing: &'a [&'a str],
     },
     /// A caller got an answer.
     Answered {
@@ -94,6 +114,7 @@
         request: &'a str,
         route: &'a str,
         reason: Refusal,
+        config_version: u64,
         after_ms: u128,
     },
     /// A request is not well-formed.
@@ -129,9 +150,11 @@
             | Self::ConfigInForce { .. }
             | Self::ConfigIgnored { .. }
             | Self::EntryUnusable { .. } => "config",
-            Self::LeafChanged { .. } | Self::LeafWithdrawn { .. } | Self::LeafFailed { .. } => {
-                "leaf"
-            }
+            Self::LeafChanged { .. }
+            | Self::LeafWithdrawn { .. }
+            | Self::LeafFailed { .. }
+            | Self::LeafsSilent { .. }
+            | Self::NoUsableLeaf { .. } => "leaf",
             Self::Hedged { .. } | Self::RepeatDenied { .. } | Self::ShardsMissing { .. } => {
                 "gather"
             }
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -48,6 +48,13 @@
         .filter(|shard| shared.can_send(shard, now))
         .collect();
     if reachable.len() < policy.needed {
+        for shard in scatter
+            .shards
+            .iter()
+            .filter(|shard| !reachable.contains(shard))
+        {
+            shared.log_no_usable_leaf(request.id_text(), shard, now);
+        }
         return Err(Refusal::NoLeaf);
     }
     let mut shards: FuturesUnordered<_> = reachable
@@ -60,10 +67,11 @@
                 Arc::clone(state),
                 Arc::clone(request),
             );
-            call.run()
+            let service = shard.clone();
+            async move { (service, call.run().await) }
         })
         .collect();
-    let mut answers: Vec<LeafAnswer> = Vec::with_capacity(policy.asked);
+    let mut answers: Vec<(ServiceName, LeafAnswer)> = Vec::with_capacity(policy.asked);
     let mut failures: Vec<ServiceFailure> = Vec::new();
     loop {
         let until = match policy.step(answers.len(), shards.len(), shared.now()) {
@@ -73,30 +81,21 @@
                 // A leaf that was sent to may have run the query, whatever its shard's end.
                 let any_ran = !answers.is_empty() || !shards.is_empty();
                 let timed_out = shared.now() >= policy.deadline;
+                record_missing(&shared, scatter, request, &answers, shards.len());
                 return Err(refusal_of_all(&failures, any_ran, timed_out));
             }
         };
         tokio::select! {
             biased;
             Some(end) = shards.next() => match end {
-                Ok(answer) => answers.push(answer),
-                Err(failure) => failures.push(failure),
+                (service, Ok(answer)) => answers.push((service, answer)),
+                (_, Err(failure)) => failures.push(failure),
             },
             () = sleep_until(until.into()) => {}
         }
     }
     shared.metrics.gathered(shared.now() - request.arrived_at);
-    let missing = policy.asked - answers.len();
-    if missing > 0 {
-        shared.metrics.missing_shards.inc_by(missing as u64);
-        Event::ShardsMissing {
-            request: request.id_text(),
-            covered: answers.len(),
-            asked: policy.asked,
-            in_flight: shards.len(),
-        }
-        .log();
-    }
+    record_missing(&shared, scatter, request, &answers, shards.len());
     if !shards.is_empty() {
         tokio::spawn(async move {
             let all = async { while shards.next().await.is_some() {} };
@@ -107,6 +106,42 @@
     Ok(merge(scatter, policy.asked, &answers, &request.id))
 }
 
+/// Logs and counts the shards that are not covered.
+fn record_missing(
+    shared: &Shared,
+    scatter: &Scatter,
+    request: &CallerRequest,
+    answers: &[(ServiceName, LeafAnswer)],
+    in_flight: usize,
+) {
+    let missing = scatter.shards.len() - answers.len();
+    if missing == 0 {
+        return;
+    }
+    shared.metrics.missing_shards.inc_by(missing as u64);
+    Event::ShardsMissing {
+        request: request.id_text(),
+        covered: answers.len(),
+        asked: scatter.shards.len(),
+        in_flight,
+        missing: &missing_names(scatter, answers),
+    }
+    .log();
+}
+
+/// Returns the names of some shards that are not covered.
+fn missing_names<'a>(scatter: &'a Scatter, answers: &[(ServiceName, LeafAnswer)]) -> Vec<&'a str> {
+    /// Names in one log line.
+    const NAMES_MAX: usize = 5;
+    scatter
+        .shards
+        .iter()
+        .filter(|shard| answers.iter().all(|(covered, _)| covered != *shard))
+        .map(ServiceName::as_str)
+        .take(NAMES_MAX)
+        .collect()
+}
+
 /// Returns why a query is given up, from the failures of its shards.
 fn refusal_of_all(failures: &[ServiceFailure], any_ran: bool, timed_out: bool) -> Refusal {
     let may_have_run = any_ran || failures.iter().any(|failure| failure.may_have_run);
@@ -122,14 +157,17 @@
 fn merge(
     scatter: &Scatter,
     asked: usize,
-    answers: &[LeafAnswer],
+    answers: &[(ServiceName, LeafAnswer)],
     request_id: &HeaderValue,
 ) -> Answer {
     let records = top_records(
-        answers.iter().map(|answer| &*answer.body),
+        answers.iter().map(|(_, answer)| &*answer.body),
         scatter.records_max,
     );
-    let stamps: Vec<HeaderValue> = answers.iter().map(|answer| answer.stamp.clone()).collect();
+    let stamps: Vec<HeaderValue> = answers
+        .iter()
+        .map(|(_, answer)| answer.stamp.clone())
+        .collect();
     let mut response = Response::new(Full::new(Bytes::from(records)));
     *response.headers_mut() = platform::merged_headers(MergedHead {
         stamps: &stamps,
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -96,6 +96,7 @@
         loop {
             let now = self.shared.now();
             if now >= self.request.deadline {
+                self.log_silent(now);
                 self.failure.timed_out = true;
                 self.failure.may_have_run |= !attempts.is_empty();
                 return Err(self.failure);
@@ -217,10 +218,26 @@
             .min();
         match free_at {
             Some(at) if at <= latest => Next::WaitUntil(at),
-            _ => Next::None,
+            _ => {
+                let request = self.request.id_text();
+                self.shared.log_no_usable_leaf(request, &self.service, now);
+                Next::None
+            }
         }
     }
 
+    fn log_silent(&self, now: Instant) {
+        let leafs: Vec<&str> = self.tried.iter().map(LeafId::as_str).collect();
+        let waited = now.saturating_duration_since(self.request.arrived_at);
+        Event::LeafsSilent {
+            request: self.request.id_text(),
+            service: self.service.as_str(),
+            leafs: &leafs,
+            after_ms: waited.as_millis(),
+        }
+        .log();
+    }
+
     fn may_have_run(&mut self, leaf: &Leaf) {
         self.failure.may_have_run = true;
         if !self.ran.contains(&leaf.entry.id) {
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -8,6 +8,8 @@
 use parking_lot::Mutex;
 use settings::RouterSettings;
 
+use crate::event::Event;
+use crate::leaf::Leaf;
 use crate::leaf_table::LeafTable;
 use crate::metrics::Metrics;
 use crate::route_state::RouteState;
@@ -66,6 +68,28 @@
         &self.failure_domain
     }
 
+    /// Returns the version in force; 0 if there is none.
+    pub(crate) fn config_version(&self) -> u64 {
+        let config = self.config.load();
+        config.as_ref().map_or(0, |config| config.version.0)
+    }
+
+    /// Logs why no leaf of a service can get a request.
+    pub(crate) fn log_no_usable_leaf(&self, request: &str, service: &ServiceName, now: Instant) {
+        let leafs = self.leafs.of(service);
+        let count = |is_counted: fn(&Leaf, Instant) -> bool| {
+            leafs.iter().filter(|leaf| is_counted(leaf, now)).count()
+        };
+        Event::NoUsableLeaf {
+            request,
+            service: service.as_str(),
+            published: leafs.len(),
+            leaving: count(|leaf, _| leaf.is_leaving()),
+            blocked: count(|leaf, now| leaf.load.lock().blocked_until(now).is_some()),
+        }
+        .log();
+    }
+
     /// Returns true if a leaf of the service can get a request now or in a moment.
     pub(crate) fn can_send(&self, service: &ServiceName, now: Instant) -> bool {
         let soon = now + SHED_BACK_OFF;
