Exchange daemon lists and the published items between daemons

Ruled out: UDP gossip with an own codec (capnp-rpc serves both exchanges); full lists in each message (20 KB at 500 daemons, above 6 KB/s); 64 daemons a message (489 of 499 known after 60 exchanges).

Change: RoutePeer (Cap'n Proto RPC at the control address): daemons exchange up to 128 known daemons every 2 s, and one that cannot read the store at its start takes the published items from another one. The first reads of a start end after 150 ms, 300 ms and so on. DaemonList counts the daemons that were heard within a minute; until 6 s after the first contact at least 32 are assumed.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -128,7 +128,8 @@
         .enable_all()
         .build()
         .map_err(RunError::Runtime)?;
-    runtime.block_on(async {
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, async {
         let mut terminate = signal(SignalKind::terminate()).map_err(RunError::Runtime)?;
         let mut interrupt = signal(SignalKind::interrupt()).map_err(RunError::Runtime)?;
         let mut reload = signal(SignalKind::hangup()).map_err(RunError::Runtime)?;
--- /dev/null
+++ b/crates/medlarpin-core/src/routing/daemon_list.rs
@@ -0,0 +1,125 @@
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Time after which a silent daemon is no longer counted. Longer than a restart or a short
+/// partition, so that the others do not take over its share of a limit meanwhile.
+pub const FORGOTTEN_AFTER: Duration = Duration::from_mins(1);
+/// Time from the first contact with another daemon until the number of daemons is used: the lists
+/// of two or three exchanges are complete by then.
+pub const SETTLED_AFTER: Duration = Duration::from_secs(6);
+/// Daemons that are assumed while the number is unknown; above most deployments, so that shares of
+/// a limit are too small rather than too large.
+pub const DAEMONS_ASSUMED: usize = 32;
+/// Daemons in one message. A daemon starts an exchange every two seconds and takes part in another
+/// one, so 128 daemons of 16 bytes in four messages are 4 KB/s at the design size of 500.
+const LIST_MAX: usize = 128;
+
+/// The other daemons that this one has heard of.
+///
+/// Each exchange tells both sides what the other one knows, so a daemon that starts with a few
+/// seeds learns all in a few exchanges.
+#[derive(Debug, Clone)]
+pub struct DaemonList {
+    own: SocketAddr,
+    /// Sorted by address, without duplicates and without the own address.
+    others: Vec<(SocketAddr, Instant)>,
+    /// First time at which another daemon was heard.
+    first_heard: Option<Instant>,
+}
+
+impl DaemonList {
+    /// Creates the list of a daemon that knows no other.
+    #[must_use]
+    pub fn new(own: SocketAddr) -> Self {
+        Self {
+            own,
+            others: Vec::new(),
+            first_heard: None,
+        }
+    }
+
+    /// Returns the own address.
+    #[must_use]
+    pub fn own(&self) -> SocketAddr {
+        self.own
+    }
+
+    /// Records that someone heard from a daemon this long ago.
+    pub fn heard(&mut self, daemon: SocketAddr, silent: Duration, now: Instant) {
+        let Some(at) = now.checked_sub(silent) else {
+            return;
+        };
+        if daemon == self.own || silent >= FORGOTTEN_AFTER {
+            return;
+        }
+        self.first_heard.get_or_insert(now);
+        match self
+            .others
+            .binary_search_by(|(known, _)| known.cmp(&daemon))
+        {
+            Ok(index) => self.others[index].1 = self.others[index].1.max(at),
+            Err(index) => self.others.insert(index, (daemon, at)),
+        }
+    }
+
+    /// Drops the daemons that were silent for too long.
+    pub fn forget(&mut self, now: Instant) {
+        self.others
+            .retain(|(_, at)| now.saturating_duration_since(*at) < FORGOTTEN_AFTER);
+    }
+
+    /// Returns known daemons and how long they have been silent, for another daemon.
+    ///
+    /// A message holds a part of a long list; `random` is uniform and picks the part.
+    #[must_use]
+    pub fn known(&self, random: u64, now: Instant) -> Vec<(SocketAddr, Duration)> {
+        let count = u64::try_from(self.others.len()).unwrap_or(1).max(1);
+        let first = usize::try_from(random % count).unwrap_or(0);
+        self.others
+            .iter()
+            .cycle()
+            .skip(first)
+            .take(self.others.len().min(LIST_MAX))
+            .map(|(daemon, at)| (*daemon, now.saturating_duration_since(*at)))
+            .collect()
+    }
+
+    /// Returns the daemon to exchange lists with; `random` is uniform.
+    ///
+    /// Seeds are asked as often as all others together: they may be the only link between daemons
+    /// that started apart.
+    #[must_use]
+    pub fn next_partner(&self, seeds: &[SocketAddr], random: u64) -> Option<SocketAddr> {
+        let seeds: Vec<SocketAddr> = seeds
+            .iter()
+            .copied()
+            .filter(|seed| *seed != self.own)
+            .collect();
+        let pick = |count: usize| {
+            let count = u64::try_from(count).unwrap_or(1).max(1);
+            usize::try_from((random / 2) % count).unwrap_or(0)
+        };
+        let from_seeds = seeds.get(pick(seeds.len())).copied();
+        let from_others = self.others.get(pick(self.others.len()));
+        let from_others = from_others.map(|(daemon, _)| *daemon);
+        if random.is_multiple_of(2) {
+            from_seeds.or(from_others)
+        } else {
+            from_others.or(from_seeds)
+        }
+    }
+
+    /// Returns the number of daemons among which a limit is divided.
+    #[must_use]
+    pub fn sharing(&self, now: Instant) -> usize {
+        let known = self.others.len() + 1;
+        let is_settled = self
+            .first_heard
+            .is_some_and(|at| now.saturating_duration_since(at) >= SETTLED_AFTER);
+        if is_settled {
+            known
+        } else {
+            known.max(DAEMONS_ASSUMED)
+        }
+    }
+}
--- a/crates/medlarpin-core/src/routing/mod.rs
+++ b/crates/medlarpin-core/src/routing/mod.rs
@@ -1,6 +1,7 @@
 //! Published routes and the leafs that serve them: where a caller's request goes, how often, and
 //! when it is answered.
 
+mod daemon_list;
 mod gather_policy;
 mod leaf_directory;
 mod leaf_entry;
@@ -15,6 +16,7 @@
 mod top_records;
 mod watch_cursor;
 
+pub use daemon_list::{DAEMONS_ASSUMED, DaemonList, FORGOTTEN_AFTER, SETTLED_AFTER};
 pub use gather_policy::{GatherPolicy, GatherStep};
 pub use leaf_directory::LeafDirectory;
 pub use leaf_entry::{LeafEntry, LeafPhase};
--- /dev/null
+++ b/crates/medlarpin-core/tests/routing_daemons.rs
@@ -0,0 +1,112 @@
+//! Decisions on which other daemons are known and how a limit is divided among them.
+
+use std::net::SocketAddr;
+
+use medlarpin_core::prelude::*;
+use medlarpin_core::routing::{DAEMONS_ASSUMED, DaemonList, FORGOTTEN_AFTER, SETTLED_AFTER};
+
+fn address(number: u8) -> SocketAddr {
+    ([192, 0, 2, number], 8106).into()
+}
+
+/// Guards against a daemon that has just started, or is alone because of a partition, and takes the
+/// whole limit.
+#[test]
+fn a_limit_is_divided_among_the_known_daemons() {
+    let start = Instant::now();
+    let mut list = DaemonList::new(address(0));
+    assert_eq!(list.sharing(start + SETTLED_AFTER * 2), DAEMONS_ASSUMED);
+    for number in 0..20 {
+        list.heard(address(number), Duration::ZERO, start);
+    }
+    assert_eq!(list.sharing(start), DAEMONS_ASSUMED);
+    assert_eq!(list.sharing(start + SETTLED_AFTER), 20);
+    list.forget(start + FORGOTTEN_AFTER / 2);
+    assert_eq!(list.sharing(start + FORGOTTEN_AFTER / 2), 20);
+    for number in 20..100 {
+        list.heard(address(number), Duration::ZERO, start + SETTLED_AFTER);
+    }
+    assert_eq!(list.sharing(start + SETTLED_AFTER), 100);
+    list.forget(start + FORGOTTEN_AFTER * 2);
+    assert_eq!(list.sharing(start + FORGOTTEN_AFTER * 2), 1);
+}
+
+/// Guards against a daemon that is gone and lives on in the lists that others pass on.
+#[test]
+fn a_passed_on_daemon_keeps_its_silence() {
+    let start = Instant::now();
+    let (mut first, mut second) = (DaemonList::new(address(1)), DaemonList::new(address(2)));
+    first.heard(address(9), Duration::ZERO, start);
+    let mut now = start;
+    for _ in 0..200 {
+        now += Duration::from_secs(1);
+        for (daemon, silent) in first.known(0, now) {
+            second.heard(daemon, silent, now);
+        }
+        for (daemon, silent) in second.known(0, now) {
+            first.heard(daemon, silent, now);
+        }
+        first.forget(now);
+        second.forget(now);
+    }
+    assert!(first.known(0, now).is_empty());
+    assert!(second.known(0, now).is_empty());
+}
+
+/// Guards against daemons that never learn of each other, at 500 daemons with three seeds of which
+/// one is down: after 60 exchanges each knows 99 of 100, which divides a limit closely enough, as a
+/// tenth of it is kept back.
+#[test]
+fn all_daemons_learn_of_each_other() {
+    const DAEMONS: u16 = 500;
+    const DOWN: usize = 1;
+    let at = |number: u16| -> SocketAddr { ([10, 0, 0, 1], 1_000 + number).into() };
+    let seeds = [at(0), at(1), at(2)];
+    let mut lists: Vec<DaemonList> = (0..DAEMONS)
+        .map(|number| DaemonList::new(at(number)))
+        .collect();
+    let start = Instant::now();
+    let mut random = 1_u64;
+    for round in 0..60 {
+        let now = start + Duration::from_secs(round);
+        for index in (0..lists.len()).filter(|index| *index != DOWN) {
+            random = medlarpin_core::ids::stable_hash(&[&random.to_le_bytes()]);
+            let Some(partner) = lists[index].next_partner(&seeds, random) else {
+                continue;
+            };
+            let partner = usize::from(partner.port() - 1_000);
+            if partner == DOWN {
+                continue;
+            }
+            let (own, known) = (lists[index].own(), lists[index].known(random, now));
+            let others = lists[partner].known(random, now);
+            let partner_address = lists[partner].own();
+            lists[partner].heard(own, Duration::ZERO, now);
+            lists[index].heard(partner_address, Duration::ZERO, now);
+            for (daemon, silent) in known {
+                lists[partner].heard(daemon, silent, now);
+            }
+            for (daemon, silent) in others {
+                lists[index].heard(daemon, silent, now);
+            }
+        }
+    }
+    let now = start + Duration::from_mins(1);
+    for (index, list) in lists.iter().enumerate().filter(|(index, _)| *index != DOWN) {
+        let known = list.sharing(now);
+        let least = (usize::from(DAEMONS) - 1) * 99 / 100;
+        let most = usize::from(DAEMONS) - 1;
+        assert!((least..=most).contains(&known), "daemon {index}: {known}");
+    }
+}
+
+/// Guards against exchanges with oneself, and against a seed that is the only one and oneself.
+#[test]
+fn a_daemon_does_not_greet_itself() {
+    let list = DaemonList::new(address(1));
+    for random in 0..10 {
+        assert_eq!(list.next_partner(&[address(1)], random), None);
+        let partner = list.next_partner(&[address(1), address(2)], random);
+        assert_eq!(partner, Some(address(2)));
+    }
+}
--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -6,10 +6,11 @@
 
 use medlarpin_core::prelude::Revision;
 use medlarpin_core::routing::{LeafDirectory, LeafPhase, NextRead, RoutingConfig, WatchCursor};
-use platform::{Change, Store, StoreError};
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use platform::{Change, Item, Snapshot, Store, StoreError};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::event::Event;
+use crate::peers;
 use crate::shared::Shared;
 
 /// Time for which a watch waits at the store. A watch on a connection that went silent is noticed
@@ -21,6 +22,12 @@
 const RETRY_PAUSE_MIN: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls.
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(800);
+/// Time for the first read of a start; doubles with each failed one. The store answers in
+/// milliseconds.
+const START_READ_TIMEOUT: Duration = Duration::from_millis(150);
+/// Daemons that are asked for the published items after each failed call of a start: the seeds may
+/// have just started as well.
+const DAEMONS_ASKED: u32 = 4;
 /// Part of the drain time for which a leaving leaf is used if its service has no other leaf; the
 /// rest covers the delay of its announcement.
 const LEAVING_USE_SHARE: f64 = 0.6;
@@ -76,13 +83,14 @@
 
     /// Reads all items or waits for the next changes.
     async fn follow(&mut self) -> Result<(), StoreError> {
-        let (changes, revision) = match self.cursor.next() {
+        match self.cursor.next() {
             NextRead::All => {
-                let snapshot = self.store.read_all().await?;
-                self.take_snapshot(&snapshot.items);
+                let snapshot = self.read_all().await?;
                 self.cursor.all_read(snapshot.revision);
-                self.shared.leafs_known.store(true, Ordering::Relaxed);
-                (snapshot.items, snapshot.revision)
+                self.take_all(&snapshot.items, snapshot.revision);
+                let mut published = self.shared.published.lock();
+                published.replace_all(snapshot.items, snapshot.revision);
+                return Ok(());
             }
             NextRead::ChangesAfter(after) => {
                 let watched = self.store.watch(after, WATCH_WAIT).await?;
@@ -96,26 +104,45 @@
                 if watched.changes.is_empty() {
                     return Ok(());
                 }
-                (watched.changes, watched.revision)
+                self.take_changes(&watched.changes, watched.revision);
+                let mut published = self.shared.published.lock();
+                published.change(watched.changes, watched.revision);
             }
-        };
-        for change in changes {
-            self.apply(change, revision);
         }
-        self.publish_leafs();
         Ok(())
     }
 
-    /// Withdraws the leafs that a complete list no longer holds.
-    fn take_snapshot(&mut self, items: &[Change]) {
+    /// Reads all items. While nothing is known, the first reads are short, so that other daemons are
+    /// asked soon if the store hangs.
+    async fn read_all(&mut self) -> Result<Snapshot, StoreError> {
+        if self.shared.leafs_known.load(Ordering::Relaxed) {
+            return self.store.read_all().await;
+        }
+        let limit = START_READ_TIMEOUT * (1 << self.failures.min(4));
+        timeout(limit, self.store.read_all())
+            .await
+            .unwrap_or(Err(StoreError::TimedOut(limit)))
+    }
+
+    /// Takes a complete list; leafs that are not in it are withdrawn.
+    fn take_all(&mut self, items: &[Item], revision: Revision) {
         let entries = items
             .iter()
-            .filter_map(|item| match item {
-                Change::Leaf(entry) => Some(entry.clone()),
-                Change::Config(_) | Change::LeafGone(_) | Change::Unusable { .. } => None,
+            .filter_map(|item| match item.decode() {
+                Some(Change::Leaf(entry)) => Some(entry),
+                _ => None,
             })
             .collect();
         self.directory.replace_all(entries, self.shared.now());
+        self.take_changes(items, revision);
+        self.shared.leafs_known.store(true, Ordering::Relaxed);
+    }
+
+    fn take_changes(&mut self, items: &[Item], revision: Revision) {
+        for change in items.iter().filter_map(Item::decode) {
+            self.apply(change, revision);
+        }
+        self.publish_leafs();
     }
 
     fn apply(&mut self, change: Change, revision: Revision) {
@@ -190,12 +217,41 @@
         }
         .log();
         self.shared.metrics.store_failures.inc();
+        for _ in 0..DAEMONS_ASKED {
+            if !self.shared.leafs_known.load(Ordering::Relaxed) {
+                self.ask_daemon().await;
+            }
+        }
         let factor = 1_u32 << self.failures.min(3);
         self.failures = self.failures.saturating_add(1);
         let pause = (RETRY_PAUSE_MIN * factor).min(RETRY_PAUSE_MAX);
         sleep(pause.mul_f64(0.5 + rand::random::<f64>() / 2.0)).await;
     }
 
+    /// Takes the items from another daemon, for a start while the store is away.
+    async fn ask_daemon(&mut self) {
+        let Some(partner) = peers::next_partner(&self.shared) else {
+            return;
+        };
+        match peers::fetch_published(partner).await {
+            Ok((items, revision)) if revision > Revision::default() => {
+                Event::ItemsFromDaemon {
+                    daemon: partner,
+                    revision: revision.0,
+                    items: items.len(),
+                }
+                .log();
+                self.take_all(&items, revision);
+            }
+            Ok(_) => {}
+            Err(error) => Event::DaemonUnreachable {
+                daemon: partner,
+                error: &error,
+            }
+            .log(),
+        }
+    }
+
     /// Drops the leafs whose time is over.
     fn expire(&mut self) {
         if !self.directory.expire(self.shared.now()).is_empty() {
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -5,6 +5,7 @@
 use serde::{Serialize, Serializer};
 
 use crate::attempt_end::LeafFailure;
+use crate::peers::PeerError;
 use crate::refusal::Refusal;
 
 /// One decision or observation, logged as one line of JSON.
@@ -27,6 +28,20 @@
     SettingsUnusable { error: &'a str },
     /// The store answers again, or for the first time.
     StoreReached { after_ms: u128, revision: u64 },
+    /// Another daemon gave the store's items.
+    ItemsFromDaemon {
+        daemon: SocketAddr,
+        revision: u64,
+        items: usize,
+    },
+    /// The number of daemons among which limits are divided changed.
+    DaemonsCounted { before: usize, sharing: usize },
+    /// An exchange with another daemon failed.
+    DaemonUnreachable {
+        daemon: SocketAddr,
+        #[serde(serialize_with = "as_text")]
+        error: &'a PeerError,
+    },
     /// The store's revision advanced without a change, so changes were missed.
     ChangesMissed { known: u64, revision: u64 },
     /// A call to the store failed.
@@ -147,6 +162,7 @@
             Self::StoreReached { .. }
             | Self::StoreFailed { .. }
             | Self::ChangesMissed { .. }
+            | Self::ItemsFromDaemon { .. }
             | Self::ConfigInForce { .. }
             | Self::ConfigIgnored { .. }
             | Self::EntryUnusable { .. } => "config",
@@ -155,6 +171,7 @@
             | Self::LeafFailed { .. }
             | Self::LeafsSilent { .. }
             | Self::NoUsableLeaf { .. } => "leaf",
+            Self::DaemonsCounted { .. } | Self::DaemonUnreachable { .. } => "peer",
             Self::Hedged { .. } | Self::RepeatDenied { .. } | Self::ShardsMissing { .. } => {
                 "gather"
             }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,6 +12,8 @@
 mod leaf_table;
 mod metrics;
 mod operators;
+mod peers;
+mod published;
 mod readiness;
 mod refusal;
 mod route_state;
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -6,6 +6,7 @@
 use medlarpin_core::prelude::Clock;
 use settings::RouterSettings;
 use tokio::net::TcpListener;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::connections::Connections;
@@ -14,7 +15,7 @@
 use crate::event::Event;
 use crate::metrics::Metrics;
 use crate::shared::Shared;
-use crate::{operators, readiness};
+use crate::{operators, peers, readiness};
 
 /// Time for which new connections are accepted after readiness ended: two missed checks at one a
 /// second take a daemon out of rotation.
@@ -30,12 +31,14 @@
     query_address: SocketAddr,
     readiness_address: SocketAddr,
     operator_address: SocketAddr,
+    peer_address: Option<SocketAddr>,
     shared: Arc<Shared>,
     connections: Arc<Connections>,
 }
 
 impl Router {
-    /// Starts the daemon on the present runtime.
+    /// Starts the daemon on the present local set: the exchanges with other daemons stay on one
+    /// thread.
     ///
     /// # Errors
     ///
@@ -50,25 +53,37 @@
         let query_address = address_of(&query, settings.query_address);
         let readiness_address = address_of(&checks, settings.readiness_address);
         let operator_address = address_of(&operators, settings.operator_address);
+        let peer_listener = match settings.peer_address {
+            Some(address) => Some((listen("other daemons", address).await?, address)),
+            None => None,
+        };
+        let peer_address = peer_listener
+            .as_ref()
+            .map(|(listener, asked)| address_of(listener, *asked));
         Event::Started {
             vm: settings.vm.as_str(),
             failure_domain: settings.failure_domain.as_str(),
             query_address,
         }
         .log();
-        let shared = Arc::new(Shared::new(settings, clock, Metrics::new()?));
+        let shared = Arc::new(Shared::new(settings, peer_address, clock, Metrics::new()?));
         let connections = Arc::new(Connections::new());
         tokio::spawn(Arc::clone(&connections).accept(query, Arc::clone(&shared)));
         let ready = readiness::endpoint(Arc::clone(&shared));
         tokio::spawn(async move { axum::serve(checks, ready).await });
         let state = operators::endpoint(Arc::clone(&shared));
         tokio::spawn(async move { axum::serve(operators, state).await });
-        tokio::spawn(Discovery::new(Arc::clone(&shared)).run());
+        if let Some((listener, _)) = peer_listener {
+            spawn_local(peers::accept(listener, Arc::clone(&shared)));
+            spawn_local(peers::greet_others(Arc::clone(&shared)));
+        }
+        spawn_local(Discovery::new(Arc::clone(&shared)).run());
         tokio::spawn(close_idle_connections(Arc::clone(&shared)));
         Ok(Self {
             query_address,
             readiness_address,
             operator_address,
+            peer_address,
             shared,
             connections,
         })
@@ -86,6 +101,12 @@
         self.readiness_address
     }
 
+    /// Returns the address at which other daemons reach this one.
+    #[must_use]
+    pub fn peer_address(&self) -> Option<SocketAddr> {
+        self.peer_address
+    }
+
     /// Returns the address of the operators' endpoints.
     #[must_use]
     pub fn operator_address(&self) -> SocketAddr {
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -1,10 +1,13 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use medlarpin_core::prelude::{Clock, FailureDomain, ServiceName};
-use medlarpin_core::routing::{RepeatBudget, RepeatLimits, Route, RoutingConfig, SHED_BACK_OFF};
+use medlarpin_core::routing::{
+    DAEMONS_ASSUMED, DaemonList, RepeatBudget, RepeatLimits, Route, RoutingConfig, SHED_BACK_OFF,
+};
 use parking_lot::Mutex;
 use settings::RouterSettings;
 
@@ -12,10 +15,9 @@
 use crate::leaf::Leaf;
 use crate::leaf_table::LeafTable;
 use crate::metrics::Metrics;
+use crate::published::Published;
 use crate::route_state::RouteState;
 
-/// Number of daemons among which the slack of the repeats is divided until it is known better.
-const DAEMONS_ASSUMED: f64 = 32.0;
 /// Part of the repeat ratio that is used; the rest is kept for requests that end in another window.
 const RATIO_USED: f64 = 0.9;
 /// Connections of one daemon to a leaf, as a part of those that the leaf accepts from all.
@@ -44,11 +46,20 @@
     routes: Mutex<Vec<Arc<RouteState>>>,
     /// Sorted by service, without duplicates.
     budgets: Mutex<Vec<(ServiceName, RepeatBudget)>>,
+    /// What this daemon can tell daemons that cannot reach the store.
+    pub(crate) published: Mutex<Published>,
+    /// The other daemons; `None` if they cannot reach this one.
+    pub(crate) daemons: Option<Mutex<DaemonList>>,
     pub(crate) metrics: Metrics,
 }
 
 impl Shared {
-    pub(crate) fn new(settings: RouterSettings, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
+    pub(crate) fn new(
+        settings: RouterSettings,
+        peer_address: Option<SocketAddr>,
+        clock: Arc<dyn Clock>,
+        metrics: Metrics,
+    ) -> Self {
         Self {
             failure_domain: settings.failure_domain.clone(),
             settings: ArcSwap::from_pointee(settings),
@@ -59,6 +70,8 @@
             is_stopping: AtomicBool::new(false),
             routes: Mutex::default(),
             budgets: Mutex::default(),
+            published: Mutex::default(),
+            daemons: peer_address.map(|address| Mutex::new(DaemonList::new(address))),
             metrics,
         }
     }
@@ -148,9 +161,12 @@
 
     fn repeat_limits(&self) -> RepeatLimits {
         let settings = self.settings.load();
+        let daemons = self.daemons.as_ref().map_or(DAEMONS_ASSUMED, |daemons| {
+            daemons.lock().sharing(self.now())
+        });
         RepeatLimits {
             ratio: settings.repeat_ratio * RATIO_USED,
-            allowance: settings.repeat_slack / DAEMONS_ASSUMED,
+            allowance: settings.repeat_slack / daemons as f64,
             window: settings.repeat_window,
         }
     }
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -116,7 +116,20 @@
     }
 }
 
+/// Runs a test on one thread, as the daemon does.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
 pub async fn start_router(store_address: SocketAddr) -> Router {
+    start_router_with(store_address, Vec::new()).await
+}
+
+pub async fn start_router_with(store_address: SocketAddr, seeds: Vec<SocketAddr>) -> Router {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let settings = RouterSettings {
         vm: "vm-1".into(),
@@ -124,9 +137,9 @@
         region: "r1".into(),
         query_address: any,
         readiness_address: any,
-        peer_address: None,
+        peer_address: Some(any),
         operator_address: any,
-        seed_addresses: Vec::new(),
+        seed_addresses: seeds,
         store_address,
         drain: Duration::from_secs(3),
         shutdown_grace: Duration::from_secs(6),
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -190,3 +190,25 @@
   # Groups of which the peer has no full history are left out of the reply.
   fetchHolderHistory @6 (groups :List(LeafGroup)) -> (histories :List(HolderHistory));
 }
+
+# A daemon that serves published routes, and the time since anyone heard from it.
+# Two words, because lists of daemons are most of the control traffic.
+struct KnownDaemon {
+  ipv4 @0 :UInt32;
+  port @1 :UInt16;
+  silentMs @2 :UInt32;
+}
+
+# An item of the platform's store, as it was published.
+struct PublishedItem {
+  key @0 :Text;
+  value @1 :Data;
+}
+
+# Daemons that serve published routes.
+interface RoutePeer {
+  # Both sides learn the daemons that the other one knows.
+  greet @0 (sender :KnownDaemon, known :List(KnownDaemon)) -> (known :List(KnownDaemon));
+  # All items at a revision of the store; revision 0 means that the peer has not read them.
+  publishedItems @1 () -> (revision :UInt64, items :List(PublishedItem));
+}
