--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -18,6 +18,8 @@
     is_ready: bool,
     is_stopping: bool,
     config_version: Option<u64>,
+    /// Daemons among which limits are divided.
+    daemons_sharing: usize,
     routes: Vec<String>,
     leafs: Vec<LeafDump>,
 }
@@ -75,6 +77,7 @@
         vm: shared.settings.load().vm.to_string(),
         is_ready: shared.is_ready(),
         is_stopping: shared.is_stopping.load(Ordering::Relaxed),
+        daemons_sharing: shared.daemons_sharing(),
         config_version: config.as_ref().map(|config| config.version.0),
         routes: routes.unwrap_or_default(),
         leafs: leafs.collect(),
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -81,6 +81,14 @@
         &self.failure_domain
     }
 
+    /// Returns the number of daemons among which limits are divided.
+    pub(crate) fn daemons_sharing(&self) -> usize {
+        let now = self.now();
+        self.daemons
+            .as_ref()
+            .map_or(DAEMONS_ASSUMED, |daemons| daemons.lock().sharing(now))
+    }
+
     /// Returns the version in force; 0 if there is none.
     pub(crate) fn config_version(&self) -> u64 {
         let config = self.config.load();
@@ -161,12 +169,9 @@
 
     fn repeat_limits(&self) -> RepeatLimits {
         let settings = self.settings.load();
-        let daemons = self.daemons.as_ref().map_or(DAEMONS_ASSUMED, |daemons| {
-            daemons.lock().sharing(self.now())
-        });
         RepeatLimits {
             ratio: settings.repeat_ratio * RATIO_USED,
-            allowance: settings.repeat_slack / daemons as f64,
+            allowance: settings.repeat_slack / self.daemons_sharing() as f64,
             window: settings.repeat_window,
         }
     }
