--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -108,6 +108,14 @@
     },
     /// A further leaf request was not sent because the limit of the service is reached.
     RepeatDenied { request: &'a str, service: &'a str },
+    /// A query was refused because too few of its shards have a leaf that can be sent to.
+    ShardsUnreachable {
+        request: &'a str,
+        reachable: usize,
+        needed: usize,
+        /// Some of the other shards.
+        unreachable: &'a [&'a str],
+    },
     /// A query was answered without some of its shards.
     ShardsMissing {
         request: &'a str,
@@ -172,9 +180,10 @@
             | Self::LeafsSilent { .. }
             | Self::NoUsableLeaf { .. } => "leaf",
             Self::DaemonsCounted { .. } | Self::DaemonUnreachable { .. } => "peer",
-            Self::Hedged { .. } | Self::RepeatDenied { .. } | Self::ShardsMissing { .. } => {
-                "gather"
-            }
+            Self::Hedged { .. }
+            | Self::RepeatDenied { .. }
+            | Self::ShardsUnreachable { .. }
+            | Self::ShardsMissing { .. } => "gather",
             Self::Answered { .. }
             | Self::Refused { .. }
             | Self::BadRequest { .. }
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -48,13 +48,13 @@
         .filter(|shard| shared.can_send(shard, now))
         .collect();
     if reachable.len() < policy.needed {
-        for shard in scatter
-            .shards
-            .iter()
-            .filter(|shard| !reachable.contains(shard))
-        {
-            shared.log_no_usable_leaf(request.id_text(), shard, now);
+        Event::ShardsUnreachable {
+            request: request.id_text(),
+            reachable: reachable.len(),
+            needed: policy.needed,
+            unreachable: &names_without(scatter, |shard| reachable.contains(&shard)),
         }
+        .log();
         return Err(Refusal::NoLeaf);
     }
     let mut shards: FuturesUnordered<_> = reachable
@@ -124,19 +124,21 @@
         covered: answers.len(),
         asked: scatter.shards.len(),
         in_flight,
-        missing: &missing_names(scatter, answers),
+        missing: &names_without(scatter, |shard| {
+            answers.iter().any(|(covered, _)| covered == shard)
+        }),
     }
     .log();
 }
 
-/// Returns the names of some shards that are not covered.
-fn missing_names<'a>(scatter: &'a Scatter, answers: &[(ServiceName, LeafAnswer)]) -> Vec<&'a str> {
+/// Returns the names of some shards, without those that `is_left_out` holds for.
+fn names_without(scatter: &Scatter, is_left_out: impl Fn(&ServiceName) -> bool) -> Vec<&str> {
     /// Names in one log line.
     const NAMES_MAX: usize = 5;
     scatter
         .shards
         .iter()
-        .filter(|shard| answers.iter().all(|(covered, _)| covered != *shard))
+        .filter(|shard| !is_left_out(shard))
         .map(ServiceName::as_str)
         .take(NAMES_MAX)
         .collect()
