--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -30,39 +30,25 @@
 ) -> Result<Answer, Infallible> {
     let arrived_at = shared.now();
     let (head, body) = request.into_parts();
-    let caller = platform::caller_head(&head);
-    let request_id = caller.as_ref().ok().map(|caller| caller.request_id.clone());
-    let mut route_name: Option<Arc<str>> = None;
-    let result = match caller {
-        Ok(caller) => {
-            let found = find_route(&shared, &caller, head.uri.path());
-            route_name = found
-                .as_ref()
-                .ok()
-                .map(|(_, route)| Arc::clone(&route.name));
-            match found {
-                Ok((config, route)) => {
-                    let accepted = read(&config, &route, caller, head, body, arrived_at).await;
-                    match accepted {
-                        Ok(request) => serve(&shared, &route, request).await,
-                        Err(refusal) => Err(refusal),
-                    }
-                }
-                Err(refusal) => Err(refusal),
-            }
-        }
+    let caller = match platform::caller_head(&head) {
+        Ok(caller) => caller,
         Err(error) => {
             Event::BadRequest { error: &error }.log();
-            Err(Refusal::BadRequest)
+            let refused = Err(Refusal::BadRequest);
+            return Ok(conclude(&shared, refused, None, None, arrived_at));
         }
     };
-    Ok(conclude(
-        &shared,
-        result,
-        request_id.as_ref(),
-        route_name.as_deref(),
-        arrived_at,
-    ))
+    let id = caller.request_id.clone();
+    let (config, route) = match find_route(&shared, &caller, head.uri.path()) {
+        Ok(found) => found,
+        Err(refusal) => return Ok(conclude(&shared, Err(refusal), Some(&id), None, arrived_at)),
+    };
+    let result = match read(&config, &route, caller, head, body, arrived_at).await {
+        Ok(request) => serve(&shared, &route, request).await,
+        Err(refusal) => Err(refusal),
+    };
+    let name = Some(&*route.name);
+    Ok(conclude(&shared, result, Some(&id), name, arrived_at))
 }
 
 /// Returns the configuration in force and the route of a request.
--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -90,7 +90,6 @@
                 self.take_all(&snapshot.items, snapshot.revision);
                 let mut published = self.shared.published.lock();
                 published.replace_all(snapshot.items, snapshot.revision);
-                return Ok(());
             }
             NextRead::ChangesAfter(after) => {
                 let watched = self.store.watch(after, WATCH_WAIT).await?;
@@ -101,12 +100,11 @@
                     }
                     .log();
                 }
-                if watched.changes.is_empty() {
-                    return Ok(());
+                if !watched.changes.is_empty() {
+                    self.take_changes(&watched.changes, watched.revision);
+                    let mut published = self.shared.published.lock();
+                    published.change(watched.changes, watched.revision);
                 }
-                self.take_changes(&watched.changes, watched.revision);
-                let mut published = self.shared.published.lock();
-                published.change(watched.changes, watched.revision);
             }
         }
         Ok(())
