Borrow leaf names in the plan of a query

Cause: is_fast was red in release builds: a plan of 540 shards cloned 1,620 leaf names and allocated a list of alternatives for each shard.

Ruled out: the test's own look-up of the group (it is a fifth of the time and stays), and the order of the candidates.

Change: a plan borrows the names from the shard map, alternatives are stored inline (smallvec), and the groups' members are 32-bit indices. The daemon clones the names where it stores them, in the call of a group.

--- a/crates/daemon/src/entry/canary_choice.rs
+++ b/crates/daemon/src/entry/canary_choice.rs
@@ -9,13 +9,13 @@
 
 /// Picks the canary in the group that all entries pick for the fingerprint, so that one holder sees
 /// all canaries of the fingerprint. Returns `None` if no shard asked has a usable replica.
-pub fn canary_batch(
+pub fn canary_batch<'a>(
     fingerprint: Fingerprint,
     shards: &[ShardId],
-    map: &ShardMap,
+    map: &'a ShardMap,
     service: &ServiceView,
     routes: &Routes,
-) -> Option<Batch> {
+) -> Option<Batch<'a>> {
     // The first shard of each group that has a usable replica in it; sorted by group.
     let mut groups: Vec<(usize, ShardId, &LeafId)> = Vec::new();
     for shard in shards {
@@ -36,8 +36,8 @@
         group,
         tasks: vec![Task {
             shard,
-            leaf: leaf.clone(),
-            alternatives: others.cloned().collect(),
+            leaf,
+            alternatives: others.collect(),
         }],
     })
 }
--- a/crates/daemon/src/entry/group.rs
+++ b/crates/daemon/src/entry/group.rs
@@ -110,15 +110,15 @@
     pub fn new(
         query: &Query,
         version: IndexVersion,
-        planned: PlannedBatch,
+        planned: PlannedBatch<'_>,
         canary: bool,
         first_attempt: u32,
         routes: Rc<Routes>,
     ) -> Self {
         let tasks = planned.tasks.into_iter().map(|task| ShardTask {
             shard: task.shard,
-            leaf: task.leaf,
-            alternatives: task.alternatives,
+            leaf: task.leaf.clone(),
+            alternatives: task.alternatives.into_iter().cloned().collect(),
         });
         Self {
             batch: Batch {
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -164,7 +164,8 @@
             }
             self.renew_routes();
         }
-        let plan = self.plan(&shards);
+        let map = Arc::clone(&self.map);
+        let plan = self.plan(&map, &shards);
         for shard in &plan.no_replica {
             self.accept(*shard, not_sent(UncoveredReason::NoReplica));
         }
@@ -177,20 +178,26 @@
     }
 
     /// Assigns each shard to a replica; slow leafs are used only where no other replica serves.
-    fn plan(&self, shards: &[ShardId]) -> Plan {
+    fn plan<'m>(&self, map: &'m ShardMap, shards: &[ShardId]) -> Plan<'m> {
         let avoids_slow = !rand::random_ratio(1, PROBE_INTERVAL);
-        let mut first = self.plan_with(shards, |leaf| avoids_slow && self.routes.is_slow(leaf));
+        let avoid = |leaf: &LeafId| avoids_slow && self.routes.is_slow(leaf);
+        let mut first = self.plan_with(map, shards, avoid);
         if avoids_slow && !first.no_replica.is_empty() {
-            let second = self.plan_with(&first.no_replica, |_leaf| false);
+            let second = self.plan_with(map, &first.no_replica, |_leaf| false);
             first.batches.extend(second.batches);
             first.no_replica = second.no_replica;
         }
         first
     }
 
-    fn plan_with(&self, shards: &[ShardId], avoid: impl Fn(&LeafId) -> bool) -> Plan {
+    fn plan_with<'m>(
+        &self,
+        map: &'m ShardMap,
+        shards: &[ShardId],
+        avoid: impl Fn(&LeafId) -> bool,
+    ) -> Plan<'m> {
         plan(
-            &self.map,
+            map,
             shards,
             |leaf| self.service.group_of(leaf),
             |leaf, version| self.routes.serves(leaf, version) && !avoid(leaf),
@@ -202,7 +209,8 @@
     /// Asks one shard first; returns false if the others must not be asked.
     async fn ask_canary(&mut self, shards: &mut Vec<ShardId>) -> bool {
         let fingerprint = self.query.fingerprint();
-        let Some(batch) = canary_batch(fingerprint, shards, &self.map, &self.service, &self.routes)
+        let map = Arc::clone(&self.map);
+        let Some(batch) = canary_batch(fingerprint, shards, &map, &self.service, &self.routes)
         else {
             return true;
         };
@@ -250,7 +258,7 @@
         }
     }
 
-    fn call(&mut self, batch: PlannedBatch, canary: bool) -> GroupCall {
+    fn call(&mut self, batch: PlannedBatch<'_>, canary: bool) -> GroupCall {
         let first_attempt = self.next_attempt;
         let shards = u32::try_from(batch.tasks.len()).unwrap_or(u32::MAX);
         // Leaves room for the same batch at a second holder.
--- a/crates/daemon/src/gather/shard.rs
+++ b/crates/daemon/src/gather/shard.rs
@@ -5,6 +5,7 @@
 use futures::StreamExt;
 use futures::future::LocalBoxFuture;
 use futures::stream::FuturesUnordered;
+use medlarpin_core::plan::Alternatives;
 use medlarpin_core::prelude::*;
 use wire::{Batch, ShardTask};
 
@@ -309,7 +310,7 @@
         tasks: vec![ShardTask {
             shard: id,
             leaf: leaf.clone(),
-            alternatives: Vec::new(),
+            alternatives: Alternatives::new(),
         }],
         first_attempt: gathering.draw_attempt(),
         ..gathering.batch.clone()
--- a/crates/medlarpin-core/src/plan.rs
+++ b/crates/medlarpin-core/src/plan.rs
@@ -6,36 +6,43 @@
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
+use smallvec::SmallVec;
 
 use crate::catalog::ShardMap;
 use crate::ids::{IndexVersion, LeafId, ShardId};
 use candidates::{Candidate, CandidateTable};
 
+/// Replicas in order of preference.
+///
+/// Two fit inline: most shards have two or three replicas, and a plan of 540 shards would otherwise
+/// make as many allocations.
+pub type Alternatives<L> = SmallVec<[L; 2]>;
+
 /// One leaf request.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Task {
+pub struct Task<'a> {
     /// Shard to search.
     pub shard: ShardId,
     /// Leaf that gets the request.
-    pub leaf: LeafId,
+    pub leaf: &'a LeafId,
     /// The shard's other usable replicas, least loaded first.
-    pub alternatives: Vec<LeafId>,
+    pub alternatives: Alternatives<&'a LeafId>,
 }
 
 /// The leaf requests of one group.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Batch {
+pub struct Batch<'a> {
     /// Index of the group.
     pub group: usize,
     /// The requests, sorted by shard; never empty.
-    pub tasks: Vec<Task>,
+    pub tasks: Vec<Task<'a>>,
 }
 
-/// Leafs for all shards of a query.
+/// Leafs for all shards of a query, borrowed from its shard map.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct Plan {
+pub struct Plan<'a> {
     /// One batch for each group used, sorted by group.
-    pub batches: Vec<Batch>,
+    pub batches: Vec<Batch<'a>>,
     /// Shards without a usable replica, sorted.
     pub no_replica: Vec<ShardId>,
 }
@@ -46,14 +53,14 @@
 /// over the replicas; a shard that several chosen groups could serve goes to the one with less work.
 /// A leaf without a group is not usable. Group indices must be small: a table is indexed by them.
 #[must_use]
-pub fn plan(
-    map: &ShardMap,
+pub fn plan<'a>(
+    map: &'a ShardMap,
     shards: &[ShardId],
     group_of: impl Fn(&LeafId) -> Option<usize>,
     usable: impl Fn(&LeafId, IndexVersion) -> bool,
     load: impl Fn(&LeafId) -> u32,
     seed: u64,
-) -> Plan {
+) -> Plan<'a> {
     let mut random = SmallRng::seed_from_u64(seed);
     let find = |leaf| {
         let group = u32::try_from(group_of(leaf)?).ok()?;
@@ -73,7 +80,11 @@
 }
 
 /// Gives each shard to a replica in a chosen group.
-fn assign(table: &CandidateTable<'_>, is_chosen: &[bool], random: &mut SmallRng) -> Vec<Batch> {
+fn assign<'a>(
+    table: &CandidateTable<'a>,
+    is_chosen: &[bool],
+    random: &mut SmallRng,
+) -> Vec<Batch<'a>> {
     let mut task_counts = vec![0; table.group_count()];
     // Work counts up while shards are assigned, so with a fixed order the same shards would find
     // their group busy in every query.
@@ -91,11 +102,11 @@
 }
 
 /// Builds the batches from the index of each shard's chosen replica.
-fn batches(
-    table: &CandidateTable<'_>,
+fn batches<'a>(
+    table: &CandidateTable<'a>,
     choices: &[Option<usize>],
     task_counts: &[u32],
-) -> Vec<Batch> {
+) -> Vec<Batch<'a>> {
     let with_room = |(group, count): (usize, &u32)| Batch {
         group,
         tasks: Vec::with_capacity(*count as usize),
@@ -106,7 +117,7 @@
         let Some(best) = *choice else { continue };
         batches[row[best].group as usize].tasks.push(Task {
             shard,
-            leaf: row[best].leaf.clone(),
+            leaf: row[best].leaf,
             alternatives: alternatives(row, best),
         });
     }
@@ -115,19 +126,19 @@
 }
 
 /// Returns the other replicas of a shard, least loaded first.
-fn alternatives(row: &[Candidate<'_>], best: usize) -> Vec<LeafId> {
-    let mut leafs = Vec::with_capacity(row.len() - 1);
+fn alternatives<'a>(row: &[Candidate<'a>], best: usize) -> Alternatives<&'a LeafId> {
+    let mut leafs = Alternatives::with_capacity(row.len() - 1);
     // The rotation spreads the first alternative over replicas of equal load.
     let rotated = row[best + 1..].iter().chain(&row[..best]);
     let others = rotated.filter(|other| !is_same_leaf(other, &row[best]));
     let load = row[best].load;
     if row.iter().all(|candidate| candidate.load == load) {
-        others.for_each(|other| leafs.push(other.leaf.clone()));
+        others.for_each(|other| leafs.push(other.leaf));
         return leafs;
     }
     let mut others: Vec<_> = others.collect();
     others.sort_by_key(|other| other.load);
-    leafs.extend(others.iter().map(|other| other.leaf.clone()));
+    leafs.extend(others.iter().map(|other| other.leaf));
     leafs
 }
 
--- a/crates/medlarpin-core/src/plan/candidates.rs
+++ b/crates/medlarpin-core/src/plan/candidates.rs
@@ -94,6 +94,7 @@
     }
 
     /// Adds a candidate to the last row, which starts at an index.
+    #[inline]
     fn push(&mut self, start: usize, candidate: Option<Candidate<'a>>) {
         let Some(mut candidate) = candidate else {
             return;
--- a/crates/medlarpin-core/src/plan/cover.rs
+++ b/crates/medlarpin-core/src/plan/cover.rs
@@ -23,11 +23,12 @@
         };
         is_chosen[group] = true;
         for shard in members.shards(group) {
-            if std::mem::replace(&mut is_covered[*shard], true) {
+            let shard = *shard as usize;
+            if std::mem::replace(&mut is_covered[shard], true) {
                 continue;
             }
             left -= 1;
-            for other in table.groups(*shard) {
+            for other in table.groups(shard) {
                 gains[other] -= 1;
             }
         }
@@ -48,7 +49,7 @@
 struct GroupMembers {
     /// End of each group's part of `shards`.
     ends: Vec<usize>,
-    shards: Vec<usize>,
+    shards: Vec<u32>,
 }
 
 impl GroupMembers {
@@ -60,9 +61,9 @@
             sum += std::mem::replace(end, sum);
         }
         let mut shards = vec![0; sum];
-        for shard in 0..table.len() {
+        for (index, shard) in (0_u32..).zip(0..table.len()) {
             for group in table.groups(shard) {
-                shards[ends[group]] = shard;
+                shards[ends[group]] = index;
                 ends[group] += 1;
             }
         }
@@ -75,7 +76,7 @@
             .collect()
     }
 
-    fn shards(&self, group: usize) -> &[usize] {
+    fn shards(&self, group: usize) -> &[u32] {
         let start = group.checked_sub(1).map_or(0, |group| self.ends[group]);
         &self.shards[start..self.ends[group]]
     }
--- a/crates/medlarpin-core/tests/plan.rs
+++ b/crates/medlarpin-core/tests/plan.rs
@@ -50,7 +50,7 @@
         })
     }
 
-    fn plan(&self, asked: &[ShardId], usable: impl Fn(&LeafId) -> bool, seed: u64) -> Plan {
+    fn plan(&self, asked: &[ShardId], usable: impl Fn(&LeafId) -> bool, seed: u64) -> Plan<'_> {
         let group_of = |leaf: &LeafId| self.groups.get(leaf).copied();
         plan(
             &self.map,
@@ -177,10 +177,10 @@
             prop_assert!(!batch.tasks.is_empty() && batch.tasks.is_sorted_by_key(|task| task.shard));
             for task in &batch.tasks {
                 let replicas = layout.map.replicas(task.shard).unwrap_or_default();
-                prop_assert!(replicas.contains(&task.leaf) && !down.contains(&task.leaf));
+                prop_assert!(replicas.contains(task.leaf) && !down.contains(task.leaf));
                 prop_assert!(!task.alternatives.contains(&task.leaf));
-                prop_assert!(task.alternatives.iter().all(|leaf| replicas.contains(leaf) && !down.contains(leaf)));
-                prop_assert_eq!(layout.groups[&task.leaf], batch.group);
+                prop_assert!(task.alternatives.iter().all(|leaf| replicas.contains(leaf) && !down.contains(*leaf)));
+                prop_assert_eq!(layout.groups[task.leaf], batch.group);
                 planned.push(task.shard);
             }
         }
--- a/crates/wire/src/batch.rs
+++ b/crates/wire/src/batch.rs
@@ -1,5 +1,6 @@
 //! Batches of shard requests that an entry sends to a gatherer, and their replies.
 
+use medlarpin_core::plan::Alternatives;
 use medlarpin_core::prelude::*;
 
 use crate::error::{WireError, check_length};
@@ -17,7 +18,7 @@
     /// Leaf chosen by the plan.
     pub leaf: LeafId,
     /// Other leafs that hold the shard at this index version, in order of preference.
-    pub alternatives: Vec<LeafId>,
+    pub alternatives: Alternatives<LeafId>,
 }
 
 /// Shards that one gatherer asks on behalf of one query.
@@ -58,7 +59,7 @@
         check_length("tasks", task_list.len(), MAX_TASKS)?;
         let mut tasks = Vec::with_capacity(task_list.len() as usize);
         for task in task_list {
-            let mut alternatives = Vec::new();
+            let mut alternatives = Alternatives::new();
             for leaf in task.get_alternatives()? {
                 alternatives.push(LeafId::new(leaf?.to_str()?));
             }
--- a/crates/wire/tests/border.rs
+++ b/crates/wire/tests/border.rs
@@ -89,7 +89,7 @@
         tasks: vec![ShardTask {
             shard: ShardId(7),
             leaf: "a".into(),
-            alternatives: vec!["b".into(), "c".into()],
+            alternatives: ["b".into(), "c".into()].into_iter().collect(),
         }],
         first_attempt: 4,
     };
--- a/crates/xtask/src/capacity/wire_batches.rs
+++ b/crates/xtask/src/capacity/wire_batches.rs
@@ -77,7 +77,9 @@
     let task = |shard| ShardTask {
         shard: ShardId(shard),
         leaf: leaf(shard),
-        alternatives: vec![leaf(shard + 1_000), leaf(shard + 2_000)],
+        alternatives: [leaf(shard + 1_000), leaf(shard + 2_000)]
+            .into_iter()
+            .collect(),
     };
     Batch {
         request: RequestId(1),
