Let a few daemons watch the store and the others follow them

Cause: every daemon watched the store itself.

Change: all daemons rank each other alike (SourceChoice); the first two, or one in 49, watch, and each other one asks one of them for the changes after its revision (RoutePeer.publishedChanges). An answer tells how long the store has been silent; when that is old, or no answer comes, the daemon asks the store itself at once and follows another one. A daemon that is followed watches too, so the daemons need not agree. A watcher that cannot reach the store learns from others. Also: a full read decodes each item once, and the leaf table and directory are updated by binary search (each leaf's change cost a pass over all leafs for each leaf).

--- a/crates/medlarpin-core/src/routing/daemon_list.rs
+++ b/crates/medlarpin-core/src/routing/daemon_list.rs
@@ -109,17 +109,31 @@
         }
     }
 
+    /// Returns the other daemons. Until the list is settled these are the seeds, which all daemons
+    /// know from their start.
+    #[must_use]
+    pub fn others(&self, seeds: &[SocketAddr], now: Instant) -> Vec<SocketAddr> {
+        if self.is_settled(now) {
+            return self.others.iter().map(|(daemon, _)| *daemon).collect();
+        }
+        let others = seeds.iter().filter(|seed| **seed != self.own);
+        others.copied().collect()
+    }
+
     /// Returns the number of daemons among which a limit is divided.
     #[must_use]
     pub fn sharing(&self, now: Instant) -> usize {
         let known = self.others.len() + 1;
-        let is_settled = self
-            .first_heard
-            .is_some_and(|at| now.saturating_duration_since(at) >= SETTLED_AFTER);
-        if is_settled {
+        if self.is_settled(now) {
             known
         } else {
             known.max(DAEMONS_ASSUMED)
         }
     }
+
+    /// Returns true if the exchanges have had the time to tell of all daemons.
+    fn is_settled(&self, now: Instant) -> bool {
+        self.first_heard
+            .is_some_and(|at| now.saturating_duration_since(at) >= SETTLED_AFTER)
+    }
 }
--- a/crates/medlarpin-core/src/routing/leaf_directory.rs
+++ b/crates/medlarpin-core/src/routing/leaf_directory.rs
@@ -78,10 +78,12 @@
 
     /// Takes a complete list; leafs that are not in it count as withdrawn.
     pub fn replace_all(&mut self, entries: Vec<LeafEntry>, now: Instant) {
+        let mut present: Vec<&LeafId> = entries.iter().map(|entry| &entry.id).collect();
+        present.sort_unstable();
         let missing: Vec<LeafId> = self
             .listed
             .iter()
-            .filter(|known| !entries.iter().any(|entry| entry.id == known.entry.id))
+            .filter(|known| present.binary_search(&&known.entry.id).is_err())
             .map(|known| known.entry.id.clone())
             .collect();
         for id in &missing {
--- a/crates/medlarpin-core/src/routing/mod.rs
+++ b/crates/medlarpin-core/src/routing/mod.rs
@@ -1,6 +1,7 @@
 //! Published routes and the leafs that serve them: where a caller's request goes, how often, and
 //! when it is answered.
 
+mod change_log;
 mod daemon_list;
 mod gather_policy;
 mod leaf_directory;
@@ -12,10 +13,12 @@
 mod route_pace;
 mod route_table;
 mod routing_config;
+mod source_choice;
 mod split_choice;
 mod top_records;
 mod watch_cursor;
 
+pub use change_log::ChangeLog;
 pub use daemon_list::{DAEMONS_ASSUMED, DaemonList, FORGOTTEN_AFTER, SETTLED_AFTER};
 pub use gather_policy::{GatherPolicy, GatherStep};
 pub use leaf_directory::LeafDirectory;
@@ -27,6 +30,9 @@
 pub use route_pace::RoutePace;
 pub use route_table::RouteTable;
 pub use routing_config::{CallerLimits, ConfigVersion, RoutedService, RoutingConfig};
+pub use source_choice::{
+    FAILED_FOR, FOLLOWER_RETRY, FOLLOWERS_MAX, Source, SourceChoice, WATCHER_RETRY, WATCHERS_MIN,
+};
 pub use split_choice::SplitChoice;
 pub use top_records::{RECORD_BYTES, top_records};
 pub use watch_cursor::{NextRead, WatchCursor};
--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -1,23 +1,36 @@
 //! Follows the published configuration and leafs.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use medlarpin_core::prelude::Revision;
-use medlarpin_core::routing::{LeafDirectory, LeafPhase, NextRead, RoutingConfig, WatchCursor};
+use medlarpin_core::routing::{
+    LeafDirectory, LeafPhase, NextRead, RoutingConfig, Source, SourceChoice, WatchCursor,
+};
 use platform::{Change, Item, Snapshot, Store, StoreError};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::event::Event;
-use crate::peers;
+use crate::peers::{self, Followed, PeerError};
+use crate::published::News;
 use crate::shared::Shared;
 
 /// Time for which a watch waits at the store. A watch on a connection that went silent is noticed
 /// after it, so it is short against the time in which a configuration has to be in force.
 const WATCH_WAIT: Duration = Duration::from_secs(4);
-/// Pause between watches; changes that come in quick succession take one call together.
-const WATCH_PAUSE: Duration = Duration::from_millis(700);
+/// Time for which a watch waits while other daemons follow this one. Its end shows them that the
+/// store can be reached.
+const FOLLOWED_WATCH_WAIT: Duration = Duration::from_secs(1);
+/// Time for which a watch waits that only checks whether a followed daemon is out of date.
+const CHECK_WAIT: Duration = Duration::from_millis(50);
+/// Time after its last call for which a daemon counts as a follower; it calls once a second.
+const FOLLOWED_FOR: Duration = Duration::from_secs(3);
+/// Pause after changes; those that come in quick succession take one call together.
+const CHANGE_PAUSE: Duration = Duration::from_millis(700);
+/// The same on a path of two daemons, each of which pauses.
+const RELAYED_CHANGE_PAUSE: Duration = Duration::from_millis(400);
 /// First pause after a failed call.
 const RETRY_PAUSE_MIN: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls.
@@ -34,80 +47,241 @@
 /// Interval at which leafs that are gone and idle connections are dropped.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Follows the store for as long as the process runs.
+/// End of a call to the store that did not fail.
+enum StoreRead {
+    Answered,
+    /// Another daemon began to follow this one, and needs word from the store sooner than a long
+    /// watch ends.
+    Interrupted,
+}
+
+/// Follows the store, or a daemon that does, for as long as the process runs.
 pub(crate) struct Discovery {
     shared: Arc<Shared>,
     store: Store,
     directory: LeafDirectory,
     cursor: WatchCursor,
-    /// Failed calls in a row.
+    /// Failed calls to the store in a row.
     failures: u32,
+    /// `None` if other daemons cannot reach this one.
+    choice: Option<SourceChoice>,
+    source: Source,
+    followed: Option<Followed>,
 }
 
 impl Discovery {
     pub(crate) fn new(shared: Arc<Shared>) -> Self {
         let settings = shared.settings.load_full();
         let leaving_use = settings.drain.mul_f64(LEAVING_USE_SHARE);
+        let own = shared.daemons.as_ref().map(|daemons| daemons.lock().own());
         Self {
             store: Store::new(settings.store_address),
             directory: LeafDirectory::new(leaving_use),
             shared,
             cursor: WatchCursor::default(),
             failures: 0,
+            choice: own.map(SourceChoice::new),
+            source: Source::Store,
+            followed: None,
         }
     }
 
     /// Runs until the task is dropped.
     pub(crate) async fn run(mut self) {
         loop {
-            let started = self.shared.now();
-            let was_failing = self.failures > 0 || self.cursor.known().is_none();
-            self.shared.metrics.store_calls.inc();
-            match self.follow().await {
-                Ok(()) => {
-                    if was_failing {
-                        Event::StoreReached {
-                            after_ms: (self.shared.now() - started).as_millis(),
-                            revision: self.cursor.known().unwrap_or_default().0,
-                        }
-                        .log();
+            let source = self.choose_source();
+            let known = self.shared.published.revision();
+            match source {
+                Source::Store => self.use_store(self.watch_wait()).await,
+                Source::CheckStore => self.use_store(CHECK_WAIT).await,
+                Source::Daemon(daemon) => self.use_daemon(daemon).await,
+            }
+            if self.shared.published.revision() != known {
+                sleep(self.change_pause(source)).await;
+            }
+            self.expire();
+        }
+    }
+
+    /// Returns where the next changes are learned from.
+    fn choose_source(&mut self) -> Source {
+        let now = self.shared.now();
+        let is_followed = self.is_followed(now);
+        let source = match (&self.choice, &self.shared.daemons) {
+            // A start reads the store: the others start at the same time.
+            (Some(choice), Some(daemons)) if self.shared.leafs_known.load(Ordering::Relaxed) => {
+                let seeds = &self.shared.settings.load().seed_addresses;
+                let others = daemons.lock().others(seeds, now);
+                choice.next(&others, is_followed, now)
+            }
+            _ => Source::Store,
+        };
+        if source != self.source {
+            Event::SourceChanged {
+                source,
+                is_followed,
+                revision: self.shared.published.revision().0,
+            }
+            .log();
+            self.source = source;
+        }
+        let followed = match source {
+            Source::Daemon(daemon) => Some(daemon),
+            Source::Store | Source::CheckStore => None,
+        };
+        self.shared.published.follow(followed);
+        if followed.is_none() {
+            self.followed = None;
+        }
+        source
+    }
+
+    fn is_followed(&self, now: Instant) -> bool {
+        let asked_at = self.shared.published.asked_at();
+        asked_at.is_some_and(|at| now.saturating_duration_since(at) < FOLLOWED_FOR)
+    }
+
+    /// Returns the time for which the next watch waits at the store.
+    fn watch_wait(&self) -> Duration {
+        let now = self.shared.now();
+        if !self.is_followed(now) {
+            return WATCH_WAIT;
+        }
+        // A daemon that has just begun to follow waits for word from the store.
+        let is_current = self
+            .shared
+            .published
+            .current_at()
+            .is_some_and(|at| now.saturating_duration_since(at) < FOLLOWED_WATCH_WAIT);
+        if is_current {
+            FOLLOWED_WATCH_WAIT
+        } else {
+            CHECK_WAIT
+        }
+    }
+
+    fn change_pause(&self, source: Source) -> Duration {
+        let is_relayed = match source {
+            Source::Store | Source::CheckStore => self.is_followed(self.shared.now()),
+            Source::Daemon(_) => true,
+        };
+        if is_relayed {
+            RELAYED_CHANGE_PAUSE
+        } else {
+            CHANGE_PAUSE
+        }
+    }
+
+    async fn use_store(&mut self, wait: Duration) {
+        let started = self.shared.now();
+        let was_failing = self.failures > 0 || self.cursor.known().is_none();
+        self.shared.metrics.store_calls.inc();
+        match self.read_store(wait).await {
+            Ok(StoreRead::Interrupted) => {}
+            Ok(StoreRead::Answered) => {
+                let now = self.shared.now();
+                if was_failing {
+                    Event::StoreReached {
+                        after_ms: (now - started).as_millis(),
+                        revision: self.cursor.known().unwrap_or_default().0,
                     }
-                    self.failures = 0;
-                    sleep(WATCH_PAUSE).await;
+                    .log();
+                }
+                self.failures = 0;
+                if let Some(choice) = &mut self.choice {
+                    choice.store_answered(now);
                 }
-                Err(error) => self.failed(&error).await,
             }
-            self.expire();
+            Err(error) => self.store_failed(&error).await,
         }
     }
 
     /// Reads all items or waits for the next changes.
-    async fn follow(&mut self) -> Result<(), StoreError> {
+    async fn read_store(&mut self, wait: Duration) -> Result<StoreRead, StoreError> {
+        let started = self.shared.now();
         match self.cursor.next() {
             NextRead::All => {
                 let snapshot = self.read_all().await?;
                 self.cursor.all_read(snapshot.revision);
-                self.take_all(&snapshot.items, snapshot.revision);
-                let mut published = self.shared.published.lock();
-                published.replace_all(snapshot.items, snapshot.revision);
+                self.take_all(snapshot.items, snapshot.revision, Some(started));
             }
             NextRead::ChangesAfter(after) => {
-                let watched = self.store.watch(after, WATCH_WAIT).await?;
-                if !self.cursor.watched(watched.total, watched.revision) {
+                let is_long = wait > FOLLOWED_WATCH_WAIT;
+                let watched = tokio::select! {
+                    watched = self.store.watch(after, wait) => watched?,
+                    () = self.shared.published.asked(), if is_long => {
+                        return Ok(StoreRead::Interrupted);
+                    }
+                };
+                if self.cursor.watched(watched.total, watched.revision) {
+                    let now = self.shared.now();
+                    self.take_changes(watched.changes, watched.revision, Some(now));
+                } else {
                     Event::ChangesMissed {
                         known: after.0,
                         revision: watched.revision.0,
                     }
                     .log();
                 }
-                if !watched.changes.is_empty() {
-                    self.take_changes(&watched.changes, watched.revision);
-                    let mut published = self.shared.published.lock();
-                    published.change(watched.changes, watched.revision);
+            }
+        }
+        Ok(StoreRead::Answered)
+    }
+
+    /// Learns the next changes from another daemon.
+    async fn use_daemon(&mut self, daemon: SocketAddr) {
+        let news = self.ask_followed(daemon).await;
+        let Some(choice) = &mut self.choice else {
+            return;
+        };
+        let now = self.shared.now();
+        let news = match news {
+            Ok(news) => news,
+            Err(error) => {
+                Event::DaemonUnreachable {
+                    daemon,
+                    error: &error,
                 }
+                .log();
+                self.followed = None;
+                return choice.daemon_failed(daemon, now);
             }
+        };
+        let known = self.shared.published.revision();
+        match news.current_at {
+            Some(_) if news.revision >= known => choice.daemon_answered(),
+            _ => {
+                Event::DaemonStale {
+                    daemon,
+                    revision: news.revision.0,
+                    known: known.0,
+                }
+                .log();
+                choice.daemon_is_stale(daemon);
+            }
+        }
+        if news.revision < known {
+            return;
+        }
+        // What the daemon knows is complete up to its revision, so the watch may go on from there.
+        self.cursor.all_read(news.revision);
+        if news.is_whole {
+            self.take_all(news.items, news.revision, news.current_at);
+        } else {
+            self.take_changes(news.items, news.revision, news.current_at);
         }
-        Ok(())
+    }
+
+    async fn ask_followed(&mut self, daemon: SocketAddr) -> Result<News, PeerError> {
+        let now = self.shared.now();
+        let followed = match self.followed.take() {
+            Some(followed) if followed.is_to(daemon, now) => followed,
+            _ => Followed::connect(daemon, now).await?,
+        };
+        let known = self.shared.published.revision();
+        let news = followed.news_after(known, &*self.shared.clock).await?;
+        self.followed = Some(followed);
+        Ok(news)
     }
 
     /// Reads all items. While nothing is known, the first reads are short, so that other daemons are
@@ -123,24 +297,30 @@
     }
 
     /// Takes a complete list; leafs that are not in it are withdrawn.
-    fn take_all(&mut self, items: &[Item], revision: Revision) {
-        let entries = items
-            .iter()
-            .filter_map(|item| match item.decode() {
-                Some(Change::Leaf(entry)) => Some(entry),
-                _ => None,
-            })
-            .collect();
+    fn take_all(&mut self, items: Vec<Item>, revision: Revision, current_at: Option<Instant>) {
+        let mut entries = Vec::new();
+        for change in items.iter().filter_map(Item::decode) {
+            match change {
+                Change::Leaf(entry) => entries.push(entry),
+                change => self.apply(change, revision),
+            }
+        }
         self.directory.replace_all(entries, self.shared.now());
-        self.take_changes(items, revision);
+        self.publish_leafs();
         self.shared.leafs_known.store(true, Ordering::Relaxed);
+        let published = &self.shared.published;
+        published.replace_all(items, revision, current_at);
     }
 
-    fn take_changes(&mut self, items: &[Item], revision: Revision) {
-        for change in items.iter().filter_map(Item::decode) {
-            self.apply(change, revision);
+    /// Takes changes, oldest first.
+    fn take_changes(&mut self, items: Vec<Item>, revision: Revision, current_at: Option<Instant>) {
+        if !items.is_empty() {
+            for change in items.iter().filter_map(Item::decode) {
+                self.apply(change, revision);
+            }
+            self.publish_leafs();
         }
-        self.publish_leafs();
+        self.shared.published.change(items, revision, current_at);
     }
 
     fn apply(&mut self, change: Change, revision: Revision) {
@@ -207,7 +387,7 @@
         self.shared.config.store(Some(Arc::new(config)));
     }
 
-    async fn failed(&mut self, error: &StoreError) {
+    async fn store_failed(&mut self, error: &StoreError) {
         self.cursor.failed();
         Event::StoreFailed {
             error,
@@ -222,6 +402,9 @@
         }
         let factor = 1_u32 << self.failures.min(3);
         self.failures = self.failures.saturating_add(1);
+        if let Some(choice) = &mut self.choice {
+            choice.store_failed(self.shared.now());
+        }
         let pause = (RETRY_PAUSE_MIN * factor).min(RETRY_PAUSE_MAX);
         sleep(pause.mul_f64(0.5 + rand::random::<f64>() / 2.0)).await;
     }
@@ -239,7 +422,7 @@
                     items: items.len(),
                 }
                 .log();
-                self.take_all(&items, revision);
+                self.take_all(items, revision, None);
             }
             Ok(_) => {}
             Err(error) => Event::DaemonUnreachable {
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -1,6 +1,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 
+use medlarpin_core::routing::Source;
 use platform::{EntryError, RequestError, StoreError};
 use serde::{Serialize, Serializer};
 
@@ -34,6 +35,19 @@
         revision: u64,
         items: usize,
     },
+    /// The published items are learned from somewhere else than before.
+    SourceChanged {
+        #[serde(serialize_with = "source_as_text")]
+        source: Source,
+        is_followed: bool,
+        revision: u64,
+    },
+    /// A followed daemon has not heard from the store recently, or knows less than this one.
+    DaemonStale {
+        daemon: SocketAddr,
+        revision: u64,
+        known: u64,
+    },
     /// The number of daemons among which limits are divided changed.
     DaemonsCounted { before: usize, sharing: usize },
     /// An exchange with another daemon failed.
@@ -171,6 +185,8 @@
             | Self::StoreFailed { .. }
             | Self::ChangesMissed { .. }
             | Self::ItemsFromDaemon { .. }
+            | Self::SourceChanged { .. }
+            | Self::DaemonStale { .. }
             | Self::ConfigInForce { .. }
             | Self::ConfigIgnored { .. }
             | Self::EntryUnusable { .. } => "config",
@@ -192,6 +208,13 @@
     }
 }
 
+fn source_as_text<S: Serializer>(source: &Source, serializer: S) -> Result<S::Ok, S::Error> {
+    match source {
+        Source::Store | Source::CheckStore => serializer.serialize_str("store"),
+        Source::Daemon(daemon) => serializer.collect_str(daemon),
+    }
+}
+
 fn as_text<S: Serializer>(value: impl fmt::Display, serializer: S) -> Result<S::Ok, S::Error> {
     serializer.collect_str(&value)
 }
--- a/crates/router/src/leaf_table.rs
+++ b/crates/router/src/leaf_table.rs
@@ -37,13 +37,14 @@
 
     /// Takes over the directory; leafs that are still the same keep their connections.
     pub(crate) fn update(&self, directory: &LeafDirectory) {
-        let known = self.all();
+        let mut known = self.all();
+        known.sort_by(|a, b| a.entry.id.cmp(&b.entry.id));
         let mut leafs: Vec<Arc<Leaf>> = directory
             .leafs()
             .map(|(entry, leaves_at)| {
-                let same = known.iter().find(|leaf| {
-                    leaf.entry.id == entry.id
-                        && leaf.entry.address == entry.address
+                let index = known.binary_search_by(|leaf| leaf.entry.id.cmp(&entry.id));
+                let same = index.ok().map(|index| &known[index]).filter(|leaf| {
+                    leaf.entry.address == entry.address
                         && leaf.entry.service == entry.service
                         && leaf.entry.started_unix_ms == entry.started_unix_ms
                 });
--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -1,5 +1,6 @@
 //! The operators' endpoints: metrics and a dump of the state.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -18,6 +19,12 @@
     is_ready: bool,
     is_stopping: bool,
     config_version: Option<u64>,
+    /// Revision of the store up to which all changes are known.
+    revision: u64,
+    /// Time since the store had nothing newer.
+    store_silent_ms: Option<u128>,
+    /// Daemon from which changes are learned; none if from the store.
+    followed_daemon: Option<SocketAddr>,
     /// Daemons among which limits are divided.
     daemons_sharing: usize,
     routes: Vec<String>,
@@ -73,11 +80,17 @@
             .map(|route| format!("{} {}{}", route.name, route.host, route.prefix))
             .collect()
     });
+    let published = &shared.published;
     Json(StateDump {
         vm: shared.settings.load().vm.to_string(),
         is_ready: shared.is_ready(),
         is_stopping: shared.is_stopping.load(Ordering::Relaxed),
         daemons_sharing: shared.daemons_sharing(),
+        revision: published.revision().0,
+        store_silent_ms: published
+            .current_at()
+            .map(|at| now.saturating_duration_since(at).as_millis()),
+        followed_daemon: published.followed(),
         config_version: config.as_ref().map(|config| config.version.0),
         routes: routes.unwrap_or_default(),
         leafs: leafs.collect(),
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -3,21 +3,22 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use displaydoc::Display;
 use futures::AsyncReadExt;
-use medlarpin_core::prelude::Revision;
+use medlarpin_core::prelude::{Clock, Revision};
 use platform::Item;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use tokio_util::compat::TokioAsyncReadCompatExt;
-use wire::peer_capnp::{known_daemon, route_peer};
+use wire::peer_capnp::{known_daemon, published_item, route_peer};
 
 use crate::event::Event;
+use crate::published::News;
 use crate::shared::Shared;
 
 /// Time between two exchanges that a daemon starts.
@@ -25,7 +26,19 @@
 /// Time for an exchange. All items of the design size are a few hundred kilobytes.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time that an accepted connection may take; a partner that hangs must not hold it open.
-const SERVE_TIMEOUT: Duration = Duration::from_secs(5);
+const SERVE_TIMEOUT: Duration = Duration::from_mins(1);
+/// Time after which a connection to a followed daemon is replaced, before that daemon ends it.
+const FOLLOW_FOR: Duration = Duration::from_secs(45);
+/// Time for which a followed daemon waits for changes.
+const FOLLOW_WAIT: Duration = Duration::from_secs(1);
+/// Time that an answer of a followed daemon may take beyond the wait. It is on the path of a
+/// configuration, which has to be in force within 3 s.
+const FOLLOW_MARGIN: Duration = Duration::from_millis(400);
+/// Time without word from the store after which a daemon's knowledge is old. A watcher hears from
+/// the store each 1.4 s: the wait of a watch and the pause before it.
+const STORE_SILENCE_MAX: Duration = Duration::from_millis(1_800);
+/// Time for which a daemon that is asked while its knowledge is old waits for the store.
+const STALE_WAIT: Duration = Duration::from_millis(300);
 /// Pause after a failure to accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -101,19 +114,62 @@
         let client = connect(partner).await?;
         let response = client.published_items_request().send().promise.await?;
         let reply = response.get()?;
-        let items = reply
-            .get_items()?
-            .iter()
-            .map(|item| {
-                Ok(Item {
-                    key: item.get_key()?.to_str()?.to_owned(),
-                    value: Some(item.get_value()?.into()),
-                })
-            })
-            .collect::<Result<Vec<Item>, PeerError>>()?;
-        Ok((items, Revision(reply.get_revision())))
+        Ok((
+            read_items(reply.get_items()?)?,
+            Revision(reply.get_revision()),
+        ))
     };
-    within_timeout(exchange).await
+    within(EXCHANGE_TIMEOUT, exchange).await
+}
+
+/// A daemon that this one follows instead of the store, with its connection.
+pub(crate) struct Followed {
+    daemon: SocketAddr,
+    client: route_peer::Client,
+    since: Instant,
+}
+
+impl Followed {
+    /// Connects to a daemon.
+    pub(crate) async fn connect(daemon: SocketAddr, now: Instant) -> Result<Self, PeerError> {
+        let client = within(FOLLOW_MARGIN, connect(daemon)).await?;
+        Ok(Self {
+            daemon,
+            client,
+            since: now,
+        })
+    }
+
+    /// Returns true if the connection is to this daemon and will last for another call.
+    pub(crate) fn is_to(&self, daemon: SocketAddr, now: Instant) -> bool {
+        self.daemon == daemon && now.saturating_duration_since(self.since) < FOLLOW_FOR
+    }
+
+    /// Waits for what happens after a revision.
+    pub(crate) async fn news_after(
+        &self,
+        known: Revision,
+        clock: &dyn Clock,
+    ) -> Result<News, PeerError> {
+        let exchange = async {
+            let mut request = self.client.published_changes_request();
+            request.get().set_after_revision(known.0);
+            request.get().set_wait_ms(whole_ms(FOLLOW_WAIT));
+            let response = request.send().promise.await?;
+            let reply = response.get()?;
+            let silence = Duration::from_millis(reply.get_store_silent_ms().into());
+            let current_at = (silence <= STORE_SILENCE_MAX)
+                .then(|| clock.now().checked_sub(silence))
+                .flatten();
+            Ok(News {
+                revision: Revision(reply.get_revision()),
+                current_at,
+                is_whole: reply.get_is_whole(),
+                items: read_items(reply.get_items()?)?,
+            })
+        };
+        within(FOLLOW_WAIT + FOLLOW_MARGIN, exchange).await
+    }
 }
 
 async fn greet(shared: &Shared, partner: SocketAddr) -> Result<(), PeerError> {
@@ -132,19 +188,21 @@
         record(shared, partner, &others);
         Ok(())
     };
-    within_timeout(exchange).await
+    within(EXCHANGE_TIMEOUT, exchange).await
 }
 
-async fn within_timeout<T>(
+async fn within<T>(
+    limit: Duration,
     exchange: impl Future<Output = Result<T, PeerError>>,
 ) -> Result<T, PeerError> {
-    timeout(EXCHANGE_TIMEOUT, exchange)
+    timeout(limit, exchange)
         .await
-        .unwrap_or(Err(PeerError::TimedOut(EXCHANGE_TIMEOUT)))
+        .unwrap_or(Err(PeerError::TimedOut(limit)))
 }
 
 async fn connect(partner: SocketAddr) -> Result<route_peer::Client, PeerError> {
     let stream = TcpStream::connect(partner).await?;
+    stream.set_nodelay(true)?;
     let mut system = system(stream, rpc_twoparty_capnp::Side::Client, None);
     let client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
     // The call that uses the connection reports its failure.
@@ -191,20 +249,90 @@
         _params: route_peer::PublishedItemsParams,
         mut results: route_peer::PublishedItemsResults,
     ) -> Result<(), capnp::Error> {
-        let published = self.shared.published.lock();
+        self.shared.published.with_items(|revision, items| {
+            let mut reply = results.get();
+            reply.set_revision(revision.0);
+            write_items(items, reply.init_items(length(items)));
+        });
+        Ok(())
+    }
+
+    async fn published_changes(
+        self: Rc<Self>,
+        params: route_peer::PublishedChangesParams,
+        mut results: route_peer::PublishedChangesResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let known = Revision(params.get_after_revision());
+        let wait = Duration::from_millis(params.get_wait_ms().into()).min(FOLLOW_WAIT);
+        let news = self.wait_for_news(known, wait).await;
+        let silence = news.current_at.map_or(Duration::MAX, |at| {
+            self.shared.now().saturating_duration_since(at)
+        });
         let mut reply = results.get();
-        reply.set_revision(published.revision().0);
-        let items = published.items();
-        let mut list = reply.init_items(length(items));
-        for (index, item) in (0..).zip(items) {
-            let mut entry = list.reborrow().get(index);
-            entry.set_key(&item.key);
-            entry.set_value(item.value.as_deref().unwrap_or_default());
-        }
+        reply.set_revision(news.revision.0);
+        reply.set_store_silent_ms(whole_ms(silence));
+        reply.set_is_whole(news.is_whole);
+        write_items(&news.items, reply.init_items(length(&news.items)));
         Ok(())
     }
 }
 
+impl DaemonService {
+    /// Waits for changes after a revision. The wait ends early if the store is silent, so that a
+    /// daemon that follows this one asks the store itself.
+    async fn wait_for_news(&self, known: Revision, wait: Duration) -> News {
+        let published = &self.shared.published;
+        let started = self.shared.now();
+        published.record_asked(started);
+        loop {
+            // Created before the state is read, so that no change in between is missed.
+            let changed = published.changed();
+            let news = published.news_after(known);
+            let old_at = news.current_at.map(|at| at + STORE_SILENCE_MAX);
+            let until = old_at.max(Some(started + STALE_WAIT));
+            let until = until.unwrap_or(started).min(started + wait);
+            let now = self.shared.now();
+            if news.revision > known || now >= until {
+                return news;
+            }
+            // Both ends are handled by the next round.
+            let _ = timeout(until - now, changed).await;
+        }
+    }
+}
+
+fn read_items(
+    list: capnp::struct_list::Reader<'_, published_item::Owned>,
+) -> Result<Vec<Item>, PeerError> {
+    list.iter()
+        .map(|item| {
+            let value = (!item.get_is_withdrawn())
+                .then(|| item.get_value())
+                .transpose()?;
+            Ok(Item {
+                key: item.get_key()?.to_str()?.to_owned(),
+                value: value.map(Into::into),
+            })
+        })
+        .collect()
+}
+
+fn write_items(items: &[Item], mut list: capnp::struct_list::Builder<'_, published_item::Owned>) {
+    for (index, item) in (0..).zip(items) {
+        let mut entry = list.reborrow().get(index);
+        entry.set_key(&item.key);
+        match &item.value {
+            Some(value) => entry.set_value(value),
+            None => entry.set_is_withdrawn(true),
+        }
+    }
+}
+
+fn whole_ms(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Records the partner of an exchange and what it knows.
 fn record(shared: &Shared, partner: SocketAddr, others: &[(SocketAddr, Duration)]) {
     let Some(daemons) = &shared.daemons else {
@@ -260,7 +388,7 @@
         daemon.set_ipv4(address.ip().to_bits());
         daemon.set_port(address.port());
     }
-    daemon.set_silent_ms(u32::try_from(silent.as_millis()).unwrap_or(u32::MAX));
+    daemon.set_silent_ms(whole_ms(silent));
 }
 
 fn length<T>(items: &[T]) -> u32 {
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -46,8 +46,8 @@
     routes: Mutex<Vec<Arc<RouteState>>>,
     /// Sorted by service, without duplicates.
     budgets: Mutex<Vec<(ServiceName, RepeatBudget)>>,
-    /// What this daemon can tell daemons that cannot reach the store.
-    pub(crate) published: Mutex<Published>,
+    /// What this daemon can tell daemons that do not read the store.
+    pub(crate) published: Published,
     /// The other daemons; `None` if they cannot reach this one.
     pub(crate) daemons: Option<Mutex<DaemonList>>,
     pub(crate) metrics: Metrics,
@@ -70,7 +70,7 @@
             is_stopping: AtomicBool::new(false),
             routes: Mutex::default(),
             budgets: Mutex::default(),
-            published: Mutex::default(),
+            published: Published::new(),
             daemons: peer_address.map(|address| Mutex::new(DaemonList::new(address))),
             metrics,
         }
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -202,7 +202,9 @@
 # An item of the platform's store, as it was published.
 struct PublishedItem {
   key @0 :Text;
+  # Empty if the item was withdrawn.
   value @1 :Data;
+  isWithdrawn @2 :Bool;
 }
 
 # Daemons that serve published routes.
@@ -211,4 +213,7 @@
   greet @0 (sender :KnownDaemon, known :List(KnownDaemon)) -> (known :List(KnownDaemon));
   # All items at a revision of the store; revision 0 means that the peer has not read them.
   publishedItems @1 () -> (revision :UInt64, items :List(PublishedItem));
+  # Waits for changes after a revision. With isWhole, the items are all that are published, since the
+  # peer does not know the changes. The peer has heard from the store storeSilentMs ago.
+  publishedChanges @2 (afterRevision :UInt64, waitMs :UInt32) -> (revision :UInt64, storeSilentMs :UInt32, isWhole :Bool, items :List(PublishedItem));
 }
