Resume a watch only where a current daemon stands

Cause: a daemon whose watch had failed because the store's history was gone asked another daemon, whose knowledge was old as well, and took its revision as the place to resume the watch.

Ruled out: a store that does not answer (it answered 410), and the revision gap (no ChangesMissed line in the logs).

Change: the revision of another daemon counts for the watch only if that daemon has heard from the store recently.

--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -73,7 +73,10 @@
     pub(crate) fn new(shared: Arc<Shared>) -> Self {
         let settings = shared.settings.load_full();
         let leaving_use = settings.drain.mul_f64(LEAVING_USE_SHARE);
-        let own = shared.daemons.as_ref().map(|daemons| daemons.lock().own());
+        let own = shared
+            .daemons
+            .as_ref()
+            .map(|daemons| daemons.lock().own().address);
         Self {
             store: Store::new(settings.store_address),
             directory: LeafDirectory::new(leaving_use),
@@ -111,8 +114,8 @@
             // A start reads the store: the others start at the same time.
             (Some(choice), Some(daemons)) if self.shared.leafs_known.load(Ordering::Relaxed) => {
                 let seeds = &self.shared.settings.load().seed_addresses;
-                let others = daemons.lock().others(seeds, now);
-                choice.next(&others, is_followed, now)
+                let all = daemons.lock().all(seeds, now);
+                choice.next(&all, is_followed, now)
             }
             _ => Source::Store,
         };
@@ -263,8 +266,11 @@
         if news.revision < known {
             return;
         }
-        // What the daemon knows is complete up to its revision, so the watch may go on from there.
-        self.cursor.all_read(news.revision);
+        // A current daemon is complete up to its revision, so the watch may go on from there. A
+        // failed watch must not go on because of one that is not: its history may be gone.
+        if news.current_at.is_some() {
+            self.cursor.all_read(news.revision);
+        }
         if news.is_whole {
             self.take_all(news.items, news.revision, news.current_at);
         } else {
