Let large VMs gather the queries of small ones

Cause: a query to 90 shards takes 5.8 ms of processor, which is 69 ms on a VM with 0.084 of a core, against a target latency of 60 ms.

Ruled out: more hedges or an earlier answer (the time goes to the own processor); a repeated run on the small VM when the large one is silent (it may exceed the leafs that a route allows).

Change: daemons tell each other the processor time of their VMs. A query whose leaf requests would take more than 15% of its target latency goes to a daemon with twice the processor time or more (DelegateChoice, RoutePeer.gatherQuery), chosen at random; one that fails or is late gets none for 3 s. What no leaf has got is gathered here instead. The delegate counts 6 ms for the way back. The largest VMs also watch the store, and a daemon that could not be followed is left out for 1 s first, as all start together.

--- a/crates/medlarpin-core/src/routing/daemon_list.rs
+++ b/crates/medlarpin-core/src/routing/daemon_list.rs
@@ -1,6 +1,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use super::KnownDaemon;
+
 /// Time after which a silent daemon is no longer counted. Longer than a restart or a short
 /// partition, so that the others do not take over its share of a limit meanwhile.
 pub const FORGOTTEN_AFTER: Duration = Duration::from_mins(1);
@@ -20,9 +22,10 @@
 /// seeds learns all in a few exchanges.
 #[derive(Debug, Clone)]
 pub struct DaemonList {
-    own: SocketAddr,
-    /// Sorted by address, without duplicates and without the own address.
-    others: Vec<(SocketAddr, Instant)>,
+    own: KnownDaemon,
+    /// With the last time at which anyone heard from them; sorted by address, without duplicates and
+    /// without this daemon.
+    others: Vec<(KnownDaemon, Instant)>,
     /// First time at which another daemon was heard.
     first_heard: Option<Instant>,
 }
@@ -30,7 +33,7 @@
 impl DaemonList {
     /// Creates the list of a daemon that knows no other.
     #[must_use]
-    pub fn new(own: SocketAddr) -> Self {
+    pub fn new(own: KnownDaemon) -> Self {
         Self {
             own,
             others: Vec::new(),
@@ -38,26 +41,27 @@
         }
     }
 
-    /// Returns the own address.
+    /// Returns this daemon.
     #[must_use]
-    pub fn own(&self) -> SocketAddr {
+    pub fn own(&self) -> KnownDaemon {
         self.own
     }
 
     /// Records that someone heard from a daemon this long ago.
-    pub fn heard(&mut self, daemon: SocketAddr, silent: Duration, now: Instant) {
+    pub fn heard(&mut self, daemon: KnownDaemon, silent: Duration, now: Instant) {
         let Some(at) = now.checked_sub(silent) else {
             return;
         };
-        if daemon == self.own || silent >= FORGOTTEN_AFTER {
+        if daemon.address == self.own.address || silent >= FORGOTTEN_AFTER {
             return;
         }
         self.first_heard.get_or_insert(now);
         match self
             .others
-            .binary_search_by(|(known, _)| known.cmp(&daemon))
+            .binary_search_by_key(&daemon.address, |(known, _)| known.address)
         {
-            Ok(index) => self.others[index].1 = self.others[index].1.max(at),
+            Ok(index) if at >= self.others[index].1 => self.others[index] = (daemon, at),
+            Ok(_) => {}
             Err(index) => self.others.insert(index, (daemon, at)),
         }
     }
@@ -72,7 +76,7 @@
     ///
     /// A message holds a part of a long list; `random` is uniform and picks the part.
     #[must_use]
-    pub fn known(&self, random: u64, now: Instant) -> Vec<(SocketAddr, Duration)> {
+    pub fn known(&self, random: u64, now: Instant) -> Vec<(KnownDaemon, Duration)> {
         let count = u64::try_from(self.others.len()).unwrap_or(1).max(1);
         let first = usize::try_from(random % count).unwrap_or(0);
         self.others
@@ -93,7 +97,7 @@
         let seeds: Vec<SocketAddr> = seeds
             .iter()
             .copied()
-            .filter(|seed| *seed != self.own)
+            .filter(|seed| *seed != self.own.address)
             .collect();
         let pick = |count: usize| {
             let count = u64::try_from(count).unwrap_or(1).max(1);
@@ -101,7 +105,7 @@
         };
         let from_seeds = seeds.get(pick(seeds.len())).copied();
         let from_others = self.others.get(pick(self.others.len()));
-        let from_others = from_others.map(|(daemon, _)| *daemon);
+        let from_others = from_others.map(|(daemon, _)| daemon.address);
         if random.is_multiple_of(2) {
             from_seeds.or(from_others)
         } else {
@@ -109,15 +113,27 @@
         }
     }
 
-    /// Returns the other daemons. Until the list is settled these are the seeds, which all daemons
-    /// know from their start.
+    /// Returns all daemons, this one included. Until the list is settled these are the seeds, which
+    /// all daemons know from their start.
     #[must_use]
-    pub fn others(&self, seeds: &[SocketAddr], now: Instant) -> Vec<SocketAddr> {
+    pub fn all(&self, seeds: &[SocketAddr], now: Instant) -> Vec<KnownDaemon> {
         if self.is_settled(now) {
-            return self.others.iter().map(|(daemon, _)| *daemon).collect();
+            return self.others().chain([self.own]).collect();
         }
-        let others = seeds.iter().filter(|seed| **seed != self.own);
-        others.copied().collect()
+        let others = seeds.iter().filter(|seed| **seed != self.own.address);
+        let daemons = others.chain([&self.own.address]);
+        // The others do not know the capacity of a daemon that has just started.
+        daemons
+            .map(|address| KnownDaemon {
+                address: *address,
+                cpu_millicores: 0,
+            })
+            .collect()
+    }
+
+    /// Returns the other daemons that are known so far.
+    pub fn others(&self) -> impl Iterator<Item = KnownDaemon> {
+        self.others.iter().map(|(daemon, _)| *daemon)
     }
 
     /// Returns the number of daemons among which a limit is divided.
--- a/crates/medlarpin-core/src/routing/source_choice.rs
+++ b/crates/medlarpin-core/src/routing/source_choice.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use super::KnownDaemon;
 use crate::ids::stable_hash;
 
 /// Daemons for which one daemon watches the store. A daemon that follows asks about once a second,
@@ -9,8 +10,11 @@
 /// Least number of daemons that watch the store, so that the loss of one does not make all others
 /// call the store at the same time.
 pub const WATCHERS_MIN: usize = 2;
-/// Time for which a daemon that could not be followed is left out.
-pub const FAILED_FOR: Duration = Duration::from_secs(10);
+/// Time for which a daemon that could not be followed is left out. It is short, as all daemons start
+/// at about the same time and the first ones find the others missing.
+pub const FAILED_FOR_MIN: Duration = Duration::from_secs(1);
+/// Longest time for which a daemon that fails again and again is left out.
+pub const FAILED_FOR_MAX: Duration = Duration::from_secs(10);
 /// Pause of a watcher between failed calls to the store, within which it asks another daemon.
 pub const WATCHER_RETRY: Duration = Duration::from_millis(800);
 /// Pause of a daemon that does not watch between failed calls to the store. All daemons make these
@@ -28,16 +32,26 @@
     Daemon(SocketAddr),
 }
 
+/// A daemon that could not be followed.
+#[derive(Debug, Clone, Copy)]
+struct LeftOut {
+    daemon: SocketAddr,
+    until: Instant,
+    /// Time for which it was left out; doubles if it fails again.
+    pause: Duration,
+}
+
 /// Chooses the source of the published items.
 ///
-/// All daemons rank each other in the same order. The first ones that can be reached watch the
+/// All daemons rank each other in the same order, those with the most processor time first: a small
+/// VM under load is late with what its followers need. The first ones that can be reached watch the
 /// store, and each of the others follows one of them. The daemons need not agree: one that is
 /// followed watches the store as well.
 #[derive(Debug, Clone)]
 pub struct SourceChoice {
     own: SocketAddr,
-    /// Daemons that could not be followed and until when they are left out; sorted by address.
-    failed: Vec<(SocketAddr, Instant)>,
+    /// Sorted by daemon, without duplicates.
+    failed: Vec<LeftOut>,
     /// Time of the last call to the store, if it failed.
     store_failed_at: Option<Instant>,
     /// True if the followed daemon may be out of date.
@@ -59,11 +73,12 @@
         }
     }
 
-    /// Returns the next source. `is_followed` tells whether other daemons follow this one.
+    /// Returns the next source. `all` are the daemons, this one included; `is_followed` tells whether
+    /// others follow this one.
     #[must_use]
-    pub fn next(&self, others: &[SocketAddr], is_followed: bool, now: Instant) -> Source {
-        let ranked = self.ranked(others, now);
-        let watchers = watcher_count(others.len() + 1).min(ranked.len());
+    pub fn next(&self, all: &[KnownDaemon], is_followed: bool, now: Instant) -> Source {
+        let ranked = self.ranked(all, now);
+        let watchers = watcher_count(all.len()).min(ranked.len());
         let is_watcher = is_followed || ranked[..watchers].contains(&self.own);
         let pause = if is_watcher {
             WATCHER_RETRY
@@ -125,29 +140,43 @@
     }
 
     fn leave_out(&mut self, daemon: SocketAddr, now: Instant) {
-        self.failed.retain(|(_, until)| now < *until);
-        let until = now + FAILED_FOR;
-        match self
+        self.failed
+            .retain(|known| now < known.until + FAILED_FOR_MAX);
+        let position = self
             .failed
-            .binary_search_by_key(&daemon, |(known, _)| *known)
-        {
-            Ok(index) => self.failed[index].1 = until,
-            Err(index) => self.failed.insert(index, (daemon, until)),
+            .binary_search_by_key(&daemon, |known| known.daemon);
+        let pause = position.map_or(FAILED_FOR_MIN, |index| {
+            (self.failed[index].pause * 2).min(FAILED_FOR_MAX)
+        });
+        let left_out = LeftOut {
+            daemon,
+            until: now + pause,
+            pause,
+        };
+        match position {
+            Ok(index) => self.failed[index] = left_out,
+            Err(index) => self.failed.insert(index, left_out),
         }
     }
 
-    /// Returns this daemon and those that are not left out, in the order in which they watch.
-    fn ranked(&self, others: &[SocketAddr], now: Instant) -> Vec<SocketAddr> {
-        let is_left_out = |daemon: &SocketAddr| {
+    /// Returns the daemons that are not left out, in the order in which they watch.
+    fn ranked(&self, all: &[KnownDaemon], now: Instant) -> Vec<SocketAddr> {
+        let is_left_out = |daemon: &KnownDaemon| {
             let found = self
                 .failed
-                .binary_search_by_key(daemon, |(known, _)| *known);
-            found.is_ok_and(|index| now < self.failed[index].1)
+                .binary_search_by_key(&daemon.address, |known| known.daemon);
+            found.is_ok_and(|index| now < self.failed[index].until)
         };
-        let others = others.iter().filter(|daemon| !is_left_out(daemon));
-        let mut ranked: Vec<SocketAddr> = others.copied().chain([self.own]).collect();
-        ranked.sort_by_cached_key(|daemon| (hash(*daemon), *daemon));
-        ranked
+        let mut ranked: Vec<KnownDaemon> = all
+            .iter()
+            .copied()
+            .filter(|daemon| !is_left_out(daemon))
+            .collect();
+        ranked.sort_by_cached_key(|daemon| {
+            let least_first = u32::MAX - daemon.cpu_millicores;
+            (least_first, hash(daemon.address), daemon.address)
+        });
+        ranked.into_iter().map(|daemon| daemon.address).collect()
     }
 }
 
@@ -159,12 +188,9 @@
 /// Returns which of the watchers a daemon follows.
 fn place(daemon: SocketAddr, watchers: usize) -> usize {
     let count = u64::try_from(watchers).unwrap_or(1).max(1);
-    // The low bits order the watchers, which are the daemons with the lowest values.
-    usize::try_from((hash(daemon) >> 32) % count).unwrap_or(0)
+    usize::try_from(hash(daemon) % count).unwrap_or(0)
 }
 
 fn hash(daemon: SocketAddr) -> u64 {
-    // The lowest hashes are those of the watchers, so the address is hashed in text form with its
-    // port: daemons on one VM and daemons of one network differ in few bits.
     stable_hash(&[daemon.to_string().as_bytes()])
 }
--- a/crates/medlarpin-core/tests/routing_daemons.rs
+++ b/crates/medlarpin-core/tests/routing_daemons.rs
@@ -3,28 +3,41 @@
 use std::net::SocketAddr;
 
 use medlarpin_core::prelude::*;
-use medlarpin_core::routing::{DAEMONS_ASSUMED, DaemonList, FORGOTTEN_AFTER, SETTLED_AFTER};
+use medlarpin_core::routing::{
+    DAEMONS_ASSUMED, DaemonList, FORGOTTEN_AFTER, KnownDaemon, SETTLED_AFTER,
+};
 
 fn address(number: u8) -> SocketAddr {
     ([192, 0, 2, number], 8106).into()
 }
 
+fn known(address: SocketAddr) -> KnownDaemon {
+    KnownDaemon {
+        address,
+        cpu_millicores: 170,
+    }
+}
+
+fn daemon(number: u8) -> KnownDaemon {
+    known(address(number))
+}
+
 /// Guards against a daemon that has just started, or is alone because of a partition, and takes the
 /// whole limit.
 #[test]
 fn a_limit_is_divided_among_the_known_daemons() {
     let start = Instant::now();
-    let mut list = DaemonList::new(address(0));
+    let mut list = DaemonList::new(daemon(0));
     assert_eq!(list.sharing(start + SETTLED_AFTER * 2), DAEMONS_ASSUMED);
     for number in 0..20 {
-        list.heard(address(number), Duration::ZERO, start);
+        list.heard(daemon(number), Duration::ZERO, start);
     }
     assert_eq!(list.sharing(start), DAEMONS_ASSUMED);
     assert_eq!(list.sharing(start + SETTLED_AFTER), 20);
     list.forget(start + FORGOTTEN_AFTER / 2);
     assert_eq!(list.sharing(start + FORGOTTEN_AFTER / 2), 20);
     for number in 20..100 {
-        list.heard(address(number), Duration::ZERO, start + SETTLED_AFTER);
+        list.heard(daemon(number), Duration::ZERO, start + SETTLED_AFTER);
     }
     assert_eq!(list.sharing(start + SETTLED_AFTER), 100);
     list.forget(start + FORGOTTEN_AFTER * 2);
@@ -35,8 +48,8 @@
 #[test]
 fn a_passed_on_daemon_keeps_its_silence() {
     let start = Instant::now();
-    let (mut first, mut second) = (DaemonList::new(address(1)), DaemonList::new(address(2)));
-    first.heard(address(9), Duration::ZERO, start);
+    let (mut first, mut second) = (DaemonList::new(daemon(1)), DaemonList::new(daemon(2)));
+    first.heard(daemon(9), Duration::ZERO, start);
     let mut now = start;
     for _ in 0..200 {
         now += Duration::from_secs(1);
@@ -63,7 +76,7 @@
     let at = |number: u16| -> SocketAddr { ([10, 0, 0, 1], 1_000 + number).into() };
     let seeds = [at(0), at(1), at(2)];
     let mut lists: Vec<DaemonList> = (0..DAEMONS)
-        .map(|number| DaemonList::new(at(number)))
+        .map(|number| DaemonList::new(known(at(number))))
         .collect();
     let start = Instant::now();
     let mut random = 1_u64;
@@ -103,7 +116,7 @@
 /// Guards against exchanges with oneself, and against a seed that is the only one and oneself.
 #[test]
 fn a_daemon_does_not_greet_itself() {
-    let list = DaemonList::new(address(1));
+    let list = DaemonList::new(daemon(1));
     for random in 0..10 {
         assert_eq!(list.next_partner(&[address(1)], random), None);
         let partner = list.next_partner(&[address(1), address(2)], random);
--- a/crates/medlarpin-core/tests/routing_sources.rs
+++ b/crates/medlarpin-core/tests/routing_sources.rs
@@ -4,34 +4,33 @@
 
 use medlarpin_core::prelude::*;
 use medlarpin_core::routing::{
-    ChangeLog, FAILED_FOR, FOLLOWER_RETRY, FOLLOWERS_MAX, Source, SourceChoice, WATCHER_RETRY,
-    WATCHERS_MIN,
+    ChangeLog, FAILED_FOR_MAX, FAILED_FOR_MIN, FOLLOWER_RETRY, FOLLOWERS_MAX, KnownDaemon, Source,
+    SourceChoice, WATCHER_RETRY, WATCHERS_MIN,
 };
 
-fn daemon(number: u16) -> SocketAddr {
+fn daemon(number: u16) -> KnownDaemon {
     let [high, low] = number.to_be_bytes();
-    SocketAddr::from(([10, 1, high, low], 8106))
+    KnownDaemon {
+        address: SocketAddr::from(([10, 1, high, low], 8106)),
+        cpu_millicores: 170,
+    }
 }
 
-fn daemons(count: u16) -> Vec<SocketAddr> {
+fn daemons(count: u16) -> Vec<KnownDaemon> {
     (0..count).map(daemon).collect()
 }
 
-fn others(all: &[SocketAddr], own: SocketAddr) -> Vec<SocketAddr> {
-    all.iter().copied().filter(|other| *other != own).collect()
-}
-
 /// Returns the sources of all daemons.
-fn sources(all: &[SocketAddr], now: Instant) -> Vec<(SocketAddr, Source)> {
-    let source = |own: &SocketAddr| {
-        let choice = SourceChoice::new(*own);
-        (*own, choice.next(&others(all, *own), false, now))
+fn sources(all: &[KnownDaemon], now: Instant) -> Vec<(SocketAddr, Source)> {
+    let source = |own: &KnownDaemon| {
+        let choice = SourceChoice::new(own.address);
+        (own.address, choice.next(all, false, now))
     };
     all.iter().map(source).collect()
 }
 
 /// Returns a daemon that follows and the one that it follows.
-fn a_follower(all: &[SocketAddr], now: Instant) -> (SocketAddr, SocketAddr) {
+fn a_follower(all: &[KnownDaemon], now: Instant) -> (SocketAddr, SocketAddr) {
     let follows = |(own, source)| match source {
         Source::Daemon(daemon) => Some((own, daemon)),
         Source::Store | Source::CheckStore => None,
@@ -76,6 +75,23 @@
     }
 }
 
+/// Guards against watchers on small VMs, which are late with what their followers need when load
+/// begins.
+#[test]
+fn the_largest_vms_watch() {
+    let now = Instant::now();
+    let mut all = daemons(95);
+    for large in [17, 50, 90] {
+        all[large].cpu_millicores = 500;
+    }
+    for (own, source) in sources(&all, now) {
+        let is_large = all
+            .iter()
+            .any(|daemon| daemon.address == own && daemon.cpu_millicores == 500);
+        assert!(is_large || matches!(source, Source::Daemon(_)), "{own}");
+    }
+}
+
 /// Guards against a daemon that stays with a followed daemon that is gone, and against one that
 /// knows nothing new until it has found another.
 #[test]
@@ -83,18 +99,28 @@
     let now = Instant::now();
     let all = daemons(20);
     let (own, followed) = a_follower(&all, now);
-    let others = others(&all, own);
     let mut choice = SourceChoice::new(own);
     choice.daemon_failed(followed, now);
-    assert_eq!(choice.next(&others, false, now), Source::CheckStore);
+    assert_eq!(choice.next(&all, false, now), Source::CheckStore);
     choice.store_answered(now);
-    let next = choice.next(&others, false, now);
+    let next = choice.next(&all, false, now);
     assert_ne!(next, Source::Daemon(followed));
     assert_ne!(next, Source::CheckStore);
-    assert_eq!(
-        choice.next(&others, false, now + FAILED_FOR),
-        Source::Daemon(followed)
-    );
+    let next_at = |choice: &SourceChoice, at| choice.next(&all, false, at);
+    let tried_again = now + FAILED_FOR_MIN;
+    assert_eq!(next_at(&choice, tried_again), Source::Daemon(followed));
+    // A daemon that stays away is tried less often.
+    let mut at = tried_again;
+    for _ in 0..5 {
+        choice.daemon_failed(followed, at);
+        choice.store_answered(at);
+        assert_ne!(
+            next_at(&choice, at + FAILED_FOR_MIN),
+            Source::Daemon(followed)
+        );
+        at += FAILED_FOR_MAX;
+        assert_eq!(next_at(&choice, at), Source::Daemon(followed));
+    }
 }
 
 /// Guards against a watcher that is cut off from the store and takes its followers with it, and
@@ -104,17 +130,16 @@
     let now = Instant::now();
     let all = daemons(20);
     let (own, followed) = a_follower(&all, now);
-    let others = others(&all, own);
     let check = |store_answers: bool, expected: fn(Source, SocketAddr) -> bool| {
         let mut choice = SourceChoice::new(own);
         choice.daemon_is_stale(followed);
-        assert_eq!(choice.next(&others, false, now), Source::CheckStore);
+        assert_eq!(choice.next(&all, false, now), Source::CheckStore);
         if store_answers {
             choice.store_answered(now);
         } else {
             choice.store_failed(now);
         }
-        let next = choice.next(&others, false, now);
+        let next = choice.next(&all, false, now);
         assert!(expected(next, followed), "{store_answers}: {next:?}");
     };
     check(true, |next, followed| next != Source::Daemon(followed));
@@ -127,11 +152,10 @@
     let now = Instant::now();
     let all = daemons(20);
     let (own, followed) = a_follower(&all, now);
-    let others = others(&all, own);
     let mut choice = SourceChoice::new(own);
     choice.store_failed(now);
     choice.daemon_is_stale(followed);
-    let next_at = |after: Duration, is_followed| choice.next(&others, is_followed, now + after);
+    let next_at = |after: Duration, is_followed| choice.next(&all, is_followed, now + after);
     assert_eq!(next_at(WATCHER_RETRY, false), Source::Daemon(followed));
     assert_eq!(next_at(FOLLOWER_RETRY, false), Source::CheckStore);
     assert_eq!(next_at(WATCHER_RETRY, true), Source::Store);
@@ -146,15 +170,14 @@
         .into_iter()
         .find(|(_, source)| *source == Source::Store)
         .unwrap();
-    let others = others(&all, own);
     let mut choice = SourceChoice::new(own);
     choice.store_failed(now);
     assert!(matches!(
-        choice.next(&others, false, now),
+        choice.next(&all, false, now),
         Source::Daemon(daemon) if daemon != own
     ));
     let later = now + WATCHER_RETRY;
-    assert_eq!(choice.next(&others, false, later), Source::Store);
+    assert_eq!(choice.next(&all, false, later), Source::Store);
 }
 
 /// Guards against changes that a follower never hears of, above all those that a difference of two
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -14,9 +14,9 @@
 use platform::CallerHead;
 
 use crate::caller_request::CallerRequest;
+use crate::delegation::gather_anywhere;
 use crate::event::Event;
 use crate::refusal::Refusal;
-use crate::scatter::gather;
 use crate::shared::Shared;
 use crate::single::forward;
 
@@ -52,7 +52,7 @@
 }
 
 /// Returns the configuration in force and the route of a request.
-fn find_route(
+pub(crate) fn find_route(
     shared: &Shared,
     caller: &CallerHead,
     path: &str,
@@ -104,9 +104,7 @@
     let request = Arc::new(request);
     let state = shared.route_state(route);
     let service = match &route.target {
-        RouteTarget::Scatter(scatter) => {
-            return gather(Arc::clone(shared), scatter, route, &state, &request).await;
-        }
+        RouteTarget::Scatter(_) => return gather_anywhere(shared, route, &request).await,
         RouteTarget::Service(service) => service.clone(),
         RouteTarget::Split(parts) => {
             let chosen = state.split.lock().next(parts);
@@ -154,7 +152,7 @@
     }
 }
 
-fn refuse(refusal: Refusal, request_id: Option<&HeaderValue>) -> Answer {
+pub(crate) fn refuse(refusal: Refusal, request_id: Option<&HeaderValue>) -> Answer {
     let mut response = Response::new(Full::new(Bytes::new()));
     *response.status_mut() = refusal.status();
     *response.headers_mut() = platform::refusal_headers(request_id, refusal.retry_after());
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -6,6 +6,7 @@
 use serde::{Serialize, Serializer};
 
 use crate::attempt_end::LeafFailure;
+use crate::delegation::DelegationError;
 use crate::peers::PeerError;
 use crate::refusal::Refusal;
 
@@ -48,6 +49,24 @@
         revision: u64,
         known: u64,
     },
+    /// Another daemon gathers a query.
+    Delegated {
+        request: &'a str,
+        daemon: SocketAddr,
+    },
+    /// The daemon that gathers a query failed.
+    DelegationFailed {
+        request: &'a str,
+        daemon: SocketAddr,
+        #[serde(serialize_with = "as_text")]
+        error: &'a DelegationError,
+    },
+    /// A query of another daemon's caller has ended.
+    GatheredForDaemon {
+        request: &'a str,
+        refusal: Option<Refusal>,
+        after_ms: u128,
+    },
     /// The number of daemons among which limits are divided changed.
     DaemonsCounted { before: usize, sharing: usize },
     /// An exchange with another daemon failed.
@@ -199,7 +218,10 @@
             Self::Hedged { .. }
             | Self::RepeatDenied { .. }
             | Self::ShardsUnreachable { .. }
-            | Self::ShardsMissing { .. } => "gather",
+            | Self::ShardsMissing { .. }
+            | Self::Delegated { .. }
+            | Self::DelegationFailed { .. }
+            | Self::GatheredForDaemon { .. } => "gather",
             Self::Answered { .. }
             | Self::Refused { .. }
             | Self::BadRequest { .. }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,6 +5,7 @@
 mod caller_request;
 mod callers;
 mod connections;
+mod delegation;
 mod discovery;
 mod error;
 mod event;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -23,6 +23,7 @@
     pub(crate) leaf_requests: IntCounter,
     leaf_failures: IntCounterVec,
     pub(crate) hedges: IntCounter,
+    pub(crate) delegated: IntCounter,
     pub(crate) hedges_denied: IntCounter,
     pub(crate) retries_denied: IntCounter,
     pub(crate) store_calls: IntCounter,
@@ -76,6 +77,10 @@
             )?,
             leaf_requests: counter("medlarpin_leaf_requests_total", "Requests sent to leafs")?,
             hedges: counter("medlarpin_hedges_total", "Hedged leaf requests")?,
+            delegated: counter(
+                "medlarpin_delegated_queries_total",
+                "Queries sent to another daemon, which gathers them",
+            )?,
             hedges_denied: counter(
                 "medlarpin_hedges_denied_total",
                 "Hedges that the repeat limit prevented",
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -9,6 +9,7 @@
 use displaydoc::Display;
 use futures::AsyncReadExt;
 use medlarpin_core::prelude::{Clock, Revision};
+use medlarpin_core::routing::KnownDaemon;
 use platform::Item;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
@@ -17,6 +18,7 @@
 use tokio_util::compat::TokioAsyncReadCompatExt;
 use wire::peer_capnp::{known_daemon, published_item, route_peer};
 
+use crate::delegation;
 use crate::event::Event;
 use crate::published::News;
 use crate::shared::Shared;
@@ -27,8 +29,8 @@
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time that an accepted connection may take; a partner that hangs must not hold it open.
 const SERVE_TIMEOUT: Duration = Duration::from_mins(1);
-/// Time after which a connection to a followed daemon is replaced, before that daemon ends it.
-const FOLLOW_FOR: Duration = Duration::from_secs(45);
+/// Time for which a connection to another daemon is used, before that daemon ends it.
+pub(crate) const USE_FOR: Duration = Duration::from_secs(45);
 /// Time for which a followed daemon waits for changes.
 const FOLLOW_WAIT: Duration = Duration::from_secs(1);
 /// Time that an answer of a followed daemon may take beyond the wait. It is on the path of a
@@ -142,7 +144,7 @@
 
     /// Returns true if the connection is to this daemon and will last for another call.
     pub(crate) fn is_to(&self, daemon: SocketAddr, now: Instant) -> bool {
-        self.daemon == daemon && now.saturating_duration_since(self.since) < FOLLOW_FOR
+        self.daemon == daemon && now.saturating_duration_since(self.since) < USE_FOR
     }
 
     /// Waits for what happens after a revision.
@@ -184,7 +186,9 @@
         let list = request.get().init_known(length(&known));
         write_daemons(&known, list);
         let response = request.send().promise.await?;
-        let others = read_daemons(response.get()?.get_known()?);
+        let reply = response.get()?;
+        let others = read_daemons(reply.get_known()?);
+        let (partner, _) = read_daemon(reply.get_responder()?);
         record(shared, partner, &others);
         Ok(())
     };
@@ -200,7 +204,7 @@
         .unwrap_or(Err(PeerError::TimedOut(limit)))
 }
 
-async fn connect(partner: SocketAddr) -> Result<route_peer::Client, PeerError> {
+pub(crate) async fn connect(partner: SocketAddr) -> Result<route_peer::Client, PeerError> {
     let stream = TcpStream::connect(partner).await?;
     stream.set_nodelay(true)?;
     let mut system = system(stream, rpc_twoparty_capnp::Side::Client, None);
@@ -240,7 +244,12 @@
         let (partner, _) = read_daemon(params.get_sender()?);
         let known = known_daemons(&self.shared);
         record(&self.shared, partner, &others);
-        write_daemons(&known, results.get().init_known(length(&known)));
+        let mut reply = results.get();
+        write_daemons(&known, reply.reborrow().init_known(length(&known)));
+        if let Some(daemons) = &self.shared.daemons {
+            let own = daemons.lock().own();
+            write_daemon((own, Duration::ZERO), reply.init_responder());
+        }
         Ok(())
     }
 
@@ -257,6 +266,14 @@
         Ok(())
     }
 
+    async fn gather_query(
+        self: Rc<Self>,
+        params: route_peer::GatherQueryParams,
+        results: route_peer::GatherQueryResults,
+    ) -> Result<(), capnp::Error> {
+        delegation::serve(&self.shared, params.get()?, results).await
+    }
+
     async fn published_changes(
         self: Rc<Self>,
         params: route_peer::PublishedChangesParams,
@@ -329,12 +346,12 @@
     }
 }
 
-fn whole_ms(duration: Duration) -> u32 {
+pub(crate) fn whole_ms(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
 
 /// Records the partner of an exchange and what it knows.
-fn record(shared: &Shared, partner: SocketAddr, others: &[(SocketAddr, Duration)]) {
+fn record(shared: &Shared, partner: KnownDaemon, others: &[(KnownDaemon, Duration)]) {
     let Some(daemons) = &shared.daemons else {
         return;
     };
@@ -352,7 +369,7 @@
     }
 }
 
-fn known_daemons(shared: &Shared) -> Vec<(SocketAddr, Duration)> {
+fn known_daemons(shared: &Shared) -> Vec<(KnownDaemon, Duration)> {
     let now = shared.now();
     shared
         .daemons
@@ -363,18 +380,22 @@
 
 fn read_daemons(
     list: capnp::struct_list::Reader<'_, known_daemon::Owned>,
-) -> Vec<(SocketAddr, Duration)> {
+) -> Vec<(KnownDaemon, Duration)> {
     list.iter().map(read_daemon).collect()
 }
 
-fn read_daemon(daemon: known_daemon::Reader<'_>) -> (SocketAddr, Duration) {
+fn read_daemon(daemon: known_daemon::Reader<'_>) -> (KnownDaemon, Duration) {
     let address = SocketAddrV4::new(daemon.get_ipv4().into(), daemon.get_port());
     let silent = Duration::from_millis(daemon.get_silent_ms().into());
-    (address.into(), silent)
+    let known = KnownDaemon {
+        address: address.into(),
+        cpu_millicores: daemon.get_cpu_millicores().into(),
+    };
+    (known, silent)
 }
 
 fn write_daemons(
-    known: &[(SocketAddr, Duration)],
+    known: &[(KnownDaemon, Duration)],
     mut list: capnp::struct_list::Builder<'_, known_daemon::Owned>,
 ) {
     for (index, daemon) in (0..).zip(known) {
@@ -382,15 +403,16 @@
     }
 }
 
-fn write_daemon((address, silent): (SocketAddr, Duration), mut daemon: known_daemon::Builder<'_>) {
+fn write_daemon((known, silent): (KnownDaemon, Duration), mut daemon: known_daemon::Builder<'_>) {
     // The VMs have IPv4 addresses only; another one would be of no use to the partner.
-    if let SocketAddr::V4(address) = address {
+    if let SocketAddr::V4(address) = known.address {
         daemon.set_ipv4(address.ip().to_bits());
         daemon.set_port(address.port());
     }
+    daemon.set_cpu_millicores(u16::try_from(known.cpu_millicores).unwrap_or(u16::MAX));
     daemon.set_silent_ms(whole_ms(silent));
 }
 
-fn length<T>(items: &[T]) -> u32 {
+pub(crate) fn length<T>(items: &[T]) -> u32 {
     u32::try_from(items.len()).unwrap_or(u32::MAX)
 }
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -29,6 +29,8 @@
     LeafsFull,
     /// The leafs failed; one may have run the request.
     LeafsFailed,
+    /// The daemon that gathered the query failed; a leaf may have run the request.
+    DaemonFailed,
     /// The time is over; a leaf may have run the request.
     TimedOut,
     /// The time was over before a leaf got the request.
@@ -47,6 +49,7 @@
             Self::NoLeaf => "no_leaf",
             Self::LeafsFull => "leafs_full",
             Self::LeafsFailed => "leafs_failed",
+            Self::DaemonFailed => "daemon_failed",
             Self::TimedOut => "timed_out",
             Self::Expired => "expired",
         }
@@ -60,7 +63,7 @@
             Self::NoConfig | Self::NoLeaf | Self::LeafsFull | Self::Expired => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
-            Self::LeafsFailed => StatusCode::BAD_GATEWAY,
+            Self::LeafsFailed | Self::DaemonFailed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -74,6 +77,7 @@
             | Self::BodyTooLarge
             | Self::BodyBrokenOff
             | Self::LeafsFailed
+            | Self::DaemonFailed
             | Self::TimedOut
             | Self::Expired => None,
         }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 
 use crate::connections::Connections;
+use crate::delegation::Delegations;
 use crate::discovery::{Discovery, close_idle_connections};
 use crate::error::RouterError;
 use crate::event::Event;
@@ -66,7 +67,15 @@
             query_address,
         }
         .log();
-        let shared = Arc::new(Shared::new(settings, peer_address, clock, Metrics::new()?));
+        let (delegations, delegation_task) = Delegations::new();
+        let shared = Arc::new(Shared::new(
+            settings,
+            peer_address,
+            Arc::clone(&clock),
+            delegations,
+            Metrics::new()?,
+        ));
+        spawn_local(delegation_task.run(clock));
         let connections = Arc::new(Connections::new());
         tokio::spawn(Arc::clone(&connections).accept(query, Arc::clone(&shared)));
         let ready = readiness::endpoint(Arc::clone(&shared));
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -1,16 +1,18 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use medlarpin_core::prelude::{Clock, FailureDomain, ServiceName};
 use medlarpin_core::routing::{
-    DAEMONS_ASSUMED, DaemonList, RepeatBudget, RepeatLimits, Route, RoutingConfig, SHED_BACK_OFF,
+    DAEMONS_ASSUMED, DaemonList, DelegateChoice, KnownDaemon, RepeatBudget, RepeatLimits, Route,
+    RoutingConfig, SHED_BACK_OFF,
 };
 use parking_lot::Mutex;
 use settings::RouterSettings;
 
+use crate::delegation::Delegations;
 use crate::event::Event;
 use crate::leaf::Leaf;
 use crate::leaf_table::LeafTable;
@@ -50,6 +52,10 @@
     pub(crate) published: Published,
     /// The other daemons; `None` if they cannot reach this one.
     pub(crate) daemons: Option<Mutex<DaemonList>>,
+    /// Which queries other daemons gather; `None` if they cannot reach this one.
+    delegates: Option<Mutex<DelegateChoice>>,
+    /// Queries that other daemons gather.
+    pub(crate) delegations: Delegations,
     pub(crate) metrics: Metrics,
 }
 
@@ -58,8 +64,13 @@
         settings: RouterSettings,
         peer_address: Option<SocketAddr>,
         clock: Arc<dyn Clock>,
+        delegations: Delegations,
         metrics: Metrics,
     ) -> Self {
+        let own = peer_address.map(|address| KnownDaemon {
+            address,
+            cpu_millicores: settings.cpu_millicores(),
+        });
         Self {
             failure_domain: settings.failure_domain.clone(),
             settings: ArcSwap::from_pointee(settings),
@@ -71,7 +82,9 @@
             routes: Mutex::default(),
             budgets: Mutex::default(),
             published: Published::new(),
-            daemons: peer_address.map(|address| Mutex::new(DaemonList::new(address))),
+            daemons: own.map(|own| Mutex::new(DaemonList::new(own))),
+            delegates: own.map(|own| Mutex::new(DelegateChoice::new(own))),
+            delegations,
             metrics,
         }
     }
@@ -156,6 +169,31 @@
         self.with_budget(service, now, |budget| budget.try_repeat(&limits, now))
     }
 
+    /// Returns the daemon that gathers a query; `None` if this one does.
+    pub(crate) fn delegate_for(
+        &self,
+        shards: usize,
+        target_latency: Duration,
+        now: Instant,
+    ) -> Option<SocketAddr> {
+        let others: Vec<KnownDaemon> = self.daemons.as_ref()?.lock().others().collect();
+        let delegates = self.delegates.as_ref()?.lock();
+        delegates.choose(
+            others.into_iter(),
+            shards,
+            target_latency,
+            rand::random(),
+            now,
+        )
+    }
+
+    /// Records that a daemon failed to gather a query, or is late.
+    pub(crate) fn avoid_delegate(&self, daemon: SocketAddr, now: Instant) {
+        if let Some(delegates) = &self.delegates {
+            delegates.lock().avoid(daemon, now);
+        }
+    }
+
     /// Returns the number of connections that this daemon may open to a leaf of the service.
     pub(crate) fn connections_max(&self, service: &ServiceName) -> u32 {
         let config = self.config.load();
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -23,6 +23,8 @@
     "repeat_ratio",
     "repeat_window_s",
     "repeat_slack",
+    "cpu_share",
+    "cpu_speed",
     "log_lines_per_s",
 ];
 
@@ -62,10 +64,23 @@
     pub repeat_window: Duration,
     /// Repeats within the window beside those of the ratio, from all daemons together.
     pub repeat_slack: f64,
+    /// Part of a core that the daemon may use.
+    pub cpu_share: f64,
+    /// Speed of the core, as a multiple of the usual one.
+    pub cpu_speed: f64,
     /// Most lines that are logged in a second; the others are counted.
     pub log_lines_per_s: u32,
 }
 
+impl RouterSettings {
+    /// Returns the processor time of the VM in thousandths of a usual core.
+    #[must_use]
+    pub fn cpu_millicores(&self) -> u32 {
+        let cpu_per_second = Duration::from_secs_f64(self.cpu_share * self.cpu_speed);
+        u32::try_from(cpu_per_second.as_millis()).unwrap_or(u32::MAX)
+    }
+}
+
 /// Parses the settings of a daemon that serves published routes; `file` names the text in errors.
 ///
 /// # Errors
@@ -101,6 +116,8 @@
         repeat_slack: fields
             .required("repeat_slack", "100")?
             .decimal(0.0, 1_000_000.0)?,
+        cpu_share: positive_or_one(&fields, "cpu_share")?,
+        cpu_speed: positive_or_one(&fields, "cpu_speed")?,
         log_lines_per_s: fields.small_number_or(
             "log_lines_per_s",
             1..=100_000,
@@ -116,6 +133,13 @@
     field.items()?.map(|item| item.peer_address()).collect()
 }
 
+/// Reads a factor of the processor's capacity.
+fn positive_or_one(fields: &Fields<'_>, key: &'static str) -> Result<f64, SettingsError> {
+    fields
+        .optional(key)
+        .map_or(Ok(1.0), |field| field.decimal(0.001, 1_000.0))
+}
+
 fn seconds(
     fields: &Fields<'_>,
     key: &'static str,
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -197,6 +197,13 @@
   ipv4 @0 :UInt32;
   port @1 :UInt16;
   silentMs @2 :UInt32;
+  # Processor time of the VM, in thousandths of a core.
+  cpuMillicores @3 :UInt16;
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Data;
 }
 
 # An item of the platform's store, as it was published.
@@ -210,10 +217,13 @@
 # Daemons that serve published routes.
 interface RoutePeer {
   # Both sides learn the daemons that the other one knows.
-  greet @0 (sender :KnownDaemon, known :List(KnownDaemon)) -> (known :List(KnownDaemon));
+  greet @0 (sender :KnownDaemon, known :List(KnownDaemon)) -> (known :List(KnownDaemon), responder :KnownDaemon);
   # All items at a revision of the store; revision 0 means that the peer has not read them.
   publishedItems @1 () -> (revision :UInt64, items :List(PublishedItem));
   # Waits for changes after a revision. With isWhole, the items are all that are published, since the
   # peer does not know the changes. The peer has heard from the store storeSilentMs ago.
   publishedChanges @2 (afterRevision :UInt64, waitMs :UInt32) -> (revision :UInt64, storeSilentMs :UInt32, isWhole :Bool, items :List(PublishedItem));
+  # Gathers a query on behalf of the sender, whose caller sent it ageMs ago. With isServed false,
+  # nothing was sent to a leaf.
+  gatherQuery @3 (method :Text, path :Text, headers :List(Header), body :Data, ageMs :UInt32, timeLeftMs :UInt32) -> (isServed :Bool, status :UInt16, headers :List(Header), body :Data);
 }
