--- a/crates/soak/src/error.rs
+++ b/crates/soak/src/error.rs
@@ -12,6 +12,8 @@
         /// Where the program was looked for.
         path: PathBuf,
     },
+    /// the daemon does not build
+    NotBuilt,
     /// {what}: {source}
     Io {
         /// What failed.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,7 +1,7 @@
 //! The `soak` program.
 
 use std::path::PathBuf;
-use std::process::ExitCode;
+use std::process::{Command, ExitCode};
 use std::time::Duration;
 
 use bpaf::Bpaf;
@@ -49,6 +49,7 @@
 
 /// Plays all seeds; returns the number of those that broke a promise.
 async fn play_all(options: &Options) -> Result<u64, SoakError> {
+    build_daemon()?;
     let program = world::daemon_program()?;
     let length = Duration::from_secs(options.seconds);
     let own_folder = || std::env::temp_dir().join(format!("medlarpin-soak-{}", std::process::id()));
@@ -77,6 +78,27 @@
     Ok(broken)
 }
 
+/// Builds the daemon if cargo runs this program, so that its present sources are played.
+fn build_daemon() -> Result<(), SoakError> {
+    let Some(cargo) = std::env::var_os("CARGO") else {
+        return Ok(());
+    };
+    let mut build = Command::new(cargo);
+    build.args(["build", "--locked", "--bin", "medlarpind"]);
+    if !cfg!(debug_assertions) {
+        build.arg("--release");
+    }
+    let status = build.status().map_err(|source| SoakError::Io {
+        what: "cannot run cargo",
+        source,
+    })?;
+    if status.success() {
+        Ok(())
+    } else {
+        Err(SoakError::NotBuilt)
+    }
+}
+
 fn summary(record: &Record) -> String {
     let count = |is_counted: fn(&End) -> bool| {
         let ends = record
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -23,6 +23,8 @@
     let output = Command::new(env!("CARGO_BIN_EXE_soak"))
         .args(["--seed", &SEED.to_string()])
         .args(["--seconds", &SECONDS.to_string()])
+        // The daemon was built along with the tests of the workspace.
+        .env_remove("CARGO")
         .output()
         .expect("the soak starts");
     let text = String::from_utf8_lossy(&output.stdout);
