Send no delegated query on a connection that has ended

Change: a connection to another daemon notes its end; a query then opens a new one, and is gathered here if that fails.

--- a/crates/router/src/delegation.rs
+++ b/crates/router/src/delegation.rs
@@ -22,7 +22,7 @@
 use crate::caller_request::CallerRequest;
 use crate::callers::{Answer, find_route, refuse};
 use crate::event::Event;
-use crate::peers::{USE_FOR, connect, whole_ms};
+use crate::peers::{PeerConnection, USE_FOR, whole_ms};
 use crate::refusal::Refusal;
 use crate::scatter::gather;
 use crate::shared::Shared;
@@ -78,7 +78,7 @@
 
 /// A connection to another daemon and the time at which it was opened.
 struct Connection {
-    client: route_peer::Client,
+    peer: PeerConnection,
     since: Instant,
 }
 
@@ -235,15 +235,14 @@
     };
     if let Ok(index) = position(&connections.borrow()) {
         let kept = &connections.borrow()[index].1;
-        if now.saturating_duration_since(kept.since) < USE_FOR {
-            return Some(kept.client.clone());
+        if !kept.peer.is_closed() && now.saturating_duration_since(kept.since) < USE_FOR {
+            return Some(kept.peer.client.clone());
         }
     }
-    let client = timeout(CONNECT_TIMEOUT, connect(daemon)).await.ok()?.ok()?;
-    let kept = Connection {
-        client: client.clone(),
-        since: now,
-    };
+    let opened = timeout(CONNECT_TIMEOUT, PeerConnection::open(daemon)).await;
+    let peer = opened.ok()?.ok()?;
+    let client = peer.client.clone();
+    let kept = Connection { peer, since: now };
     let mut connections = connections.borrow_mut();
     match position(&connections) {
         Ok(index) => connections[index].1 = kept,
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -1,5 +1,6 @@
 //! Exchanges with the other daemons: who they are, and what the store has published.
 
+use std::cell::Cell;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -204,14 +205,37 @@
         .unwrap_or(Err(PeerError::TimedOut(limit)))
 }
 
-pub(crate) async fn connect(partner: SocketAddr) -> Result<route_peer::Client, PeerError> {
-    let stream = TcpStream::connect(partner).await?;
-    stream.set_nodelay(true)?;
-    let mut system = system(stream, rpc_twoparty_capnp::Side::Client, None);
-    let client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
-    // The call that uses the connection reports its failure.
-    spawn_local(async move { timeout(SERVE_TIMEOUT, system).await });
-    Ok(client)
+async fn connect(partner: SocketAddr) -> Result<route_peer::Client, PeerError> {
+    Ok(PeerConnection::open(partner).await?.client)
+}
+
+/// A connection to another daemon.
+#[derive(Clone)]
+pub(crate) struct PeerConnection {
+    pub(crate) client: route_peer::Client,
+    is_closed: Rc<Cell<bool>>,
+}
+
+impl PeerConnection {
+    pub(crate) async fn open(partner: SocketAddr) -> Result<Self, PeerError> {
+        let stream = TcpStream::connect(partner).await?;
+        stream.set_nodelay(true)?;
+        let mut system = system(stream, rpc_twoparty_capnp::Side::Client, None);
+        let client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+        let is_closed = Rc::new(Cell::new(false));
+        let closed = Rc::clone(&is_closed);
+        spawn_local(async move {
+            // The call that uses the connection reports its failure.
+            let _ = timeout(SERVE_TIMEOUT, system).await;
+            closed.set(true);
+        });
+        Ok(Self { client, is_closed })
+    }
+
+    /// Returns true if nothing can be sent on the connection any more.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.is_closed.get()
+    }
 }
 
 fn system(
