Name the exchanges between daemons by what they carry

A daemon that cannot gather a query for another one now has a log line of its own (delegate_unavailable); before, only the avoided daemon showed it.

--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -14,7 +14,7 @@
 use platform::CallerHead;
 
 use crate::caller_request::CallerRequest;
-use crate::delegation::gather_anywhere;
+use crate::delegation::gather_or_delegate;
 use crate::event::Event;
 use crate::refusal::Refusal;
 use crate::shared::Shared;
@@ -104,7 +104,7 @@
     let request = Arc::new(request);
     let state = shared.route_state(route);
     let service = match &route.target {
-        RouteTarget::Scatter(_) => return gather_anywhere(shared, route, &request).await,
+        RouteTarget::Scatter(_) => return gather_or_delegate(shared, route, &request).await,
         RouteTarget::Service(service) => service.clone(),
         RouteTarget::Split(parts) => {
             let chosen = state.split.lock().next(parts);
--- a/crates/router/src/delegation.rs
+++ b/crates/router/src/delegation.rs
@@ -58,7 +58,7 @@
 
 /// A query for another daemon.
 #[derive(Debug)]
-struct Order {
+struct PendingQuery {
     daemon: SocketAddr,
     request: Arc<CallerRequest>,
     reply: oneshot::Sender<Delegated>,
@@ -67,13 +67,13 @@
 /// Hands queries to the task that holds the connections to other daemons.
 #[derive(Debug, Clone)]
 pub(crate) struct Delegations {
-    orders: mpsc::UnboundedSender<Order>,
+    queries: mpsc::UnboundedSender<PendingQuery>,
 }
 
 /// Sends queries to other daemons.
 #[derive(Debug)]
 pub(crate) struct DelegationTask {
-    orders: mpsc::UnboundedReceiver<Order>,
+    queries: mpsc::UnboundedReceiver<PendingQuery>,
 }
 
 /// A connection to another daemon and the time at which it was opened.
@@ -91,19 +91,22 @@
 impl Delegations {
     pub(crate) fn new() -> (Self, DelegationTask) {
         let (sender, receiver) = mpsc::unbounded_channel();
-        (Self { orders: sender }, DelegationTask { orders: receiver })
+        (
+            Self { queries: sender },
+            DelegationTask { queries: receiver },
+        )
     }
 
     /// Sends a query to another daemon; dropping the future cancels the query there.
     async fn send(&self, daemon: SocketAddr, request: Arc<CallerRequest>) -> Delegated {
         let (reply, answer) = oneshot::channel();
-        let order = Order {
+        let query = PendingQuery {
             daemon,
             request,
             reply,
         };
         // The task ends with the process only.
-        if self.orders.send(order).is_err() {
+        if self.queries.send(query).is_err() {
             return Delegated::NotSent;
         }
         answer.await.unwrap_or(Delegated::NotSent)
@@ -114,15 +117,15 @@
     /// Sends queries until the process ends. The connections stay on this task's thread.
     pub(crate) async fn run(mut self, clock: Arc<dyn Clock>) {
         let connections = Connections::default();
-        while let Some(order) = self.orders.recv().await {
+        while let Some(query) = self.queries.recv().await {
             let connections = Rc::clone(&connections);
             let clock = Arc::clone(&clock);
             spawn_local(async move {
-                let Order {
+                let PendingQuery {
                     daemon,
                     request,
                     mut reply,
-                } = order;
+                } = query;
                 tokio::select! {
                     delegated = send(&connections, daemon, &request, &*clock) => {
                         // A caller that has left needs no answer.
@@ -136,7 +139,7 @@
 }
 
 /// Gathers a query, on another daemon if this VM is too small for it.
-pub(crate) async fn gather_anywhere(
+pub(crate) async fn gather_or_delegate(
     shared: &Arc<Shared>,
     route: &Arc<Route>,
     request: &Arc<CallerRequest>,
@@ -149,7 +152,11 @@
     if let Some(daemon) = delegate {
         match delegate_to(shared, daemon, route, request).await {
             Delegated::Answered(answer) => return Ok(answer),
-            Delegated::NotSent => {}
+            Delegated::NotSent => Event::DelegateUnavailable {
+                request: request.id_text(),
+                daemon,
+            }
+            .log(),
             Delegated::Failed(error) => {
                 Event::DelegationFailed {
                     request: request.id_text(),
--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -14,7 +14,7 @@
 
 use crate::event::Event;
 use crate::peers::{self, Followed, PeerError};
-use crate::published::News;
+use crate::published::Update;
 use crate::shared::Shared;
 
 /// Time for which a watch waits at the store. A watch on a connection that went silent is noticed
@@ -233,13 +233,13 @@
 
     /// Learns the next changes from another daemon.
     async fn use_daemon(&mut self, daemon: SocketAddr) {
-        let news = self.ask_followed(daemon).await;
+        let update = self.ask_followed(daemon).await;
         let Some(choice) = &mut self.choice else {
             return;
         };
         let now = self.shared.now();
-        let news = match news {
-            Ok(news) => news,
+        let update = match update {
+            Ok(update) => update,
             Err(error) => {
                 Event::DaemonUnreachable {
                     daemon,
@@ -251,43 +251,43 @@
             }
         };
         let known = self.shared.published.revision();
-        match news.current_at {
-            Some(_) if news.revision >= known => choice.daemon_answered(),
+        match update.current_at {
+            Some(_) if update.revision >= known => choice.daemon_answered(),
             _ => {
                 Event::DaemonStale {
                     daemon,
-                    revision: news.revision.0,
+                    revision: update.revision.0,
                     known: known.0,
                 }
                 .log();
                 choice.daemon_is_stale(daemon);
             }
         }
-        if news.revision < known {
+        if update.revision < known {
             return;
         }
         // A current daemon is complete up to its revision, so the watch may go on from there. A
         // failed watch must not go on because of one that is not: its history may be gone.
-        if news.current_at.is_some() {
-            self.cursor.all_read(news.revision);
+        if update.current_at.is_some() {
+            self.cursor.all_read(update.revision);
         }
-        if news.is_whole {
-            self.take_all(news.items, news.revision, news.current_at);
+        if update.is_whole {
+            self.take_all(update.items, update.revision, update.current_at);
         } else {
-            self.take_changes(news.items, news.revision, news.current_at);
+            self.take_changes(update.items, update.revision, update.current_at);
         }
     }
 
-    async fn ask_followed(&mut self, daemon: SocketAddr) -> Result<News, PeerError> {
+    async fn ask_followed(&mut self, daemon: SocketAddr) -> Result<Update, PeerError> {
         let now = self.shared.now();
         let followed = match self.followed.take() {
             Some(followed) if followed.is_to(daemon, now) => followed,
             _ => Followed::connect(daemon, now).await?,
         };
         let known = self.shared.published.revision();
-        let news = followed.news_after(known, &*self.shared.clock).await?;
+        let update = followed.update_after(known, &*self.shared.clock).await?;
         self.followed = Some(followed);
-        Ok(news)
+        Ok(update)
     }
 
     /// Reads all items. While nothing is known, the first reads are short, so that other daemons are
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -54,6 +54,11 @@
         request: &'a str,
         daemon: SocketAddr,
     },
+    /// The daemon that should gather a query cannot be reached or cannot serve it; no leaf got it.
+    DelegateUnavailable {
+        request: &'a str,
+        daemon: SocketAddr,
+    },
     /// The daemon that gathers a query failed.
     DelegationFailed {
         request: &'a str,
@@ -220,6 +225,7 @@
             | Self::ShardsUnreachable { .. }
             | Self::ShardsMissing { .. }
             | Self::Delegated { .. }
+            | Self::DelegateUnavailable { .. }
             | Self::DelegationFailed { .. }
             | Self::GatheredForDaemon { .. } => "gather",
             Self::Answered { .. }
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -21,7 +21,7 @@
 
 use crate::delegation;
 use crate::event::Event;
-use crate::published::News;
+use crate::published::Update;
 use crate::shared::Shared;
 
 /// Time between two exchanges that a daemon starts.
@@ -149,11 +149,11 @@
     }
 
     /// Waits for what happens after a revision.
-    pub(crate) async fn news_after(
+    pub(crate) async fn update_after(
         &self,
         known: Revision,
         clock: &dyn Clock,
-    ) -> Result<News, PeerError> {
+    ) -> Result<Update, PeerError> {
         let exchange = async {
             let mut request = self.client.published_changes_request();
             request.get().set_after_revision(known.0);
@@ -164,7 +164,7 @@
             let current_at = (silence <= STORE_SILENCE_MAX)
                 .then(|| clock.now().checked_sub(silence))
                 .flatten();
-            Ok(News {
+            Ok(Update {
                 revision: Revision(reply.get_revision()),
                 current_at,
                 is_whole: reply.get_is_whole(),
@@ -306,15 +306,15 @@
         let params = params.get()?;
         let known = Revision(params.get_after_revision());
         let wait = Duration::from_millis(params.get_wait_ms().into()).min(FOLLOW_WAIT);
-        let news = self.wait_for_news(known, wait).await;
-        let silence = news.current_at.map_or(Duration::MAX, |at| {
+        let update = self.wait_for_update(known, wait).await;
+        let silence = update.current_at.map_or(Duration::MAX, |at| {
             self.shared.now().saturating_duration_since(at)
         });
         let mut reply = results.get();
-        reply.set_revision(news.revision.0);
+        reply.set_revision(update.revision.0);
         reply.set_store_silent_ms(whole_ms(silence));
-        reply.set_is_whole(news.is_whole);
-        write_items(&news.items, reply.init_items(length(&news.items)));
+        reply.set_is_whole(update.is_whole);
+        write_items(&update.items, reply.init_items(length(&update.items)));
         Ok(())
     }
 }
@@ -322,20 +322,20 @@
 impl DaemonService {
     /// Waits for changes after a revision. The wait ends early if the store is silent, so that a
     /// daemon that follows this one asks the store itself.
-    async fn wait_for_news(&self, known: Revision, wait: Duration) -> News {
+    async fn wait_for_update(&self, known: Revision, wait: Duration) -> Update {
         let published = &self.shared.published;
         let started = self.shared.now();
         published.record_asked(started);
         loop {
             // Created before the state is read, so that no change in between is missed.
             let changed = published.changed();
-            let news = published.news_after(known);
-            let old_at = news.current_at.map(|at| at + STORE_SILENCE_MAX);
+            let update = published.update_after(known);
+            let old_at = update.current_at.map(|at| at + STORE_SILENCE_MAX);
             let until = old_at.max(Some(started + STALE_WAIT));
             let until = until.unwrap_or(started).min(started + wait);
             let now = self.shared.now();
-            if news.revision > known || now >= until {
-                return news;
+            if update.revision > known || now >= until {
+                return update;
             }
             // Both ends are handled by the next round.
             let _ = timeout(until - now, changed).await;
--- a/crates/router/src/published.rs
+++ b/crates/router/src/published.rs
@@ -40,7 +40,7 @@
 
 /// What a daemon that knows a revision has to learn.
 #[derive(Debug)]
-pub(crate) struct News {
+pub(crate) struct Update {
     /// Revision after the changes; zero if nothing is known.
     pub(crate) revision: Revision,
     /// Time at which the store had nothing newer.
@@ -83,14 +83,14 @@
     }
 
     /// Returns what happened after a revision; no items if nothing did.
-    pub(crate) fn news_after(&self, known: Revision) -> News {
+    pub(crate) fn update_after(&self, known: Revision) -> Update {
         let state = self.state.lock();
         let changes = if state.revision <= known {
             Some(Vec::new())
         } else {
             state.log.after(known)
         };
-        News {
+        Update {
             revision: state.revision,
             current_at: state.current_at,
             is_whole: changes.is_none(),
