Decide on a delegate before the list of daemons is copied

Read of the whole change; behaviour stays, but for one log line.

- Each scattered query copied the list of all daemons under its lock, also on VMs that gather all their queries.
DelegateChoice now tells first whether the query is too large.
- The state of a scattered query's route was looked up twice, and a branch that refused routes of another kind could not be reached: the route's target and state are passed on instead.
- The loop around a late delegate is two waits with a deadline.
A delegate that is silent until the deadline is now logged and counted as the refusal that the caller gets (504, timed_out), not as an answer with status 504.
- What a source follows is read by one method instead of three matches.

--- a/crates/medlarpin-core/src/routing/delegate_choice.rs
+++ b/crates/medlarpin-core/src/routing/delegate_choice.rs
@@ -36,21 +36,23 @@
         }
     }
 
-    /// Returns the daemon that gathers a query; `None` if this one does. `random` is uniform.
+    /// Returns true if another daemon should gather a query.
+    #[must_use]
+    pub fn is_too_large(&self, shards: usize, target_latency: Duration) -> bool {
+        let own_cpu = f64::from(self.own.cpu_millicores) / 1_000.0;
+        let own_time = LEAF_REQUEST_CPU.as_secs_f64() * shards as f64 / own_cpu;
+        own_time > target_latency.as_secs_f64() * OWN_CPU_SHARE_MAX
+    }
+
+    /// Returns the daemon that gathers a query that is too large; `None` if there is none.
+    /// `random` is uniform.
     #[must_use]
     pub fn choose(
         &self,
         others: impl Iterator<Item = KnownDaemon>,
-        shards: usize,
-        target_latency: Duration,
         random: u64,
         now: Instant,
     ) -> Option<SocketAddr> {
-        let own_cpu = f64::from(self.own.cpu_millicores) / 1_000.0;
-        let own_time = LEAF_REQUEST_CPU.as_secs_f64() * shards as f64 / own_cpu;
-        if own_time <= target_latency.as_secs_f64() * OWN_CPU_SHARE_MAX {
-            return None;
-        }
         let least = self.own.cpu_millicores * CAPACITY_RATIO_MIN;
         let fit: Vec<SocketAddr> = others
             .filter(|daemon| daemon.cpu_millicores >= least)
--- a/crates/medlarpin-core/src/routing/source_choice.rs
+++ b/crates/medlarpin-core/src/routing/source_choice.rs
@@ -32,6 +32,17 @@
     Daemon(SocketAddr),
 }
 
+impl Source {
+    /// Returns the daemon that is followed; `None` for the store.
+    #[must_use]
+    pub fn daemon(self) -> Option<SocketAddr> {
+        match self {
+            Self::Store | Self::CheckStore => None,
+            Self::Daemon(daemon) => Some(daemon),
+        }
+    }
+}
+
 /// A daemon that could not be followed.
 #[derive(Debug, Clone, Copy)]
 struct LeftOut {
--- a/crates/medlarpin-core/tests/routing_delegates.rs
+++ b/crates/medlarpin-core/tests/routing_delegates.rs
@@ -29,7 +29,10 @@
     random: u64,
     now: Instant,
 ) -> Option<SocketAddr> {
-    choice.choose(daemons.iter().copied(), shards, SHORT, random, now)
+    if !choice.is_too_large(shards, SHORT) {
+        return None;
+    }
+    choice.choose(daemons.iter().copied(), random, now)
 }
 
 /// Guards against a query to 90 shards that takes a small VM longer than its target latency, and
--- a/crates/medlarpin-core/tests/routing_sources.rs
+++ b/crates/medlarpin-core/tests/routing_sources.rs
@@ -31,10 +31,7 @@
 
 /// Returns a daemon that follows and the one that it follows.
 fn a_follower(all: &[KnownDaemon], now: Instant) -> (SocketAddr, SocketAddr) {
-    let follows = |(own, source)| match source {
-        Source::Daemon(daemon) => Some((own, daemon)),
-        Source::Store | Source::CheckStore => None,
-    };
+    let follows = |(own, source): (SocketAddr, Source)| Some((own, source.daemon()?));
     sources(all, now).into_iter().find_map(follows).unwrap()
 }
 
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -104,7 +104,9 @@
     let request = Arc::new(request);
     let state = shared.route_state(route);
     let service = match &route.target {
-        RouteTarget::Scatter(_) => return gather_or_delegate(shared, route, &request).await,
+        RouteTarget::Scatter(scatter) => {
+            return gather_or_delegate(shared, scatter, route, &state, &request).await;
+        }
         RouteTarget::Service(service) => service.clone(),
         RouteTarget::Split(parts) => {
             let chosen = state.split.lock().next(parts);
--- a/crates/router/src/delegation.rs
+++ b/crates/router/src/delegation.rs
@@ -12,11 +12,11 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response};
 use medlarpin_core::prelude::Clock;
-use medlarpin_core::routing::{Route, RouteTarget};
+use medlarpin_core::routing::{Route, RouteTarget, Scatter};
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
-use tokio::time::{sleep_until, timeout};
+use tokio::time::{timeout, timeout_at};
 use wire::peer_capnp::{header, route_peer};
 
 use crate::caller_request::CallerRequest;
@@ -24,6 +24,7 @@
 use crate::event::Event;
 use crate::peers::{PeerConnection, USE_FOR, whole_ms};
 use crate::refusal::Refusal;
+use crate::route_state::RouteState;
 use crate::scatter::gather;
 use crate::shared::Shared;
 
@@ -43,6 +44,8 @@
     NotSent,
     /// It may have run the query.
     Failed(DelegationError),
+    /// It did not answer until the deadline, and may have run the query.
+    TimedOut,
 }
 
 /// Why a query that another daemon gathers has no answer.
@@ -141,12 +144,11 @@
 /// Gathers a query, on another daemon if this VM is too small for it.
 pub(crate) async fn gather_or_delegate(
     shared: &Arc<Shared>,
+    scatter: &Scatter,
     route: &Arc<Route>,
+    state: &Arc<RouteState>,
     request: &Arc<CallerRequest>,
 ) -> Result<Answer, Refusal> {
-    let RouteTarget::Scatter(scatter) = &route.target else {
-        return Err(Refusal::NoRoute);
-    };
     let now = shared.now();
     let delegate = shared.delegate_for(scatter.shards.len(), route.target_latency, now);
     if let Some(daemon) = delegate {
@@ -166,10 +168,10 @@
                 .log();
                 return Err(Refusal::DaemonFailed);
             }
+            Delegated::TimedOut => return Err(Refusal::TimedOut),
         }
     }
-    let state = shared.route_state(route);
-    gather(Arc::clone(shared), scatter, route, &state, request).await
+    gather(Arc::clone(shared), scatter, route, state, request).await
 }
 
 async fn delegate_to(
@@ -186,26 +188,17 @@
     shared.metrics.delegated.inc();
     let sent = shared.delegations.send(daemon, Arc::clone(request));
     tokio::pin!(sent);
-    let mut is_late = false;
-    let delegated = loop {
-        let until = if is_late {
-            request.deadline
-        } else {
-            (request.arrived_at + route.target_latency).min(request.deadline)
-        };
-        tokio::select! {
-            biased;
-            delegated = &mut sent => break delegated,
-            () = sleep_until(until.into()) => {}
-        }
-        let now = shared.now();
-        shared.avoid_delegate(daemon, now);
-        if now >= request.deadline {
-            return Delegated::Answered(refuse(Refusal::TimedOut, Some(&request.id)));
+    let late_at = (request.arrived_at + route.target_latency).min(request.deadline);
+    let delegated = match timeout_at(late_at.into(), &mut sent).await {
+        Ok(delegated) => delegated,
+        Err(_late) => {
+            shared.avoid_delegate(daemon, shared.now());
+            timeout_at(request.deadline.into(), sent)
+                .await
+                .unwrap_or(Delegated::TimedOut)
         }
-        is_late = true;
     };
-    if matches!(delegated, Delegated::NotSent | Delegated::Failed(_)) {
+    if !matches!(delegated, Delegated::Answered(_)) {
         shared.avoid_delegate(daemon, shared.now());
     }
     delegated
--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -50,8 +50,8 @@
 /// End of a call to the store that did not fail.
 enum StoreRead {
     Answered,
-    /// Another daemon began to follow this one, and needs word from the store sooner than a long
-    /// watch ends.
+    /// Another daemon began to follow this one, and needs an answer of the store sooner than a
+    /// long watch ends.
     Interrupted,
 }
 
@@ -128,12 +128,8 @@
             .log();
             self.source = source;
         }
-        let followed = match source {
-            Source::Daemon(daemon) => Some(daemon),
-            Source::Store | Source::CheckStore => None,
-        };
-        self.shared.published.follow(followed);
-        if followed.is_none() {
+        self.shared.published.follow(source.daemon());
+        if source.daemon().is_none() {
             self.followed = None;
         }
         source
@@ -150,7 +146,7 @@
         if !self.is_followed(now) {
             return WATCH_WAIT;
         }
-        // A daemon that has just begun to follow waits for word from the store.
+        // A daemon that has just begun to follow waits for an answer of the store.
         let is_current = self
             .shared
             .published
@@ -164,11 +160,7 @@
     }
 
     fn change_pause(&self, source: Source) -> Duration {
-        let is_relayed = match source {
-            Source::Store | Source::CheckStore => self.is_followed(self.shared.now()),
-            Source::Daemon(_) => true,
-        };
-        if is_relayed {
+        if source.daemon().is_some() || self.is_followed(self.shared.now()) {
             RELAYED_CHANGE_PAUSE
         } else {
             CHANGE_PAUSE
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -237,9 +237,9 @@
 }
 
 fn source_as_text<S: Serializer>(source: &Source, serializer: S) -> Result<S::Ok, S::Error> {
-    match source {
-        Source::Store | Source::CheckStore => serializer.serialize_str("store"),
-        Source::Daemon(daemon) => serializer.collect_str(daemon),
+    match source.daemon() {
+        None => serializer.serialize_str("store"),
+        Some(daemon) => serializer.collect_str(&daemon),
     }
 }
 
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -37,7 +37,7 @@
 /// Time that an answer of a followed daemon may take beyond the wait. It is on the path of a
 /// configuration, which has to be in force within 3 s.
 const FOLLOW_MARGIN: Duration = Duration::from_millis(400);
-/// Time without word from the store after which a daemon's knowledge is old. A watcher hears from
+/// Time without an answer of the store after which a daemon's knowledge is old. A watcher hears from
 /// the store each 1.4 s: the wait of a watch and the pause before it.
 const STORE_SILENCE_MAX: Duration = Duration::from_millis(1_800);
 /// Time for which a daemon that is asked while its knowledge is old waits for the store.
@@ -210,7 +210,6 @@
 }
 
 /// A connection to another daemon.
-#[derive(Clone)]
 pub(crate) struct PeerConnection {
     pub(crate) client: route_peer::Client,
     is_closed: Rc<Cell<bool>>,
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -176,15 +176,14 @@
         target_latency: Duration,
         now: Instant,
     ) -> Option<SocketAddr> {
+        let delegates = self.delegates.as_ref()?;
+        // Most daemons gather all their queries, so the list of daemons is copied only for others.
+        if !delegates.lock().is_too_large(shards, target_latency) {
+            return None;
+        }
         let others: Vec<KnownDaemon> = self.daemons.as_ref()?.lock().others().collect();
-        let delegates = self.delegates.as_ref()?.lock();
-        delegates.choose(
-            others.into_iter(),
-            shards,
-            target_latency,
-            rand::random(),
-            now,
-        )
+        let delegates = delegates.lock();
+        delegates.choose(others.into_iter(), rand::random(), now)
     }
 
     /// Records that a daemon failed to gather a query, or is late.
