--- a/crates/daemon/tests/fleet/process.rs
+++ b/crates/daemon/tests/fleet/process.rs
@@ -2,11 +2,12 @@
 
 use std::fs::File;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 
 use serde_json::{Map, Value, json};
+use stand_ins::server::reserve_port;
 use tokio::net::TcpSocket;
 
 /// A signal that a test sends to a daemon.
@@ -53,14 +54,6 @@
     }
 }
 
-fn reserve_port() -> io::Result<(TcpSocket, SocketAddr)> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
-    let address = socket.local_addr()?;
-    Ok((socket, address))
-}
-
 /// A daemon that can be started several times on the same ports.
 #[derive(Debug)]
 pub struct Daemon {
--- a/crates/quickstart/src/fleet.rs
+++ b/crates/quickstart/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Three daemons over a deployment of stand-ins.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,7 +8,7 @@
 use medlarpin_core::prelude::SystemClock;
 use serde_json::json;
 use stand_ins::prelude::*;
-use tokio::net::TcpSocket;
+use stand_ins::server::reserve_port;
 
 use crate::error::QuickstartError;
 
@@ -146,12 +146,3 @@
         index_version: VERSION,
     }
 }
-
-/// Binds a port without listening; the daemon can bind it too, because both reuse addresses.
-fn reserve_port() -> std::io::Result<(TcpSocket, SocketAddr)> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
-    let address = socket.local_addr()?;
-    Ok((socket, address))
-}
--- a/crates/stand-ins/src/server.rs
+++ b/crates/stand-ins/src/server.rs
@@ -103,8 +103,7 @@
     ///
     /// Fails if no port can be listened on.
     pub fn start<H: Handler>(handler: Arc<H>, control: Control) -> io::Result<Self> {
-        let socket = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
-        let address = socket.local_addr()?;
+        let (socket, address) = reserve_port()?;
         let listener = socket.listen(BACKLOG)?;
         let task = tokio::spawn(run(handler, control, address, listener));
         Ok(Self { address, task })
@@ -123,6 +122,20 @@
     }
 }
 
+/// Binds a port that the operating system assigns, without listening.
+///
+/// While the socket lives, nobody else is assigned the port, and connections to it are refused. A
+/// program can listen on it nevertheless, because both reuse addresses.
+///
+/// # Errors
+///
+/// Fails if no port is free.
+pub fn reserve_port() -> io::Result<(TcpSocket, SocketAddr)> {
+    let socket = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+    let address = socket.local_addr()?;
+    Ok((socket, address))
+}
+
 /// Binds without listening, which keeps the port and refuses connections to it.
 fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
     let socket = TcpSocket::new_v4()?;
--- a/crates/xtask/src/measure/daemons.rs
+++ b/crates/xtask/src/measure/daemons.rs
@@ -1,11 +1,12 @@
 //! One `medlarpind` child process.
 
 use std::fs::File;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
 use serde_json::{Value, json};
+use stand_ins::server::reserve_port;
 use tokio::net::TcpSocket;
 
 use super::error::MeasureError;
@@ -36,14 +37,6 @@
     }
 }
 
-fn reserve_port() -> Result<(TcpSocket, SocketAddr), MeasureError> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
-    let address = socket.local_addr()?;
-    Ok((socket, address))
-}
-
 /// A daemon that can be started again on the same ports; dropping it ends the process.
 #[derive(Debug)]
 pub(super) struct DaemonProcess {
