Log the request rates that leafs state

A leaf in need names in its answers the rate of requests that it takes from all daemons together (header Server-Limit). Nothing decoded it, so neither log nor state could tell whether daemons had heard of a limit.

The platform adapter decodes the header into StatedRate; the router keeps it per leaf, logs leaf_limit_stated, leaf_limit_ended and leaf_limit_unreadable on a change only, and shows it in /state. Nothing is decided by it yet. An answer ends a limit only if its request was sent after the limit was last stated; a malformed value is logged and changes nothing.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -4,6 +4,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use medlarpin_core::prelude::Clock;
+use medlarpin_core::routing::StatedRate;
 
 use crate::attempt_result::{AttemptResult, LeafAnswer, LeafFailure};
 use crate::caller_request::CallerRequest;
@@ -100,11 +101,12 @@
         let leaf_request = request
             .for_leaf(leaf.entry.id.as_str(), shared.now())
             .ok_or(LeafFailure::Encoding)?;
+        let sent_at = shared.now();
         connection.progress_limit.restart();
         match connection.sender.try_send_request(leaf_request).await {
             Ok(response) => {
                 connection.progress_limit.restart();
-                return read_answer(shared, leaf, request, response, connection).await;
+                return read_answer(shared, leaf, request, sent_at, response, connection).await;
             }
             Err(mut error) => {
                 // The error returns the message if no byte of it was written.
@@ -125,6 +127,7 @@
     shared: &Shared,
     leaf: &Leaf,
     request: &CallerRequest,
+    sent_at: Instant,
     response: Response<Incoming>,
     connection: LeafConnection,
 ) -> AttemptResult {
@@ -142,6 +145,10 @@
     if head.is_other_leaf {
         return Err(LeafFailure::OtherLeaf);
     }
+    // A rejection without a limit does not end one: it may come from the leaf's listener.
+    if !head.not_executed || head.stated_rate != StatedRate::Unlimited {
+        leaf.record_stated_rate(head.stated_rate, sent_at, shared.now());
+    }
     leaf.release(connection, head.idle_timeout, shared.now());
     if head.not_executed {
         return Err(LeafFailure::Shed);
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -121,6 +121,18 @@
     },
     /// A leaf's entry was withdrawn.
     LeafWithdrawn { leaf: &'a str, revision: u64 },
+    /// A leaf stated the rate of requests that it takes from all daemons together, for the first
+    /// time or with another value.
+    LeafLimitStated {
+        leaf: &'a str,
+        service: &'a str,
+        requests_per_s: f64,
+    },
+    /// A leaf no longer states a limit of its request rate.
+    LeafLimitEnded { leaf: &'a str, service: &'a str },
+    /// A leaf states a limit of its request rate that is not a number of at least 0; what it stated
+    /// before remains in force.
+    LeafLimitUnreadable { leaf: &'a str, service: &'a str },
     /// A leaf request failed.
     LeafFailed {
         request: &'a str,
@@ -246,6 +258,9 @@
             | Self::EntryUnusable { .. } => "config",
             Self::LeafChanged { .. }
             | Self::LeafWithdrawn { .. }
+            | Self::LeafLimitStated { .. }
+            | Self::LeafLimitEnded { .. }
+            | Self::LeafLimitUnreadable { .. }
             | Self::LeafFailed { .. }
             | Self::LeafsSilent { .. }
             | Self::NoUsableLeaf { .. } => "leaf",
--- a/crates/router/src/leaf.rs
+++ b/crates/router/src/leaf.rs
@@ -8,13 +8,14 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use leaf_stream::{LeafStream, ProgressLimit};
-use medlarpin_core::routing::{LeafEntry, LeafLoad};
+use medlarpin_core::routing::{LeafEntry, LeafLoad, LeafRateLimit, RequestRate, StatedRate};
 use parking_lot::{Mutex, MutexGuard};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::attempt_result::LeafFailure;
+use crate::event::Event;
 
 /// Time limit for opening a connection. A SYN is sent again only after a second, so a longer
 /// wait would rarely help.
@@ -68,6 +69,7 @@
 #[derive(Debug, Default)]
 struct LeafLink {
     load: Mutex<LeafLoad>,
+    rate_limit: Mutex<LeafRateLimit>,
     /// Ordered by last use, the most recent one last.
     idle: Mutex<Vec<IdleConnection>>,
     /// Number of open connections, both idle and in use.
@@ -112,6 +114,34 @@
         self.link.load.lock()
     }
 
+    /// Records the rate that the leaf stated in its answer to a request that was sent at `sent_at`.
+    pub(crate) fn record_stated_rate(&self, stated: StatedRate, sent_at: Instant, now: Instant) {
+        let mut rate_limit = self.link.rate_limit.lock();
+        let is_changed = rate_limit.record(stated, sent_at, now);
+        let known = rate_limit.stated();
+        drop(rate_limit);
+        let leaf = self.entry.id.as_str();
+        let service = self.entry.service.as_str();
+        match known {
+            _ if stated == StatedRate::Unreadable => {
+                Event::LeafLimitUnreadable { leaf, service }.log();
+            }
+            _ if !is_changed => {}
+            Some(rate) => Event::LeafLimitStated {
+                leaf,
+                service,
+                requests_per_s: rate.per_s(),
+            }
+            .log(),
+            None => Event::LeafLimitEnded { leaf, service }.log(),
+        }
+    }
+
+    /// Returns the rate of requests that the leaf takes from all daemons together, if it states one.
+    pub(crate) fn stated_rate(&self) -> Option<RequestRate> {
+        self.link.rate_limit.lock().stated()
+    }
+
     /// Returns the time until which the leaf gets new requests; `None` unless it is leaving.
     pub(crate) fn usable_until(&self) -> Option<Instant> {
         self.usable_until
--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -8,6 +8,7 @@
 use axum::http::StatusCode;
 use axum::routing::get;
 use axum::{Json, Router};
+use medlarpin_core::routing::RequestRate;
 use serde::Serialize;
 
 use crate::shared::Shared;
@@ -55,6 +56,8 @@
     in_flight: usize,
     latency_ratio: f64,
     is_blocked: bool,
+    /// Requests per second that the leaf takes from all daemons together, if it states a limit.
+    stated_rate_per_s: Option<f64>,
 }
 
 /// Returns the operators' endpoints.
@@ -89,6 +92,7 @@
             in_flight: load.in_flight(),
             latency_ratio: load.ratio(now),
             is_blocked: load.blocked_until(now).is_some(),
+            stated_rate_per_s: leaf.stated_rate().map(RequestRate::per_s),
         }
     });
     let routes = config.as_ref().map(|config| {
