Send leafs no more requests than they state to take

Cause: the choice of a leaf knew back-offs and load, but no limit that a leaf states for all daemons together. Class of fault: a figure that others state is taken over without anyone using it.

Change: each daemon uses a share of the stated rate (LeafRateLimit): an equal one for leafs that get single requests, the share by VM size for leafs that only get parts of gathered queries. It starts with a random part of a request, as whole ones of all daemons would exceed a low limit. Hedges and retries count as well. If no leaf has room, the request is refused at once with a new reason, rate_limited, and a Retry-After of 50 to 900 ms, spread; shards without room are left out of a query as far as its coverage allows.

--- a/crates/medlarpin-core/src/routing/daemon_list.rs
+++ b/crates/medlarpin-core/src/routing/daemon_list.rs
@@ -242,6 +242,26 @@
         }
     }
 
+    /// Returns the share of a leaf's request rate that this daemon may use, above 0 and up to 1.
+    ///
+    /// All daemons forward requests to single leafs alike; only a leaf that gets nothing but the
+    /// requests of gathered queries is left mostly to the daemons that gather. Until discovery has
+    /// completed, at least [`DEFAULT_DAEMON_COUNT`] daemons are assumed, unless there are no others.
+    #[must_use]
+    pub fn request_rate_share(&self, is_gathered_only: bool, now: Instant) -> f64 {
+        let is_alone = self.others.is_empty() && !self.has_other_seeds();
+        let is_complete = is_alone || self.is_discovery_complete(now);
+        if is_gathered_only && is_complete {
+            return self.standing_share;
+        }
+        let count = if is_complete {
+            self.daemon_count()
+        } else {
+            self.daemon_count().max(DEFAULT_DAEMON_COUNT)
+        };
+        1.0 / count as f64
+    }
+
     /// Returns the retries of a service's `reserve` that this daemon may use in a window.
     ///
     /// The retries of all daemons sum to at most the reserve over any window, as long as gossip
--- a/crates/medlarpin-core/src/routing/routing_config.rs
+++ b/crates/medlarpin-core/src/routing/routing_config.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::RouteTable;
+use super::{RouteTable, RouteTarget};
 use crate::ids::ServiceName;
 
 /// Version of a published configuration; a higher one is newer.
@@ -52,4 +52,23 @@
             .ok()?;
         self.services.get(index)
     }
+
+    /// Returns true if a service is a shard and no route sends single requests to it.
+    #[must_use]
+    pub fn is_gathered_only(&self, name: &ServiceName) -> bool {
+        let mut is_shard = false;
+        for route in self.routes.routes() {
+            match &route.target {
+                RouteTarget::Service(service) if service == name => return false,
+                RouteTarget::Split(parts) if parts.iter().any(|part| part.service == *name) => {
+                    return false;
+                }
+                RouteTarget::Scatter(scatter) => {
+                    is_shard |= scatter.shards.binary_search(name).is_ok();
+                }
+                RouteTarget::Service(_) | RouteTarget::Split(_) => {}
+            }
+        }
+        is_shard
+    }
 }
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -159,6 +159,8 @@
         leaving: usize,
         /// Leafs that get no requests for a back-off time after failures or rejections.
         blocked: usize,
+        /// Leafs of whose stated request rate this daemon has used its share.
+        rate_limited: usize,
     },
     /// A hedge was sent to another leaf.
     Hedged {
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -87,6 +87,10 @@
             last: Some(LeafFailure::Shed | LeafFailure::ConnectionLimit),
             ..
         } => Refusal::LeafsFull,
+        ServiceFailure {
+            rate_wait: Some(wait),
+            ..
+        } => Refusal::rate_limited(*wait, rand::random()),
         _ => Refusal::NoLeaf,
     }
 }
--- a/crates/router/src/leaf.rs
+++ b/crates/router/src/leaf.rs
@@ -117,7 +117,7 @@
     /// Records the rate that the leaf stated in its answer to a request that was sent at `sent_at`.
     pub(crate) fn record_stated_rate(&self, stated: StatedRate, sent_at: Instant, now: Instant) {
         let mut rate_limit = self.link.rate_limit.lock();
-        let is_changed = rate_limit.record(stated, sent_at, now);
+        let is_changed = rate_limit.record(stated, sent_at, rand::random(), now);
         let known = rate_limit.stated();
         drop(rate_limit);
         let leaf = self.entry.id.as_str();
@@ -142,6 +142,17 @@
         self.link.rate_limit.lock().stated()
     }
 
+    /// Returns the time from which the rate that the leaf states allows the next request; `None` if
+    /// it states none. `share` is this daemon's share of the rate.
+    pub(crate) fn next_request_at(&self, share: f64, now: Instant) -> Option<Instant> {
+        self.link.rate_limit.lock().next_request_at(share, now)
+    }
+
+    /// Counts a request against the rate that the leaf states.
+    pub(crate) fn record_request(&self, share: f64, now: Instant) {
+        self.link.rate_limit.lock().sent(share, now);
+    }
+
     /// Returns the time until which the leaf gets new requests; `None` unless it is leaving.
     pub(crate) fn usable_until(&self) -> Option<Instant> {
         self.usable_until
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -43,6 +43,12 @@
         /// Milliseconds until the caller may try again.
         retry_after_ms: u64,
     },
+    /// The leafs take no more requests of this daemon for now, by the request rates that they state;
+    /// no leaf has run this one.
+    RateLimited {
+        /// Milliseconds until the caller may try again.
+        retry_after_ms: u64,
+    },
     /// The leafs failed; one may have run the request.
     LeafsFailed,
     /// The other daemon that gathers the query failed; a leaf may have run the request.
@@ -65,6 +71,19 @@
         }
     }
 
+    /// Returns the refusal of a request for which the leafs have room after `wait` on this daemon;
+    /// `random` is uniform in [0, 1).
+    ///
+    /// Retries reach other daemons, which may have room sooner. Callers are spread, so that they do
+    /// not return together.
+    pub(crate) fn rate_limited(wait: Duration, random: f64) -> Self {
+        let wait = wait.clamp(RETRY_AFTER_FULL, RETRY_AFTER_UNAVAILABLE);
+        let retry_after = wait.mul_f64(0.5 + random);
+        Self::RateLimited {
+            retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
     /// Returns the refusal of a request whose quarantine lasts for the given time.
     pub(crate) fn quarantined(left: Duration) -> Self {
         Self::Quarantined {
@@ -86,6 +105,7 @@
             Self::NoLeaf => "no_leaf",
             Self::LeafsFull => "leafs_full",
             Self::Overloaded { .. } => "overloaded",
+            Self::RateLimited { .. } => "rate_limited",
             Self::LeafsFailed => "leafs_failed",
             Self::DaemonFailed => "daemon_failed",
             Self::TimedOut => "timed_out",
@@ -105,6 +125,7 @@
             | Self::OutOfMemory
             | Self::Quarantined { .. }
             | Self::Overloaded { .. }
+            | Self::RateLimited { .. }
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Self::LeafsFailed | Self::DaemonFailed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -115,7 +136,9 @@
         match self {
             Self::NoConfig | Self::NoLeaf => Some(RETRY_AFTER_UNAVAILABLE),
             Self::LeafsFull | Self::OutOfMemory => Some(RETRY_AFTER_FULL),
-            Self::Overloaded { retry_after_ms } => Some(Duration::from_millis(retry_after_ms)),
+            Self::Overloaded { retry_after_ms } | Self::RateLimited { retry_after_ms } => {
+                Some(Duration::from_millis(retry_after_ms))
+            }
             Self::Quarantined { left_s } => Some(Duration::from_secs(left_s)),
             Self::BadRequest
             | Self::NoRoute
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -157,7 +157,12 @@
         unreachable: &shard_names_except(scatter, |shard| reachable.contains(&shard)),
     }
     .log();
-    Err(Refusal::NoLeaf)
+    let unreachable = |shard: &&ServiceName| !reachable.contains(shard);
+    let waits = scatter.shards.iter().filter(unreachable);
+    let wait = waits.filter_map(|shard| shared.rate_wait(shard, now)).max();
+    Err(wait.map_or(Refusal::NoLeaf, |wait| {
+        Refusal::rate_limited(wait, rand::random())
+    }))
 }
 
 /// Records, logs and counts the shards that have answered, or not, when the query is answered or
@@ -213,6 +218,10 @@
         last: failures.iter().find_map(|failure| failure.last),
         leaf_answer: None,
         timed_out: timed_out || failures.iter().any(|failure| failure.timed_out),
+        rate_wait: failures
+            .iter()
+            .filter_map(|failure| failure.rate_wait)
+            .max(),
     };
     refusal_for(&summary)
 }
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -43,6 +43,9 @@
     pub(crate) leaf_answer: Option<LeafAnswer>,
     /// True if the deadline passed.
     pub(crate) timed_out: bool,
+    /// Time until a leaf takes a request, if only the request rates that the leafs state prevented
+    /// another attempt.
+    pub(crate) rate_wait: Option<Duration>,
 }
 
 /// A request to a service: sent to one leaf, with hedges and retries on others.
@@ -83,6 +86,7 @@
                 last: None,
                 leaf_answer: None,
                 timed_out: false,
+                rate_wait: None,
             },
         }
     }
@@ -252,13 +256,14 @@
         let available_at = leafs
             .iter()
             .filter(|leaf| leaf.is_usable(now))
-            .filter_map(|leaf| leaf.load().blocked_until(now))
+            .filter_map(|leaf| self.shared.leaf_available_at(leaf, now))
             .min();
         match available_at {
             Some(at) if at <= latest => NextStep::WaitUntil(at),
             _ => {
                 let request = self.request.id_text();
                 self.shared.log_no_usable_leaf(request, &self.service, now);
+                self.failure.rate_wait = self.shared.rate_wait(&self.service, now);
                 NextStep::Fail
             }
         }
@@ -313,10 +318,10 @@
             if !leaf.has_connection_capacity(connections_max) {
                 continue;
             }
-            let load = leaf.load();
-            if load.blocked_until(now).is_some() {
+            if self.shared.leaf_available_at(&leaf, now).is_some() {
                 continue;
             }
+            let load = leaf.load();
             let is_local = leaf.entry.failure_domain == *self.shared.failure_domain();
             let domain_factor = if is_local { 1.0 } else { REMOTE_DOMAIN_FACTOR };
             candidates.push(Candidate {
@@ -334,6 +339,7 @@
     fn send(&mut self, leaf: Arc<Leaf>, now: Instant) -> Attempt {
         self.attempts.sent(&leaf.entry.id);
         self.evidence.sent();
+        self.shared.record_leaf_request(&leaf, now);
         self.shared.metrics.leaf_requests.inc();
         let typical_latency = self.state.latency.lock().typical(now);
         let run = run_attempt(
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -153,15 +153,16 @@
     /// Logs that no leaf of a service is available, with the number of leafs by cause.
     pub(crate) fn log_no_usable_leaf(&self, request: &str, service: &ServiceName, now: Instant) {
         let leafs = self.leafs.for_service(service);
-        let count = |is_counted: fn(&Leaf, Instant) -> bool| {
-            leafs.iter().filter(|leaf| is_counted(leaf, now)).count()
+        let count = |is_counted: &dyn Fn(&Leaf) -> bool| {
+            leafs.iter().filter(|leaf| is_counted(leaf)).count()
         };
         Event::NoUsableLeaf {
             request,
             service: service.as_str(),
             published: leafs.len(),
-            leaving: count(|leaf, _| leaf.is_leaving()),
-            blocked: count(|leaf, now| leaf.load().blocked_until(now).is_some()),
+            leaving: count(&Leaf::is_leaving),
+            blocked: count(&|leaf| leaf.load().blocked_until(now).is_some()),
+            rate_limited: count(&|leaf| self.rate_wait_until(leaf, now).is_some()),
         }
         .log();
     }
@@ -169,10 +170,21 @@
     /// Returns true if a leaf of the service is available now or after a short back-off.
     pub(crate) fn has_available_leaf(&self, service: &ServiceName, now: Instant) -> bool {
         let soon = now + SHED_BACK_OFF;
-        self.leafs
-            .for_service(service)
-            .iter()
-            .any(|leaf| leaf.is_usable(now) && leaf.load().blocked_until(soon).is_none())
+        self.leafs.for_service(service).iter().any(|leaf| {
+            let available_at = self.leaf_available_at(leaf, now);
+            leaf.is_usable(now) && available_at.is_none_or(|at| at <= soon)
+        })
+    }
+
+    /// Returns the time until a leaf of the service takes a request, if only the request rates that
+    /// its leafs state prevent one now.
+    pub(crate) fn rate_wait(&self, service: &ServiceName, now: Instant) -> Option<Duration> {
+        let leafs = self.leafs.for_service(service);
+        let usable = leafs.iter().filter(|leaf| leaf.is_usable(now));
+        let until = usable
+            .filter_map(|leaf| self.rate_wait_until(leaf, now))
+            .min()?;
+        Some(until.saturating_duration_since(now))
     }
 
     pub(crate) fn now(&self) -> Instant {
@@ -266,6 +278,39 @@
         share_of(total, share).max(CONNECTIONS_MIN)
     }
 
+    /// Returns this daemon's share of the request rate that a leaf of the service states.
+    fn request_rate_share(&self, service: &ServiceName, now: Instant) -> f64 {
+        let config = self.config.load();
+        let is_gathered_only = config
+            .as_ref()
+            .is_some_and(|config| config.is_gathered_only(service));
+        self.daemons.as_ref().map_or(UNLISTED_SHARE, |daemons| {
+            daemons.lock().request_rate_share(is_gathered_only, now)
+        })
+    }
+
+    /// Returns the time from which this daemon may send the next request to a leaf, if that is not
+    /// now: the end of a back-off, or of the wait that a stated request rate requires.
+    pub(crate) fn leaf_available_at(&self, leaf: &Leaf, now: Instant) -> Option<Instant> {
+        let blocked_until = leaf.load().blocked_until(now);
+        blocked_until.max(self.rate_wait_until(leaf, now))
+    }
+
+    /// Returns the end of the wait that the request rate stated by a leaf requires, if there is one.
+    pub(crate) fn rate_wait_until(&self, leaf: &Leaf, now: Instant) -> Option<Instant> {
+        leaf.stated_rate()?;
+        let share = self.request_rate_share(&leaf.entry.service, now);
+        leaf.next_request_at(share, now).filter(|at| now < *at)
+    }
+
+    /// Counts a request against the rate that the leaf states, if it states one.
+    pub(crate) fn record_leaf_request(&self, leaf: &Leaf, now: Instant) {
+        if leaf.stated_rate().is_some() {
+            let share = self.request_rate_share(&leaf.entry.service, now);
+            leaf.record_request(share, now);
+        }
+    }
+
     fn retry_limits(&self, now: Instant) -> RetryLimits {
         let settings = self.settings.load();
         let reserve = self.retry_reserve(now);
