Share what leafs state to take, and permit requests to scarce ones

Two faults were left, both of the class that a limit is divided among daemons that know nothing of each other:

The daemons' unused single requests pile up and are spent together in a burst. - A daemon learned of the start and the end of a limit only from the leaf: with 195 daemons and 1.2 a second, each asks it every 160 s or more, so that the leaf stayed limited for minutes after it had recovered.

Ruled out: smaller shares (at 0.6 of the rate the model still breaks and the leaf idles); holders that get all requests delegated (a holder that fails loses requests, a permit that is lost costs nothing).

Change: what a leaf states is passed on from daemon to daemon like crash reports (flooding, 4 receivers a hop, changes below a tenth are not passed on), with its age, so that the newest statement wins. If the rate is too low for independent shares, one daemon, the first in an order that depends on the leaf, permits single requests; the others ask it before they send (100 ms at most, on a pooled connection) and ask the next one if it fails. Leafs that only get parts of gathered queries keep fixed shares. Hedges need no permit and skip such leafs. Two RPCs are new; a daemon of an older release answers neither and is passed over.

PeerPool and flooding are moved out of delegation and crash_reports, and serve both.

Tests: daemons_share_a_low_limit_and_its_end failed before (the start is not passed on); the model's two tests hold for 1 to 195 daemons, 0 to 80 requests a second, bursts, restarts and two permitting daemons.

--- a/crates/medlarpin-core/src/routing/daemon_list.rs
+++ b/crates/medlarpin-core/src/routing/daemon_list.rs
@@ -1,7 +1,8 @@
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
-use super::{CAPACITY_RATIO_MIN, KnownDaemon, reserve_parts};
+use super::{CAPACITY_RATIO_MIN, KnownDaemon, RateAccess, RequestRate, is_dense, reserve_parts};
+use crate::ids::{LeafId, stable_hash};
 
 /// Time without contact after which a daemon gets no queries or exchanges. Longer than a restart.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_mins(1);
@@ -242,24 +243,44 @@
         }
     }
 
-    /// Returns the share of a leaf's request rate that this daemon may use, above 0 and up to 1.
+    /// Returns how this daemon may send requests to a leaf that states a rate.
     ///
-    /// All daemons forward requests to single leafs alike; only a leaf that gets nothing but the
-    /// requests of gathered queries is left mostly to the daemons that gather. Until discovery has
-    /// completed, at least [`DEFAULT_DAEMON_COUNT`] daemons are assumed, unless there are no others.
+    /// A leaf that gets nothing but parts of gathered queries is left mostly to the daemons that
+    /// gather. All daemons forward requests to other leafs alike; if these take too few to divide
+    /// among so many, one daemon permits the requests. It is the first one, in an order that depends
+    /// on the leaf, of the daemons that are neither silent nor in `excluded`, which is sorted.
     #[must_use]
-    pub fn request_rate_share(&self, is_gathered_only: bool, now: Instant) -> f64 {
+    pub fn rate_access(
+        &self,
+        leaf: &LeafId,
+        stated: RequestRate,
+        is_gathered_only: bool,
+        excluded: &[SocketAddr],
+        now: Instant,
+    ) -> RateAccess {
         let is_alone = self.others.is_empty() && !self.has_other_seeds();
-        let is_complete = is_alone || self.is_discovery_complete(now);
-        if is_gathered_only && is_complete {
-            return self.standing_share;
+        if !is_alone && !self.is_discovery_complete(now) {
+            let count = self.daemon_count().max(DEFAULT_DAEMON_COUNT);
+            return RateAccess::share(stated, 1.0 / count as f64);
+        }
+        if is_gathered_only {
+            return RateAccess::share(stated, self.standing_share);
+        }
+        let share = 1.0 / self.daemon_count() as f64;
+        if is_dense(stated, share) {
+            return RateAccess::share(stated, share);
+        }
+        let issuer = self
+            .others(now)
+            .filter(|daemon| excluded.binary_search(&daemon.address).is_err())
+            .chain([self.own])
+            .min_by_key(|daemon| issuer_rank(leaf, daemon));
+        match issuer {
+            Some(issuer) if issuer.address != self.own.address => {
+                RateAccess::Permit(issuer.address)
+            }
+            _ => RateAccess::issuer(stated),
         }
-        let count = if is_complete {
-            self.daemon_count()
-        } else {
-            self.daemon_count().max(DEFAULT_DAEMON_COUNT)
-        };
-        1.0 / count as f64
     }
 
     /// Returns the retries of a service's `reserve` that this daemon may use in a window.
@@ -338,3 +359,15 @@
             .is_some_and(|at| now.saturating_duration_since(at) >= DISCOVERY_TIME)
     }
 }
+
+/// Returns the position of a daemon in the order in which daemons permit a leaf's requests. Daemons
+/// with more CPU capacity come first, because a small VM under load would answer late.
+fn issuer_rank(leaf: &LeafId, daemon: &KnownDaemon) -> (u32, u64, SocketAddr) {
+    let ip = match daemon.address.ip() {
+        IpAddr::V4(ip) => ip.to_ipv6_mapped(),
+        IpAddr::V6(ip) => ip,
+    };
+    let port = daemon.address.port().to_be_bytes();
+    let hash = stable_hash(&[leaf.as_str().as_bytes(), &ip.octets(), &port]);
+    (u32::MAX - daemon.cpu_millicores, hash, daemon.address)
+}
--- a/crates/medlarpin-core/src/routing/delegate_selector.rs
+++ b/crates/medlarpin-core/src/routing/delegate_selector.rs
@@ -78,6 +78,13 @@
         }
     }
 
+    /// Returns the daemons in back-off, sorted by address.
+    #[must_use]
+    pub fn backed_off(&self, now: Instant) -> Vec<SocketAddr> {
+        let current = self.backed_off.iter().filter(|(_, until)| now < *until);
+        current.map(|(daemon, _)| *daemon).collect()
+    }
+
     fn is_backed_off(&self, daemon: SocketAddr, now: Instant) -> bool {
         let found = self
             .backed_off
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -4,7 +4,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use medlarpin_core::prelude::Clock;
-use medlarpin_core::routing::StatedRate;
+use medlarpin_core::routing::{RateStatement, StatedRate};
 
 use crate::attempt_result::{AttemptResult, LeafAnswer, LeafFailure};
 use crate::caller_request::CallerRequest;
@@ -147,7 +147,12 @@
     }
     // A rejection without a limit does not end one: it may come from the leaf's listener.
     if !head.not_executed || head.stated_rate != StatedRate::Unlimited {
-        leaf.record_stated_rate(head.stated_rate, sent_at, shared.now());
+        let statement = RateStatement {
+            stated: head.stated_rate,
+            asked_at: sent_at,
+            heard_at: shared.now(),
+        };
+        shared.record_rate_statement(leaf, statement);
     }
     leaf.release(connection, head.idle_timeout, shared.now());
     if head.not_executed {
--- a/crates/router/src/delegation.rs
+++ b/crates/router/src/delegation.rs
@@ -1,10 +1,9 @@
 //! Delegation of queries: another daemon fans the query out and gathers the answers.
 
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use displaydoc::Display;
@@ -16,13 +15,14 @@
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
-use tokio::time::{timeout, timeout_at};
+use tokio::time::timeout_at;
 use wire::peer_capnp::{header, route_peer};
 
 use crate::caller_request::CallerRequest;
 use crate::callers::{Answer, find_route, refusal_answer};
 use crate::event::Event;
-use crate::peers::{CONNECTION_REUSE_TIME, PeerConnection, millis_u32};
+use crate::peer_pool::PeerPool;
+use crate::peers::millis_u32;
 use crate::refusal::Refusal;
 use crate::route_state::RouteState;
 use crate::scatter::gather;
@@ -32,9 +32,6 @@
 /// time on a VM with a twelfth of a core. The other daemon treats the query as having arrived that
 /// much earlier, so that its answer is in time.
 const DELEGATION_DELAY: Duration = Duration::from_millis(6);
-/// Time limit for opening a connection to another daemon; a VM that no longer exists never answers.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(40);
-
 /// Outcome of a query that was delegated to another daemon.
 #[derive(Debug)]
 enum DelegationOutcome {
@@ -79,18 +76,9 @@
     queries: mpsc::UnboundedReceiver<DelegatedQuery>,
 }
 
-/// A reusable connection to another daemon.
-struct PooledConnection {
-    peer: PeerConnection,
-    opened_at: Instant,
-}
-
 /// A query and its route.
 type RoutedQuery = (Arc<CallerRequest>, Arc<Route>);
 
-/// Sorted by address, without duplicates.
-type ConnectionPool = Rc<RefCell<Vec<(SocketAddr, PooledConnection)>>>;
-
 impl Delegations {
     pub(crate) fn new() -> (Self, DelegationTask) {
         let (sender, receiver) = mpsc::unbounded_channel();
@@ -119,7 +107,7 @@
 impl DelegationTask {
     /// Sends queries until the process ends. The connections are bound to this task's thread.
     pub(crate) async fn run(mut self, clock: Arc<dyn Clock>) {
-        let pool = ConnectionPool::default();
+        let pool = Rc::new(PeerPool::default());
         while let Some(query) = self.queries.recv().await {
             let pool = Rc::clone(&pool);
             let clock = Arc::clone(&clock);
@@ -206,64 +194,24 @@
 }
 
 async fn send(
-    pool: &ConnectionPool,
+    pool: &PeerPool,
     daemon: SocketAddr,
     request: &CallerRequest,
     clock: &dyn Clock,
 ) -> DelegationOutcome {
-    let Some(client) = pooled_client(pool, daemon, clock).await else {
+    let Some(client) = pool.client(daemon, clock).await else {
         return DelegationOutcome::NotServed;
     };
     match call_gather_query(&client, request, clock).await {
         Ok(Some(answer)) => DelegationOutcome::Answered(answer),
         Ok(None) => DelegationOutcome::NotServed,
         Err(error) => {
-            remove_connection(pool, daemon);
+            pool.remove(daemon);
             DelegationOutcome::Failed(error)
         }
     }
 }
 
-/// Returns a client on a pooled or a new connection; `None` if the daemon cannot be reached.
-async fn pooled_client(
-    pool: &ConnectionPool,
-    daemon: SocketAddr,
-    clock: &dyn Clock,
-) -> Option<route_peer::Client> {
-    let now = clock.now();
-    let position = |pool: &[(SocketAddr, PooledConnection)]| {
-        pool.binary_search_by_key(&daemon, |(known, _)| *known)
-    };
-    if let Ok(index) = position(&pool.borrow()) {
-        let pooled = &pool.borrow()[index].1;
-        if !pooled.peer.is_closed()
-            && now.saturating_duration_since(pooled.opened_at) < CONNECTION_REUSE_TIME
-        {
-            return Some(pooled.peer.client.clone());
-        }
-    }
-    let opened = timeout(CONNECT_TIMEOUT, PeerConnection::open(daemon)).await;
-    let peer = opened.ok()?.ok()?;
-    let client = peer.client.clone();
-    let pooled = PooledConnection {
-        peer,
-        opened_at: now,
-    };
-    let mut pool = pool.borrow_mut();
-    match position(&pool) {
-        Ok(index) => pool[index].1 = pooled,
-        Err(index) => pool.insert(index, (daemon, pooled)),
-    }
-    Some(client)
-}
-
-fn remove_connection(pool: &ConnectionPool, daemon: SocketAddr) {
-    let mut pool = pool.borrow_mut();
-    if let Ok(index) = pool.binary_search_by_key(&daemon, |(known, _)| *known) {
-        pool.remove(index);
-    }
-}
-
 /// Calls the other daemon and returns its answer; `None` if it did not serve the query, in which
 /// case no leaf ran it.
 async fn call_gather_query(
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -121,15 +121,22 @@
     },
     /// A leaf's entry was withdrawn.
     LeafWithdrawn { leaf: &'a str, revision: u64 },
-    /// A leaf stated the rate of requests that it takes from all daemons together, for the first
-    /// time or with another value.
+    /// A leaf stated to this or another daemon the rate of requests that it takes from all daemons
+    /// together, for the first time or with another value.
     LeafLimitStated {
         leaf: &'a str,
         service: &'a str,
         requests_per_s: f64,
+        heard_ms_ago: u128,
     },
     /// A leaf no longer states a limit of its request rate.
-    LeafLimitEnded { leaf: &'a str, service: &'a str },
+    LeafLimitEnded {
+        leaf: &'a str,
+        service: &'a str,
+        heard_ms_ago: u128,
+    },
+    /// What a leaf stated about its request rate was not passed on to other daemons.
+    LeafRateReportDropped { error: &'a str },
     /// A leaf states a limit of its request rate that is not a number of at least 0; what it stated
     /// before remains in force.
     LeafLimitUnreadable { leaf: &'a str, service: &'a str },
@@ -263,6 +270,7 @@
             | Self::LeafLimitStated { .. }
             | Self::LeafLimitEnded { .. }
             | Self::LeafLimitUnreadable { .. }
+            | Self::LeafRateReportDropped { .. }
             | Self::LeafFailed { .. }
             | Self::LeafsSilent { .. }
             | Self::NoUsableLeaf { .. } => "leaf",
--- a/crates/router/src/leaf.rs
+++ b/crates/router/src/leaf.rs
@@ -8,7 +8,9 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use leaf_stream::{LeafStream, ProgressLimit};
-use medlarpin_core::routing::{LeafEntry, LeafLoad, LeafRateLimit, RequestRate, StatedRate};
+use medlarpin_core::routing::{
+    LeafEntry, LeafLoad, LeafRateLimit, RateAccess, RateStatement, RequestRate, StatedRate,
+};
 use parking_lot::{Mutex, MutexGuard};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -114,27 +116,36 @@
         self.link.load.lock()
     }
 
-    /// Records the rate that the leaf stated in its answer to a request that was sent at `sent_at`.
-    pub(crate) fn record_stated_rate(&self, stated: StatedRate, sent_at: Instant, now: Instant) {
+    /// Records what the leaf stated to this or another daemon; returns true if the limit of its
+    /// request rate started, changed or ended.
+    pub(crate) fn record_rate_statement(&self, statement: RateStatement, now: Instant) -> bool {
         let mut rate_limit = self.link.rate_limit.lock();
-        let is_changed = rate_limit.record(stated, sent_at, rand::random(), now);
-        let known = rate_limit.stated();
+        let is_changed = rate_limit.record(statement, rand::random(), now);
         drop(rate_limit);
         let leaf = self.entry.id.as_str();
         let service = self.entry.service.as_str();
-        match known {
-            _ if stated == StatedRate::Unreadable => {
-                Event::LeafLimitUnreadable { leaf, service }.log();
-            }
-            _ if !is_changed => {}
-            Some(rate) => Event::LeafLimitStated {
+        match statement.stated {
+            StatedRate::Unreadable => Event::LeafLimitUnreadable { leaf, service }.log(),
+            StatedRate::Limited(rate) if is_changed => Event::LeafLimitStated {
                 leaf,
                 service,
                 requests_per_s: rate.per_s(),
+                heard_ms_ago: now
+                    .saturating_duration_since(statement.heard_at)
+                    .as_millis(),
             }
             .log(),
-            None => Event::LeafLimitEnded { leaf, service }.log(),
+            StatedRate::Unlimited if is_changed => Event::LeafLimitEnded {
+                leaf,
+                service,
+                heard_ms_ago: now
+                    .saturating_duration_since(statement.heard_at)
+                    .as_millis(),
+            }
+            .log(),
+            StatedRate::Limited(_) | StatedRate::Unlimited => {}
         }
+        is_changed
     }
 
     /// Returns the rate of requests that the leaf takes from all daemons together, if it states one.
@@ -142,15 +153,38 @@
         self.link.rate_limit.lock().stated()
     }
 
+    /// Returns the stated rate and the time of the newest statement.
+    pub(crate) fn known_rate(&self) -> (Option<RequestRate>, Option<Instant>) {
+        let rate_limit = self.link.rate_limit.lock();
+        (rate_limit.stated(), rate_limit.known_at())
+    }
+
     /// Returns the time from which the rate that the leaf states allows the next request; `None` if
-    /// it states none. `share` is this daemon's share of the rate.
-    pub(crate) fn next_request_at(&self, share: f64, now: Instant) -> Option<Instant> {
-        self.link.rate_limit.lock().next_request_at(share, now)
+    /// it states none.
+    pub(crate) fn rate_available_at(&self, access: RateAccess, now: Instant) -> Option<Instant> {
+        self.link.rate_limit.lock().available_at(access, now)
     }
 
     /// Counts a request against the rate that the leaf states.
-    pub(crate) fn record_request(&self, share: f64, now: Instant) {
-        self.link.rate_limit.lock().sent(share, now);
+    pub(crate) fn record_request(&self, access: RateAccess, now: Instant) {
+        self.link.rate_limit.lock().sent(access, now);
+    }
+
+    /// Counts a request against the rate that the leaf states if it is available now; otherwise
+    /// returns the time until one is.
+    pub(crate) fn take_request(&self, access: RateAccess, now: Instant) -> Option<Duration> {
+        let mut rate_limit = self.link.rate_limit.lock();
+        let available_at = rate_limit.available_at(access, now)?;
+        if now < available_at {
+            return Some(available_at - now);
+        }
+        rate_limit.sent(access, now);
+        None
+    }
+
+    /// Records that another daemon permits no request until the given time.
+    pub(crate) fn deny_requests(&self, until: Instant) {
+        self.link.rate_limit.lock().denied(until);
     }
 
     /// Returns the time until which the leaf gets new requests; `None` unless it is leaving.
--- a/crates/router/src/leaf_table.rs
+++ b/crates/router/src/leaf_table.rs
@@ -2,7 +2,7 @@
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
-use medlarpin_core::prelude::ServiceName;
+use medlarpin_core::prelude::{LeafId, ServiceName};
 use medlarpin_core::routing::LeafDirectory;
 
 use crate::leaf::Leaf;
@@ -36,6 +36,13 @@
             .collect()
     }
 
+    /// Returns the leaf with an identifier.
+    pub(crate) fn find(&self, id: &LeafId) -> Option<Arc<Leaf>> {
+        let by_service = self.by_service.load();
+        let mut leafs = by_service.iter().flat_map(|(_, leafs)| leafs);
+        leafs.find(|leaf| leaf.entry.id == *id).cloned()
+    }
+
     /// Rebuilds the table from the directory. A leaf whose address, service and process start are
     /// unchanged keeps its connections and its load.
     pub(crate) fn update(&self, directory: &LeafDirectory) {
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -27,6 +27,8 @@
     pub(crate) delegated: IntCounter,
     pub(crate) hedges_denied: IntCounter,
     pub(crate) retries_denied: IntCounter,
+    leaf_permits: IntCounter,
+    leaf_permits_denied: IntCounter,
     pub(crate) store_calls: IntCounter,
     pub(crate) store_failures: IntCounter,
     pub(crate) config_version: IntGauge,
@@ -86,6 +88,14 @@
                 "medlarpin_hedges_denied_total",
                 "Hedges that the repeat limit prevented",
             )?,
+            leaf_permits: counter(
+                "medlarpin_leaf_permits_total",
+                "Requests of other daemons that this daemon permitted to leafs with a low rate",
+            )?,
+            leaf_permits_denied: counter(
+                "medlarpin_leaf_permits_denied_total",
+                "Requests of other daemons that this daemon did not permit",
+            )?,
             retries_denied: counter(
                 "medlarpin_retries_denied_total",
                 "Retries that the repeat limit prevented",
@@ -128,6 +138,15 @@
         self.refusals.with_label_values(&[refusal.as_str()]).inc();
     }
 
+    /// Counts the answer to another daemon that asked for a permit.
+    pub(crate) fn record_permit(&self, is_permitted: bool) {
+        if is_permitted {
+            self.leaf_permits.inc();
+        } else {
+            self.leaf_permits_denied.inc();
+        }
+    }
+
     pub(crate) fn record_leaf_failure(&self, failure: LeafFailure) {
         self.leaf_failures
             .with_label_values(&[failure.as_str()])
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -23,6 +23,8 @@
 use crate::crash_reports;
 use crate::delegation;
 use crate::event::Event;
+use crate::leaf_permits;
+use crate::leaf_rate_reports;
 use crate::published_items::Update;
 use crate::shared::Shared;
 
@@ -350,6 +352,22 @@
         crash_reports::receive(&self.shared, params.get()?)
     }
 
+    async fn report_leaf_rates(
+        self: Rc<Self>,
+        params: route_peer::ReportLeafRatesParams,
+        _results: route_peer::ReportLeafRatesResults,
+    ) -> Result<(), capnp::Error> {
+        leaf_rate_reports::receive(&self.shared, params.get()?)
+    }
+
+    async fn permit_leaf_request(
+        self: Rc<Self>,
+        params: route_peer::PermitLeafRequestParams,
+        results: route_peer::PermitLeafRequestResults,
+    ) -> Result<(), capnp::Error> {
+        leaf_permits::answer(&self.shared, params.get()?, results)
+    }
+
     async fn published_changes(
         self: Rc<Self>,
         params: route_peer::PublishedChangesParams,
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -15,10 +15,12 @@
 use crate::discovery::{Discovery, close_idle_connections};
 use crate::error::RouterError;
 use crate::event::Event;
+use crate::leaf_permits::LeafPermits;
+use crate::leaf_rate_reports::LeafRateReports;
 use crate::metrics::Metrics;
 use crate::shared::Shared;
 use crate::supervised::run_supervised;
-use crate::{crash_reports, operators, peers, readiness};
+use crate::{crash_reports, leaf_rate_reports, operators, peers, readiness};
 
 /// Minimum time for which new connections are accepted after the daemon stops being ready. The
 /// platform checks once a second and takes a daemon out of rotation after two failed checks.
@@ -71,15 +73,24 @@
         .log();
         let (delegations, delegation_task) = Delegations::new();
         let (crash_memory, crash_reports) = CrashMemory::new();
+        let (leaf_rate_reports, leaf_rate_queue) = LeafRateReports::new();
+        let (leaf_permits, leaf_permit_task) = LeafPermits::new();
         let shared = Arc::new(Shared::new(
             settings,
             peer_address,
             Arc::clone(&clock),
             crash_memory,
             delegations,
+            leaf_rate_reports,
+            leaf_permits,
             Metrics::new()?,
         ));
-        spawn_local(delegation_task.run(clock));
+        spawn_local(delegation_task.run(Arc::clone(&clock)));
+        spawn_local(leaf_permit_task.run(clock));
+        spawn_local(leaf_rate_reports::pass_on(
+            Arc::clone(&shared),
+            leaf_rate_queue,
+        ));
         spawn_local(crash_reports::pass_on(Arc::clone(&shared), crash_reports));
         let connections = Arc::new(Connections::new());
         tokio::spawn(Arc::clone(&connections).accept(query_listener, Arc::clone(&shared)));
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -120,6 +121,17 @@
             if attempts.is_empty() {
                 match self.next_step(now) {
                     NextStep::Send(leaf) => attempts.push(self.send(leaf, now)),
+                    NextStep::AskPermit(leaf, issuer) => {
+                        if self.shared.ask_permit(&leaf, issuer).await {
+                            let now = self.shared.now();
+                            if !self.try_send_budget(now) {
+                                self.record_retry_denied();
+                                return Err(self.failure);
+                            }
+                            attempts.push(self.send(leaf, now));
+                        }
+                        continue;
+                    }
                     NextStep::WaitUntil(at) => {
                         sleep_until(at.min(self.request.deadline).into()).await;
                         continue;
@@ -243,11 +255,13 @@
             };
         }
         if let Some(leaf) = self.choose_leaf(now, false) {
+            if let Some(issuer) = self.shared.permit_issuer(&leaf, now) {
+                return NextStep::AskPermit(leaf, issuer);
+            }
             if self.try_send_budget(now) {
                 return NextStep::Send(leaf);
             }
-            self.shared.metrics.retries_denied.inc();
-            self.log_retry_denied();
+            self.record_retry_denied();
             return NextStep::Fail;
         }
         let wait = self.route.target_latency.mul_f64(SHED_WAIT_FRACTION);
@@ -292,6 +306,11 @@
         self.attempts.may_have_run(&leaf.entry.id);
     }
 
+    fn record_retry_denied(&self) {
+        self.shared.metrics.retries_denied.inc();
+        self.log_retry_denied();
+    }
+
     fn log_retry_denied(&self) {
         Event::RetryDenied {
             request: self.request.id_text(),
@@ -302,8 +321,8 @@
 
     /// Chooses a leaf that is available now; `None` if there is none.
     ///
-    /// With `untried_only`, leafs that already got the request are left out.
-    fn choose_leaf(&self, now: Instant, untried_only: bool) -> Option<Arc<Leaf>> {
+    /// A hedge goes only to leafs that have not got the request and need no permit of another daemon.
+    fn choose_leaf(&self, now: Instant, is_hedge: bool) -> Option<Arc<Leaf>> {
         let typical_latency = self.state.latency.lock().typical(now);
         let connections_max = self.shared.connections_max(&self.service);
         let leafs = self.shared.leafs.for_service(&self.service);
@@ -312,7 +331,7 @@
         for leaf in leafs {
             let is_tried = self.attempts.tried().contains(&leaf.entry.id);
             let is_within_limit = self.attempts.is_within_limit(&leaf.entry.id);
-            if !leaf.is_usable(now) || !is_within_limit || (untried_only && is_tried) {
+            if !leaf.is_usable(now) || !is_within_limit || (is_hedge && is_tried) {
                 continue;
             }
             if !leaf.has_connection_capacity(connections_max) {
@@ -321,6 +340,9 @@
             if self.shared.leaf_available_at(&leaf, now).is_some() {
                 continue;
             }
+            if is_hedge && self.shared.permit_issuer(&leaf, now).is_some() {
+                continue;
+            }
             let load = leaf.load();
             let is_local = leaf.entry.failure_domain == *self.shared.failure_domain();
             let domain_factor = if is_local { 1.0 } else { REMOTE_DOMAIN_FACTOR };
@@ -360,6 +382,8 @@
 enum NextStep {
     /// Send the request to this leaf.
     Send(Arc<Leaf>),
+    /// Send the request to this leaf if this daemon permits it.
+    AskPermit(Arc<Leaf>, SocketAddr),
     /// Wait until a leaf becomes available.
     WaitUntil(Instant),
     /// Give up.
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -6,8 +6,9 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use medlarpin_core::prelude::{Clock, FailureDomain, ServiceName};
 use medlarpin_core::routing::{
-    DaemonList, DelegateSelector, KnownDaemon, ProcessStart, QueryAdmission, RetryBudget,
-    RetryLimits, Route, RoutingConfig, SHED_BACK_OFF, reserve_parts,
+    DaemonList, DelegateSelector, KnownDaemon, ProcessStart, QueryAdmission, RateAccess,
+    RateStatement, RetryBudget, RetryLimits, Route, RoutingConfig, SHED_BACK_OFF, StatedRate,
+    reserve_parts,
 };
 use parking_lot::Mutex;
 use settings::RouterSettings;
@@ -17,6 +18,8 @@
 use crate::event::Event;
 use crate::held_memory::BodyMemory;
 use crate::leaf::Leaf;
+use crate::leaf_permits::LeafPermits;
+use crate::leaf_rate_reports::{LeafRateReport, LeafRateReports};
 use crate::leaf_table::LeafTable;
 use crate::metrics::Metrics;
 use crate::published_items::PublishedItems;
@@ -74,16 +77,26 @@
     pub(crate) crash_memory: CrashMemory,
     /// Sends queries to the daemons that gather them.
     pub(crate) delegations: Delegations,
+    /// Passes on what leafs state about their request rates.
+    leaf_rate_reports: LeafRateReports,
+    /// Asks other daemons for permits of requests to leafs with a low rate.
+    leaf_permits: LeafPermits,
     pub(crate) metrics: Metrics,
 }
 
 impl Shared {
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "each part is created with its task"
+    )]
     pub(crate) fn new(
         settings: RouterSettings,
         peer_address: Option<SocketAddr>,
         clock: Arc<dyn Clock>,
         crash_memory: CrashMemory,
         delegations: Delegations,
+        leaf_rate_reports: LeafRateReports,
+        leaf_permits: LeafPermits,
         metrics: Metrics,
     ) -> Self {
         let own = peer_address.map(|address| KnownDaemon {
@@ -118,6 +131,8 @@
             query_admission: Mutex::new(QueryAdmission::new()),
             crash_memory,
             delegations,
+            leaf_rate_reports,
+            leaf_permits,
             metrics,
         }
     }
@@ -278,15 +293,72 @@
         share_of(total, share).max(CONNECTIONS_MIN)
     }
 
-    /// Returns this daemon's share of the request rate that a leaf of the service states.
-    fn request_rate_share(&self, service: &ServiceName, now: Instant) -> f64 {
+    /// Returns how this daemon may send requests to a leaf; `None` if the leaf states no rate.
+    fn rate_access(&self, leaf: &Leaf, now: Instant) -> Option<RateAccess> {
+        let stated = leaf.stated_rate()?;
+        let Some(daemons) = &self.daemons else {
+            return Some(RateAccess::share(stated, UNLISTED_SHARE));
+        };
         let config = self.config.load();
         let is_gathered_only = config
             .as_ref()
-            .is_some_and(|config| config.is_gathered_only(service));
-        self.daemons.as_ref().map_or(UNLISTED_SHARE, |daemons| {
-            daemons.lock().request_rate_share(is_gathered_only, now)
-        })
+            .is_some_and(|config| config.is_gathered_only(&leaf.entry.service));
+        let selector = self.delegate_selector.as_ref();
+        let excluded = selector.map_or_else(Vec::new, |selector| selector.lock().backed_off(now));
+        let daemons = daemons.lock();
+        Some(daemons.rate_access(&leaf.entry.id, stated, is_gathered_only, &excluded, now))
+    }
+
+    /// Returns the daemon that permits the requests to a leaf, if this daemon has to ask another one.
+    pub(crate) fn permit_issuer(&self, leaf: &Leaf, now: Instant) -> Option<SocketAddr> {
+        match self.rate_access(leaf, now)? {
+            RateAccess::Permit(issuer) => Some(issuer),
+            RateAccess::Own(_) => None,
+        }
+    }
+
+    /// Asks another daemon for permission to send one request to a leaf.
+    ///
+    /// Returns false if it is denied or the daemon cannot be asked; the leaf is then unavailable for
+    /// the time that the daemon states, or another daemon is asked next.
+    pub(crate) async fn ask_permit(&self, leaf: &Leaf, issuer: SocketAddr) -> bool {
+        let (stated, heard_at) = leaf.known_rate();
+        let known = LeafRateReport {
+            leaf: leaf.entry.id.clone(),
+            stated: stated.map_or(StatedRate::Unlimited, StatedRate::Limited),
+            heard_at: heard_at.unwrap_or_else(|| self.now()),
+        };
+        match self.leaf_permits.ask(issuer, known).await {
+            Ok(answer) => {
+                if let Some(known) = answer.known {
+                    self.record_rate_statement(leaf, known.statement());
+                }
+                if let Some(wait) = answer.wait {
+                    leaf.deny_requests(self.now() + wait);
+                }
+                answer.wait.is_none()
+            }
+            Err(error) => {
+                Event::DaemonUnreachable {
+                    daemon: issuer,
+                    error: &error,
+                }
+                .log();
+                self.back_off_delegate(issuer, self.now());
+                false
+            }
+        }
+    }
+
+    /// Records what a leaf stated to this or another daemon, and passes on a change.
+    pub(crate) fn record_rate_statement(&self, leaf: &Leaf, statement: RateStatement) {
+        if leaf.record_rate_statement(statement, self.now()) {
+            self.leaf_rate_reports.pass_on(LeafRateReport {
+                leaf: leaf.entry.id.clone(),
+                stated: statement.stated,
+                heard_at: statement.heard_at,
+            });
+        }
     }
 
     /// Returns the time from which this daemon may send the next request to a leaf, if that is not
@@ -298,16 +370,15 @@
 
     /// Returns the end of the wait that the request rate stated by a leaf requires, if there is one.
     pub(crate) fn rate_wait_until(&self, leaf: &Leaf, now: Instant) -> Option<Instant> {
-        leaf.stated_rate()?;
-        let share = self.request_rate_share(&leaf.entry.service, now);
-        leaf.next_request_at(share, now).filter(|at| now < *at)
+        let access = self.rate_access(leaf, now)?;
+        let available_at = leaf.rate_available_at(access, now);
+        available_at.filter(|at| now < *at)
     }
 
     /// Counts a request against the rate that the leaf states, if it states one.
     pub(crate) fn record_leaf_request(&self, leaf: &Leaf, now: Instant) {
-        if leaf.stated_rate().is_some() {
-            let share = self.request_rate_share(&leaf.entry.service, now);
-            leaf.record_request(share, now);
+        if let Some(access) = self.rate_access(leaf, now) {
+            leaf.record_request(access, now);
         }
     }
 
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -212,6 +212,16 @@
   requestHash @2 :UInt64;
 }
 
+# What a leaf states about the rate of requests that it takes from all daemons together.
+struct LeafRate {
+  leaf @0 :Text;
+  # False if the leaf no longer states a limit.
+  isLimited @1 :Bool;
+  requestsPerS @2 :Float64;
+  # Time since a daemon heard this of the leaf.
+  ageMs @3 :UInt32;
+}
+
 struct Header {
   name @0 :Text;
   value @1 :Data;
@@ -240,4 +250,11 @@
   gatherQuery @3 (method :Text, path :Text, headers :List(Header), body :Data, ageMs :UInt32, timeLeftMs :UInt32) -> (isServed :Bool, status :UInt16, headers :List(Header), body :Data);
   # Tells of crash reports that the receiver may not know; it passes on those that are new to it.
   reportCrashes @4 (reports :List(CrashReport)) -> ();
+  # Tells of rates that leafs state; the receiver passes on those that change what it knows.
+  reportLeafRates @5 (rates :List(LeafRate)) -> ();
+  # Asks for permission to send one request to a leaf of whose rate the receiver permits the
+  # requests. rate is what the sender knows, and knownRate what the receiver knows after the call; if
+  # that is no limit, no permission is needed. If isPermitted is false, the sender may ask again
+  # after waitMs.
+  permitLeafRequest @6 (rate :LeafRate) -> (isPermitted :Bool, waitMs :UInt32, knownRate :LeafRate);
 }
