Tell the eras of the store apart

Callers got answers of a service that a route no longer names, and 404 for a route that had been added, for seconds after the change should have been in force.

Cause: a revision was taken to identify a state of the items. A store that is restored from a copy gives revisions out again, so a follower at 54 was told that nothing had changed after 54, and a watch could go on in a history that the store no longer had. Evidence: the logs show equal revisions (daemon_stale 54, known 54) with different configurations, and no configuration that goes back. Class: positions of one history are compared with those of another.

Change: StoreRevision is the era, which the store states in all answers (Store-Era), and the number. The watch cursor, the change log, the items for followers and the messages between daemons use it as a whole. A daemon of an older release states era 0 and counts as stale, so that the store is asked.

The same cause with leafs: the copy lists leafs that have left since, and they got requests again. After a restore, such a leaf is listed only with a newer entry (remembered for 30 s). Leafs that are missing from the copy stay usable for the 2 s in which lapsed entries return.

--- a/crates/medlarpin-core/src/routing/change_log.rs
+++ b/crates/medlarpin-core/src/routing/change_log.rs
@@ -1,10 +1,10 @@
-use crate::ids::Revision;
+use super::StoreRevision;
 
 /// The changes between two consecutive known revisions.
 #[derive(Debug, Clone)]
 struct Step<T> {
-    from: Revision,
-    to: Revision,
+    from: StoreRevision,
+    to: StoreRevision,
     /// Oldest first.
     changes: Vec<T>,
     /// True if the changes were computed from snapshots at both revisions. Such a diff misses items
@@ -36,12 +36,12 @@
     }
 
     /// Appends all changes between two revisions, as reported by a watch.
-    pub fn add_changes(&mut self, from: Revision, to: Revision, changes: Vec<T>) {
+    pub fn add_changes(&mut self, from: StoreRevision, to: StoreRevision, changes: Vec<T>) {
         self.add(from, to, changes, false);
     }
 
     /// Appends the diff between the snapshots at two revisions.
-    pub fn add_diff(&mut self, from: Revision, to: Revision, changes: Vec<T>) {
+    pub fn add_diff(&mut self, from: StoreRevision, to: StoreRevision, changes: Vec<T>) {
         self.add(from, to, changes, true);
     }
 
@@ -49,7 +49,7 @@
     ///
     /// `None` if the log does not hold all of them; the follower then needs a snapshot.
     #[must_use]
-    pub fn after(&self, revision: Revision) -> Option<Vec<T>> {
+    pub fn after(&self, revision: StoreRevision) -> Option<Vec<T>> {
         let index = self.steps.partition_point(|step| step.to <= revision);
         let first = self.steps.get(index)?;
         let is_known = first.from == revision || (first.from < revision && !first.is_diff);
@@ -61,7 +61,7 @@
         })
     }
 
-    fn add(&mut self, from: Revision, to: Revision, changes: Vec<T>, is_diff: bool) {
+    fn add(&mut self, from: StoreRevision, to: StoreRevision, changes: Vec<T>, is_diff: bool) {
         if self.steps.last().is_some_and(|last| last.to != from) {
             self.steps.clear();
             self.len = 0;
--- a/crates/medlarpin-core/src/routing/leaf_directory.rs
+++ b/crates/medlarpin-core/src/routing/leaf_directory.rs
@@ -7,6 +7,10 @@
 /// are published again. An entry that is still missing then belongs to a leaf that is gone.
 pub const LAPSED_ENTRY_RETURN_TIME: Duration = Duration::from_secs(2);
 
+/// Time for which a leaf that has left is remembered. A store that is restored from a copy may list
+/// it again until its entry expires; the copy is some seconds old.
+pub const DEPARTED_MEMORY: Duration = Duration::from_secs(30);
+
 /// A leaf that is published or was withdrawn recently.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Listing {
@@ -27,6 +31,10 @@
 pub struct LeafDirectory {
     /// Sorted by leaf, without duplicates.
     listings: Vec<Listing>,
+    /// Last entries of the leafs that have left, each with the time until which it is remembered;
+    /// sorted by leaf, without duplicates. A restored store lists such a leaf again only with a
+    /// newer entry.
+    departed: Vec<(LeafEntry, Instant)>,
     drain_grace: Duration,
 }
 
@@ -37,6 +45,7 @@
     pub fn new(drain_grace: Duration) -> Self {
         Self {
             listings: Vec::new(),
+            departed: Vec::new(),
             drain_grace,
         }
     }
@@ -53,13 +62,23 @@
             withdrawn: false,
         };
         match self.position(&listing.entry.id) {
+            Err(_) if observed.is_restored && self.has_departed(&listing.entry, observed.now) => {
+                false
+            }
             Err(index) => {
                 self.listings.insert(index, listing);
                 true
             }
             Ok(index) => {
                 let known = &mut self.listings[index];
-                if !known.withdrawn && listing.entry.is_older_than(&known.entry) {
+                // An entry that expired while the store was away is published again as it was. One
+                // that a restored store lists may be that of a leaf that has left.
+                let is_stale = match (known.withdrawn, observed.is_restored) {
+                    (true, true) => !listing.entry.is_newer_than(&known.entry),
+                    (true, false) => false,
+                    (false, _) => listing.entry.is_older_than(&known.entry),
+                };
+                if is_stale {
                     return false;
                 }
                 let is_same_drain = listing.entry.phase == LeafPhase::Draining
@@ -115,10 +134,22 @@
     pub fn expire(&mut self, now: Instant) -> Vec<LeafId> {
         let is_expired =
             |known: &Listing| known.withdrawn && known.usable_until.is_some_and(|at| at <= now);
-        self.listings
+        let expired: Vec<LeafEntry> = self
+            .listings
             .extract_if(.., |known| is_expired(known))
-            .map(|known| known.entry.id)
-            .collect()
+            .map(|known| known.entry)
+            .collect();
+        self.departed.retain(|(_, until)| now < *until);
+        let mut ids = Vec::with_capacity(expired.len());
+        for entry in expired {
+            ids.push(entry.id.clone());
+            let departed = (entry, now + DEPARTED_MEMORY);
+            match self.departed_position(&departed.0.id) {
+                Ok(index) => self.departed[index] = departed,
+                Err(index) => self.departed.insert(index, departed),
+            }
+        }
+        ids
     }
 
     /// Returns the listed leafs, sorted by identifier, each with the time until which it gets
@@ -148,6 +179,19 @@
             .map_or(observed.now, |at| at + self.drain_grace)
     }
 
+    /// Returns true if an entry is not newer than the last one of a leaf that has left.
+    fn has_departed(&self, entry: &LeafEntry, now: Instant) -> bool {
+        self.departed_position(&entry.id).is_ok_and(|index| {
+            let (last, until) = &self.departed[index];
+            now < *until && !entry.is_newer_than(last)
+        })
+    }
+
+    fn departed_position(&self, id: &LeafId) -> Result<usize, usize> {
+        self.departed
+            .binary_search_by(|(entry, _)| entry.id.cmp(id))
+    }
+
     fn position(&self, id: &LeafId) -> Result<usize, usize> {
         self.listings
             .binary_search_by(|known| known.entry.id.cmp(id))
--- a/crates/medlarpin-core/src/routing/leaf_entry.rs
+++ b/crates/medlarpin-core/src/routing/leaf_entry.rs
@@ -36,6 +36,17 @@
 }
 
 impl LeafEntry {
+    /// Returns true if this entry was written after another entry of the same leaf.
+    #[must_use]
+    pub fn is_newer_than(&self, other: &Self) -> bool {
+        match (self.started_unix_ms, other.started_unix_ms) {
+            (Some(start), Some(other_start)) if start != other_start => start > other_start,
+            (Some(_), Some(_)) => self.sequence > other.sequence,
+            // If a start time is unknown, the entry may be that of a restarted leaf.
+            _ => true,
+        }
+    }
+
     /// Returns true if this entry is older than another entry of the same leaf.
     #[must_use]
     pub fn is_older_than(&self, other: &Self) -> bool {
--- a/crates/medlarpin-core/src/routing/mod.rs
+++ b/crates/medlarpin-core/src/routing/mod.rs
@@ -24,6 +24,7 @@
 mod routing_config;
 mod source_selector;
 mod stated_rate;
+mod store_revision;
 mod top_records;
 mod watch_cursor;
 mod weighted_round_robin;
@@ -39,7 +40,7 @@
 };
 pub use gather_policy::{GatherPolicy, GatherStep};
 pub use known_daemon::KnownDaemon;
-pub use leaf_directory::{LAPSED_ENTRY_RETURN_TIME, LeafDirectory};
+pub use leaf_directory::{DEPARTED_MEMORY, LAPSED_ENTRY_RETURN_TIME, LeafDirectory};
 pub use leaf_entry::{LeafEntry, LeafPhase};
 pub use leaf_load::{FAILURE_BACK_OFF_MAX, FAILURE_BACK_OFF_MIN, LeafLoad, SHED_BACK_OFF};
 pub use leaf_rate_limit::{LeafRateLimit, RateStatement};
@@ -59,6 +60,7 @@
     SourceSelector, WATCHER_RETRY_INTERVAL, WATCHERS_MIN,
 };
 pub use stated_rate::StatedRate;
+pub use store_revision::StoreRevision;
 pub use top_records::{RECORD_BYTES, top_records};
 pub use watch_cursor::{NextRead, WatchCursor};
 pub use weighted_round_robin::WeightedRoundRobin;
--- a/crates/medlarpin-core/src/routing/observation_time.rs
+++ b/crates/medlarpin-core/src/routing/observation_time.rs
@@ -13,13 +13,18 @@
     pub known_until: Option<Instant>,
     /// Time at which this daemon learned of the change.
     pub now: Instant,
+    /// True if the store was restored from a copy since the change before. Leafs that started after
+    /// the copy are not listed then until they publish their entries again.
+    pub is_restored: bool,
 }
 
 impl ObservationTime {
     /// Returns true if the store, or the way to it, was away before the change was observed.
     #[must_use]
     pub fn is_after_outage(&self) -> bool {
-        self.known_until
-            .is_none_or(|at| self.now.saturating_duration_since(at) >= OUTAGE_MIN)
+        self.is_restored
+            || self
+                .known_until
+                .is_none_or(|at| self.now.saturating_duration_since(at) >= OUTAGE_MIN)
     }
 }
--- /dev/null
+++ b/crates/medlarpin-core/src/routing/store_revision.rs
@@ -0,0 +1,11 @@
+/// Position in the history of the platform's store; ordered by era, then by number.
+///
+/// A store that is restored from a copy gives numbers out again, so a number alone does not identify
+/// a state of the items.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StoreRevision {
+    /// Rises each time the store is restored from a copy; 0 for a store that does not state it.
+    pub era: u64,
+    /// Number of the latest change; rises with each change within an era.
+    pub number: u64,
+}
--- a/crates/medlarpin-core/src/routing/watch_cursor.rs
+++ b/crates/medlarpin-core/src/routing/watch_cursor.rs
@@ -1,4 +1,4 @@
-use crate::ids::Revision;
+use super::StoreRevision;
 
 /// Next read of a store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -6,7 +6,7 @@
     /// Read a snapshot of all items.
     Snapshot,
     /// Watch for changes after this revision.
-    ChangesAfter(Revision),
+    ChangesAfter(StoreRevision),
 }
 
 /// Position of a watch over all items of a store.
@@ -16,8 +16,8 @@
 /// them away before they can be requested again.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct WatchCursor {
-    /// Revision up to which all changes were seen; `None` if a snapshot is needed.
-    known: Option<Revision>,
+    /// StoreRevision up to which all changes were seen; `None` if a snapshot is needed.
+    known: Option<StoreRevision>,
 }
 
 impl WatchCursor {
@@ -30,21 +30,24 @@
 
     /// Returns the revision up to which all changes were seen; `None` if a snapshot is needed.
     #[must_use]
-    pub fn revision(&self) -> Option<Revision> {
+    pub fn revision(&self) -> Option<StoreRevision> {
         self.known
     }
 
     /// Records a snapshot of all items at a revision.
-    pub fn snapshot_read(&mut self, revision: Revision) {
+    pub fn snapshot_read(&mut self, revision: StoreRevision) {
         self.known = Some(revision);
     }
 
     /// Records the number of changes that a watch returned and the revision that it reached.
     ///
-    /// Returns false if changes were missed, in which case the next read is a snapshot.
-    pub fn advance(&mut self, changes: usize, revision: Revision) -> bool {
+    /// Returns false if changes were missed, in which case the next read is a snapshot. After the
+    /// store was restored from a copy, a watch starts at a number that now stands for other changes.
+    pub fn advance(&mut self, changes: usize, revision: StoreRevision) -> bool {
         let is_gap = match self.known {
-            Some(known) => revision < known || (changes == 0 && revision > known),
+            Some(known) => {
+                revision.era != known.era || revision < known || (changes == 0 && revision > known)
+            }
             None => true,
         };
         self.known = (!is_gap).then_some(revision);
--- a/crates/medlarpin-core/tests/routing_discovery.rs
+++ b/crates/medlarpin-core/tests/routing_discovery.rs
@@ -4,7 +4,7 @@
 use medlarpin_core::routing::LeafPhase::{Draining, Ready};
 use medlarpin_core::routing::{
     LAPSED_ENTRY_RETURN_TIME, LeafDirectory, LeafEntry, LeafPhase, NextRead, ObservationTime,
-    WatchCursor,
+    StoreRevision, WatchCursor,
 };
 
 const DRAIN_GRACE: Duration = Duration::from_secs(2);
@@ -28,6 +28,7 @@
     ObservationTime {
         known_until: Some(now),
         now,
+        is_restored: false,
     }
 }
 
@@ -129,6 +130,7 @@
         let observed = ObservationTime {
             known_until: delay.map(|_| start),
             now: start + delay.unwrap_or_default(),
+            is_restored: false,
         };
         let mut directory = LeafDirectory::new(DRAIN_GRACE);
         if is_draining {
@@ -159,21 +161,26 @@
     check(None, false, LAPSED_ENTRY_RETURN_TIME);
 }
 
+/// Returns a revision of a store that was never restored.
+fn revision(number: u64) -> StoreRevision {
+    StoreRevision { era: 1, number }
+}
+
 /// Guards against a configuration change that is never applied. A store that is losing its history
 /// answers a watch with a newer revision and no changes, and the next watch starts after the missed
 /// ones.
 #[test]
 fn a_revision_without_changes_is_a_gap() {
-    let check = |changes: usize, revision: u64, expected: NextRead| {
+    let check = |changes: usize, number: u64, expected: NextRead| {
         let mut cursor = WatchCursor::default();
         assert_eq!(cursor.next_read(), NextRead::Snapshot);
-        cursor.snapshot_read(Revision(52));
-        let is_continuous = cursor.advance(changes, Revision(revision));
-        assert_eq!(cursor.next_read(), expected, "{changes} up to {revision}");
+        cursor.snapshot_read(revision(52));
+        let is_continuous = cursor.advance(changes, revision(number));
+        assert_eq!(cursor.next_read(), expected, "{changes} up to {number}");
         assert_eq!(is_continuous, expected != NextRead::Snapshot);
     };
-    check(0, 52, NextRead::ChangesAfter(Revision(52)));
-    check(1, 53, NextRead::ChangesAfter(Revision(53)));
+    check(0, 52, NextRead::ChangesAfter(revision(52)));
+    check(1, 53, NextRead::ChangesAfter(revision(53)));
     check(0, 53, NextRead::Snapshot);
     check(1, 51, NextRead::Snapshot);
 }
@@ -183,7 +190,70 @@
 #[test]
 fn a_failed_watch_is_not_resumed() {
     let mut cursor = WatchCursor::default();
-    cursor.snapshot_read(Revision(9));
+    cursor.snapshot_read(revision(9));
     cursor.reset();
     assert_eq!(cursor.next_read(), NextRead::Snapshot);
 }
+
+/// Guards against a watch that goes on across a restore of the store from a copy: the changes after
+/// the copy have numbers that the watch already passed.
+#[test]
+fn a_restored_store_is_read_anew() {
+    let check = |changes: usize, number: u64| {
+        let mut cursor = WatchCursor::default();
+        cursor.snapshot_read(revision(52));
+        let is_continuous = cursor.advance(changes, StoreRevision { era: 2, number });
+        assert!(!is_continuous, "{changes} up to {number}");
+        assert_eq!(cursor.next_read(), NextRead::Snapshot);
+    };
+    check(0, 40);
+    check(0, 52);
+    check(1, 53);
+    check(3, 60);
+}
+
+/// Guards against requests to a leaf that has left and that a restored store lists again, from a
+/// copy made before it left.
+#[test]
+fn a_leaf_that_left_does_not_return_with_an_old_entry() {
+    let start = Instant::now();
+    let restored_at = start + Duration::from_secs(8);
+    let observed = ObservationTime {
+        is_restored: true,
+        ..at(restored_at)
+    };
+    let check = |restored: LeafEntry, is_listed: bool| {
+        let mut directory = LeafDirectory::new(DRAIN_GRACE);
+        directory.publish(entry("x", Ready, 10, 5), at(start));
+        directory.publish(entry("y", Ready, 10, 5), at(start));
+        directory.withdraw(&LeafId::new("x"), at(start));
+        directory.expire(start + DRAIN_GRACE);
+        directory.replace_all(vec![restored.clone(), entry("y", Ready, 10, 4)], observed);
+        let state = state_of(&directory, "x");
+        let is_usable =
+            state.is_some_and(|(_, until)| until.is_none_or(|until| restored_at < until));
+        assert_eq!(is_usable, is_listed, "{restored:?}");
+        assert_eq!(state_of(&directory, "y"), Some((Ready, None)));
+    };
+    check(entry("x", Ready, 10, 3), false);
+    check(entry("x", Ready, 10, 5), false);
+    // A heartbeat shows that the leaf lives, and another start that it is a new process.
+    check(entry("x", Ready, 10, 6), true);
+    check(entry("x", Ready, 20, 0), true);
+}
+
+/// Guards against a live leaf that is given up because a store that was restored from a copy does not
+/// list it until its next heartbeat.
+#[test]
+fn a_leaf_missing_from_a_restored_store_stays_usable_until_its_next_heartbeat() {
+    let now = Instant::now();
+    let mut directory = LeafDirectory::new(Duration::from_millis(500));
+    directory.publish(entry("x", Ready, 10, 1), at(now));
+    let observed = ObservationTime {
+        is_restored: true,
+        ..at(now)
+    };
+    directory.replace_all(Vec::new(), observed);
+    let until = state_of(&directory, "x").and_then(|(_, until)| until);
+    assert_eq!(until, Some(now + LAPSED_ENTRY_RETURN_TIME));
+}
--- a/crates/medlarpin-core/tests/routing_sources.rs
+++ b/crates/medlarpin-core/tests/routing_sources.rs
@@ -6,7 +6,8 @@
 use medlarpin_core::prelude::*;
 use medlarpin_core::routing::{
     ChangeLog, FOLLOWER_RETRY_INTERVAL, FOLLOWERS_MAX, KnownDaemon, SOURCE_BACK_OFF_MAX,
-    SOURCE_BACK_OFF_MIN, Source, SourceSelector, WATCHER_RETRY_INTERVAL, WATCHERS_MIN,
+    SOURCE_BACK_OFF_MIN, Source, SourceSelector, StoreRevision, WATCHER_RETRY_INTERVAL,
+    WATCHERS_MIN,
 };
 
 fn daemon(number: u16) -> KnownDaemon {
@@ -181,16 +182,39 @@
     assert_eq!(selector.choose(&all, false, later), Source::Store);
 }
 
+/// Returns a revision of a store that was never restored.
+fn revision(number: u64) -> StoreRevision {
+    StoreRevision { era: 1, number }
+}
+
+/// Guards against changes that a follower never gets because the store was restored from a copy and
+/// has given their revisions out again.
+#[test]
+fn the_change_log_tells_eras_apart() {
+    let restored = |number| StoreRevision { era: 2, number };
+    let mut log = ChangeLog::new(6);
+    log.add_changes(revision(10), revision(12), vec!["a", "b"]);
+    log.add_diff(revision(12), restored(11), vec!["c"]);
+    log.add_changes(restored(11), restored(12), vec!["d"]);
+    let check = |after, expected: Option<&[&str]>| {
+        assert_eq!(log.after(after).as_deref(), expected, "{after:?}");
+    };
+    check(revision(12), Some(&["c", "d"]));
+    check(restored(11), Some(&["d"]));
+    // The follower had a change of the first era that this daemon never had.
+    check(revision(13), None);
+}
+
 /// Guards against changes that a follower never gets, in particular those that the diff of two
 /// snapshots does not contain.
 #[test]
 fn the_change_log_serves_only_complete_ranges() {
     let mut log = ChangeLog::new(6);
-    log.add_changes(Revision(10), Revision(12), vec!["a", "b"]);
-    log.add_diff(Revision(12), Revision(20), vec!["c"]);
-    log.add_changes(Revision(20), Revision(21), vec!["d"]);
+    log.add_changes(revision(10), revision(12), vec!["a", "b"]);
+    log.add_diff(revision(12), revision(20), vec!["c"]);
+    log.add_changes(revision(20), revision(21), vec!["d"]);
     let check = |log: &ChangeLog<&'static str>, after, expected: Option<&[&str]>| {
-        assert_eq!(log.after(Revision(after)).as_deref(), expected, "{after}");
+        assert_eq!(log.after(revision(after)).as_deref(), expected, "{after}");
     };
     check(&log, 9, None);
     check(&log, 10, Some(&["a", "b", "c", "d"]));
@@ -200,11 +224,11 @@
     check(&log, 15, None);
     check(&log, 20, Some(&["d"]));
     // The oldest changes are evicted.
-    log.add_changes(Revision(21), Revision(22), vec!["e", "f", "g"]);
+    log.add_changes(revision(21), revision(22), vec!["e", "f", "g"]);
     check(&log, 11, None);
     check(&log, 12, Some(&["c", "d", "e", "f", "g"]));
     // A gap makes all earlier changes useless.
-    log.add_changes(Revision(30), Revision(31), vec!["h"]);
+    log.add_changes(revision(30), revision(31), vec!["h"]);
     check(&log, 21, None);
     check(&log, 30, Some(&["h"]));
 }
--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -8,10 +8,9 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use medlarpin_core::prelude::Revision;
 use medlarpin_core::routing::{
     LeafDirectory, LeafPhase, NextRead, ObservationTime, RoutingConfig, Source, SourceSelector,
-    WatchCursor,
+    StoreRevision, WatchCursor,
 };
 use platform::{Change, Item, Snapshot, Store, StoreError};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
@@ -135,7 +134,7 @@
             Event::SourceChanged {
                 source,
                 is_followed,
-                revision: self.shared.published_items.revision().0,
+                revision: self.shared.published_items.revision().number,
             }
             .log();
             self.source = source;
@@ -192,7 +191,7 @@
                 if was_failing {
                     Event::StoreReached {
                         after_ms: (now - started).as_millis(),
-                        revision: self.cursor.revision().unwrap_or_default().0,
+                        revision: self.cursor.revision().unwrap_or_default().number,
                     }
                     .log();
                 }
@@ -227,8 +226,8 @@
                     self.apply_changes(watched.changes, watched.revision, Some(now));
                 } else {
                     Event::ChangesMissed {
-                        known: after.0,
-                        revision: watched.revision.0,
+                        known: after.number,
+                        revision: watched.revision.number,
                     }
                     .log();
                 }
@@ -262,8 +261,8 @@
             _ => {
                 Event::DaemonStale {
                     daemon,
-                    revision: update.revision.0,
-                    known: known.0,
+                    revision: update.revision.number,
+                    known: known.number,
                 }
                 .log();
                 selector.daemon_is_stale(daemon);
@@ -313,10 +312,10 @@
     fn apply_snapshot(
         &mut self,
         items: Vec<Item>,
-        revision: Revision,
+        revision: StoreRevision,
         current_at: Option<Instant>,
     ) {
-        let observed = self.observation_time();
+        let observed = self.observation_time(revision);
         let mut entries = Vec::new();
         for change in items.iter().filter_map(Item::decode) {
             match change {
@@ -332,9 +331,14 @@
     }
 
     /// Applies changes, oldest first.
-    fn apply_changes(&mut self, items: Vec<Item>, revision: Revision, current_at: Option<Instant>) {
+    fn apply_changes(
+        &mut self,
+        items: Vec<Item>,
+        revision: StoreRevision,
+        current_at: Option<Instant>,
+    ) {
         if !items.is_empty() {
-            let observed = self.observation_time();
+            let observed = self.observation_time(revision);
             for change in items.iter().filter_map(Item::decode) {
                 self.apply_change(change, revision, observed);
             }
@@ -345,15 +349,27 @@
             .apply_changes(items, revision, current_at);
     }
 
-    /// Returns the time of changes that have just been learned.
-    fn observation_time(&self) -> ObservationTime {
+    /// Returns the time of changes up to a revision that have just been learned.
+    fn observation_time(&self, revision: StoreRevision) -> ObservationTime {
+        let known = self.shared.published_items.revision();
+        let is_restored = known != StoreRevision::default() && revision.era != known.era;
+        if is_restored {
+            Event::StoreRestored {
+                era: revision.era,
+                known_era: known.era,
+                revision: revision.number,
+                known: known.number,
+            }
+            .log();
+        }
         ObservationTime {
+            is_restored,
             known_until: self.shared.published_items.current_at(),
             now: self.shared.now(),
         }
     }
 
-    fn apply_change(&mut self, change: Change, revision: Revision, observed: ObservationTime) {
+    fn apply_change(&mut self, change: Change, revision: StoreRevision, observed: ObservationTime) {
         match change {
             Change::Config(config) => self.apply_config(*config, revision),
             Change::Leaf(entry) => {
@@ -364,7 +380,7 @@
                         leaf: leaf.as_str(),
                         service: service.as_str(),
                         is_leaving,
-                        revision: revision.0,
+                        revision: revision.number,
                     }
                     .log();
                 }
@@ -373,7 +389,7 @@
                 if self.directory.withdraw(&leaf, observed) {
                     Event::LeafWithdrawn {
                         leaf: leaf.as_str(),
-                        revision: revision.0,
+                        revision: revision.number,
                     }
                     .log();
                 }
@@ -387,7 +403,7 @@
     }
 
     /// Puts a configuration in force if it is newer than the present one.
-    fn apply_config(&self, config: RoutingConfig, revision: Revision) {
+    fn apply_config(&self, config: RoutingConfig, revision: StoreRevision) {
         let in_force = self
             .shared
             .config
@@ -408,7 +424,7 @@
         Event::ConfigInForce {
             version: config.version.0,
             previous_version: previous.0,
-            revision: revision.0,
+            revision: revision.number,
         }
         .log();
         let version = i64::try_from(config.version.0).unwrap_or(i64::MAX);
@@ -444,10 +460,10 @@
             return;
         };
         match peers::fetch_items(peer).await {
-            Ok((items, revision)) if revision > Revision::default() => {
+            Ok((items, revision)) if revision > StoreRevision::default() => {
                 Event::ItemsFromDaemon {
                     daemon: peer,
-                    revision: revision.0,
+                    revision: revision.number,
                     items: items.len(),
                 }
                 .log();
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -92,6 +92,13 @@
     /// A watch returned a newer revision without a change, or an older revision, so changes were
     /// missed and all items are read again.
     ChangesMissed { known: u64, revision: u64 },
+    /// The store was restored from a copy, so that its revisions start from an earlier number.
+    StoreRestored {
+        era: u64,
+        known_era: u64,
+        revision: u64,
+        known: u64,
+    },
     /// A call to the store failed.
     StoreFailed {
         #[serde(serialize_with = "as_text")]
@@ -258,6 +265,7 @@
             | Self::SettingsUnusable { .. } => "lifecycle",
             Self::StoreReached { .. }
             | Self::StoreFailed { .. }
+            | Self::StoreRestored { .. }
             | Self::ChangesMissed { .. }
             | Self::ItemsFromDaemon { .. }
             | Self::SourceChanged { .. }
--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -20,7 +20,8 @@
     is_ready: bool,
     is_stopping: bool,
     config_version: Option<u64>,
-    /// Revision of the store up to which the daemon has all changes.
+    /// Era and revision of the store up to which the daemon has all changes.
+    era: u64,
     revision: u64,
     /// Time since the items were last known to be up to date with the store.
     store_silent_ms: Option<u128>,
@@ -111,7 +112,8 @@
         quarantined_requests: shared.crash_memory.quarantines(now).len(),
         answer_memory_bytes: shared.answer_memory.used_bytes(),
         request_memory_bytes: shared.request_memory.used_bytes(),
-        revision: published.revision().0,
+        era: published.revision().era,
+        revision: published.revision().number,
         store_silent_ms: published
             .current_at()
             .map(|at| now.saturating_duration_since(at).as_millis()),
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -10,8 +10,8 @@
 use displaydoc::Display;
 use futures::AsyncReadExt;
 use medlarpin_core::canary::QUARANTINE_DURATION;
-use medlarpin_core::prelude::{Clock, Fingerprint, Revision};
-use medlarpin_core::routing::KnownDaemon;
+use medlarpin_core::prelude::{Clock, Fingerprint};
+use medlarpin_core::routing::{KnownDaemon, StoreRevision};
 use platform::Item;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
@@ -132,14 +132,17 @@
 }
 
 /// Fetches all items that another daemon has; revision zero means that it has none yet.
-pub(crate) async fn fetch_items(peer: SocketAddr) -> Result<(Vec<Item>, Revision), PeerError> {
+pub(crate) async fn fetch_items(peer: SocketAddr) -> Result<(Vec<Item>, StoreRevision), PeerError> {
     let call = async {
         let client = connect(peer).await?;
         let response = client.published_items_request().send().promise.await?;
         let reply = response.get()?;
         Ok((
             read_items(reply.get_items()?)?,
-            Revision(reply.get_revision()),
+            StoreRevision {
+                era: reply.get_era(),
+                number: reply.get_revision(),
+            },
         ))
     };
     with_timeout(RPC_TIMEOUT, call).await
@@ -172,12 +175,13 @@
     /// Waits for the changes after a revision, for at most the long-poll time.
     pub(crate) async fn changes_since(
         &self,
-        since: Revision,
+        since: StoreRevision,
         clock: &dyn Clock,
     ) -> Result<Update, PeerError> {
         let call = async {
             let mut request = self.client.published_changes_request();
-            request.get().set_after_revision(since.0);
+            request.get().set_after_era(since.era);
+            request.get().set_after_revision(since.number);
             request.get().set_wait_ms(millis_u32(FOLLOW_WAIT));
             let response = request.send().promise.await?;
             let reply = response.get()?;
@@ -186,7 +190,10 @@
                 .then(|| clock.now().checked_sub(silence))
                 .flatten();
             Ok(Update {
-                revision: Revision(reply.get_revision()),
+                revision: StoreRevision {
+                    era: reply.get_era(),
+                    number: reply.get_revision(),
+                },
                 current_at,
                 is_snapshot: reply.get_is_whole(),
                 items: read_items(reply.get_items()?)?,
@@ -330,7 +337,8 @@
     ) -> Result<(), capnp::Error> {
         self.shared.published_items.with_items(|revision, items| {
             let mut reply = results.get();
-            reply.set_revision(revision.0);
+            reply.set_era(revision.era);
+            reply.set_revision(revision.number);
             write_items(items, reply.init_items(len_u32(items)));
         });
         Ok(())
@@ -374,14 +382,18 @@
         mut results: route_peer::PublishedChangesResults,
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
-        let since = Revision(params.get_after_revision());
+        let since = StoreRevision {
+            era: params.get_after_era(),
+            number: params.get_after_revision(),
+        };
         let wait = Duration::from_millis(params.get_wait_ms().into()).min(FOLLOW_WAIT);
         let update = self.wait_for_update(since, wait).await;
         let silence = update.current_at.map_or(Duration::MAX, |at| {
             self.shared.now().saturating_duration_since(at)
         });
         let mut reply = results.get();
-        reply.set_revision(update.revision.0);
+        reply.set_era(update.revision.era);
+        reply.set_revision(update.revision.number);
         reply.set_store_silent_ms(millis_u32(silence));
         reply.set_is_whole(update.is_snapshot);
         write_items(&update.items, reply.init_items(len_u32(&update.items)));
@@ -392,7 +404,7 @@
 impl DaemonService {
     /// Waits for changes after a revision. The wait is cut short if the store does not answer, so
     /// that the follower soon turns to the store itself.
-    async fn wait_for_update(&self, since: Revision, wait: Duration) -> Update {
+    async fn wait_for_update(&self, since: StoreRevision, wait: Duration) -> Update {
         let published = &self.shared.published_items;
         let started = self.shared.now();
         published.record_request(started);
--- a/crates/router/src/published_items.rs
+++ b/crates/router/src/published_items.rs
@@ -2,8 +2,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use medlarpin_core::prelude::Revision;
-use medlarpin_core::routing::ChangeLog;
+use medlarpin_core::routing::{ChangeLog, StoreRevision};
 use parking_lot::Mutex;
 use platform::Item;
 use tokio::sync::Notify;
@@ -27,7 +26,7 @@
 #[derive(Debug)]
 struct State {
     /// Revision of the store; zero until all items have been read.
-    revision: Revision,
+    revision: StoreRevision,
     /// Sorted by key, without duplicates.
     items: Vec<Item>,
     change_log: ChangeLog<Item>,
@@ -43,7 +42,7 @@
 #[derive(Debug)]
 pub(crate) struct Update {
     /// Revision after the changes; zero if the sender has no items yet.
-    pub(crate) revision: Revision,
+    pub(crate) revision: StoreRevision,
     /// Latest time at which the sender's items were known to be up to date with the store.
     pub(crate) current_at: Option<Instant>,
     /// True if `items` are all items instead of changes.
@@ -56,7 +55,7 @@
     pub(crate) fn new() -> Self {
         Self {
             state: Mutex::new(State {
-                revision: Revision::default(),
+                revision: StoreRevision::default(),
                 items: Vec::new(),
                 change_log: ChangeLog::new(CHANGE_LOG_CAPACITY),
                 current_at: None,
@@ -69,7 +68,7 @@
     }
 
     /// Returns the revision of the store up to which all changes are included.
-    pub(crate) fn revision(&self) -> Revision {
+    pub(crate) fn revision(&self) -> StoreRevision {
         self.state.lock().revision
     }
 
@@ -79,14 +78,14 @@
     }
 
     /// Calls a function with the revision and all items.
-    pub(crate) fn with_items<T>(&self, read: impl FnOnce(Revision, &[Item]) -> T) -> T {
+    pub(crate) fn with_items<T>(&self, read: impl FnOnce(StoreRevision, &[Item]) -> T) -> T {
         let state = self.state.lock();
         read(state.revision, &state.items)
     }
 
     /// Returns the changes after the revision `since`, or all items if the change log does not
     /// reach back to it.
-    pub(crate) fn changes_since(&self, since: Revision) -> Update {
+    pub(crate) fn changes_since(&self, since: StoreRevision) -> Update {
         let state = self.state.lock();
         let changes = if state.revision <= since {
             Some(Vec::new())
@@ -105,14 +104,14 @@
     pub(crate) fn replace_all(
         &self,
         mut items: Vec<Item>,
-        revision: Revision,
+        revision: StoreRevision,
         current_at: Option<Instant>,
     ) {
         items.sort_by(|a, b| a.key.cmp(&b.key));
         items.dedup_by(|later, first| later.key == first.key);
         let mut state = self.state.lock();
         let before = state.revision;
-        if before > Revision::default() && revision > before {
+        if before > StoreRevision::default() && revision > before {
             let changes = diff(&state.items, &items);
             state.change_log.add_diff(before, revision, changes);
         }
@@ -127,7 +126,7 @@
     pub(crate) fn apply_changes(
         &self,
         changes: Vec<Item>,
-        revision: Revision,
+        revision: StoreRevision,
         current_at: Option<Instant>,
     ) {
         let mut state = self.state.lock();
@@ -188,7 +187,7 @@
         }
     }
 
-    fn advance(&mut self, revision: Revision, current_at: Option<Instant>) {
+    fn advance(&mut self, revision: StoreRevision, current_at: Option<Instant>) {
         self.revision = revision;
         self.current_at = self.current_at.max(current_at);
     }
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -239,12 +239,13 @@
 interface RoutePeer {
   # Exchanges the daemons that both sides know, and their quarantined requests.
   greet @0 (sender :KnownDaemon, known :List(KnownDaemon), quarantines :List(Quarantine)) -> (known :List(KnownDaemon), responder :KnownDaemon, quarantines :List(Quarantine));
-  # Returns all items at a revision of the store; revision 0 if the peer has not read them yet.
-  publishedItems @1 () -> (revision :UInt64, items :List(PublishedItem));
+  # Returns all items at a revision of the store; revision 0 if the peer has not read them yet. era
+  # rises each time the store is restored from a copy and gives revisions out again.
+  publishedItems @1 () -> (revision :UInt64, items :List(PublishedItem), era :UInt64);
   # Waits for changes after a revision. If isWhole, the reply holds all published items, because the
   # peer does not know the individual changes. storeSilentMs is the time since the peer last heard
   # from the store.
-  publishedChanges @2 (afterRevision :UInt64, waitMs :UInt32) -> (revision :UInt64, storeSilentMs :UInt32, isWhole :Bool, items :List(PublishedItem));
+  publishedChanges @2 (afterRevision :UInt64, waitMs :UInt32, afterEra :UInt64) -> (revision :UInt64, storeSilentMs :UInt32, isWhole :Bool, items :List(PublishedItem), era :UInt64);
   # Gathers a query on behalf of the sender, whose caller sent it ageMs ago. If isServed is false,
   # no request was sent to a leaf.
   gatherQuery @3 (method :Text, path :Text, headers :List(Header), body :Data, ageMs :UInt32, timeLeftMs :UInt32) -> (isServed :Bool, status :UInt16, headers :List(Header), body :Data);
