Split the use of stated rates from the router's shared state

LeafRates is a view of it that decides on leafs with a stated rate; RateStatement is in a file of its own. No behaviour changes.

--- a/crates/medlarpin-core/src/routing/leaf_rate_limit.rs
+++ b/crates/medlarpin-core/src/routing/leaf_rate_limit.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use super::{RateAccess, RequestRate, StatedRate};
+use super::{RateAccess, RateStatement, RequestRate, StatedRate};
 
 /// Time for which unused credit accumulates, at least up to one request.
 const CREDIT_TIME: Duration = Duration::from_millis(500);
@@ -19,17 +19,6 @@
     known_at: Option<Instant>,
 }
 
-/// What a leaf stated to some daemon.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct RateStatement {
-    /// What the answer states.
-    pub stated: StatedRate,
-    /// Time at which the answered request was sent.
-    pub asked_at: Instant,
-    /// Time at which the answer arrived.
-    pub heard_at: Instant,
-}
-
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Limit {
     rate: RequestRate,
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -10,6 +10,7 @@
 use crate::caller_request::CallerRequest;
 use crate::held_memory::BodyError;
 use crate::leaf::{Leaf, LeafConnection};
+use crate::leaf_rates::LeafRates;
 use crate::shared::Shared;
 
 /// Limit of the size of a leaf's answer. The memory for answers may allow less.
@@ -152,7 +153,7 @@
             asked_at: sent_at,
             heard_at: shared.now(),
         };
-        shared.record_rate_statement(leaf, statement);
+        LeafRates::new(shared).record_statement(leaf, statement);
     }
     leaf.release(connection, head.idle_timeout, shared.now());
     if head.not_executed {
--- a/crates/router/src/leaf_permits.rs
+++ b/crates/router/src/leaf_permits.rs
@@ -13,6 +13,7 @@
 use wire::peer_capnp::route_peer;
 
 use crate::leaf_rate_reports::{LeafRateReport, read_report, write_report};
+use crate::leaf_rates::LeafRates;
 use crate::peer_pool::PeerPool;
 use crate::peers::{PeerError, millis_u32};
 use crate::shared::Shared;
@@ -132,7 +133,7 @@
     let unknown = || capnp::Error::failed("the leaf or its rate is unknown here".to_owned());
     let asked = read_report(params.get_rate()?, now)?.ok_or_else(unknown)?;
     let leaf = shared.leafs.find(&asked.leaf).ok_or_else(unknown)?;
-    shared.record_rate_statement(&leaf, asked.statement());
+    LeafRates::new(shared).record_statement(&leaf, asked.statement());
     let (stated, heard_at) = leaf.known_rate();
     let wait = stated.and_then(|rate| leaf.take_request(RateAccess::issuer(rate), now));
     shared.metrics.record_permit(wait.is_none());
--- a/crates/router/src/leaf_rate_reports.rs
+++ b/crates/router/src/leaf_rate_reports.rs
@@ -12,6 +12,7 @@
 
 use crate::event::Event;
 use crate::flooding::{self, REPORTS_MAX};
+use crate::leaf_rates::LeafRates;
 use crate::peers::{self, PeerError, len_u32, millis_u32};
 use crate::shared::Shared;
 
@@ -70,7 +71,7 @@
         if let Some(report) = read_report(rate, now)?
             && let Some(leaf) = shared.leafs.find(&report.leaf)
         {
-            shared.record_rate_statement(&leaf, report.statement());
+            LeafRates::new(shared).record_statement(&leaf, report.statement());
         }
     }
     Ok(())
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -19,6 +19,7 @@
 mod leaf;
 mod leaf_permits;
 mod leaf_rate_reports;
+mod leaf_rates;
 mod leaf_table;
 mod metrics;
 mod operators;
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -20,6 +20,7 @@
 use crate::crash_memory::RequestClearance;
 use crate::event::Event;
 use crate::forward::{record_evidence, refusal_for};
+use crate::leaf_rates::LeafRates;
 use crate::refusal::Refusal;
 use crate::route_state::RouteState;
 use crate::service_call::{ServiceCall, ServiceFailure};
@@ -159,7 +160,9 @@
     .log();
     let unreachable = |shard: &&ServiceName| !reachable.contains(shard);
     let waits = scatter.shards.iter().filter(unreachable);
-    let wait = waits.filter_map(|shard| shared.rate_wait(shard, now)).max();
+    let wait = waits
+        .filter_map(|shard| LeafRates::new(shared).wait(shard, now))
+        .max();
     Err(wait.map_or(Refusal::NoLeaf, |wait| {
         Refusal::rate_limited(wait, rand::random())
     }))
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -15,6 +15,7 @@
 use crate::caller_request::CallerRequest;
 use crate::event::Event;
 use crate::leaf::Leaf;
+use crate::leaf_rates::LeafRates;
 use crate::route_state::RouteState;
 use crate::shared::Shared;
 
@@ -122,7 +123,7 @@
                 match self.next_step(now) {
                     NextStep::Send(leaf) => attempts.push(self.send(leaf, now)),
                     NextStep::AskPermit(leaf, issuer) => {
-                        if self.shared.ask_permit(&leaf, issuer).await {
+                        if LeafRates::new(&self.shared).ask_permit(&leaf, issuer).await {
                             let now = self.shared.now();
                             if !self.try_send_budget(now) {
                                 self.record_retry_denied();
@@ -255,7 +256,7 @@
             };
         }
         if let Some(leaf) = self.choose_leaf(now, false) {
-            if let Some(issuer) = self.shared.permit_issuer(&leaf, now) {
+            if let Some(issuer) = LeafRates::new(&self.shared).permit_issuer(&leaf, now) {
                 return NextStep::AskPermit(leaf, issuer);
             }
             if self.try_send_budget(now) {
@@ -277,7 +278,7 @@
             _ => {
                 let request = self.request.id_text();
                 self.shared.log_no_usable_leaf(request, &self.service, now);
-                self.failure.rate_wait = self.shared.rate_wait(&self.service, now);
+                self.failure.rate_wait = LeafRates::new(&self.shared).wait(&self.service, now);
                 NextStep::Fail
             }
         }
@@ -340,7 +341,11 @@
             if self.shared.leaf_available_at(&leaf, now).is_some() {
                 continue;
             }
-            if is_hedge && self.shared.permit_issuer(&leaf, now).is_some() {
+            if is_hedge
+                && LeafRates::new(&self.shared)
+                    .permit_issuer(&leaf, now)
+                    .is_some()
+            {
                 continue;
             }
             let load = leaf.load();
@@ -361,7 +366,7 @@
     fn send(&mut self, leaf: Arc<Leaf>, now: Instant) -> Attempt {
         self.attempts.sent(&leaf.entry.id);
         self.evidence.sent();
-        self.shared.record_leaf_request(&leaf, now);
+        LeafRates::new(&self.shared).record_request(&leaf, now);
         self.shared.metrics.leaf_requests.inc();
         let typical_latency = self.state.latency.lock().typical(now);
         let run = run_attempt(
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -6,9 +6,8 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use medlarpin_core::prelude::{Clock, FailureDomain, ServiceName};
 use medlarpin_core::routing::{
-    DaemonList, DelegateSelector, KnownDaemon, ProcessStart, QueryAdmission, RateAccess,
-    RateStatement, RetryBudget, RetryLimits, Route, RoutingConfig, SHED_BACK_OFF, StatedRate,
-    reserve_parts,
+    DaemonList, DelegateSelector, KnownDaemon, ProcessStart, QueryAdmission, RetryBudget,
+    RetryLimits, Route, RoutingConfig, SHED_BACK_OFF, reserve_parts,
 };
 use parking_lot::Mutex;
 use settings::RouterSettings;
@@ -19,7 +18,8 @@
 use crate::held_memory::BodyMemory;
 use crate::leaf::Leaf;
 use crate::leaf_permits::LeafPermits;
-use crate::leaf_rate_reports::{LeafRateReport, LeafRateReports};
+use crate::leaf_rate_reports::LeafRateReports;
+use crate::leaf_rates::LeafRates;
 use crate::leaf_table::LeafTable;
 use crate::metrics::Metrics;
 use crate::published_items::PublishedItems;
@@ -36,7 +36,7 @@
 const REQUEST_MEMORY_DIVISOR: usize = 8;
 /// Share of a service's limits that a daemon uses if no other daemon can reach it and tell it how
 /// many there are.
-const UNLISTED_SHARE: f64 = 1.0 / 32.0;
+pub(crate) const UNLISTED_SHARE: f64 = 1.0 / 32.0;
 
 /// State that is shared by all requests and background tasks.
 ///
@@ -70,7 +70,7 @@
     /// The other daemons; `None` if this one has no address for them to connect to.
     pub(crate) daemons: Option<Mutex<DaemonList>>,
     /// Selects the daemon that gathers a query; `None` if this one has no address for others.
-    delegate_selector: Option<Mutex<DelegateSelector>>,
+    pub(crate) delegate_selector: Option<Mutex<DelegateSelector>>,
     /// Decides which queries over many shards are refused while the leafs are overloaded.
     pub(crate) query_admission: Mutex<QueryAdmission>,
     /// Requests that have crashed leafs.
@@ -78,9 +78,9 @@
     /// Sends queries to the daemons that gather them.
     pub(crate) delegations: Delegations,
     /// Passes on what leafs state about their request rates.
-    leaf_rate_reports: LeafRateReports,
+    pub(crate) leaf_rate_reports: LeafRateReports,
     /// Asks other daemons for permits of requests to leafs with a low rate.
-    leaf_permits: LeafPermits,
+    pub(crate) leaf_permits: LeafPermits,
     pub(crate) metrics: Metrics,
 }
 
@@ -168,6 +168,7 @@
     /// Logs that no leaf of a service is available, with the number of leafs by cause.
     pub(crate) fn log_no_usable_leaf(&self, request: &str, service: &ServiceName, now: Instant) {
         let leafs = self.leafs.for_service(service);
+        let rates = LeafRates::new(self);
         let count = |is_counted: &dyn Fn(&Leaf) -> bool| {
             leafs.iter().filter(|leaf| is_counted(leaf)).count()
         };
@@ -177,7 +178,7 @@
             published: leafs.len(),
             leaving: count(&Leaf::is_leaving),
             blocked: count(&|leaf| leaf.load().blocked_until(now).is_some()),
-            rate_limited: count(&|leaf| self.rate_wait_until(leaf, now).is_some()),
+            rate_limited: count(&|leaf| rates.wait_until(leaf, now).is_some()),
         }
         .log();
     }
@@ -191,17 +192,6 @@
         })
     }
 
-    /// Returns the time until a leaf of the service takes a request, if only the request rates that
-    /// its leafs state prevent one now.
-    pub(crate) fn rate_wait(&self, service: &ServiceName, now: Instant) -> Option<Duration> {
-        let leafs = self.leafs.for_service(service);
-        let usable = leafs.iter().filter(|leaf| leaf.is_usable(now));
-        let until = usable
-            .filter_map(|leaf| self.rate_wait_until(leaf, now))
-            .min()?;
-        Some(until.saturating_duration_since(now))
-    }
-
     pub(crate) fn now(&self) -> Instant {
         self.clock.now()
     }
@@ -293,93 +283,11 @@
         share_of(total, share).max(CONNECTIONS_MIN)
     }
 
-    /// Returns how this daemon may send requests to a leaf; `None` if the leaf states no rate.
-    fn rate_access(&self, leaf: &Leaf, now: Instant) -> Option<RateAccess> {
-        let stated = leaf.stated_rate()?;
-        let Some(daemons) = &self.daemons else {
-            return Some(RateAccess::share(stated, UNLISTED_SHARE));
-        };
-        let config = self.config.load();
-        let is_gathered_only = config
-            .as_ref()
-            .is_some_and(|config| config.is_gathered_only(&leaf.entry.service));
-        let selector = self.delegate_selector.as_ref();
-        let excluded = selector.map_or_else(Vec::new, |selector| selector.lock().backed_off(now));
-        let daemons = daemons.lock();
-        Some(daemons.rate_access(&leaf.entry.id, stated, is_gathered_only, &excluded, now))
-    }
-
-    /// Returns the daemon that permits the requests to a leaf, if this daemon has to ask another one.
-    pub(crate) fn permit_issuer(&self, leaf: &Leaf, now: Instant) -> Option<SocketAddr> {
-        match self.rate_access(leaf, now)? {
-            RateAccess::Permit(issuer) => Some(issuer),
-            RateAccess::Own(_) => None,
-        }
-    }
-
-    /// Asks another daemon for permission to send one request to a leaf.
-    ///
-    /// Returns false if it is denied or the daemon cannot be asked; the leaf is then unavailable for
-    /// the time that the daemon states, or another daemon is asked next.
-    pub(crate) async fn ask_permit(&self, leaf: &Leaf, issuer: SocketAddr) -> bool {
-        let (stated, heard_at) = leaf.known_rate();
-        let known = LeafRateReport {
-            leaf: leaf.entry.id.clone(),
-            stated: stated.map_or(StatedRate::Unlimited, StatedRate::Limited),
-            heard_at: heard_at.unwrap_or_else(|| self.now()),
-        };
-        match self.leaf_permits.ask(issuer, known).await {
-            Ok(answer) => {
-                if let Some(known) = answer.known {
-                    self.record_rate_statement(leaf, known.statement());
-                }
-                if let Some(wait) = answer.wait {
-                    leaf.deny_requests(self.now() + wait);
-                }
-                answer.wait.is_none()
-            }
-            Err(error) => {
-                Event::DaemonUnreachable {
-                    daemon: issuer,
-                    error: &error,
-                }
-                .log();
-                self.back_off_delegate(issuer, self.now());
-                false
-            }
-        }
-    }
-
-    /// Records what a leaf stated to this or another daemon, and passes on a change.
-    pub(crate) fn record_rate_statement(&self, leaf: &Leaf, statement: RateStatement) {
-        if leaf.record_rate_statement(statement, self.now()) {
-            self.leaf_rate_reports.pass_on(LeafRateReport {
-                leaf: leaf.entry.id.clone(),
-                stated: statement.stated,
-                heard_at: statement.heard_at,
-            });
-        }
-    }
-
     /// Returns the time from which this daemon may send the next request to a leaf, if that is not
     /// now: the end of a back-off, or of the wait that a stated request rate requires.
     pub(crate) fn leaf_available_at(&self, leaf: &Leaf, now: Instant) -> Option<Instant> {
         let blocked_until = leaf.load().blocked_until(now);
-        blocked_until.max(self.rate_wait_until(leaf, now))
-    }
-
-    /// Returns the end of the wait that the request rate stated by a leaf requires, if there is one.
-    pub(crate) fn rate_wait_until(&self, leaf: &Leaf, now: Instant) -> Option<Instant> {
-        let access = self.rate_access(leaf, now)?;
-        let available_at = leaf.rate_available_at(access, now);
-        available_at.filter(|at| now < *at)
-    }
-
-    /// Counts a request against the rate that the leaf states, if it states one.
-    pub(crate) fn record_leaf_request(&self, leaf: &Leaf, now: Instant) {
-        if let Some(access) = self.rate_access(leaf, now) {
-            leaf.record_request(access, now);
-        }
+        blocked_until.max(LeafRates::new(self).wait_until(leaf, now))
     }
 
     fn retry_limits(&self, now: Instant) -> RetryLimits {
