Cut short the wait after a denied permit

The wait is at most 4 s, the time between two requests at the least rate that a daemon permits.

Tests: a_denial_ends_soon (new with the bound), and a table of which statement about a rate wins.

--- a/crates/medlarpin-core/src/routing/leaf_rate_limit.rs
+++ b/crates/medlarpin-core/src/routing/leaf_rate_limit.rs
@@ -6,6 +6,9 @@
 const CREDIT_TIME: Duration = Duration::from_millis(500);
 /// Upper bound of a wait, which keeps tiny rates within the range of [`Instant`].
 const WAIT_MAX: Duration = Duration::from_hours(24);
+/// Upper bound of the wait after a denied permit: the time between two requests at the least rate
+/// that a daemon permits.
+const DENIAL_MAX: Duration = Duration::from_secs(4);
 /// Relative difference from which another stated rate is a change that other daemons are told of.
 const CHANGE_MIN: f64 = 0.1;
 
@@ -95,10 +98,12 @@
         }
     }
 
-    /// Records that another daemon permits no request until the given time.
-    pub fn denied(&mut self, until: Instant) {
+    /// Records that another daemon permits no request for `wait`.
+    ///
+    /// A longer wait than any rate requires is that of a faulty daemon, and is cut short.
+    pub fn denied(&mut self, wait: Duration, now: Instant) {
         if let Some(limit) = &mut self.limit {
-            limit.denied_until = Some(until);
+            limit.denied_until = Some(now + wait.min(DENIAL_MAX));
         }
     }
 }
--- a/crates/medlarpin-core/tests/routing_rate_limits.rs
+++ b/crates/medlarpin-core/tests/routing_rate_limits.rs
@@ -319,3 +319,65 @@
     check(195, 1.2);
     check(195, 40.0);
 }
+
+/// Guards against a leaf that gets no more requests because a faulty daemon denies them for ever.
+#[test]
+fn a_denial_ends_soon() {
+    let now = Instant::now();
+    let rate = RequestRate::new(0.0).unwrap();
+    let mut limit = LeafRateLimit::default();
+    let statement = RateStatement {
+        stated: StatedRate::Limited(rate),
+        asked_at: now,
+        heard_at: now,
+    };
+    limit.record(statement, 0.0, now);
+    let access = RateAccess::Permit(known_daemon(1).address);
+    let check = |limit: &mut LeafRateLimit, wait: Duration, expected: Duration| {
+        limit.denied(wait, now);
+        assert_eq!(limit.available_at(access, now), Some(now + expected));
+    };
+    check(
+        &mut limit,
+        Duration::from_millis(300),
+        Duration::from_millis(300),
+    );
+    check(
+        &mut limit,
+        Duration::from_hours(1_000),
+        Duration::from_secs(4),
+    );
+}
+
+/// Guards against a limit that an answer ends although its request was sent before the limit was
+/// stated, and against a report that is older than what is known.
+#[test]
+fn the_newest_statement_wins() {
+    let now = Instant::now();
+    let at = |ms: u64| now + Duration::from_millis(ms);
+    let limited = |per_s: f64| StatedRate::Limited(RequestRate::new(per_s).unwrap());
+    let mut limit = LeafRateLimit::default();
+    let mut check = |stated, asked_ms: u64, heard_ms: u64, is_changed: bool, per_s: Option<f64>| {
+        let statement = RateStatement {
+            stated,
+            asked_at: at(asked_ms),
+            heard_at: at(heard_ms),
+        };
+        let changed = limit.record(statement, 0.5, at(heard_ms));
+        assert_eq!(changed, is_changed, "{statement:?}");
+        assert_eq!(
+            limit.stated().map(RequestRate::per_s),
+            per_s,
+            "{statement:?}"
+        );
+    };
+    check(StatedRate::Unlimited, 0, 10, false, None);
+    check(limited(4.0), 0, 20, true, Some(4.0));
+    check(limited(4.2), 10, 30, false, Some(4.2));
+    check(StatedRate::Unlimited, 25, 40, false, Some(4.2));
+    check(StatedRate::Unreadable, 35, 45, false, Some(4.2));
+    check(limited(9.0), 20, 20, false, Some(4.2));
+    check(StatedRate::Unlimited, 35, 50, true, None);
+    check(limited(9.0), 45, 45, false, None);
+    check(limited(9.0), 60, 70, true, Some(9.0));
+}
--- a/crates/router/src/leaf.rs
+++ b/crates/router/src/leaf.rs
@@ -182,9 +182,9 @@
         None
     }
 
-    /// Records that another daemon permits no request until the given time.
-    pub(crate) fn deny_requests(&self, until: Instant) {
-        self.link.rate_limit.lock().denied(until);
+    /// Records that another daemon permits no request for `wait`.
+    pub(crate) fn deny_requests(&self, wait: Duration, now: Instant) {
+        self.link.rate_limit.lock().denied(wait, now);
     }
 
     /// Returns the time until which the leaf gets new requests; `None` unless it is leaving.
--- a/crates/router/src/leaf_rates.rs
+++ b/crates/router/src/leaf_rates.rs
@@ -61,7 +61,7 @@
                     self.record_statement(leaf, known.statement());
                 }
                 if let Some(wait) = answer.wait {
-                    leaf.deny_requests(self.shared.now() + wait);
+                    leaf.deny_requests(wait, self.shared.now());
                 }
                 answer.wait.is_none()
             }
