Keep departed leafs out while a restored store may still list them

After a restore, only the first read of the items left out leafs that had left. A second full read before their old entries had expired there, for example after a failed watch, listed them again, and they got requests.

The directory remembers the restore for 10 s; three missed heartbeats, after which such an entry expires, are shorter.

Test: a_second_read_of_a_restored_store_brings_no_leaf_back failed before.

--- a/crates/medlarpin-core/src/routing/leaf_directory.rs
+++ b/crates/medlarpin-core/src/routing/leaf_directory.rs
@@ -11,6 +11,10 @@
 /// it again until its entry expires; the copy is some seconds old.
 pub const DEPARTED_MEMORY: Duration = Duration::from_secs(30);
 
+/// Time after a restore of the store from a copy for which it may still list leafs that have left.
+/// Their entries expire after three missed heartbeats.
+pub const RESTORED_ENTRY_LIFETIME: Duration = Duration::from_secs(10);
+
 /// A leaf that is published or was withdrawn recently.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Listing {
@@ -35,6 +39,8 @@
     /// sorted by leaf, without duplicates. A restored store lists such a leaf again only with a
     /// newer entry.
     departed: Vec<(LeafEntry, Instant)>,
+    /// Time at which the last restore of the store was observed.
+    restored_at: Option<Instant>,
     drain_grace: Duration,
 }
 
@@ -46,6 +52,7 @@
         Self {
             listings: Vec::new(),
             departed: Vec::new(),
+            restored_at: None,
             drain_grace,
         }
     }
@@ -54,6 +61,7 @@
     ///
     /// Repeated draining entries of one run of a leaf do not extend its grace period.
     pub fn publish(&mut self, entry: LeafEntry, observed: ObservationTime) -> bool {
+        let may_be_old = self.may_list_departed(observed);
         let usable_until =
             (entry.phase == LeafPhase::Draining).then(|| self.drain_grace_end(observed));
         let mut listing = Listing {
@@ -62,9 +70,7 @@
             withdrawn: false,
         };
         match self.position(&listing.entry.id) {
-            Err(_) if observed.is_restored && self.has_departed(&listing.entry, observed.now) => {
-                false
-            }
+            Err(_) if may_be_old && self.has_departed(&listing.entry, observed.now) => false,
             Err(index) => {
                 self.listings.insert(index, listing);
                 true
@@ -73,7 +79,7 @@
                 let known = &mut self.listings[index];
                 // An entry that expired while the store was away is published again as it was. One
                 // that a restored store lists may be that of a leaf that has left.
-                let is_stale = match (known.withdrawn, observed.is_restored) {
+                let is_stale = match (known.withdrawn, may_be_old) {
                     (true, true) => !listing.entry.is_newer_than(&known.entry),
                     (true, false) => false,
                     (false, _) => listing.entry.is_older_than(&known.entry),
@@ -179,6 +185,16 @@
             .map_or(observed.now, |at| at + self.drain_grace)
     }
 
+    /// Returns true if the store was restored from a copy so recently that it may list leafs that
+    /// have left.
+    fn may_list_departed(&mut self, observed: ObservationTime) -> bool {
+        if observed.is_restored {
+            self.restored_at = Some(observed.now);
+        }
+        self.restored_at
+            .is_some_and(|at| observed.now.saturating_duration_since(at) < RESTORED_ENTRY_LIFETIME)
+    }
+
     /// Returns true if an entry is not newer than the last one of a leaf that has left.
     fn has_departed(&self, entry: &LeafEntry, now: Instant) -> bool {
         self.departed_position(&entry.id).is_ok_and(|index| {
--- a/crates/medlarpin-core/src/routing/mod.rs
+++ b/crates/medlarpin-core/src/routing/mod.rs
@@ -41,7 +41,9 @@
 };
 pub use gather_policy::{GatherPolicy, GatherStep};
 pub use known_daemon::KnownDaemon;
-pub use leaf_directory::{DEPARTED_MEMORY, LAPSED_ENTRY_RETURN_TIME, LeafDirectory};
+pub use leaf_directory::{
+    DEPARTED_MEMORY, LAPSED_ENTRY_RETURN_TIME, LeafDirectory, RESTORED_ENTRY_LIFETIME,
+};
 pub use leaf_entry::{LeafEntry, LeafPhase};
 pub use leaf_load::{FAILURE_BACK_OFF_MAX, FAILURE_BACK_OFF_MIN, LeafLoad, SHED_BACK_OFF};
 pub use leaf_rate_limit::LeafRateLimit;
--- a/crates/medlarpin-core/tests/routing_discovery.rs
+++ b/crates/medlarpin-core/tests/routing_discovery.rs
@@ -242,6 +242,27 @@
     check(entry("x", Ready, 20, 0), true);
 }
 
+/// Guards against requests to a leaf that has left because the items of a restored store are read a
+/// second time before the leaf's old entry has expired there.
+#[test]
+fn a_second_read_of_a_restored_store_brings_no_leaf_back() {
+    let start = Instant::now();
+    let mut directory = LeafDirectory::new(DRAIN_GRACE);
+    directory.publish(entry("x", Ready, 10, 5), at(start));
+    directory.withdraw(&LeafId::new("x"), at(start));
+    directory.expire(start + DRAIN_GRACE);
+    let read = |directory: &mut LeafDirectory, after_s: u64, is_restored: bool| {
+        let observed = ObservationTime {
+            is_restored,
+            ..at(start + Duration::from_secs(after_s))
+        };
+        directory.replace_all(vec![entry("x", Ready, 10, 5)], observed);
+    };
+    read(&mut directory, 8, true);
+    read(&mut directory, 10, false);
+    assert!(directory.is_empty());
+}
+
 /// Guards against a live leaf that is given up because a store that was restored from a copy does not
 /// list it until its next heartbeat.
 #[test]
