Read configurations in time although connections to the store fell silent

Callers got answers by an older configuration, or 404 for a route that had been added, for more than 3 s after the acknowledgement. Cause: an open connection was trusted although nothing had shown for long that it works. A watch without followers waited 4 s, and its time limit adds 1.5 s; a daemon that turned to the store used a connection that had been idle since the start. When the connections to the store and between daemons fall silent together, a follower that becomes a watcher has both.

Change: a watch lasts 1 s, or up to 4 s in the first 6 s of a process that may start with a fleet.

--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -20,12 +20,14 @@
 use crate::published_items::Update;
 use crate::shared::Shared;
 
-/// Long-poll time of a watch on the store. A dead connection is noticed only after this time, so it
-/// is kept short compared with the time within which a configuration has to be in force.
-const WATCH_WAIT: Duration = Duration::from_secs(4);
-/// Long-poll time of a watch while other daemons follow this one. Each answer shows the followers
-/// that the store can be reached.
-const FOLLOWED_WATCH_WAIT: Duration = Duration::from_secs(1);
+/// Long-poll time of a watch on the store. A connection that has fallen silent is noticed only after
+/// this time and the time limit of a call, and a configuration has to be in force within 3 s. Each
+/// answer also shows the daemons that follow this one that the store can be reached.
+const WATCH_WAIT: Duration = Duration::from_secs(1);
+/// The same time while the daemons of a fleet start, when each of them watches the store.
+const WATCH_WAIT_AT_START: Duration = Duration::from_secs(4);
+/// Time after its start from which a daemon may follow another one.
+const START_TIME: Duration = Duration::from_secs(6);
 /// Long-poll time of a watch that is meant for an immediate answer, such as one that only checks
 /// whether a followed daemon is out of date.
 const SHORT_WATCH_WAIT: Duration = Duration::from_millis(50);
@@ -75,6 +77,7 @@
     selector: Option<SourceSelector>,
     source: Source,
     followed: Option<FollowedDaemon>,
+    started_at: Instant,
 }
 
 impl Discovery {
@@ -89,7 +92,8 @@
             .as_ref()
             .map(|daemons| daemons.lock().own().address);
         Self {
-            store: Store::new(settings.store_address),
+            store: Store::new(settings.store_address, Arc::clone(&shared.clock)),
+            started_at: shared.now(),
             directory: LeafDirectory::new(drain_grace),
             shared,
             cursor: WatchCursor::default(),
@@ -157,16 +161,22 @@
     fn watch_wait(&self) -> Duration {
         let now = self.shared.now();
         if !self.has_follower(now) {
-            return WATCH_WAIT;
+            let is_alone = self.shared.settings.load().seed_addresses.is_empty();
+            let start_left = (self.started_at + START_TIME).saturating_duration_since(now);
+            return if is_alone {
+                WATCH_WAIT
+            } else {
+                start_left.clamp(WATCH_WAIT, WATCH_WAIT_AT_START)
+            };
         }
         // A new follower waits until this daemon has a current answer of the store.
         let is_current = self
             .shared
             .published_items
             .current_at()
-            .is_some_and(|at| now.saturating_duration_since(at) < FOLLOWED_WATCH_WAIT);
+            .is_some_and(|at| now.saturating_duration_since(at) < WATCH_WAIT);
         if is_current {
-            FOLLOWED_WATCH_WAIT
+            WATCH_WAIT
         } else {
             SHORT_WATCH_WAIT
         }
@@ -214,7 +224,7 @@
                 self.apply_snapshot(snapshot.items, snapshot.revision, Some(started));
             }
             NextRead::ChangesAfter(after) => {
-                let is_interruptible = wait > FOLLOWED_WATCH_WAIT;
+                let is_interruptible = wait > WATCH_WAIT;
                 let watched = tokio::select! {
                     watched = self.store.watch(after, wait) => watched?,
                     () = self.shared.published_items.next_request(), if is_interruptible => {
