Serve no configuration older than one that another daemon has in force

A daemon that started while a restored store listed an older configuration served that one: routes that had been added got 404 until the operator's version was written again. It also passed the older item on to daemons that started without the store. Cause: only the store and the followed daemon told a daemon of configurations, and what a daemon passes on was the store's item, not the one in force.

Change: exchanges between daemons carry the version in force, and a daemon that has an older one fetches the newer one (new RPC publishedConfig). Items that are passed on hold the configuration in force. A daemon of the former release states version 0, which is never fetched.

Ruled out: a version number that is given out again. Versions rise, and the operator does not lose them.

--- a/crates/medlarpin-core/src/routing/mod.rs
+++ b/crates/medlarpin-core/src/routing/mod.rs
@@ -3,6 +3,7 @@
 
 mod call_attempts;
 mod change_log;
+mod config_check;
 mod daemon_list;
 mod delegate_selector;
 mod gather_policy;
@@ -32,6 +33,7 @@
 
 pub use call_attempts::CallAttempts;
 pub use change_log::ChangeLog;
+pub use config_check::{CONFIG_CHECK_TIME_MAX, ConfigCheck};
 pub use daemon_list::{
     DEFAULT_DAEMON_COUNT, DISCOVERY_TIME, DaemonList, HERD_START_SPREAD, LIMIT_SILENCE_TIMEOUT,
     ProcessStart, SILENCE_TIMEOUT,
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -76,7 +76,14 @@
 ) -> Result<(Arc<RoutingConfig>, Arc<Route>), Refusal> {
     let config = shared.config.load_full().ok_or(Refusal::NoConfig)?;
     let route = config.routes.find(&caller.host, path).cloned();
-    let route = route.ok_or(Refusal::NoRoute)?;
+    let route = route.ok_or_else(|| {
+        if shared.is_config_checked() {
+            Refusal::NoRoute
+        } else {
+            // A newer configuration may have the route.
+            Refusal::NoConfig
+        }
+    })?;
     Ok((config, route))
 }
 
--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -9,12 +9,13 @@
 use std::time::{Duration, Instant};
 
 use medlarpin_core::routing::{
-    LeafDirectory, LeafPhase, NextRead, ObservationTime, RoutingConfig, Source, SourceSelector,
-    StoreRevision, WatchCursor,
+    LeafDirectory, LeafPhase, NextRead, ObservationTime, Source, SourceSelector, StoreRevision,
+    WatchCursor,
 };
 use platform::{Change, Item, Snapshot, Store, StoreError};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
+use crate::config_sync;
 use crate::event::Event;
 use crate::peers::{self, FollowedDaemon, PeerError};
 use crate::published_items::Update;
@@ -327,10 +328,10 @@
     ) {
         let observed = self.observation_time(revision);
         let mut entries = Vec::new();
-        for change in items.iter().filter_map(Item::decode) {
+        for (item, change) in decode_all(&items) {
             match change {
                 Change::Leaf(entry) => entries.push(entry),
-                change => self.apply_change(change, revision, observed),
+                change => self.apply_change(item, change, revision, observed),
             }
         }
         self.directory.replace_all(entries, observed);
@@ -349,8 +350,8 @@
     ) {
         if !items.is_empty() {
             let observed = self.observation_time(revision);
-            for change in items.iter().filter_map(Item::decode) {
-                self.apply_change(change, revision, observed);
+            for (item, change) in decode_all(&items) {
+                self.apply_change(item, change, revision, observed);
             }
             self.update_leaf_table();
         }
@@ -379,9 +380,15 @@
         }
     }
 
-    fn apply_change(&mut self, change: Change, revision: StoreRevision, observed: ObservationTime) {
+    fn apply_change(
+        &mut self,
+        item: &Item,
+        change: Change,
+        revision: StoreRevision,
+        observed: ObservationTime,
+    ) {
         match change {
-            Change::Config(config) => self.apply_config(*config, revision),
+            Change::Config(config) => config_sync::offer(&self.shared, *config, item),
             Change::Leaf(entry) => {
                 let (leaf, service) = (entry.id.clone(), entry.service.clone());
                 let is_leaving = entry.phase == LeafPhase::Draining;
@@ -412,36 +419,6 @@
         }
     }
 
-    /// Puts a configuration in force if it is newer than the present one.
-    fn apply_config(&self, config: RoutingConfig, revision: StoreRevision) {
-        let in_force = self
-            .shared
-            .config
-            .load()
-            .as_ref()
-            .map(|known| known.version);
-        let previous = in_force.unwrap_or_default();
-        if in_force.is_some_and(|known| config.version <= known) {
-            if config.version < previous {
-                Event::ConfigIgnored {
-                    version: config.version.0,
-                    in_force: previous.0,
-                }
-                .log();
-            }
-            return;
-        }
-        Event::ConfigInForce {
-            version: config.version.0,
-            previous_version: previous.0,
-            revision: revision.number,
-        }
-        .log();
-        let version = i64::try_from(config.version.0).unwrap_or(i64::MAX);
-        self.shared.metrics.config_version.set(version);
-        self.shared.config.store(Some(Arc::new(config)));
-    }
-
     async fn handle_store_failure(&mut self, error: &StoreError) {
         self.cursor.reset();
         Event::StoreFailed {
@@ -502,6 +479,12 @@
     }
 }
 
+fn decode_all(items: &[Item]) -> impl Iterator<Item = (&Item, Change)> {
+    items
+        .iter()
+        .filter_map(|item| item.decode().map(|change| (item, change)))
+}
+
 /// Runs the task that closes connections that were idle for too long, until the process ends.
 pub(crate) async fn close_idle_connections(shared: Arc<Shared>) {
     let mut ticks = interval(IDLE_SWEEP_INTERVAL);
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -111,6 +111,8 @@
         previous_version: u64,
         revision: u64,
     },
+    /// A newer configuration was fetched from another daemon.
+    ConfigFromDaemon { daemon: SocketAddr, version: u64 },
     /// A configuration older than the one in force was ignored.
     ConfigIgnored { version: u64, in_force: u64 },
     /// A published item cannot be decoded.
@@ -271,6 +273,7 @@
             | Self::SourceChanged { .. }
             | Self::DaemonStale { .. }
             | Self::ConfigInForce { .. }
+            | Self::ConfigFromDaemon { .. }
             | Self::ConfigIgnored { .. }
             | Self::EntryUnusable { .. } => "config",
             Self::LeafChanged { .. }
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -11,7 +11,7 @@
 use futures::AsyncReadExt;
 use medlarpin_core::canary::QUARANTINE_DURATION;
 use medlarpin_core::prelude::{Clock, Fingerprint};
-use medlarpin_core::routing::{KnownDaemon, StoreRevision};
+use medlarpin_core::routing::{ConfigVersion, KnownDaemon, StoreRevision};
 use platform::Item;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
@@ -20,6 +20,7 @@
 use tokio_util::compat::TokioAsyncReadCompatExt;
 use wire::peer_capnp::{known_daemon, published_item, quarantine, route_peer};
 
+use crate::config_sync;
 use crate::crash_reports;
 use crate::delegation;
 use crate::event::Event;
@@ -148,6 +149,15 @@
     with_timeout(RPC_TIMEOUT, call).await
 }
 
+/// Fetches the item of the configuration that another daemon has in force.
+pub(crate) async fn fetch_config(peer: SocketAddr) -> Result<Item, PeerError> {
+    call(peer, async |client| {
+        let response = client.published_config_request().send().promise.await?;
+        Ok(Item::config(response.get()?.get_value()?.into()))
+    })
+    .await
+}
+
 /// A daemon that this one follows instead of the store, with its connection.
 pub(crate) struct FollowedDaemon {
     daemon: SocketAddr,
@@ -204,34 +214,38 @@
 }
 
 async fn exchange_with(shared: &Shared, peer: SocketAddr) -> Result<(), PeerError> {
-    let call = async {
-        let client = connect(peer).await?;
-        let mut request = client.greet_request();
-        let known = sample_daemons(shared);
-        if let Some(daemons) = &shared.daemons {
-            let own = daemons.lock().own();
-            write_daemon(
-                (own, Duration::ZERO),
-                shared.now(),
-                request.get().init_sender(),
-            );
-        }
-        let quarantines = shared.crash_memory.quarantines(shared.now());
-        let list = request.get().init_quarantines(len_u32(&quarantines));
-        write_quarantines(&quarantines, list);
-        let list = request.get().init_known(len_u32(&known));
-        write_daemons(&known, shared.now(), list);
-        let response = request.send().promise.await?;
-        let reply = response.get()?;
-        let others = read_daemons(reply.get_known()?, shared.now());
-        let (peer, _) = read_daemon(reply.get_responder()?, shared.now());
-        record_daemons(shared, peer, &others);
-        let quarantines = read_quarantines(reply.get_quarantines()?);
-        let crash_memory = &shared.crash_memory;
-        crash_memory.merge_quarantines(&quarantines, shared.now());
-        Ok(())
-    };
-    with_timeout(RPC_TIMEOUT, call).await
+    let config_version = with_timeout(RPC_TIMEOUT, greet(shared, peer)).await?;
+    config_sync::compare(shared, peer, config_version).await
+}
+
+/// Exchanges what both daemons know; returns the version of the other one's configuration.
+async fn greet(shared: &Shared, peer: SocketAddr) -> Result<ConfigVersion, PeerError> {
+    let client = connect(peer).await?;
+    let mut request = client.greet_request();
+    let known = sample_daemons(shared);
+    if let Some(daemons) = &shared.daemons {
+        let own = daemons.lock().own();
+        write_daemon(
+            (own, Duration::ZERO),
+            shared.now(),
+            request.get().init_sender(),
+        );
+    }
+    let quarantines = shared.crash_memory.quarantines(shared.now());
+    let list = request.get().init_quarantines(len_u32(&quarantines));
+    write_quarantines(&quarantines, list);
+    request.get().set_config_version(shared.config_version());
+    let list = request.get().init_known(len_u32(&known));
+    write_daemons(&known, shared.now(), list);
+    let response = request.send().promise.await?;
+    let reply = response.get()?;
+    let others = read_daemons(reply.get_known()?, shared.now());
+    let (peer, _) = read_daemon(reply.get_responder()?, shared.now());
+    record_daemons(shared, peer, &others);
+    let quarantines = read_quarantines(reply.get_quarantines()?);
+    let crash_memory = &shared.crash_memory;
+    crash_memory.merge_quarantines(&quarantines, shared.now());
+    Ok(ConfigVersion(reply.get_config_version()))
 }
 
 /// Connects to a daemon and calls it once.
@@ -316,10 +330,13 @@
         let (peer, _) = read_daemon(params.get_sender()?, now);
         let known = sample_daemons(&self.shared);
         record_daemons(&self.shared, peer, &others);
+        let their_version = ConfigVersion(params.get_config_version());
+        config_sync::compare_later(&self.shared, peer.address, their_version);
         let crash_memory = &self.shared.crash_memory;
         crash_memory.merge_quarantines(&read_quarantines(params.get_quarantines()?), now);
         let quarantines = crash_memory.quarantines(now);
         let mut reply = results.get();
+        reply.set_config_version(self.shared.config_version());
         let list = reply.reborrow().init_quarantines(len_u32(&quarantines));
         write_quarantines(&quarantines, list);
         write_daemons(&known, now, reply.reborrow().init_known(len_u32(&known)));
@@ -376,6 +393,19 @@
         leaf_permits::answer(&self.shared, params.get()?, results)
     }
 
+    async fn published_config(
+        self: Rc<Self>,
+        _params: route_peer::PublishedConfigParams,
+        mut results: route_peer::PublishedConfigResults,
+    ) -> Result<(), capnp::Error> {
+        let config = self.shared.published_items.config();
+        let value = config.and_then(|item| item.value);
+        results
+            .get()
+            .set_value(value.as_deref().unwrap_or_default());
+        Ok(())
+    }
+
     async fn published_changes(
         self: Rc<Self>,
         params: route_peer::PublishedChangesParams,
--- a/crates/router/src/published_items.rs
+++ b/crates/router/src/published_items.rs
@@ -29,6 +29,8 @@
     revision: StoreRevision,
     /// Sorted by key, without duplicates.
     items: Vec<Item>,
+    /// The configuration in force, which the store may list in an older version after a restore.
+    config: Option<Item>,
     change_log: ChangeLog<Item>,
     /// Latest time at which the items were known to be up to date with the store.
     current_at: Option<Instant>,
@@ -57,6 +59,7 @@
             state: Mutex::new(State {
                 revision: StoreRevision::default(),
                 items: Vec::new(),
+                config: None,
                 change_log: ChangeLog::new(CHANGE_LOG_CAPACITY),
                 current_at: None,
                 last_request_at: None,
@@ -80,7 +83,7 @@
     /// Calls a function with the revision and all items.
     pub(crate) fn with_items<T>(&self, read: impl FnOnce(StoreRevision, &[Item]) -> T) -> T {
         let state = self.state.lock();
-        read(state.revision, &state.items)
+        read(state.revision, &state.all_items())
     }
 
     /// Returns the changes after the revision `since`, or all items if the change log does not
@@ -96,7 +99,7 @@
             revision: state.revision,
             current_at: state.current_at,
             is_snapshot: changes.is_none(),
-            items: changes.unwrap_or_else(|| state.items.clone()),
+            items: changes.unwrap_or_else(|| state.all_items()),
         }
     }
 
@@ -142,6 +145,16 @@
         self.updated.notify_waiters();
     }
 
+    /// Records the item of the configuration in force, which is passed on in place of the store's.
+    pub(crate) fn set_config(&self, item: Item) {
+        self.state.lock().config = Some(item);
+    }
+
+    /// Returns the item of the configuration in force; `None` if there is none.
+    pub(crate) fn config(&self) -> Option<Item> {
+        self.state.lock().config.clone()
+    }
+
     /// Records the daemon from which changes are fetched; `None` if they come from the store.
     pub(crate) fn set_followed_daemon(&self, daemon: Option<SocketAddr>) {
         self.state.lock().followed_daemon = daemon;
@@ -175,6 +188,12 @@
 }
 
 impl State {
+    /// Returns all items, with the configuration in force.
+    fn all_items(&self) -> Vec<Item> {
+        let others = self.items.iter().filter(|item| !item.is_config());
+        others.chain(&self.config).cloned().collect()
+    }
+
     fn apply(&mut self, item: &Item) {
         let position = self
             .items
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -6,8 +6,8 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use medlarpin_core::prelude::{Clock, FailureDomain, ServiceName};
 use medlarpin_core::routing::{
-    DaemonList, DelegateSelector, KnownDaemon, ProcessStart, QueryAdmission, RetryBudget,
-    RetryLimits, Route, RoutingConfig, SHED_BACK_OFF, reserve_parts,
+    ConfigCheck, DaemonList, DelegateSelector, KnownDaemon, ProcessStart, QueryAdmission,
+    RetryBudget, RetryLimits, Route, RoutingConfig, SHED_BACK_OFF, reserve_parts,
 };
 use parking_lot::Mutex;
 use settings::RouterSettings;
@@ -50,6 +50,8 @@
     pub(crate) clock: Arc<dyn Clock>,
     /// The configuration in force; `None` until the first one arrives.
     pub(crate) config: ArcSwapOption<RoutingConfig>,
+    /// Whether the configuration was compared with that of another daemon since the start.
+    pub(crate) config_check: Mutex<ConfigCheck>,
     pub(crate) leafs: LeafTable,
     /// Memory for the answers of leafs that are being read or merged.
     pub(crate) answer_memory: BodyMemory,
@@ -104,16 +106,17 @@
             cpu_millicores: settings.cpu_millicores(),
             started_at: Some(clock.now()),
         });
+        let start = ProcessStart {
+            at: clock.now(),
+            is_first_start: settings.first_start,
+            seeds: settings.seed_addresses.clone(),
+        };
+        let is_other = |seed: &SocketAddr| Some(*seed) != peer_address;
+        let has_peers = peer_address.is_some() && start.seeds.iter().any(is_other);
         let memory_bytes = usize::try_from(settings.memory_mb).unwrap_or(usize::MAX) << 20;
         Self {
-            daemons: own.map(|own| {
-                let start = ProcessStart {
-                    at: clock.now(),
-                    is_first_start: settings.first_start,
-                    seeds: settings.seed_addresses.clone(),
-                };
-                Mutex::new(DaemonList::new(own, start))
-            }),
+            config_check: Mutex::new(ConfigCheck::new(&start, has_peers)),
+            daemons: own.map(|own| Mutex::new(DaemonList::new(own, start))),
             failure_domain: settings.failure_domain.clone(),
             settings: ArcSwap::from_pointee(settings),
             clock,
@@ -207,9 +210,16 @@
         self.delegated.load(Ordering::Relaxed)
     }
 
+    /// Returns true unless another daemon may have a newer configuration than a process that has just
+    /// started.
+    pub(crate) fn is_config_checked(&self) -> bool {
+        self.config_check.lock().is_complete(self.now())
+    }
+
     /// Returns true if the daemon has a configuration and the leafs, and is not stopping.
     pub(crate) fn is_ready(&self) -> bool {
         self.config.load().is_some()
+            && self.is_config_checked()
             && self.leafs_loaded.load(Ordering::Relaxed)
             && !self.is_stopping.load(Ordering::Relaxed)
     }
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -237,8 +237,9 @@
 
 # Protocol between daemons that serve published routes.
 interface RoutePeer {
-  # Exchanges the daemons that both sides know, and their quarantined requests.
-  greet @0 (sender :KnownDaemon, known :List(KnownDaemon), quarantines :List(Quarantine)) -> (known :List(KnownDaemon), responder :KnownDaemon, quarantines :List(Quarantine));
+  # Exchanges the daemons that both sides know, their quarantined requests, and the versions of their
+  # configurations in force; version 0 if there is none.
+  greet @0 (sender :KnownDaemon, known :List(KnownDaemon), quarantines :List(Quarantine), configVersion :UInt64) -> (known :List(KnownDaemon), responder :KnownDaemon, quarantines :List(Quarantine), configVersion :UInt64);
   # Returns all items at a revision of the store; revision 0 if the peer has not read them yet. era
   # rises each time the store is restored from a copy and gives revisions out again.
   publishedItems @1 () -> (revision :UInt64, items :List(PublishedItem), era :UInt64);
@@ -258,4 +259,6 @@
   # that is no limit, no permission is needed. If isPermitted is false, the sender may ask again
   # after waitMs.
   permitLeafRequest @6 (rate :LeafRate) -> (isPermitted :Bool, waitMs :UInt32, knownRate :LeafRate);
+  # Returns the published text of the configuration in force; empty if there is none.
+  publishedConfig @7 () -> (value :Data);
 }
