Count lost leafs for each service, single ones and despite errors of others

A request that crashes the leafs which run it was sent on without end in three cases: other shards answered the query, the request could not be retried, or a failing leaf answered an equal request with 500. Cause: what a request shows was kept for the whole query, two losses of one request were needed, and an answer of any status counted as harmless.

Change: evidence is kept for each service, and so are strikes and quarantines. A single loss counts. Only a successful answer of the service clears its strikes. A single loss of a shard, while others answer, is not passed on to the other daemons, since leafs often lose answers. A service that has lost two leafs to one request gets it no more; it was sent again to the same leafs. The one leaf that gets a suspicious request is another one than those that were lost, if there is one.

Not covered: a leaf that ends behind a partition or falls silent shows as a time-out, as a slow leaf does.

--- a/crates/medlarpin-core/src/canary/table.rs
+++ b/crates/medlarpin-core/src/canary/table.rs
@@ -172,6 +172,12 @@
         self.proven.len() + self.strikes.len() + self.quarantines.len() + self.running.len()
     }
 
+    /// Returns true if no fingerprint has strikes or is quarantined.
+    #[must_use]
+    pub fn is_free_of_suspects(&self) -> bool {
+        self.strikes.len() + self.quarantines.len() == 0
+    }
+
     /// Returns true if the table has no entries.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/router/src/call_evidence.rs
+++ b/crates/router/src/call_evidence.rs
@@ -1,19 +1,26 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
-use medlarpin_core::prelude::LeafId;
+use medlarpin_core::prelude::{LeafId, ServiceName};
 use parking_lot::Mutex;
 
-/// Lost leafs from which a request that no leaf has answered may be the cause.
+/// Number of lost leafs from which a request that none of them answered may be the cause.
 const SUSPICIOUS_LOSSES: usize = 2;
 
+/// A leaf whose connection broke while it may have been running a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct LostLeaf {
+    pub(crate) service: ServiceName,
+    pub(crate) leaf: LeafId,
+}
+
 /// What the leaf requests of one caller's request, to one service or to all shards, show about
 /// whether it crashes the leafs.
 #[derive(Debug, Default)]
 pub(crate) struct CallEvidence {
     is_answered: AtomicBool,
     in_flight: AtomicUsize,
-    /// Leafs whose connections broke while they may have been running the request.
-    lost: Mutex<Vec<LeafId>>,
+    /// Lost leafs of the services that have not answered.
+    lost: Mutex<Vec<LostLeaf>>,
 }
 
 impl CallEvidence {
@@ -27,25 +34,31 @@
         self.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 
-    /// Records that a leaf answered, whatever the status.
-    pub(crate) fn answered(&self) {
+    /// Records that a leaf of a service answered successfully, which shows that the request does not
+    /// crash the leafs of this service. An error shows nothing: the leaf may not have begun to run
+    /// the request.
+    pub(crate) fn answered(&self, service: &ServiceName) {
         self.is_answered.store(true, Ordering::Relaxed);
+        self.lost.lock().retain(|lost| lost.service != *service);
     }
 
     /// Records that the connection to a leaf broke after the request was sent.
-    pub(crate) fn lost(&self, leaf: &LeafId) {
-        self.lost.lock().push(leaf.clone());
+    pub(crate) fn lost(&self, lost: LostLeaf) {
+        self.lost.lock().push(lost);
     }
 
-    /// Returns true if a leaf answered.
+    /// Returns true if a leaf of any service answered successfully.
     pub(crate) fn is_answered(&self) -> bool {
         self.is_answered.load(Ordering::Relaxed)
     }
 
-    /// Returns true if the request may be what breaks the connections, so that it should reach no
-    /// further leaf.
-    pub(crate) fn is_suspicious(&self) -> bool {
-        !self.is_answered() && self.lost.lock().len() >= SUSPICIOUS_LOSSES
+    /// Returns true if the request may be what breaks the connections to leafs of the service, so that
+    /// it should reach no further leaf of it.
+    pub(crate) fn is_suspicious(&self, service: &ServiceName) -> bool {
+        let lost = self.lost.lock();
+        let of_service = lost.iter().filter(|lost| lost.service == *service);
+        let is_any_suspicious = !self.is_answered() && lost.len() >= SUSPICIOUS_LOSSES;
+        is_any_suspicious || of_service.count() >= SUSPICIOUS_LOSSES
     }
 
     /// Returns true if a leaf request in flight may still show that the request is harmless.
@@ -53,16 +66,8 @@
         self.in_flight.load(Ordering::Relaxed) > 0
     }
 
-    /// Returns the leafs that the request lost if no leaf answered it; `leafs_max` is the number of
-    /// leafs that it may run on.
-    ///
-    /// A single lost leaf shows nothing if the request could have run on others.
-    pub(crate) fn lost_leafs(&self, leafs_max: u32) -> Vec<LeafId> {
-        let needed = if leafs_max > 1 { SUSPICIOUS_LOSSES } else { 1 };
-        let lost = self.lost.lock();
-        if self.is_answered() || lost.len() < needed {
-            return Vec::new();
-        }
-        lost.clone()
+    /// Returns the lost leafs of the services that have not answered.
+    pub(crate) fn lost_leafs(&self) -> Vec<LostLeaf> {
+        self.lost.lock().clone()
     }
 }
--- a/crates/router/src/crash_memory.rs
+++ b/crates/router/src/crash_memory.rs
@@ -5,14 +5,15 @@
 
 use medlarpin_core::canary::{Clearance, FingerprintTable, Quarantine};
 use medlarpin_core::ids::stable_hash;
-use medlarpin_core::prelude::{Fingerprint, LeafId, RequestId};
+use medlarpin_core::prelude::{Fingerprint, LeafId, RequestId, ServiceName};
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
 
+use crate::call_evidence::{CallEvidence, LostLeaf};
 use crate::caller_request::CallerRequest;
 use crate::event::Event;
 
-/// Reports of one request: enough to tell a request at fault from a single lost leaf.
+/// Reports of one request: enough for a second request to show that the first one was at fault.
 const REPORTS_PER_REQUEST: usize = 2;
 /// Latest reports that are remembered, so that each is passed on once.
 const KNOWN_REPORTS_MAX: usize = 1_024;
@@ -20,9 +21,11 @@
 /// quarantines with the next exchange.
 const QUEUE_MAX: usize = 64;
 
-/// A request that a leaf was running when its connection broke, while no leaf answered it.
+/// A request that a leaf was running when its connection broke, while no leaf of the service
+/// answered it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct CrashReport {
+    /// Identifies the request and the service of the leaf.
     pub(crate) fingerprint: Fingerprint,
     pub(crate) leaf: LeafId,
     /// Hash of the request's identifier.
@@ -30,12 +33,17 @@
 }
 
 /// What is known of a request before it runs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum RequestClearance {
     /// It may run.
     Clear,
     /// An equal request lost leafs, so that this one is sent to a single leaf first.
-    Suspect,
+    Suspect {
+        /// Service whose leafs were lost.
+        service: ServiceName,
+        /// The lost leafs, which may be down.
+        lost: Vec<LeafId>,
+    },
     /// It must not run.
     Quarantined {
         /// Time left of the quarantine.
@@ -69,54 +77,85 @@
         (memory, queue)
     }
 
-    /// Decides whether and how a request may run.
-    pub(crate) fn clearance(&self, request: &CallerRequest, now: Instant) -> RequestClearance {
+    /// Decides whether and how a request to some services may run.
+    pub(crate) fn clearance(
+        &self,
+        request: &CallerRequest,
+        services: &[ServiceName],
+        now: Instant,
+    ) -> RequestClearance {
         let state = self.state.lock();
-        // The table is nearly always empty, so that no request needs to be hashed.
-        if state.table.is_empty() {
+        // Nearly always true, so that no request needs to be hashed.
+        if state.table.is_free_of_suspects() {
             return RequestClearance::Clear;
         }
-        let fingerprint = fingerprint_of(request);
-        match state.table.check(fingerprint, now) {
-            Clearance::Quarantined { until } => RequestClearance::Quarantined {
-                left: until.saturating_duration_since(now),
-            },
-            _ if !state.table.leafs_with_strikes(fingerprint, now).is_empty() => {
-                RequestClearance::Suspect
+        let request = request_hash(request);
+        let mut clearance = RequestClearance::Clear;
+        for service in services {
+            let fingerprint = fingerprint_of(request, service);
+            if let Clearance::Quarantined { until } = state.table.check(fingerprint, now) {
+                let left = until.saturating_duration_since(now);
+                return RequestClearance::Quarantined { left };
+            }
+            let lost = state.table.leafs_with_strikes(fingerprint, now);
+            if clearance == RequestClearance::Clear && !lost.is_empty() {
+                let service = service.clone();
+                clearance = RequestClearance::Suspect { service, lost };
             }
-            _ => RequestClearance::Clear,
         }
+        clearance
     }
 
-    /// Records that a leaf answered a request, which thus does not crash the leafs.
-    pub(crate) fn record_answer(&self, request: &CallerRequest) {
+    /// Records that a leaf of a service answered a request, which thus does not crash its leafs.
+    pub(crate) fn record_answer(&self, request: &CallerRequest, service: &ServiceName) {
         let mut state = self.state.lock();
-        if !state.table.is_empty() {
-            state.table.clear_strikes(fingerprint_of(request));
+        if !state.table.is_free_of_suspects() {
+            let fingerprint = fingerprint_of(request_hash(request), service);
+            state.table.clear_strikes(fingerprint);
         }
     }
 
-    /// Records a request that no leaf answered and whose connections to these leafs broke.
-    pub(crate) fn record_lost(&self, request: &CallerRequest, leafs: &[LeafId], now: Instant) {
-        let fingerprint = fingerprint_of(request);
-        for leaf in leafs.iter().take(REPORTS_PER_REQUEST) {
+    /// Records what a request has shown when it is answered or refused.
+    pub(crate) fn record_evidence(
+        &self,
+        request: &CallerRequest,
+        evidence: &CallEvidence,
+        now: Instant,
+    ) {
+        let lost = evidence.lost_leafs();
+        for LostLeaf { service, leaf } in lost.iter().take(REPORTS_PER_REQUEST) {
+            let fingerprint = fingerprint_of(request_hash(request), service);
             let report = CrashReport {
                 fingerprint,
                 leaf: leaf.clone(),
                 request_hash: stable_hash(&[request.id.as_bytes()]),
             };
+            // A single lost leaf of a query that other shards answer is common, as leafs lose
+            // answers. It counts here, but is not worth a message to all daemons.
+            let of_service = lost.iter().filter(|other| other.service == *service);
+            let is_passed_on = !evidence.is_answered() || of_service.count() > 1;
             Event::RequestLostLeaf {
                 request: request.id_text(),
                 fingerprint,
                 leaf: leaf.as_str(),
+                is_passed_on,
             }
             .log();
-            self.add_report(report, now);
+            if self.add_report(&report, now) && is_passed_on {
+                self.pass_on(report);
+            }
+        }
+    }
+
+    /// Adds a report of another daemon, and passes it on if it is new.
+    pub(crate) fn receive(&self, report: CrashReport, now: Instant) {
+        if self.add_report(&report, now) {
+            self.pass_on(report);
         }
     }
 
-    /// Adds a report of this daemon or of another one, and passes it on if it is new.
-    pub(crate) fn add_report(&self, report: CrashReport, now: Instant) {
+    /// Adds a report of this daemon or of another one; returns false if it is known.
+    fn add_report(&self, report: &CrashReport, now: Instant) -> bool {
         let mut state = self.state.lock();
         let hash = stable_hash(&[
             &report.fingerprint.0.to_le_bytes(),
@@ -124,7 +163,7 @@
             &report.request_hash.to_le_bytes(),
         ]);
         if state.known_reports.contains(&hash) {
-            return;
+            return false;
         }
         if state.known_reports.len() >= KNOWN_REPORTS_MAX {
             state.known_reports.pop_front();
@@ -138,6 +177,10 @@
         if let Some(quarantine) = quarantine {
             log_quarantine(&quarantine, now);
         }
+        true
+    }
+
+    fn pass_on(&self, report: CrashReport) {
         // Full only if many leafs break off at once; the exchanges then tell of the quarantines.
         if let Err(error) = self.outgoing.try_send(report) {
             Event::CrashReportDropped {
@@ -185,15 +228,23 @@
     .log();
 }
 
-/// Returns the fingerprint of a request; equal requests have the same one.
-fn fingerprint_of(request: &CallerRequest) -> Fingerprint {
+/// Returns the hash of a request; equal requests have the same one.
+fn request_hash(request: &CallerRequest) -> u64 {
     let head = &request.head;
     let host = head.headers.get(hyper::header::HOST);
     let target = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    Fingerprint(stable_hash(&[
+    stable_hash(&[
         head.method.as_str().as_bytes(),
         host.map_or(&[], |host| host.as_bytes()),
         target.as_bytes(),
         &request.body,
+    ])
+}
+
+/// Returns the fingerprint of a request to a service; `request` is the request's hash.
+fn fingerprint_of(request: u64, service: &ServiceName) -> Fingerprint {
+    Fingerprint(stable_hash(&[
+        &request.to_le_bytes(),
+        service.as_str().as_bytes(),
     ]))
 }
--- a/crates/router/src/crash_reports.rs
+++ b/crates/router/src/crash_reports.rs
@@ -33,7 +33,7 @@
             leaf: LeafId::new(report.get_leaf()?.to_str()?),
             request_hash: report.get_request_hash(),
         };
-        shared.crash_memory.add_report(report, shared.now());
+        shared.crash_memory.receive(report, shared.now());
     }
     Ok(())
 }
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -213,6 +213,8 @@
         #[serde(serialize_with = "as_text")]
         fingerprint: Fingerprint,
         leaf: &'a str,
+        /// True if the other daemons are told.
+        is_passed_on: bool,
     },
     /// A request has crashed leafs and is refused from now on.
     Quarantined {
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -25,7 +25,9 @@
     state: Arc<RouteState>,
     request: Arc<CallerRequest>,
 ) -> Result<Answer, Refusal> {
-    let clearance = shared.crash_memory.clearance(&request, shared.now());
+    let memory = &shared.crash_memory;
+    let services = std::slice::from_ref(&service);
+    let clearance = memory.clearance(&request, services, shared.now());
     if let RequestClearance::Quarantined { left } = clearance {
         return Err(Refusal::quarantined(left));
     }
@@ -38,13 +40,11 @@
         Arc::clone(&request),
         Arc::clone(&evidence),
     );
-    let mut leafs_max = route.leafs_max;
-    if clearance == RequestClearance::Suspect {
-        call = call.into_canary();
-        leafs_max = 1;
+    if let RequestClearance::Suspect { lost, .. } = clearance {
+        call = call.into_canary(lost);
     }
     let result = call.run().await;
-    record_evidence(&shared, &request, &evidence, leafs_max);
+    memory.record_evidence(&request, &evidence, shared.now());
     match result {
         Ok(answer) => Ok(caller_answer(answer)),
         Err(failure) => match failure {
@@ -57,26 +57,6 @@
     }
 }
 
-/// Records what a request has shown about whether it crashes the leafs; `leafs_max` is the number of
-/// leafs that it may run on.
-pub(crate) fn record_evidence(
-    shared: &Shared,
-    request: &CallerRequest,
-    evidence: &CallEvidence,
-    leafs_max: u32,
-) {
-    if evidence.is_answered() {
-        shared.crash_memory.record_answer(request);
-        return;
-    }
-    let lost = evidence.lost_leafs(leafs_max);
-    if !lost.is_empty() {
-        shared
-            .crash_memory
-            .record_lost(request, &lost, shared.now());
-    }
-}
-
 /// Returns the refusal that a caller gets if a service gave no answer.
 pub(crate) fn refusal_for(failure: &ServiceFailure) -> Refusal {
     match failure {
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -19,7 +19,7 @@
 use crate::callers::Answer;
 use crate::crash_memory::RequestClearance;
 use crate::event::Event;
-use crate::forward::{record_evidence, refusal_for};
+use crate::forward::refusal_for;
 use crate::leaf_rates::LeafRates;
 use crate::refusal::Refusal;
 use crate::route_state::RouteState;
@@ -45,7 +45,7 @@
         request.time_left(request.arrived_at),
         request.arrived_at,
     );
-    let clearance = admit(&shared, route, request)?;
+    let clearance = admit(&shared, route, scatter, request)?;
     let reachable = reachable_shards(&shared, scatter, request, policy.needed)?;
     let evidence = Arc::new(CallEvidence::default());
     let call = |shard: &ServiceName| {
@@ -60,18 +60,20 @@
     };
     let mut answers: Vec<(ServiceName, LeafAnswer)> = Vec::with_capacity(policy.shard_count);
     let mut failures: Vec<ServiceFailure> = Vec::new();
-    let mut unsent = reachable.as_slice();
-    if clearance == RequestClearance::Suspect
-        && let Some((shard, rest)) = unsent.split_first()
+    let mut unsent = reachable;
+    if let RequestClearance::Suspect { service, lost } = clearance
+        && !unsent.is_empty()
     {
-        match call(shard).into_canary().run().await {
-            Ok(answer) => answers.push(((*shard).clone(), answer)),
+        let position = unsent.iter().position(|shard| **shard == service);
+        let first = unsent.swap_remove(position.unwrap_or(0));
+        match call(first).into_canary(lost).run().await {
+            Ok(answer) => answers.push((first.clone(), answer)),
             Err(failure) => {
-                record_evidence(&shared, request, &evidence, 1);
+                let memory = &shared.crash_memory;
+                memory.record_evidence(request, &evidence, shared.now());
                 return Err(refusal_for(&failure));
             }
         }
-        unsent = rest;
     }
     let mut shards: FuturesUnordered<_> = unsent
         .iter()
@@ -89,7 +91,8 @@
                 let may_have_run = !answers.is_empty() || !shards.is_empty();
                 let timed_out = shared.now() >= policy.deadline;
                 record_coverage(&shared, route, scatter, request, &answers, shards.len());
-                record_evidence(&shared, request, &evidence, route.leafs_max);
+                let memory = &shared.crash_memory;
+                memory.record_evidence(request, &evidence, shared.now());
                 return Err(refusal_for_query(&failures, may_have_run, timed_out));
             }
         };
@@ -106,7 +109,8 @@
         .metrics
         .record_gather(shared.now() - request.arrived_at);
     record_coverage(&shared, route, scatter, request, &answers, shards.len());
-    record_evidence(&shared, request, &evidence, route.leafs_max);
+    let memory = &shared.crash_memory;
+    memory.record_evidence(request, &evidence, shared.now());
     if !shards.is_empty() {
         tokio::spawn(async move {
             let all = async { while shards.next().await.is_some() {} };
@@ -121,10 +125,12 @@
 fn admit(
     shared: &Shared,
     route: &Route,
+    scatter: &Scatter,
     request: &CallerRequest,
 ) -> Result<RequestClearance, Refusal> {
     let now = shared.now();
-    let clearance = shared.crash_memory.clearance(request, now);
+    let memory = &shared.crash_memory;
+    let clearance = memory.clearance(request, &scatter.shards, now);
     if let RequestClearance::Quarantined { left } = clearance {
         return Err(Refusal::quarantined(left));
     }
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -11,7 +11,7 @@
 
 use crate::attempt::run_attempt;
 use crate::attempt_result::{AttemptResult, LeafAnswer, LeafFailure};
-use crate::call_evidence::CallEvidence;
+use crate::call_evidence::{CallEvidence, LostLeaf};
 use crate::caller_request::CallerRequest;
 use crate::event::Event;
 use crate::leaf::Leaf;
@@ -59,6 +59,8 @@
     request: Arc<CallerRequest>,
     attempts: CallAttempts,
     evidence: Arc<CallEvidence>,
+    /// Leafs that an equal request lost; used only if the service has no other leaf.
+    avoided: Vec<LeafId>,
     /// True once a hedge was denied, which is logged only once.
     is_hedge_denied: bool,
     failure: ServiceFailure,
@@ -82,6 +84,7 @@
             request,
             attempts,
             evidence,
+            avoided: Vec::new(),
             is_hedge_denied: false,
             failure: ServiceFailure {
                 may_have_run: false,
@@ -93,9 +96,10 @@
         }
     }
 
-    /// Limits the request to a single leaf, because equal ones have lost leafs.
-    pub(crate) fn into_canary(mut self) -> Self {
+    /// Limits the request to a single leaf, because equal ones have lost the leafs `lost`.
+    pub(crate) fn into_canary(mut self, lost: Vec<LeafId>) -> Self {
         self.attempts = CallAttempts::canary();
+        self.avoided = lost;
         self
     }
 
@@ -170,7 +174,7 @@
         attempts: &mut FuturesUnordered<Attempt>,
         now: Instant,
     ) {
-        if !self.attempts.may_hedge(attempts.len()) || self.evidence.is_suspicious() {
+        if !self.attempts.may_hedge(attempts.len()) || self.evidence.is_suspicious(&self.service) {
             return hedge.stop();
         }
         // The other leafs may be in back-off, which is short.
@@ -207,11 +211,13 @@
         result: AttemptResult,
     ) -> Option<LeafAnswer> {
         self.evidence.ended();
-        if result.is_ok() {
-            self.evidence.answered();
-        }
         match result {
-            Ok(answer) if answer.status.is_success() => Some(answer),
+            Ok(answer) if answer.status.is_success() => {
+                self.evidence.answered(&self.service);
+                let memory = &self.shared.crash_memory;
+                memory.record_answer(&self.request, &self.service);
+                Some(answer)
+            }
             Ok(answer) => {
                 self.record_possible_run(leaf);
                 self.failure.leaf_answer = Some(answer);
@@ -229,7 +235,10 @@
                 .log();
                 self.shared.metrics.record_leaf_failure(failure);
                 if failure == LeafFailure::BrokenOff {
-                    self.evidence.lost(&leaf.entry.id);
+                    self.evidence.lost(LostLeaf {
+                        service: self.service.clone(),
+                        leaf: leaf.entry.id.clone(),
+                    });
                 }
                 if failure.is_not_arrived() {
                     self.attempts.not_arrived();
@@ -248,7 +257,7 @@
         if !self.attempts.may_send() {
             return NextStep::Fail;
         }
-        if self.evidence.is_suspicious() {
+        if self.evidence.is_suspicious(&self.service) {
             return if self.evidence.has_in_flight() {
                 NextStep::WaitUntil(now + EVIDENCE_POLL)
             } else {
@@ -331,6 +340,7 @@
         let mut candidates = Vec::with_capacity(leafs.len());
         for leaf in leafs {
             let is_tried = self.attempts.tried().contains(&leaf.entry.id);
+            let is_avoided = self.avoided.contains(&leaf.entry.id);
             let is_within_limit = self.attempts.is_within_limit(&leaf.entry.id);
             if !leaf.is_usable(now) || !is_within_limit || (is_hedge && is_tried) {
                 continue;
@@ -354,7 +364,7 @@
             candidates.push(Candidate {
                 expected_ratio: load.expected_ratio(leaf.entry.slots, typical_latency, now)
                     * domain_factor,
-                is_preferred: !is_tried && !leaf.is_leaving(),
+                is_preferred: !is_tried && !is_avoided && !leaf.is_leaving(),
             });
             drop(load);
             usable.push(leaf);
