Count each run of a leaf that a request crashes

A leaf that is back under its identifier after a crash, and crashes again under an equal request, counted as one lost leaf. Two lost leafs of distinct requests are needed for a quarantine, so that a service with few leafs lost the same one again and again.

Change: strikes name the run of the leaf, by its identifier and the start that its entry states. Other requests that were running at the same crash still show one lost run.

--- a/crates/router/src/crash_memory.rs
+++ b/crates/router/src/crash_memory.rs
@@ -27,6 +27,7 @@
 pub(crate) struct CrashReport {
     /// Identifies the request and the service of the leaf.
     pub(crate) fingerprint: Fingerprint,
+    /// Run of the leaf.
     pub(crate) leaf: LeafId,
     /// Hash of the request's identifier.
     pub(crate) request_hash: u64,
@@ -41,7 +42,7 @@
     Suspect {
         /// Service whose leafs were lost.
         service: ServiceName,
-        /// The lost leafs, which may be down.
+        /// Runs of the lost leafs.
         lost: Vec<LeafId>,
     },
     /// It must not run.
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -59,7 +59,7 @@
     request: Arc<CallerRequest>,
     attempts: CallAttempts,
     evidence: Arc<CallEvidence>,
-    /// Leafs that an equal request lost; used only if the service has no other leaf.
+    /// Runs of leafs that an equal request lost; used only if the service has no other leaf.
     avoided: Vec<LeafId>,
     /// True once a hedge was denied, which is logged only once.
     is_hedge_denied: bool,
@@ -237,7 +237,7 @@
                 if failure == LeafFailure::BrokenOff {
                     self.evidence.lost(LostLeaf {
                         service: self.service.clone(),
-                        leaf: leaf.entry.id.clone(),
+                        leaf: leaf.run_id(),
                     });
                 }
                 if failure.is_not_arrived() {
@@ -340,7 +340,7 @@
         let mut candidates = Vec::with_capacity(leafs.len());
         for leaf in leafs {
             let is_tried = self.attempts.tried().contains(&leaf.entry.id);
-            let is_avoided = self.avoided.contains(&leaf.entry.id);
+            let is_avoided = !self.avoided.is_empty() && self.avoided.contains(&leaf.run_id());
             let is_within_limit = self.attempts.is_within_limit(&leaf.entry.id);
             if !leaf.is_usable(now) || !is_within_limit || (is_hedge && is_tried) {
                 continue;
