Exchange crash reports, so that daemons that start or were cut off learn of them

Crash reports reached only the daemons that were up and connected when they were passed on. A daemon that started later, or was cut off, sent the request to two more leafs. Exchanges told only of quarantines, which need two reports in one place.

A daemon of the former release sends none and ignores them.

--- a/crates/router/src/crash_memory.rs
+++ b/crates/router/src/crash_memory.rs
@@ -17,10 +17,13 @@
 const REPORTS_PER_REQUEST: usize = 2;
 /// Latest reports that are remembered, so that each is passed on once.
 const KNOWN_REPORTS_MAX: usize = 1_024;
-/// Reports that wait to be sent to other daemons; further ones are dropped, and reach them only as
-/// quarantines with the next exchange.
+/// Reports that wait to be sent to other daemons; further ones are dropped, and reach them only with
+/// the next exchange.
 const QUEUE_MAX: usize = 64;
 
+/// Reports in an exchange, which has to fit into the bytes that control may take.
+const EXCHANGED_REPORTS_MAX: usize = 16;
+
 /// A request that a leaf was running when its connection broke, while no leaf of the service
 /// answered it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -31,6 +34,8 @@
     pub(crate) leaf: LeafId,
     /// Hash of the request's identifier.
     pub(crate) request_hash: u64,
+    /// Time at which the connection broke.
+    pub(crate) lost_at: Instant,
 }
 
 /// What is known of a request before it runs.
@@ -55,8 +60,8 @@
 #[derive(Debug, Default)]
 struct State {
     table: FingerprintTable,
-    /// Hashes of the latest reports, oldest first.
-    known_reports: VecDeque<u64>,
+    /// The latest reports, each with its hash, oldest first.
+    known_reports: VecDeque<(u64, CrashReport)>,
 }
 
 /// The crash reports and quarantines that this daemon knows.
@@ -130,6 +135,7 @@
                 fingerprint,
                 leaf: leaf.clone(),
                 request_hash: stable_hash(&[request.id.as_bytes()]),
+                lost_at: now,
             };
             // A single lost leaf of a query that other shards answer is common, as leafs lose
             // answers. It counts here, but is not worth a message to all daemons.
@@ -142,41 +148,63 @@
                 is_passed_on,
             }
             .log();
-            if self.add_report(&report, now) && is_passed_on {
+            if self.add_report(&report) && is_passed_on {
                 self.pass_on(report);
             }
         }
     }
 
     /// Adds a report of another daemon, and passes it on if it is new.
-    pub(crate) fn receive(&self, report: CrashReport, now: Instant) {
-        if self.add_report(&report, now) {
+    pub(crate) fn receive(&self, report: CrashReport) {
+        if self.add_report(&report) {
             self.pass_on(report);
         }
     }
 
+    /// Adds reports that another daemon told in an exchange, so that those are learned too that were
+    /// passed on before this daemon started or while it was cut off.
+    pub(crate) fn merge_reports(&self, reports: &[CrashReport]) {
+        for report in reports {
+            self.add_report(report);
+        }
+    }
+
+    /// Returns the latest reports whose requests no leaf has answered since.
+    pub(crate) fn latest_reports(&self, now: Instant) -> Vec<CrashReport> {
+        let state = self.state.lock();
+        let latest = state.known_reports.iter().rev();
+        let suspicious = latest.filter(|(_, report)| {
+            let table = &state.table;
+            let lost = table.leafs_with_strikes(report.fingerprint, now);
+            lost.contains(&report.leaf)
+        });
+        let reports = suspicious.take(EXCHANGED_REPORTS_MAX);
+        reports.map(|(_, report)| report.clone()).collect()
+    }
+
     /// Adds a report of this daemon or of another one; returns false if it is known.
-    fn add_report(&self, report: &CrashReport, now: Instant) -> bool {
+    fn add_report(&self, report: &CrashReport) -> bool {
         let mut state = self.state.lock();
         let hash = stable_hash(&[
             &report.fingerprint.0.to_le_bytes(),
             report.leaf.as_str().as_bytes(),
             &report.request_hash.to_le_bytes(),
         ]);
-        if state.known_reports.contains(&hash) {
+        if state.known_reports.iter().any(|(known, _)| *known == hash) {
             return false;
         }
         if state.known_reports.len() >= KNOWN_REPORTS_MAX {
             state.known_reports.pop_front();
         }
-        state.known_reports.push_back(hash);
+        state.known_reports.push_back((hash, report.clone()));
         let request = RequestId(report.request_hash.into());
-        let quarantine = state
-            .table
-            .strike(report.fingerprint, &report.leaf, request, now);
+        let quarantine =
+            state
+                .table
+                .strike(report.fingerprint, &report.leaf, request, report.lost_at);
         drop(state);
         if let Some(quarantine) = quarantine {
-            log_quarantine(&quarantine, now);
+            log_quarantine(&quarantine, report.lost_at);
         }
         true
     }
--- a/crates/router/src/crash_reports.rs
+++ b/crates/router/src/crash_reports.rs
@@ -3,20 +3,24 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
-use medlarpin_core::prelude::{Fingerprint, LeafId};
+use medlarpin_core::canary::QUARANTINE_DURATION;
+use medlarpin_core::prelude::{Clock, Fingerprint, LeafId};
 use tokio::sync::mpsc;
-use wire::peer_capnp::route_peer;
+use wire::peer_capnp::{crash_report, route_peer};
 
 use crate::crash_memory::CrashReport;
 use crate::flooding::{self, REPORTS_MAX};
-use crate::peers::{self, PeerError, len_u32};
+use crate::peers::{self, PeerError, len_u32, millis_u32};
 use crate::shared::Shared;
 
 /// Passes reports on until the process ends.
 pub(crate) async fn pass_on(shared: Arc<Shared>, reports: mpsc::Receiver<CrashReport>) {
-    flooding::pass_on(shared, reports, |daemon, batch| async move {
-        send(daemon, &batch).await
+    let clock = Arc::clone(&shared.clock);
+    flooding::pass_on(shared, reports, |daemon, batch| {
+        let clock = Arc::clone(&clock);
+        async move { send(daemon, &batch, &*clock).await }
     })
     .await;
 }
@@ -26,28 +30,53 @@
     shared: &Shared,
     params: route_peer::report_crashes_params::Reader<'_>,
 ) -> Result<(), capnp::Error> {
-    let reports = params.get_reports()?;
-    for report in reports.iter().take(REPORTS_MAX) {
-        let report = CrashReport {
+    for report in read_reports(params.get_reports()?, shared.now())? {
+        shared.crash_memory.receive(report);
+    }
+    Ok(())
+}
+
+/// Decodes the reports of a message.
+pub(crate) fn read_reports(
+    list: capnp::struct_list::Reader<'_, crash_report::Owned>,
+    now: Instant,
+) -> Result<Vec<CrashReport>, capnp::Error> {
+    let reports = list.iter().take(REPORTS_MAX).map(|report| {
+        let age = Duration::from_millis(report.get_age_ms().into()).min(QUARANTINE_DURATION);
+        Ok(CrashReport {
             fingerprint: Fingerprint(report.get_fingerprint()),
             leaf: LeafId::new(report.get_leaf()?.to_str()?),
             request_hash: report.get_request_hash(),
-        };
-        shared.crash_memory.receive(report, shared.now());
+            lost_at: now.checked_sub(age).unwrap_or(now),
+        })
+    });
+    reports.collect()
+}
+
+/// Encodes the reports of a message.
+pub(crate) fn write_reports(
+    reports: &[CrashReport],
+    now: Instant,
+    mut list: capnp::struct_list::Builder<'_, crash_report::Owned>,
+) {
+    for (index, report) in (0..).zip(reports) {
+        let mut entry = list.reborrow().get(index);
+        entry.set_fingerprint(report.fingerprint.0);
+        entry.set_leaf(report.leaf.as_str());
+        entry.set_request_hash(report.request_hash);
+        entry.set_age_ms(millis_u32(now.saturating_duration_since(report.lost_at)));
     }
-    Ok(())
 }
 
-async fn send(daemon: SocketAddr, reports: &[CrashReport]) -> Result<(), PeerError> {
+async fn send(
+    daemon: SocketAddr,
+    reports: &[CrashReport],
+    clock: &dyn Clock,
+) -> Result<(), PeerError> {
     peers::call(daemon, async |client| {
         let mut request = client.report_crashes_request();
-        let mut list = request.get().init_reports(len_u32(reports));
-        for (index, report) in (0..).zip(reports) {
-            let mut entry = list.reborrow().get(index);
-            entry.set_fingerprint(report.fingerprint.0);
-            entry.set_leaf(report.leaf.as_str());
-            entry.set_request_hash(report.request_hash);
-        }
+        let list = request.get().init_reports(len_u32(reports));
+        write_reports(reports, clock.now(), list);
         request.send().promise.await?;
         Ok(())
     })
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -235,6 +235,9 @@
     let list = request.get().init_quarantines(len_u32(&quarantines));
     write_quarantines(&quarantines, list);
     request.get().set_config_version(shared.config_version());
+    let crashes = shared.crash_memory.latest_reports(shared.now());
+    let list = request.get().init_crashes(len_u32(&crashes));
+    crash_reports::write_reports(&crashes, shared.now(), list);
     let list = request.get().init_known(len_u32(&known));
     write_daemons(&known, shared.now(), list);
     let response = request.send().promise.await?;
@@ -245,6 +248,8 @@
     let quarantines = read_quarantines(reply.get_quarantines()?);
     let crash_memory = &shared.crash_memory;
     crash_memory.merge_quarantines(&quarantines, shared.now());
+    let crashes = crash_reports::read_reports(reply.get_crashes()?, shared.now())?;
+    crash_memory.merge_reports(&crashes);
     Ok(ConfigVersion(reply.get_config_version()))
 }
 
@@ -334,9 +339,13 @@
         config_sync::compare_later(&self.shared, peer.address, their_version);
         let crash_memory = &self.shared.crash_memory;
         crash_memory.merge_quarantines(&read_quarantines(params.get_quarantines()?), now);
+        crash_memory.merge_reports(&crash_reports::read_reports(params.get_crashes()?, now)?);
+        let crashes = crash_memory.latest_reports(now);
         let quarantines = crash_memory.quarantines(now);
         let mut reply = results.get();
         reply.set_config_version(self.shared.config_version());
+        let list = reply.reborrow().init_crashes(len_u32(&crashes));
+        crash_reports::write_reports(&crashes, now, list);
         let list = reply.reborrow().init_quarantines(len_u32(&quarantines));
         write_quarantines(&quarantines, list);
         write_daemons(&known, now, reply.reborrow().init_known(len_u32(&known)));
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -210,6 +210,8 @@
   leaf @1 :Text;
   # Hash of the request's identifier.
   requestHash @2 :UInt64;
+  # Time since the connection broke.
+  ageMs @3 :UInt32;
 }
 
 # What a leaf states about the rate of requests that it takes from all daemons together.
@@ -237,9 +239,9 @@
 
 # Protocol between daemons that serve published routes.
 interface RoutePeer {
-  # Exchanges the daemons that both sides know, their quarantined requests, and the versions of their
-  # configurations in force; version 0 if there is none.
-  greet @0 (sender :KnownDaemon, known :List(KnownDaemon), quarantines :List(Quarantine), configVersion :UInt64) -> (known :List(KnownDaemon), responder :KnownDaemon, quarantines :List(Quarantine), configVersion :UInt64);
+  # Exchanges the daemons that both sides know, their quarantined requests, the versions of their
+  # configurations in force, 0 if there is none, and their latest crash reports.
+  greet @0 (sender :KnownDaemon, known :List(KnownDaemon), quarantines :List(Quarantine), configVersion :UInt64, crashes :List(CrashReport)) -> (known :List(KnownDaemon), responder :KnownDaemon, quarantines :List(Quarantine), configVersion :UInt64, crashes :List(CrashReport));
   # Returns all items at a revision of the store; revision 0 if the peer has not read them yet. era
   # rises each time the store is restored from a copy and gives revisions out again.
   publishedItems @1 () -> (revision :UInt64, items :List(PublishedItem), era :UInt64);
