Do not quarantine requests that leafs have answered lately

A request that was running when connections to two leafs broke, for example by a failed link, was refused by all daemons for 10 minutes. Cause: a broken connection was evidence against a request although equal ones had just been answered.

Change: a request that all of its leafs answered within the last minute is not reported when it loses a leaf. A request that crashes the leafs is never answered, so that its reports are not held back.

--- a/crates/medlarpin-core/src/canary/table.rs
+++ b/crates/medlarpin-core/src/canary/table.rs
@@ -91,6 +91,13 @@
         self.proven.insert(fingerprint, now);
     }
 
+    /// Returns true if a query with the fingerprint ran successfully within
+    /// [`PROVEN_TTL`](super::PROVEN_TTL).
+    #[must_use]
+    pub fn is_proven(&self, fingerprint: Fingerprint, now: Instant) -> bool {
+        self.proven.contains(fingerprint, now)
+    }
+
     /// Records another successful run of a proven query, which renews its proof.
     pub fn record_success(&mut self, fingerprint: Fingerprint, now: Instant) {
         if self.proven.contains(fingerprint, now) {
--- a/crates/router/src/crash_memory.rs
+++ b/crates/router/src/crash_memory.rs
@@ -121,6 +121,13 @@
         }
     }
 
+    /// Records that all leafs that a request needs answered it. A later loss of a connection during
+    /// an equal request has another cause, such as the failure of a link.
+    pub(crate) fn record_success(&self, request: &CallerRequest, now: Instant) {
+        let fingerprint = Fingerprint(request_hash(request));
+        self.state.lock().table.canary_succeeded(fingerprint, now);
+    }
+
     /// Records what a request has shown when it is answered or refused.
     pub(crate) fn record_evidence(
         &self,
@@ -129,6 +136,13 @@
         now: Instant,
     ) {
         let lost = evidence.lost_leafs();
+        if lost.is_empty() {
+            return;
+        }
+        let proof = Fingerprint(request_hash(request));
+        if self.state.lock().table.is_proven(proof, now) {
+            return;
+        }
         for LostLeaf { service, leaf } in lost.iter().take(REPORTS_PER_REQUEST) {
             let fingerprint = fingerprint_of(request_hash(request), service);
             let report = CrashReport {
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -46,7 +46,10 @@
     let result = call.run().await;
     memory.record_evidence(&request, &evidence, shared.now());
     match result {
-        Ok(answer) => Ok(caller_answer(answer)),
+        Ok(answer) => {
+            memory.record_success(&request, shared.now());
+            Ok(caller_answer(answer))
+        }
         Err(failure) => match failure {
             ServiceFailure {
                 leaf_answer: Some(answer),
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -111,6 +111,9 @@
     record_coverage(&shared, route, scatter, request, &answers, shards.len());
     let memory = &shared.crash_memory;
     memory.record_evidence(request, &evidence, shared.now());
+    if answers.len() == policy.shard_count {
+        memory.record_success(request, shared.now());
+    }
     if !shards.is_empty() {
         tokio::spawn(async move {
             let all = async { while shards.next().await.is_some() {} };
