Send a suspicious request once from a daemon that is cut off

A daemon that cannot reach the others neither learns that a request crashes leafs nor can tell them. Each such daemon sent the request to two leafs and an equal one to a third.

Change: a daemon that has heard from no other one for 5 s sends a request that lost a leaf to no second leaf, and refuses equal ones with 503. Callers' retries reach other daemons.

The price: while a daemon is cut off, its requests are not tried again after a lost answer.

--- a/crates/medlarpin-core/src/routing/daemon_list.rs
+++ b/crates/medlarpin-core/src/routing/daemon_list.rs
@@ -9,6 +9,9 @@
 /// Time without contact after which a daemon's share of a limit goes to the others. Longer than a
 /// partition, in which the daemon still uses its share.
 pub const LIMIT_SILENCE_TIMEOUT: Duration = Duration::from_mins(10);
+/// Time without any contact after which a daemon counts as cut off from all others: longer than two
+/// exchanges, the second of which may time out.
+pub const ISOLATED_AFTER: Duration = Duration::from_secs(5);
 /// Time from the first contact with another daemon until the list is considered complete: enough
 /// for about six gossip exchanges at the interval after a start.
 pub const DISCOVERY_TIME: Duration = Duration::from_secs(3);
@@ -225,6 +228,20 @@
             .map(|(daemon, _)| *daemon)
     }
 
+    /// Returns true if this daemon has heard from none of the others of late, so that what they know
+    /// does not reach it.
+    #[must_use]
+    pub fn is_isolated(&self, now: Instant) -> bool {
+        let contacts = self.others.iter().map(|(_, at)| *at);
+        let Some(last_contact) = contacts.max() else {
+            // The others may be unreachable since the start.
+            let since_start = now.saturating_duration_since(self.start.at);
+            return self.has_other_seeds() && since_start >= ISOLATED_AFTER;
+        };
+        let last_contact = last_contact.max(self.start.at);
+        now.saturating_duration_since(last_contact) >= ISOLATED_AFTER
+    }
+
     /// Returns the number of daemons among which limits are divided, including this one.
     #[must_use]
     pub fn daemon_count(&self) -> usize {
--- a/crates/medlarpin-core/src/routing/mod.rs
+++ b/crates/medlarpin-core/src/routing/mod.rs
@@ -35,8 +35,8 @@
 pub use change_log::ChangeLog;
 pub use config_check::{CONFIG_CHECK_TIME_MAX, ConfigCheck};
 pub use daemon_list::{
-    DEFAULT_DAEMON_COUNT, DISCOVERY_TIME, DaemonList, HERD_START_SPREAD, LIMIT_SILENCE_TIMEOUT,
-    ProcessStart, SILENCE_TIMEOUT,
+    DEFAULT_DAEMON_COUNT, DISCOVERY_TIME, DaemonList, HERD_START_SPREAD, ISOLATED_AFTER,
+    LIMIT_SILENCE_TIMEOUT, ProcessStart, SILENCE_TIMEOUT,
 };
 pub use delegate_selector::{
     CAPACITY_RATIO_MIN, DELEGATE_BACK_OFF, DelegateSelector, LEAF_REQUEST_CPU, OWN_CPU_SHARE_MAX,
--- a/crates/medlarpin-core/tests/routing_daemons.rs
+++ b/crates/medlarpin-core/tests/routing_daemons.rs
@@ -4,8 +4,8 @@
 
 use medlarpin_core::prelude::*;
 use medlarpin_core::routing::{
-    DEFAULT_DAEMON_COUNT, DISCOVERY_TIME, DaemonList, KnownDaemon, LIMIT_SILENCE_TIMEOUT,
-    ProcessStart, SILENCE_TIMEOUT,
+    DEFAULT_DAEMON_COUNT, DISCOVERY_TIME, DaemonList, ISOLATED_AFTER, KnownDaemon,
+    LIMIT_SILENCE_TIMEOUT, ProcessStart, SILENCE_TIMEOUT,
 };
 
 const WINDOW: Duration = Duration::from_secs(10);
@@ -199,3 +199,24 @@
         assert_eq!(peer, Some(address(2)));
     }
 }
+
+/// Guards against a daemon that is cut off and repeats requests of which the others know that they
+/// crash leafs.
+#[test]
+fn a_daemon_without_contact_is_isolated() {
+    let start = Instant::now();
+    let mut list = DaemonList::new(daemon(0), started(start));
+    assert!(!list.is_isolated(start));
+    assert!(list.is_isolated(start + ISOLATED_AFTER));
+    let contact_at = start + ISOLATED_AFTER;
+    list.record_exchange(daemon(1), &[(daemon(2), SILENCE_TIMEOUT)], contact_at);
+    assert!(!list.is_isolated(contact_at));
+    assert!(list.is_isolated(contact_at + ISOLATED_AFTER));
+
+    let alone = ProcessStart {
+        seeds: Vec::new(),
+        ..started(start)
+    };
+    let list = DaemonList::new(daemon(0), alone);
+    assert!(!list.is_isolated(start + ISOLATED_AFTER * 2));
+}
--- a/crates/router/src/call_evidence.rs
+++ b/crates/router/src/call_evidence.rs
@@ -62,6 +62,12 @@
         is_any_suspicious || of_service.count() >= SUSPICIOUS_LOSSES
     }
 
+    /// Returns true if a leaf of the service was lost and none has answered.
+    pub(crate) fn has_lost(&self, service: &ServiceName) -> bool {
+        let lost = self.lost.lock();
+        lost.iter().any(|lost| lost.service == *service)
+    }
+
     /// Returns true if a leaf request in flight may still show that the request is harmless.
     pub(crate) fn has_in_flight(&self) -> bool {
         self.in_flight.load(Ordering::Relaxed) > 0
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -28,8 +28,8 @@
     let memory = &shared.crash_memory;
     let services = std::slice::from_ref(&service);
     let clearance = memory.clearance(&request, services, shared.now());
-    if let RequestClearance::Quarantined { left } = clearance {
-        return Err(Refusal::quarantined(left));
+    if let Some(refusal) = refusal_for_clearance(&shared, &clearance) {
+        return Err(refusal);
     }
     let evidence = Arc::new(CallEvidence::default());
     let mut call = ServiceCall::new(
@@ -60,6 +60,19 @@
     }
 }
 
+/// Returns the refusal of a request that must not run here.
+pub(crate) fn refusal_for_clearance(
+    shared: &Shared,
+    clearance: &RequestClearance,
+) -> Option<Refusal> {
+    match clearance {
+        RequestClearance::Quarantined { left } => Some(Refusal::quarantined(*left)),
+        // A daemon that is cut off does not know what equal requests did elsewhere.
+        RequestClearance::Suspect { .. } if shared.is_isolated() => Some(Refusal::NoLeaf),
+        RequestClearance::Suspect { .. } | RequestClearance::Clear => None,
+    }
+}
+
 /// Returns the refusal that a caller gets if a service gave no answer.
 pub(crate) fn refusal_for(failure: &ServiceFailure) -> Refusal {
     match failure {
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -19,7 +19,7 @@
 use crate::callers::Answer;
 use crate::crash_memory::RequestClearance;
 use crate::event::Event;
-use crate::forward::refusal_for;
+use crate::forward::{refusal_for, refusal_for_clearance};
 use crate::leaf_rates::LeafRates;
 use crate::refusal::Refusal;
 use crate::route_state::RouteState;
@@ -134,8 +134,8 @@
     let now = shared.now();
     let memory = &shared.crash_memory;
     let clearance = memory.clearance(request, &scatter.shards, now);
-    if let RequestClearance::Quarantined { left } = clearance {
-        return Err(Refusal::quarantined(left));
+    if let Some(refusal) = refusal_for_clearance(shared, &clearance) {
+        return Err(refusal);
     }
     let mut admission = shared.query_admission.lock();
     if !admission.admits(route, rand::random(), now) {
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -257,6 +257,10 @@
         if !self.attempts.may_send() {
             return NextStep::Fail;
         }
+        // The other daemons cannot be told of a request that crashes leafs.
+        if self.evidence.has_lost(&self.service) && self.shared.is_isolated() {
+            return NextStep::Fail;
+        }
         if self.evidence.is_suspicious(&self.service) {
             return if self.evidence.has_in_flight() {
                 NextStep::WaitUntil(now + EVIDENCE_POLL)
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -151,6 +151,12 @@
         daemons.map_or(1, |daemons| daemons.lock().daemon_count())
     }
 
+    /// Returns true if this daemon is cut off from all others.
+    pub(crate) fn is_isolated(&self) -> bool {
+        let daemons = self.daemons.as_ref();
+        daemons.is_some_and(|daemons| daemons.lock().is_isolated(self.now()))
+    }
+
     /// Returns the retries of a service's reserve that this daemon may use in a window.
     pub(crate) fn retry_reserve(&self, now: Instant) -> f64 {
         let settings = self.settings.load();
