Hand requests over to daemons that reach their leafs

Cause: a daemon used its own links alone. A silent leaf counted as slow, and after each back-off a caller's request was the trial of a leaf out of reach.

Change: - A leaf that could not be connected, or answered nothing for 1 s, counts as out of reach from this VM. It gets no requests until a probe has reached it: a connection, or after silence a health check. At most 16 probes run at a time, after the back-offs that callers' requests had. - A request that no leaf got is handed over to another daemon (RPC serveRequest, formerly gatherQuery, now for all routes), with its age and time left. That daemon serves it on the leafs that it reaches, with its own retry budget and permits, and hands nothing on. If it reaches none, it says so at once, is left out for 2 s for this route, and the next one is asked, six for a request. - A request to a single leaf that may be repeated is also handed over, within the retry budget, if no leaf of its service has been heard for a second. A VM that gets few requests notices nothing else. - The load shedder is asked after the reach of the leafs.

The daemon stays ready: each request that it gets can be served, and a zone that leaves rotation as a whole is used by the platform all the same. Nothing depends on a total cut; each link counts by itself.

Ruled out as enough: refusing at once, as refusals are failed tries, and leaving readiness, as open connections stay.

--- a/crates/medlarpin-core/src/routing/delegate_selector.rs
+++ b/crates/medlarpin-core/src/routing/delegate_selector.rs
@@ -39,9 +39,21 @@
     /// Returns true if a query needs too much CPU time for this VM and should be delegated.
     #[must_use]
     pub fn is_too_large(&self, shards: usize, target_latency: Duration) -> bool {
-        let own_cores = f64::from(self.own.cpu_millicores) / 1_000.0;
-        let cpu_time_s = LEAF_REQUEST_CPU.as_secs_f64() * shards as f64 / own_cores;
-        cpu_time_s > target_latency.as_secs_f64() * OWN_CPU_SHARE_MAX
+        self.own.cpu_millicores < Self::cpu_millicores_needed(shards, target_latency)
+    }
+
+    /// Returns the CPU capacity that a VM needs to gather a query by itself.
+    #[must_use]
+    pub fn cpu_millicores_needed(shards: usize, target_latency: Duration) -> u32 {
+        let cpu_time_s = LEAF_REQUEST_CPU.as_secs_f64() * shards as f64;
+        let cores = cpu_time_s / (target_latency.as_secs_f64() * OWN_CPU_SHARE_MAX).max(0.001);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the value is positive, and float casts saturate"
+        )]
+        let millicores = (cores * 1_000.0).ceil() as u32;
+        millicores
     }
 
     /// Chooses one of the daemons with enough CPU capacity; `None` if there is none.
--- a/crates/medlarpin-core/src/routing/leaf_load.rs
+++ b/crates/medlarpin-core/src/routing/leaf_load.rs
@@ -8,6 +8,14 @@
 /// Maximum back-off after such failures; bounds the time until a recovered leaf is noticed.
 pub const FAILURE_BACK_OFF_MAX: Duration = Duration::from_millis(800);
 
+/// Time without any answer after which a leaf with a request in flight counts as silent.
+pub const LEAF_SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Minimum time that a cancelled request must have waited to count as unanswered. Leafs pause for
+/// up to 250 ms.
+pub const UNANSWERED_MIN: Duration = Duration::from_millis(400);
+/// Unanswered requests in a row after which a leaf counts as silent.
+const UNANSWERED_MAX: u32 = 2;
+
 /// Weight of a new latency ratio in its exponential moving average.
 const RATIO_WEIGHT: f64 = 0.3;
 /// Half-life with which the averages decay towards those of an ordinary leaf.
@@ -23,6 +31,27 @@
 /// before it completes.
 const OVERDUE_RATIO: f64 = 2.0;
 
+/// How a leaf was found to be unreachable from this VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unreachable {
+    /// Connections could not be opened, or broke repeatedly. A connection that opens shows that the
+    /// leaf can be reached.
+    Refused,
+    /// Requests got no answer. Only an answer shows that the leaf can be reached.
+    Silent,
+}
+
+impl Unreachable {
+    /// Returns the value in log lines and state dumps.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 /// Load and health of one leaf as observed by this daemon.
 ///
 /// Each call of [`sent`](Self::sent) must be followed by exactly one call of
@@ -40,6 +69,12 @@
     failures: u32,
     /// End of the latest back-off, which may have passed.
     blocked_until: Option<Instant>,
+    /// Time of the last answer of any kind.
+    heard_at: Option<Instant>,
+    /// Requests that were cancelled without an answer since then.
+    unanswered: u32,
+    /// How the leaf was found to be unreachable; `None` while it may be reached.
+    unreachable: Option<Unreachable>,
     /// True if another leaf answers at the published address.
     is_replaced: bool,
 }
@@ -61,7 +96,7 @@
     /// request's route.
     pub fn answered(&mut self, latency: Duration, typical: Duration, now: Instant) {
         self.failures = 0;
-        self.blocked_until = None;
+        self.reached(now);
         self.observe_shed(0.0, now);
         self.observe(latency, typical, now);
     }
@@ -73,10 +108,60 @@
         if waited > typical {
             self.observe(waited, typical, now);
         }
+        let sent_at = now.checked_sub(waited).unwrap_or(now);
+        if waited >= UNANSWERED_MIN && !self.has_heard_since(sent_at) {
+            self.unanswered += 1;
+            if waited >= LEAF_SILENCE_TIMEOUT || self.unanswered >= UNANSWERED_MAX {
+                self.fell_silent(now);
+            }
+        }
+    }
+
+    /// Records that the leaf is silent if a request has been in flight for [`LEAF_SILENCE_TIMEOUT`] without
+    /// any answer of the leaf; returns true if it is found to be silent now.
+    pub fn check_silence(&mut self, now: Instant) -> bool {
+        let oldest = self.in_flight.first().copied();
+        let is_silent = oldest.is_some_and(|sent_at| {
+            now.saturating_duration_since(sent_at) >= LEAF_SILENCE_TIMEOUT
+                && !self.has_heard_since(sent_at)
+        });
+        let is_new = is_silent && self.unreachable != Some(Unreachable::Silent);
+        if is_new {
+            self.fell_silent(now);
+        }
+        is_new
+    }
+
+    /// Records that the leaf can be reached, which ends the back-off.
+    pub fn reached(&mut self, now: Instant) {
+        self.heard(now);
+        self.unreachable = None;
+        self.blocked_until = None;
+    }
+
+    /// Returns how the leaf was found to be unreachable. It gets no requests until a probe has
+    /// reached it; callers' requests are no probes, as they can be handed over to another daemon.
+    #[must_use]
+    pub fn unreachable(&self) -> Option<Unreachable> {
+        self.unreachable
+    }
+
+    /// Returns how to probe the leaf now: it is unreachable, and the back-off since the last attempt
+    /// is over.
+    #[must_use]
+    pub fn probe_due(&self, now: Instant) -> Option<Unreachable> {
+        self.unreachable
+            .filter(|_| self.blocked_until(now).is_none())
+    }
+
+    /// Records a probe without an answer.
+    pub fn probe_failed(&mut self, now: Instant) {
+        self.start_failure_back_off(now);
     }
 
     /// Records that the leaf rejected a request because it is full.
     pub fn shed(&mut self, now: Instant) {
+        self.heard(now);
         self.observe_shed(1.0, now);
         self.back_off_until(now + SHED_BACK_OFF);
     }
@@ -115,6 +200,27 @@
 
     /// Records a failed connection attempt.
     pub fn failed(&mut self, now: Instant) {
+        self.unreachable.get_or_insert(Unreachable::Refused);
+        self.start_failure_back_off(now);
+    }
+
+    /// Returns true if the leaf has answered anything since then.
+    #[must_use]
+    pub fn has_heard_since(&self, at: Instant) -> bool {
+        self.heard_at.is_some_and(|heard_at| heard_at >= at)
+    }
+
+    fn heard(&mut self, now: Instant) {
+        self.heard_at = Some(now);
+        self.unanswered = 0;
+    }
+
+    fn fell_silent(&mut self, now: Instant) {
+        self.unreachable = Some(Unreachable::Silent);
+        self.start_failure_back_off(now);
+    }
+
+    fn start_failure_back_off(&mut self, now: Instant) {
         let factor = 1_u32 << self.failures.min(3);
         self.failures = self.failures.saturating_add(1);
         self.back_off_until(now + (FAILURE_BACK_OFF_MIN * factor).min(FAILURE_BACK_OFF_MAX));
--- a/crates/medlarpin-core/src/routing/mod.rs
+++ b/crates/medlarpin-core/src/routing/mod.rs
@@ -7,6 +7,7 @@
 mod daemon_list;
 mod delegate_selector;
 mod gather_policy;
+mod handover_selector;
 mod known_daemon;
 mod leaf_directory;
 mod leaf_entry;
@@ -42,12 +43,16 @@
     CAPACITY_RATIO_MIN, DELEGATE_BACK_OFF, DelegateSelector, LEAF_REQUEST_CPU, OWN_CPU_SHARE_MAX,
 };
 pub use gather_policy::{GatherPolicy, GatherStep};
+pub use handover_selector::{HANDOVER_BACK_OFF, HandoverSelector};
 pub use known_daemon::KnownDaemon;
 pub use leaf_directory::{
     DEPARTED_MEMORY, LAPSED_ENTRY_RETURN_TIME, LeafDirectory, RESTORED_ENTRY_LIFETIME,
 };
 pub use leaf_entry::{LeafEntry, LeafPhase};
-pub use leaf_load::{FAILURE_BACK_OFF_MAX, FAILURE_BACK_OFF_MIN, LeafLoad, SHED_BACK_OFF};
+pub use leaf_load::{
+    FAILURE_BACK_OFF_MAX, FAILURE_BACK_OFF_MIN, LEAF_SILENCE_TIMEOUT, LeafLoad, SHED_BACK_OFF,
+    UNANSWERED_MIN, Unreachable,
+};
 pub use leaf_rate_limit::LeafRateLimit;
 pub use memory_budget::MemoryBudget;
 pub use observation_time::{OUTAGE_MIN, ObservationTime};
--- a/crates/medlarpin-core/src/routing/routing_config.rs
+++ b/crates/medlarpin-core/src/routing/routing_config.rs
@@ -1,3 +1,4 @@
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::{RouteTable, RouteTarget};
@@ -14,6 +15,8 @@
     pub name: ServiceName,
     /// Maximum number of connections that each leaf accepts, from all daemons together.
     pub connections_max: u32,
+    /// Path of the health check that each leaf answers.
+    pub health_path: Arc<str>,
 }
 
 /// Limits on callers' requests and connections.
--- a/crates/medlarpin-core/tests/routing_choice.rs
+++ b/crates/medlarpin-core/tests/routing_choice.rs
@@ -4,8 +4,9 @@
 
 use medlarpin_core::prelude::*;
 use medlarpin_core::routing::{
-    Candidate, LeafLoad, Repeatability, Route, RouteTable, RouteTarget, SHED_BACK_OFF,
-    WeightedRoundRobin, WeightedService, choose_replica,
+    Candidate, LEAF_SILENCE_TIMEOUT, LeafLoad, Repeatability, Route, RouteTable, RouteTarget,
+    SHED_BACK_OFF, UNANSWERED_MIN, Unreachable, WeightedRoundRobin, WeightedService,
+    choose_replica,
 };
 
 const TYPICAL: Duration = Duration::from_millis(20);
@@ -228,3 +229,59 @@
     load.republished();
     assert!(!load.is_replaced());
 }
+
+/// Load pattern: the link to a leaf fails without a reset. Guards against callers' requests that wait
+/// for a leaf which nothing reaches, and against taking a slow leaf for one.
+#[test]
+fn a_leaf_that_answers_nothing_counts_as_silent() {
+    let start = Instant::now();
+    let silent_at = start + LEAF_SILENCE_TIMEOUT;
+    let waiting_at = start + LEAF_SILENCE_TIMEOUT / 2;
+    let mut load = LeafLoad::default();
+    load.sent(start);
+    assert!(!load.check_silence(waiting_at));
+    assert!(load.check_silence(silent_at));
+    assert_eq!(load.unreachable(), Some(Unreachable::Silent));
+    // It is found silent once.
+    assert!(!load.check_silence(silent_at));
+
+    // Another answer shows that the leaf is slow.
+    let mut load = LeafLoad::default();
+    load.sent(start);
+    load.answered(TYPICAL, TYPICAL, start + TYPICAL);
+    assert!(!load.check_silence(silent_at));
+
+    // Short requests are cancelled before the time-out.
+    let mut load = LeafLoad::default();
+    load.abandoned(UNANSWERED_MIN, TYPICAL, start + UNANSWERED_MIN);
+    assert_eq!(load.unreachable(), None);
+    load.abandoned(UNANSWERED_MIN, TYPICAL, start + UNANSWERED_MIN * 2);
+    assert_eq!(load.unreachable(), Some(Unreachable::Silent));
+
+    // Cancelled hedges show nothing.
+    let mut load = LeafLoad::default();
+    for request in 1..20 {
+        load.abandoned(TYPICAL, TYPICAL, start + TYPICAL * request);
+    }
+    assert_eq!(load.unreachable(), None);
+}
+
+/// Guards against a caller's request that is the trial of a leaf out of reach, and against a leaf
+/// that is not probed, or probed without pause.
+#[test]
+fn a_leaf_out_of_reach_is_probed_after_each_back_off() {
+    let mut now = Instant::now();
+    let mut load = LeafLoad::default();
+    load.failed(now);
+    assert_eq!(load.probe_due(now), None);
+    for _ in 0..3 {
+        now = load.blocked_until(now).unwrap_or(now);
+        assert_eq!(load.probe_due(now), Some(Unreachable::Refused));
+        load.probe_failed(now);
+        assert_eq!(load.probe_due(now), None);
+        assert_eq!(load.unreachable(), Some(Unreachable::Refused));
+    }
+    load.reached(now);
+    assert_eq!(load.unreachable(), None);
+    assert_eq!(load.blocked_until(now), None);
+}
--- /dev/null
+++ b/crates/medlarpin-core/tests/routing_handover.rs
@@ -0,0 +1,55 @@
+//! Tests of the choice of the daemon that serves a request whose leafs this VM does not reach.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use medlarpin_core::prelude::*;
+use medlarpin_core::routing::{HANDOVER_BACK_OFF, HandoverSelector, KnownDaemon};
+
+fn daemon(number: u8, cpu_millicores: u32) -> KnownDaemon {
+    KnownDaemon {
+        address: SocketAddr::from(([192, 0, 2, number], 8106)),
+        cpu_millicores,
+        started_at: None,
+    }
+}
+
+/// Guards against requests that go round among daemons which do not reach the leafs, and against a
+/// daemon that is left out for other routes, or for ever.
+#[test]
+fn daemons_that_declined_a_route_are_left_out_for_a_while() {
+    let start = Instant::now();
+    let others = [daemon(1, 170), daemon(2, 170), daemon(3, 170)];
+    let route: Arc<str> = Arc::from("lookups");
+    let mut selector = HandoverSelector::default();
+    let choose = |selector: &HandoverSelector, route: &str, random: u64, now: Instant| {
+        selector.choose(route, &others, 0, random, now)
+    };
+    for asked in 0..others.len() {
+        let chosen = (0..9).map(|random| choose(&selector, &route, random, start));
+        let mut chosen: Vec<Option<SocketAddr>> = chosen.collect();
+        chosen.sort();
+        chosen.dedup();
+        assert_eq!(chosen.len(), others.len() - asked);
+        selector.declined(chosen[0].unwrap(), &route, start);
+    }
+    assert_eq!(choose(&selector, &route, 0, start), None);
+    assert!(choose(&selector, "searches", 0, start).is_some());
+    assert!(choose(&selector, &route, 0, start + HANDOVER_BACK_OFF).is_some());
+}
+
+/// Guards against a query that is handed over to a VM which cannot gather it in time while a larger
+/// one reaches the leafs.
+#[test]
+fn daemons_with_enough_cpu_come_first() {
+    let now = Instant::now();
+    let others = [daemon(1, 84), daemon(2, 500), daemon(3, 84)];
+    let route: Arc<str> = Arc::from("searches");
+    let mut selector = HandoverSelector::default();
+    for random in 0..9 {
+        let chosen = selector.choose(&route, &others, 300, random, now);
+        assert_eq!(chosen, Some(others[1].address));
+    }
+    selector.declined(others[1].address, &route, now);
+    assert!(selector.choose(&route, &others, 300, 0, now).is_some());
+}
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -9,15 +9,13 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
-use medlarpin_core::prelude::ServiceName;
 use medlarpin_core::routing::{Route, RouteTarget, RoutingConfig};
 use platform::CallerHead;
 use tokio::time::timeout;
 
 use crate::caller_request::CallerRequest;
-use crate::delegation::gather_or_delegate;
 use crate::event::Event;
-use crate::forward::forward;
+use crate::handover::serve;
 use crate::held_memory::BodyError;
 use crate::refusal::Refusal;
 use crate::shared::Shared;
@@ -55,7 +53,7 @@
     };
     let result = match read_request(&shared, &config, &route, caller, head, body, arrived_at).await
     {
-        Ok(request) => send_to_target(&shared, &route, request).await,
+        Ok(request) => serve(&shared, &route, request).await,
         Err(refusal) => Err(refusal),
     };
     let name = Some(&*route.name);
@@ -115,34 +113,16 @@
         _memory: body.memory,
         arrived_at,
         deadline: arrived_at + time_left,
-        answer_by: match route.target {
-            RouteTarget::Scatter(_) => arrived_at + route.target_latency,
-            _ => arrived_at,
-        },
+        answer_by: answer_by(route, arrived_at),
     })
 }
 
-async fn send_to_target(
-    shared: &Arc<Shared>,
-    route: &Arc<Route>,
-    request: CallerRequest,
-) -> Result<Answer, Refusal> {
-    let request = Arc::new(request);
-    let state = shared.route_state(route);
-    let service = match &route.target {
-        RouteTarget::Scatter(scatter) => {
-            return gather_or_delegate(shared, scatter, route, &state, &request).await;
-        }
-        RouteTarget::Service(service) => service.clone(),
-        RouteTarget::Split(parts) => {
-            // A part is always chosen, since a split without a positive weight is rejected when it
-            // is decoded. The empty name would match no leaf.
-            let chosen = state.traffic_split.lock().next(parts);
-            chosen.map_or_else(|| ServiceName::new(""), |part| parts[part].service.clone())
-        }
-    };
-    let (shared, route) = (Arc::clone(shared), Arc::clone(route));
-    forward(shared, service, route, state, request).await
+/// Returns the deadline that leafs get for a request while it lies ahead.
+pub(crate) fn answer_by(route: &Route, arrived_at: Instant) -> Instant {
+    match route.target {
+        RouteTarget::Scatter(_) => arrived_at + route.target_latency,
+        RouteTarget::Service(_) | RouteTarget::Split(_) => arrived_at,
+    }
 }
 
 /// Logs and counts the result of a request, and turns a refusal into an answer.
--- a/crates/router/src/delegation.rs
+++ b/crates/router/src/delegation.rs
@@ -1,4 +1,4 @@
-//! Delegation of queries: another daemon fans the query out and gathers the answers.
+//! The RPC with which one daemon serves a request for another one, both sides.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,37 +11,35 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response};
 use medlarpin_core::prelude::Clock;
-use medlarpin_core::routing::{Route, RouteTarget, Scatter};
+use medlarpin_core::routing::Route;
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
-use tokio::time::timeout_at;
 use wire::peer_capnp::{header, route_peer};
 
 use crate::caller_request::CallerRequest;
-use crate::callers::{Answer, find_route, refusal_answer};
+use crate::callers::{Answer, answer_by, find_route, refusal_answer};
 use crate::event::Event;
+use crate::handover::serve_on_own_leafs;
 use crate::peer_pool::PeerPool;
 use crate::peers::millis_u32;
 use crate::refusal::Refusal;
-use crate::route_state::RouteState;
-use crate::scatter::gather;
 use crate::shared::Shared;
 
 /// Time that delegation adds to an answer: two hops of 1.4 ms each, and some 250 us of processor
 /// time on a VM with a twelfth of a core. The other daemon treats the query as having arrived that
 /// much earlier, so that its answer is in time.
 const DELEGATION_DELAY: Duration = Duration::from_millis(6);
-/// Outcome of a query that was delegated to another daemon.
+/// Outcome of a request that was sent to another daemon.
 #[derive(Debug)]
-enum DelegationOutcome {
-    /// The daemon gathered the query, or gave a final refusal.
+pub(crate) enum DelegationOutcome {
+    /// The daemon served the request, or gave a final refusal.
     Answered(Answer),
-    /// The daemon was unreachable or could not serve the query; no leaf ran it.
+    /// The daemon was unreachable or could not serve the request; no leaf got it.
     NotServed,
-    /// The RPC failed after the query was sent; leafs may have run it.
+    /// The RPC failed after the request was sent; leafs may have run it.
     Failed(DelegationError),
-    /// The daemon did not answer by the deadline; leafs may have run the query.
+    /// The daemon did not answer by the deadline; leafs may have run the request.
     TimedOut,
 }
 
@@ -88,8 +86,12 @@
         )
     }
 
-    /// Sends a query to another daemon; dropping the future cancels the query there.
-    async fn send(&self, daemon: SocketAddr, request: Arc<CallerRequest>) -> DelegationOutcome {
+    /// Sends a request to another daemon; dropping the future cancels it there.
+    pub(crate) async fn send(
+        &self,
+        daemon: SocketAddr,
+        request: Arc<CallerRequest>,
+    ) -> DelegationOutcome {
         let (reply, answer) = oneshot::channel();
         let query = DelegatedQuery {
             daemon,
@@ -123,76 +125,18 @@
                         // not needed.
                         let _ = reply.send(outcome);
                     }
-                    () = reply.closed() => {}
+                    () = reply.closed() => {
+                        // The daemon did not answer in time, so that the connection may be silent.
+                        if clock.now() >= request.deadline {
+                            pool.remove(daemon);
+                        }
+                    }
                 }
             });
         }
     }
 }
 
-/// Gathers a query, or delegates it if this VM is too small to gather it in time.
-pub(crate) async fn gather_or_delegate(
-    shared: &Arc<Shared>,
-    scatter: &Scatter,
-    route: &Arc<Route>,
-    state: &Arc<RouteState>,
-    request: &Arc<CallerRequest>,
-) -> Result<Answer, Refusal> {
-    let now = shared.now();
-    let delegate = shared.delegate_for(scatter.shards.len(), route.target_latency, now);
-    if let Some(daemon) = delegate {
-        match delegate_to(shared, daemon, route, request).await {
-            DelegationOutcome::Answered(answer) => return Ok(answer),
-            DelegationOutcome::NotServed => Event::DelegateUnavailable {
-                request: request.id_text(),
-                daemon,
-            }
-            .log(),
-            DelegationOutcome::Failed(error) => {
-                Event::DelegationFailed {
-                    request: request.id_text(),
-                    daemon,
-                    error: &error,
-                }
-                .log();
-                return Err(Refusal::DaemonFailed);
-            }
-            DelegationOutcome::TimedOut => return Err(Refusal::TimedOut),
-        }
-    }
-    gather(Arc::clone(shared), scatter, route, state, request).await
-}
-
-async fn delegate_to(
-    shared: &Shared,
-    daemon: SocketAddr,
-    route: &Route,
-    request: &Arc<CallerRequest>,
-) -> DelegationOutcome {
-    Event::Delegated {
-        request: request.id_text(),
-        daemon,
-    }
-    .log();
-    shared.metrics.delegated.inc();
-    let sent = shared.delegations.send(daemon, Arc::clone(request));
-    tokio::pin!(sent);
-    let late_at = (request.arrived_at + route.target_latency).min(request.deadline);
-    let outcome = match timeout_at(late_at.into(), &mut sent).await {
-        Ok(outcome) => outcome,
-        Err(_late) => {
-            shared.back_off_delegate(daemon, shared.now());
-            timeout_at(request.deadline.into(), sent)
-                .await
-                .unwrap_or(DelegationOutcome::TimedOut)
-        }
-    };
-    if !matches!(outcome, DelegationOutcome::Answered(_)) {
-        shared.back_off_delegate(daemon, shared.now());
-    }
-    outcome
-}
-
 async fn send(
     pool: &PeerPool,
     daemon: SocketAddr,
@@ -202,7 +146,7 @@
     let Some(client) = pool.client(daemon, clock).await else {
         return DelegationOutcome::NotServed;
     };
-    match call_gather_query(&client, request, clock).await {
+    match call_serve_request(&client, request, clock).await {
         Ok(Some(answer)) => DelegationOutcome::Answered(answer),
         Ok(None) => DelegationOutcome::NotServed,
         Err(error) => {
@@ -214,13 +158,13 @@
 
 /// Calls the other daemon and returns its answer; `None` if it did not serve the query, in which
 /// case no leaf ran it.
-async fn call_gather_query(
+async fn call_serve_request(
     client: &route_peer::Client,
     request: &CallerRequest,
     clock: &dyn Clock,
 ) -> Result<Option<Answer>, DelegationError> {
     let now = clock.now();
-    let mut call = client.gather_query_request();
+    let mut call = client.serve_request_request();
     let mut params = call.get();
     params.set_method(request.head.method.as_str());
     let path = request.head.uri.path_and_query();
@@ -246,31 +190,28 @@
 }
 
 /// Serves the RPC with which another daemon delegates a query to this one.
-pub(crate) async fn serve_gather_query(
+pub(crate) async fn answer_serve_request(
     shared: &Arc<Shared>,
-    params: route_peer::gather_query_params::Reader<'_>,
-    mut results: route_peer::GatherQueryResults,
+    params: route_peer::serve_request_params::Reader<'_>,
+    mut results: route_peer::ServeRequestResults,
 ) -> Result<(), capnp::Error> {
     let (request, route) = match decode_query(shared, params) {
         Ok(Some(query)) => query,
         Ok(None) => return Ok(()),
         Err(error) => return Err(capnp::Error::failed(error.to_string())),
     };
-    let RouteTarget::Scatter(scatter) = &route.target else {
-        return Ok(());
-    };
     let _in_progress = shared.start_delegated();
-    let state = shared.route_state(&route);
-    let gathered = gather(Arc::clone(shared), scatter, &route, &state, &request).await;
+    // A request is handed over once, so that it cannot go round between daemons.
+    let served = serve_on_own_leafs(shared, &route, &request).await;
     Event::GatheredForDaemon {
         request: request.id_text(),
-        refusal: gathered.as_ref().err().copied(),
+        refusal: served.as_ref().err().copied(),
         after_ms: (shared.now() - request.arrived_at).as_millis(),
     }
     .log();
-    let answer = match gathered {
+    let answer = match served {
         Ok(answer) => answer,
-        // The sender may be able to reach leafs that this daemon cannot, so it gathers the query.
+        // No leaf got the request, and the sender or a third daemon may reach one.
         Err(Refusal::NoLeaf) => return Ok(()),
         Err(refusal) => refusal_answer(refusal, Some(&request.id)),
     };
@@ -289,7 +230,7 @@
 /// has no memory for the body.
 fn decode_query(
     shared: &Shared,
-    params: route_peer::gather_query_params::Reader<'_>,
+    params: route_peer::serve_request_params::Reader<'_>,
 ) -> Result<Option<RoutedQuery>, DelegationError> {
     let mut head = Request::builder()
         .method(params.get_method()?.to_str()?)
@@ -321,7 +262,7 @@
         _memory: memory,
         arrived_at,
         deadline: (now + time_left).min(arrived_at + route.timeout),
-        answer_by: arrived_at + route.target_latency,
+        answer_by: answer_by(&route, arrived_at),
     };
     Ok(Some((Arc::new(request), route)))
 }
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -57,17 +57,26 @@
         revision: u64,
         known: u64,
     },
-    /// A query is delegated to another daemon.
-    Delegated {
+    /// A request is sent to another daemon because this VM does not reach its leafs.
+    HandedOver {
         request: &'a str,
         daemon: SocketAddr,
     },
-    /// The daemon that a query was delegated to cannot be reached or cannot serve it. No leaf
-    /// ran the query.
-    DelegateUnavailable {
+    /// Another daemon did not serve a request; no leaf got it.
+    HandoverDeclined {
         request: &'a str,
         daemon: SocketAddr,
     },
+    /// A leaf has not answered for so long that it gets no requests until it answers a health check.
+    LeafSilent { leaf: &'a str, service: &'a str },
+    /// A leaf that was out of reach can be reached again.
+    LeafReached { leaf: &'a str, service: &'a str },
+    /// A query is delegated to another daemon.
+    Delegated {
+        request: &'a str,
+        daemon: SocketAddr,
+    },
+    /// The daemon that a query was delegated to cannot be reached or cannot serve it. No leaf
     /// The daemon that a query was delegated to failed; leafs may have run the query.
     DelegationFailed {
         request: &'a str,
@@ -285,6 +294,8 @@
             | Self::LeafLimitUnreadable { .. }
             | Self::LeafRateReportDropped { .. }
             | Self::LeafFailed { .. }
+            | Self::LeafSilent { .. }
+            | Self::LeafReached { .. }
             | Self::LeafsSilent { .. }
             | Self::NoUsableLeaf { .. } => "leaf",
             Self::DaemonsCounted { .. } | Self::DaemonUnreachable { .. } => "peer",
@@ -296,7 +307,8 @@
             | Self::ShardsUnreachable { .. }
             | Self::ShardsMissing { .. }
             | Self::Delegated { .. }
-            | Self::DelegateUnavailable { .. }
+            | Self::HandedOver { .. }
+            | Self::HandoverDeclined { .. }
             | Self::DelegationFailed { .. }
             | Self::GatheredForDaemon { .. } => "gather",
             Self::Answered { .. }
--- a/crates/router/src/leaf.rs
+++ b/crates/router/src/leaf.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -77,6 +77,8 @@
     idle: Mutex<Vec<IdleConnection>>,
     /// Number of open connections, both idle and in use.
     open: AtomicU32,
+    /// True while a probe is in progress.
+    is_probed: AtomicBool,
 }
 
 /// Decrements the number of open connections when it is dropped.
@@ -278,6 +280,21 @@
             .retain(|connection| now < connection.use_until && !connection.sender.is_closed());
     }
 
+    /// Closes all idle connections.
+    pub(crate) fn close_idle(&self) {
+        self.link.idle.lock().clear();
+    }
+
+    /// Begins a probe; returns false if one is in progress.
+    pub(crate) fn start_probe(&self) -> bool {
+        !self.link.is_probed.swap(true, Ordering::Relaxed)
+    }
+
+    /// Ends a probe.
+    pub(crate) fn end_probe(&self) {
+        self.link.is_probed.store(false, Ordering::Relaxed);
+    }
+
     /// Returns the number of open connections.
     pub(crate) fn open_connections(&self) -> u32 {
         self.link.open.load(Ordering::Relaxed)
--- /dev/null
+++ b/crates/router/src/leaf_probe.rs
@@ -0,0 +1,113 @@
+//! Finds out which leafs this VM does not reach, and when it reaches them again.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::header::HOST;
+use medlarpin_core::routing::Unreachable;
+use tokio::sync::Semaphore;
+use tokio::time::{MissedTickBehavior, interval, timeout};
+
+use crate::event::Event;
+use crate::leaf::{Leaf, LeafConnection};
+use crate::shared::Shared;
+
+/// Interval at which all leafs are checked.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Maximum number of probes at a time. It bounds the connections that are opened together when the
+/// links of a VM are back, and the cost while hundreds of leafs are out of reach.
+const PROBES_MAX: usize = 16;
+/// Time limit of the answer to a health check. A leaf answers it after the requests in its queue.
+const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Checks the leafs until the process ends.
+pub(crate) async fn check_leafs(shared: Arc<Shared>) {
+    let mut ticks = interval(CHECK_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let permits = Arc::new(Semaphore::new(PROBES_MAX));
+    loop {
+        ticks.tick().await;
+        let now = shared.now();
+        for leaf in shared.leafs.all() {
+            check_silence(&shared, &leaf);
+            let due = leaf.load().probe_due(now);
+            let Some(how) = due.filter(|_| leaf.is_usable(now) && leaf.start_probe()) else {
+                continue;
+            };
+            let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+                leaf.end_probe();
+                break;
+            };
+            let shared = Arc::clone(&shared);
+            tokio::spawn(async move {
+                probe(&shared, &leaf, how).await;
+                leaf.end_probe();
+                drop(permit);
+            });
+        }
+    }
+}
+
+fn check_silence(shared: &Shared, leaf: &Leaf) {
+    if leaf.load().check_silence(shared.now()) {
+        Event::LeafSilent {
+            leaf: leaf.entry.id.as_str(),
+            service: leaf.entry.service.as_str(),
+        }
+        .log();
+        // They have probably fallen silent as well.
+        leaf.close_idle();
+    }
+}
+
+async fn probe(shared: &Shared, leaf: &Leaf, how: Unreachable) {
+    let connections_max = shared.connections_max(&leaf.entry.service);
+    let opened = leaf.open_new(connections_max).await.ok();
+    let connection = match (opened, how) {
+        (Some(connection), Unreachable::Refused) => Some(connection),
+        (Some(connection), Unreachable::Silent) => check_health(shared, leaf, connection).await,
+        (None, _) => None,
+    };
+    let now = shared.now();
+    let Some(connection) = connection else {
+        return leaf.load().probe_failed(now);
+    };
+    leaf.load().reached(now);
+    Event::LeafReached {
+        leaf: leaf.entry.id.as_str(),
+        service: leaf.entry.service.as_str(),
+    }
+    .log();
+    leaf.release(connection, None, now);
+}
+
+/// Returns the connection if the leaf answers on it, whatever the answer.
+async fn check_health(
+    shared: &Shared,
+    leaf: &Leaf,
+    mut connection: LeafConnection,
+) -> Option<LeafConnection> {
+    let config = shared.config.load_full()?;
+    let path = &config.service(&leaf.entry.service)?.health_path;
+    let request = Request::get(&**path)
+        .header(HOST, leaf.entry.address.to_string())
+        .body(Full::<Bytes>::default())
+        .ok()?;
+    let answered = timeout(
+        HEALTH_CHECK_TIMEOUT,
+        connection.sender.send_request(request),
+    );
+    let response = answered.await.ok()?.ok()?;
+    // An answer with a body would be taken for that of the next request.
+    let body = shared
+        .answer_memory
+        .read(response.into_body(), HEALTH_BODY_BYTES_MAX, || {});
+    let read = timeout(HEALTH_CHECK_TIMEOUT, body).await;
+    matches!(read, Ok(Ok(_))).then_some(connection)
+}
+
+/// Limit of the size of the answer to a health check.
+const HEALTH_BODY_BYTES_MAX: usize = 4_096;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -25,6 +25,7 @@
     leaf_failures: IntCounterVec,
     pub(crate) hedges: IntCounter,
     pub(crate) delegated: IntCounter,
+    pub(crate) handed_over: IntCounter,
     pub(crate) hedges_denied: IntCounter,
     pub(crate) retries_denied: IntCounter,
     leaf_permits: IntCounter,
@@ -84,6 +85,10 @@
                 "medlarpin_delegated_queries_total",
                 "Queries sent to another daemon, which gathers them",
             )?,
+            handed_over: counter(
+                "medlarpin_handed_over_requests_total",
+                "Requests sent to another daemon, because this VM does not reach their leafs",
+            )?,
             hedges_denied: counter(
                 "medlarpin_hedges_denied_total",
                 "Hedges that the repeat limit prevented",
--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -8,7 +8,7 @@
 use axum::http::StatusCode;
 use axum::routing::get;
 use axum::{Json, Router};
-use medlarpin_core::routing::RequestRate;
+use medlarpin_core::routing::{RequestRate, Unreachable};
 use serde::Serialize;
 
 use crate::shared::Shared;
@@ -33,6 +33,8 @@
     retry_reserve: f64,
     /// Number of requests that are refused because they crashed leafs.
     quarantined_requests: usize,
+    /// Requests that were sent to another daemon because this VM does not reach their leafs.
+    handed_over_requests: u64,
     /// Memory in use by leafs' answers and by callers' bodies.
     answer_memory_bytes: usize,
     request_memory_bytes: usize,
@@ -57,6 +59,8 @@
     in_flight: usize,
     latency_ratio: f64,
     is_blocked: bool,
+    /// Why the leaf gets no requests until a probe has reached it; `None` if it can be reached.
+    unreachable: Option<&'static str>,
     /// Requests per second that the leaf takes from all daemons together, if it states a limit.
     stated_rate_per_s: Option<f64>,
 }
@@ -93,6 +97,7 @@
             in_flight: load.in_flight(),
             latency_ratio: load.ratio(now),
             is_blocked: load.blocked_until(now).is_some(),
+            unreachable: load.unreachable().map(Unreachable::as_str),
             stated_rate_per_s: leaf.stated_rate().map(RequestRate::per_s),
         }
     });
@@ -110,6 +115,7 @@
         daemons_sharing: shared.daemon_count(),
         retry_reserve: shared.retry_reserve(now),
         quarantined_requests: shared.crash_memory.quarantines(now).len(),
+        handed_over_requests: shared.metrics.handed_over.get(),
         answer_memory_bytes: shared.answer_memory.used_bytes(),
         request_memory_bytes: shared.request_memory.used_bytes(),
         era: published.revision().era,
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -370,12 +370,12 @@
         Ok(())
     }
 
-    async fn gather_query(
+    async fn serve_request(
         self: Rc<Self>,
-        params: route_peer::GatherQueryParams,
-        results: route_peer::GatherQueryResults,
+        params: route_peer::ServeRequestParams,
+        results: route_peer::ServeRequestResults,
     ) -> Result<(), capnp::Error> {
-        delegation::serve_gather_query(&self.shared, params.get()?, results).await
+        delegation::answer_serve_request(&self.shared, params.get()?, results).await
     }
 
     async fn report_crashes(
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -16,6 +16,7 @@
 use crate::error::RouterError;
 use crate::event::Event;
 use crate::leaf_permits::LeafPermits;
+use crate::leaf_probe::check_leafs;
 use crate::leaf_rate_reports::LeafRateReports;
 use crate::metrics::Metrics;
 use crate::shared::Shared;
@@ -109,6 +110,10 @@
         spawn_local(run_supervised("discovery", move || {
             Discovery::new(Arc::clone(&discovering)).run()
         }));
+        let checking = Arc::clone(&shared);
+        spawn_local(run_supervised("leaf checks", move || {
+            check_leafs(Arc::clone(&checking))
+        }));
         tokio::spawn(close_idle_connections(Arc::clone(&shared)));
         Ok(Self {
             query_address,
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -45,8 +45,14 @@
         request.time_left(request.arrived_at),
         request.arrived_at,
     );
-    let clearance = admit(&shared, route, scatter, request)?;
+    let memory = &shared.crash_memory;
+    let clearance = memory.clearance(request, &scatter.shards, shared.now());
+    if let Some(refusal) = refusal_for_clearance(&shared, &clearance) {
+        return Err(refusal);
+    }
+    // Before the admission: another daemon may serve a query whose leafs this VM does not reach.
     let reachable = reachable_shards(&shared, scatter, request, policy.needed)?;
+    admit(&shared, route)?;
     let evidence = Arc::new(CallEvidence::default());
     let call = |shard: &ServiceName| {
         ServiceCall::new(
@@ -69,7 +75,6 @@
         match call(first).into_canary(lost).run().await {
             Ok(answer) => answers.push((first.clone(), answer)),
             Err(failure) => {
-                let memory = &shared.crash_memory;
                 memory.record_evidence(request, &evidence, shared.now());
                 return Err(refusal_for(&failure));
             }
@@ -91,7 +96,6 @@
                 let may_have_run = !answers.is_empty() || !shards.is_empty();
                 let timed_out = shared.now() >= policy.deadline;
                 record_coverage(&shared, route, scatter, request, &answers, shards.len());
-                let memory = &shared.crash_memory;
                 memory.record_evidence(request, &evidence, shared.now());
                 return Err(refusal_for_query(&failures, may_have_run, timed_out));
             }
@@ -109,7 +113,6 @@
         .metrics
         .record_gather(shared.now() - request.arrived_at);
     record_coverage(&shared, route, scatter, request, &answers, shards.len());
-    let memory = &shared.crash_memory;
     memory.record_evidence(request, &evidence, shared.now());
     if answers.len() == policy.shard_count {
         memory.record_success(request, shared.now());
@@ -124,24 +127,14 @@
     Ok(merge(scatter, policy.shard_count, &answers, &request.id))
 }
 
-/// Decides whether a query may run at all, and whether it needs a canary.
-fn admit(
-    shared: &Shared,
-    route: &Route,
-    scatter: &Scatter,
-    request: &CallerRequest,
-) -> Result<RequestClearance, Refusal> {
-    let now = shared.now();
-    let memory = &shared.crash_memory;
-    let clearance = memory.clearance(request, &scatter.shards, now);
-    if let Some(refusal) = refusal_for_clearance(shared, &clearance) {
-        return Err(refusal);
-    }
+/// Refuses a part of the queries while the leafs are overloaded.
+fn admit(shared: &Shared, route: &Route) -> Result<(), Refusal> {
     let mut admission = shared.query_admission.lock();
-    if !admission.admits(route, rand::random(), now) {
-        return Err(Refusal::overloaded(rand::random()));
+    if admission.admits(route, rand::random(), shared.now()) {
+        Ok(())
+    } else {
+        Err(Refusal::overloaded(rand::random()))
     }
-    Ok(clearance)
 }
 
 /// Returns the shards with an available leaf; fails if these are fewer than needed.
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -6,8 +6,8 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use medlarpin_core::prelude::{Clock, FailureDomain, ServiceName};
 use medlarpin_core::routing::{
-    ConfigCheck, DaemonList, DelegateSelector, KnownDaemon, ProcessStart, QueryAdmission,
-    RetryBudget, RetryLimits, Route, RoutingConfig, SHED_BACK_OFF, reserve_parts,
+    ConfigCheck, DaemonList, DelegateSelector, HandoverSelector, KnownDaemon, ProcessStart,
+    QueryAdmission, RetryBudget, RetryLimits, Route, RoutingConfig, SHED_BACK_OFF, reserve_parts,
 };
 use parking_lot::Mutex;
 use settings::RouterSettings;
@@ -30,6 +30,9 @@
 const RETRY_RATIO_USED: f64 = 0.9;
 /// Connections to a leaf that a daemon may open in any case: one in use and one for a hedge.
 const CONNECTIONS_MIN: u32 = 2;
+/// Time until a probe that is due shows whether a leaf can be reached. It is longer than
+/// [`SHED_BACK_OFF`], so that a leaf that is out of reach does not count as available.
+const PROBE_TIME: Duration = Duration::from_millis(120);
 /// Divisor of the process's memory; the quotient is for leafs' answers.
 const ANSWER_MEMORY_DIVISOR: usize = 4;
 /// Divisor of the process's memory; the quotient is for the bodies of callers' requests.
@@ -73,6 +76,9 @@
     pub(crate) daemons: Option<Mutex<DaemonList>>,
     /// Selects the daemon that gathers a query; `None` if this one has no address for others.
     pub(crate) delegate_selector: Option<Mutex<DelegateSelector>>,
+    /// Selects the daemons that serve requests whose leafs this VM does not reach; `None` if this one
+    /// has no address for others.
+    pub(crate) handover_selector: Option<Mutex<HandoverSelector>>,
     /// Decides which queries over many shards are refused while the leafs are overloaded.
     pub(crate) query_admission: Mutex<QueryAdmission>,
     /// Requests that have crashed leafs.
@@ -131,6 +137,7 @@
             retry_budgets: Mutex::default(),
             published_items: PublishedItems::new(),
             delegate_selector: own.map(|own| Mutex::new(DelegateSelector::new(own))),
+            handover_selector: own.map(|_| Mutex::default()),
             query_admission: Mutex::new(QueryAdmission::new()),
             crash_memory,
             delegations,
@@ -276,6 +283,12 @@
         delegate_selector.choose(others.into_iter(), rand::random(), now)
     }
 
+    /// Returns true if a leaf of the service has answered anything since then.
+    pub(crate) fn has_heard_leaf(&self, service: &ServiceName, since: Instant) -> bool {
+        let leafs = self.leafs.for_service(service);
+        leafs.iter().any(|leaf| leaf.load().has_heard_since(since))
+    }
+
     /// Excludes a daemon from delegation for a while after it was late or failed to gather a query.
     pub(crate) fn back_off_delegate(&self, daemon: SocketAddr, now: Instant) {
         if let Some(delegate_selector) = &self.delegate_selector {
@@ -300,9 +313,16 @@
     }
 
     /// Returns the time from which this daemon may send the next request to a leaf, if that is not
-    /// now: the end of a back-off, or of the wait that a stated request rate requires.
+    /// now: the end of a back-off, the next probe of a leaf that is out of reach, or the end of the wait
+    /// that a stated request rate requires.
     pub(crate) fn leaf_available_at(&self, leaf: &Leaf, now: Instant) -> Option<Instant> {
-        let blocked_until = leaf.load().blocked_until(now);
+        let load = leaf.load();
+        let blocked_until = load.blocked_until(now);
+        let probed_at = load
+            .unreachable()
+            .map(|_| blocked_until.unwrap_or(now) + PROBE_TIME);
+        drop(load);
+        let blocked_until = blocked_until.max(probed_at);
         blocked_until.max(LeafRates::new(self).wait_until(leaf, now))
     }
 
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -249,9 +249,10 @@
   # peer does not know the individual changes. storeSilentMs is the time since the peer last heard
   # from the store.
   publishedChanges @2 (afterRevision :UInt64, waitMs :UInt32, afterEra :UInt64) -> (revision :UInt64, storeSilentMs :UInt32, isWhole :Bool, items :List(PublishedItem), era :UInt64);
-  # Gathers a query on behalf of the sender, whose caller sent it ageMs ago. If isServed is false,
-  # no request was sent to a leaf.
-  gatherQuery @3 (method :Text, path :Text, headers :List(Header), body :Data, ageMs :UInt32, timeLeftMs :UInt32) -> (isServed :Bool, status :UInt16, headers :List(Header), body :Data);
+  # Serves a request on behalf of the sender, whose caller sent it ageMs ago: its VM is too small to
+  # gather the query, or does not reach the leafs. If isServed is false, no leaf got the request. A
+  # daemon of an older release only serves queries over many shards.
+  serveRequest @3 (method :Text, path :Text, headers :List(Header), body :Data, ageMs :UInt32, timeLeftMs :UInt32) -> (isServed :Bool, status :UInt16, headers :List(Header), body :Data);
   # Tells of crash reports that the receiver may not know; it passes on those that are new to it.
   reportCrashes @4 (reports :List(CrashReport)) -> ();
   # Tells of rates that leafs state; the receiver passes on those that change what it knows.
