Follow the other entries beside an odd one of another program

- One item that cannot be read, for example with a key that is no Unicode text, hid its whole page.
- An entry that another program overwrote left the leaf in use until the next full read.
It names no leaf.

Unusable items are not passed on to other daemons.

--- a/crates/router/src/config_sync.rs
+++ b/crates/router/src/config_sync.rs
@@ -65,7 +65,7 @@
                 .log();
                 offer(shared, *config, &item);
             }
-            Some(Change::Unusable { key, error }) => {
+            Some(Change::Unusable { key, error, .. }) => {
                 Event::EntryUnusable {
                     key: &key,
                     error: &error,
--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use medlarpin_core::prelude::LeafId;
 use medlarpin_core::routing::{
     LeafDirectory, LeafPhase, NextRead, ObservationTime, Source, SourceSelector, StoreRevision,
     WatchCursor,
@@ -221,6 +222,7 @@
         match self.cursor.next_read() {
             NextRead::Snapshot => {
                 let snapshot = self.read_all().await?;
+                log_unreadable(snapshot.unreadable, snapshot.revision);
                 self.cursor.snapshot_read(snapshot.revision);
                 self.apply_snapshot(snapshot.items, snapshot.revision, Some(started));
             }
@@ -232,6 +234,7 @@
                         return Ok(StoreRead::Interrupted);
                     }
                 };
+                log_unreadable(watched.unreadable, watched.revision);
                 if self.cursor.advance(watched.total, watched.revision) {
                     let now = self.shared.now();
                     self.apply_changes(watched.changes, watched.revision, Some(now));
@@ -328,29 +331,44 @@
     ) {
         let observed = self.observation_time(revision);
         let mut entries = Vec::new();
-        for (item, change) in decode_all(&items) {
+        let mut usable = Vec::with_capacity(items.len());
+        for item in items {
+            let Some(change) = item.decode() else {
+                continue;
+            };
+            let is_usable = !matches!(change, Change::Unusable { .. });
             match change {
                 Change::Leaf(entry) => entries.push(entry),
-                change => self.apply_change(item, change, revision, observed),
+                change => self.apply_change(&item, change, revision, observed),
+            }
+            if is_usable {
+                usable.push(item);
             }
         }
         self.directory.replace_all(entries, observed);
         self.update_leaf_table();
         self.shared.leafs_loaded.store(true, Ordering::Relaxed);
         let published = &self.shared.published_items;
-        published.replace_all(items, revision, current_at);
+        published.replace_all(usable, revision, current_at);
     }
 
     /// Applies changes, oldest first.
     fn apply_changes(
         &mut self,
-        items: Vec<Item>,
+        mut items: Vec<Item>,
         revision: StoreRevision,
         current_at: Option<Instant>,
     ) {
         if !items.is_empty() {
             let observed = self.observation_time(revision);
-            for (item, change) in decode_all(&items) {
+            for item in &mut items {
+                let Some(change) = item.decode() else {
+                    continue;
+                };
+                // Other daemons get no bytes that name no leaf.
+                if matches!(change, Change::Unusable { .. }) {
+                    item.value = None;
+                }
                 self.apply_change(item, change, revision, observed);
             }
             self.update_leaf_table();
@@ -402,20 +420,27 @@
                     .log();
                 }
             }
-            Change::LeafWithdrawn(leaf) => {
-                if self.directory.withdraw(&leaf, observed) {
-                    Event::LeafWithdrawn {
-                        leaf: leaf.as_str(),
-                        revision: revision.number,
-                    }
-                    .log();
+            Change::LeafWithdrawn(leaf) => self.withdraw_leaf(&leaf, revision, observed),
+            Change::Unusable { key, leaf, error } => {
+                Event::EntryUnusable {
+                    key: &key,
+                    error: &error,
+                }
+                .log();
+                if let Some(leaf) = leaf {
+                    self.withdraw_leaf(&leaf, revision, observed);
                 }
             }
-            Change::Unusable { key, error } => Event::EntryUnusable {
-                key: &key,
-                error: &error,
+        }
+    }
+
+    fn withdraw_leaf(&mut self, leaf: &LeafId, revision: StoreRevision, observed: ObservationTime) {
+        if self.directory.withdraw(leaf, observed) {
+            Event::LeafWithdrawn {
+                leaf: leaf.as_str(),
+                revision: revision.number,
             }
-            .log(),
+            .log();
         }
     }
 
@@ -479,10 +504,14 @@
     }
 }
 
-fn decode_all(items: &[Item]) -> impl Iterator<Item = (&Item, Change)> {
-    items
-        .iter()
-        .filter_map(|item| item.decode().map(|change| (item, change)))
+fn log_unreadable(count: usize, revision: StoreRevision) {
+    if count > 0 {
+        Event::ItemsUnreadable {
+            count,
+            revision: revision.number,
+        }
+        .log();
+    }
 }
 
 /// Runs the task that closes connections that were idle for too long, until the process ends.
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -124,6 +124,8 @@
     ConfigFromDaemon { daemon: SocketAddr, version: u64 },
     /// A configuration older than the one in force was ignored.
     ConfigIgnored { version: u64, in_force: u64 },
+    /// Some of the store's items cannot be read at all, not even their keys.
+    ItemsUnreadable { count: usize, revision: u64 },
     /// A published item cannot be decoded.
     EntryUnusable {
         key: &'a str,
@@ -286,6 +288,7 @@
             | Self::ConfigInForce { .. }
             | Self::ConfigFromDaemon { .. }
             | Self::ConfigIgnored { .. }
+            | Self::ItemsUnreadable { .. }
             | Self::EntryUnusable { .. } => "config",
             Self::LeafChanged { .. }
             | Self::LeafWithdrawn { .. }
