Answer every request before the end of a planned stop

Change: a request that comes during a stop is refused at once with 503 and Retry-After 0.1 s if less than four target latencies, or than its own time, are left before the exit; no leaf has got it. A request in progress gets 504 100 ms before the exit, which leaves open whether it ran. Both hold for requests of other daemons, which a stopping daemon takes no more.

--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -53,7 +53,13 @@
     };
     let result = match read_request(&shared, &config, &route, caller, head, body, arrived_at).await
     {
-        Ok(request) => serve(&shared, &route, request).await,
+        Ok(request) => {
+            let stop = &shared.planned_stop;
+            match stop.admit(&route, &request, shared.now()) {
+                Ok(()) => stop.limit(serve(&shared, &route, request)).await,
+                Err(refusal) => Err(refusal),
+            }
+        }
         Err(refusal) => Err(refusal),
     };
     let name = Some(&*route.name);
--- a/crates/router/src/delegation.rs
+++ b/crates/router/src/delegation.rs
@@ -202,7 +202,8 @@
     };
     let _in_progress = shared.start_delegated();
     // A request is handed over once, so that it cannot go round between daemons.
-    let served = serve_on_own_leafs(shared, &route, &request).await;
+    let served = serve_on_own_leafs(shared, &route, &request);
+    let served = shared.planned_stop.limit(served).await;
     Event::GatheredForDaemon {
         request: request.id_text(),
         refusal: served.as_ref().err().copied(),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -28,6 +28,7 @@
 mod operators;
 mod peer_pool;
 mod peers;
+mod planned_stop;
 mod published_items;
 mod readiness;
 mod refusal;
--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use axum::extract::State;
 use axum::http::StatusCode;
@@ -111,7 +110,7 @@
     Json(StateDump {
         vm: shared.settings.load().vm.to_string(),
         is_ready: shared.is_ready(),
-        is_stopping: shared.is_stopping.load(Ordering::Relaxed),
+        is_stopping: shared.planned_stop.has_begun(),
         daemons_sharing: shared.daemon_count(),
         retry_reserve: shared.retry_reserve(now),
         quarantined_requests: shared.crash_memory.quarantines(now).len(),
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -53,6 +53,10 @@
     LeafsFailed,
     /// The other daemon that gathers the query failed; a leaf may have run the request.
     DaemonFailed,
+    /// The daemon is being stopped, and the request is unlikely to end before; no leaf has got it.
+    Stopping,
+    /// The daemon was stopped before the request ended; a leaf may have run it.
+    Stopped,
     /// The deadline passed; a leaf may have run the request.
     TimedOut,
     /// The deadline passed before any leaf got the request.
@@ -108,6 +112,8 @@
             Self::RateLimited { .. } => "rate_limited",
             Self::LeafsFailed => "leafs_failed",
             Self::DaemonFailed => "daemon_failed",
+            Self::Stopping => "stopping",
+            Self::Stopped => "stopped",
             Self::TimedOut => "timed_out",
             Self::Expired => "expired",
         }
@@ -126,16 +132,18 @@
             | Self::Quarantined { .. }
             | Self::Overloaded { .. }
             | Self::RateLimited { .. }
+            | Self::Stopping
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Self::LeafsFailed | Self::DaemonFailed => StatusCode::BAD_GATEWAY,
-            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::TimedOut | Self::Stopped => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
     pub(crate) fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NoConfig | Self::NoLeaf => Some(RETRY_AFTER_UNAVAILABLE),
-            Self::LeafsFull | Self::OutOfMemory => Some(RETRY_AFTER_FULL),
+            // Another daemon may serve the request at once.
+            Self::LeafsFull | Self::OutOfMemory | Self::Stopping => Some(RETRY_AFTER_FULL),
             Self::Overloaded { retry_after_ms } | Self::RateLimited { retry_after_ms } => {
                 Some(Duration::from_millis(retry_after_ms))
             }
@@ -148,6 +156,7 @@
             | Self::LeafsFailed
             | Self::DaemonFailed
             | Self::TimedOut
+            | Self::Stopped
             | Self::Expired => None,
         }
     }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,6 +1,5 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use medlarpin_core::prelude::Clock;
@@ -28,6 +27,8 @@
 const ROTATION_EXIT_TIME: Duration = Duration::from_millis(2_600);
 /// Time reserved for the exit of the process itself before it is killed.
 const EXIT_MARGIN: Duration = Duration::from_millis(250);
+/// Time reserved for the last answers to be written before the process exits.
+const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 /// Interval at which a shutdown checks whether all connections are closed.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -172,14 +173,15 @@
     pub async fn shutdown(&self) {
         let shared = &self.shared;
         let started = shared.now();
-        shared.is_stopping.store(true, Ordering::Relaxed);
+        let grace = shared.settings.load().shutdown_grace;
+        let grace = grace.saturating_sub(EXIT_MARGIN);
+        let answers_until = started + grace.saturating_sub(ANSWER_MARGIN);
+        shared.planned_stop.begin(answers_until);
         Event::Stopping {
             connections: self.connections.open_count(),
         }
         .log();
         self.connections.close();
-        let grace = shared.settings.load().shutdown_grace;
-        let grace = grace.saturating_sub(EXIT_MARGIN);
         loop {
             let elapsed = shared.now().saturating_duration_since(started);
             if elapsed >= ROTATION_EXIT_TIME {
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -22,6 +22,7 @@
 use crate::leaf_rates::LeafRates;
 use crate::leaf_table::LeafTable;
 use crate::metrics::Metrics;
+use crate::planned_stop::PlannedStop;
 use crate::published_items::PublishedItems;
 use crate::route_state::RouteState;
 
@@ -62,8 +63,8 @@
     pub(crate) request_memory: BodyMemory,
     /// True once the complete list of leafs has been read.
     pub(crate) leafs_loaded: AtomicBool,
-    /// True once the daemon has been asked to stop.
-    pub(crate) is_stopping: AtomicBool,
+    /// The planned stop, once the daemon has been asked to stop.
+    pub(crate) planned_stop: PlannedStop,
     /// Number of queries of other daemons that this one gathers at present.
     delegated: AtomicUsize,
     /// Sorted by name, without duplicates.
@@ -131,7 +132,7 @@
             answer_memory: BodyMemory::new(memory_bytes / ANSWER_MEMORY_DIVISOR),
             request_memory: BodyMemory::new(memory_bytes / REQUEST_MEMORY_DIVISOR),
             leafs_loaded: AtomicBool::new(false),
-            is_stopping: AtomicBool::new(false),
+            planned_stop: PlannedStop::new(),
             delegated: AtomicUsize::new(0),
             routes: Mutex::default(),
             retry_budgets: Mutex::default(),
@@ -234,7 +235,7 @@
         self.config.load().is_some()
             && self.is_config_checked()
             && self.leafs_loaded.load(Ordering::Relaxed)
-            && !self.is_stopping.load(Ordering::Relaxed)
+            && !self.planned_stop.has_begun()
     }
 
     /// Returns the state of a route, which is created on first use.
