Send nothing to leafs that have said they are leaving

A leaf that leaves says so in all its answers (Server-Leaving: 1). Nothing read the header, so that a leaf got requests for as long as the store published it as ready, also where the daemon was cut off from the store.

Change: from its first such answer, a leaf is treated like one that is published as draining: others of its service take its place, and the only one is used for a part of the drain time.

--- a/crates/medlarpin-core/src/routing/leaf_entry.rs
+++ b/crates/medlarpin-core/src/routing/leaf_entry.rs
@@ -36,6 +36,15 @@
 }
 
 impl LeafEntry {
+    /// Identifies the process of the leaf: a leaf that starts again may keep its identifier.
+    #[must_use]
+    pub fn run_id(&self) -> LeafId {
+        match self.started_unix_ms {
+            Some(started_unix_ms) => LeafId::new(&format!("{}@{started_unix_ms}", self.id)),
+            None => self.id.clone(),
+        }
+    }
+
     /// Returns true if this entry was written after another entry of the same leaf.
     #[must_use]
     pub fn is_newer_than(&self, other: &Self) -> bool {
--- a/crates/medlarpin-core/src/routing/mod.rs
+++ b/crates/medlarpin-core/src/routing/mod.rs
@@ -26,6 +26,7 @@
 mod route_table;
 mod routing_config;
 mod source_selector;
+mod stated_departures;
 mod stated_rate;
 mod store_revision;
 mod top_records;
@@ -70,6 +71,7 @@
     FOLLOWER_RETRY_INTERVAL, FOLLOWERS_MAX, SOURCE_BACK_OFF_MAX, SOURCE_BACK_OFF_MIN, Source,
     SourceSelector, WATCHER_RETRY_INTERVAL, WATCHERS_MIN,
 };
+pub use stated_departures::{STATED_DEPARTURE_MEMORY, StatedDepartures};
 pub use stated_rate::StatedRate;
 pub use store_revision::StoreRevision;
 pub use top_records::{RECORD_BYTES, top_records};
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -4,7 +4,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use medlarpin_core::prelude::Clock;
-use medlarpin_core::routing::{RateStatement, StatedRate};
+use medlarpin_core::routing::{LeafPhase, RateStatement, StatedRate};
 
 use crate::attempt_result::{AttemptResult, LeafAnswer, LeafFailure};
 use crate::caller_request::CallerRequest;
@@ -146,6 +146,9 @@
     if head.is_other_leaf {
         return Err(LeafFailure::OtherLeaf);
     }
+    if head.phase == LeafPhase::Draining {
+        shared.record_departure(leaf);
+    }
     // A rejection without a limit does not end one: it may come from the leaf's listener.
     if !head.not_executed || head.stated_rate != StatedRate::Unlimited {
         let statement = RateStatement {
--- a/crates/router/src/call_evidence.rs
+++ b/crates/router/src/call_evidence.rs
@@ -10,7 +10,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct LostLeaf {
     pub(crate) service: ServiceName,
-    /// Run of the leaf, as returned by `Leaf::run_id`.
+    /// Run of the leaf, as returned by `LeafEntry::run_id`.
     pub(crate) leaf: LeafId,
 }
 
--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -20,7 +20,7 @@
 use crate::event::Event;
 use crate::peers::{self, FollowedDaemon, PeerError};
 use crate::published_items::Update;
-use crate::shared::Shared;
+use crate::shared::{Shared, drain_grace};
 
 /// Long-poll time of a watch on the store. A connection that has fallen silent is noticed only after
 /// this time and the time limit of a call, and a configuration has to be in force within 3 s. Each
@@ -49,12 +49,6 @@
 /// Number of daemons that are asked for the published items after each failed call at startup.
 /// Several are asked since the seeds may have just started as well.
 const STARTUP_PEERS_PER_FAILURE: u32 = 4;
-/// Fraction of the drain time for which a leaving leaf is still used if its service has no other
-/// leaf.
-const DRAIN_GRACE_FRACTION: f64 = 0.6;
-/// Time from the choice of a leaf until the request arrives there: opening a connection, and the
-/// way there. A leaf that has drained must get no request, so this is left of the drain time.
-const SEND_TIME_MAX: Duration = Duration::from_millis(800);
 /// Interval at which connections that were idle for too long are closed.
 const IDLE_SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -85,10 +79,6 @@
 impl Discovery {
     pub(crate) fn new(shared: Arc<Shared>) -> Self {
         let settings = shared.settings.load_full();
-        let drain = settings.drain_duration;
-        let drain_grace = drain
-            .mul_f64(DRAIN_GRACE_FRACTION)
-            .min(drain.saturating_sub(SEND_TIME_MAX));
         let own = shared
             .daemons
             .as_ref()
@@ -96,7 +86,7 @@
         Self {
             store: Store::new(settings.store_address, Arc::clone(&shared.clock)),
             started_at: shared.now(),
-            directory: LeafDirectory::new(drain_grace),
+            directory: LeafDirectory::new(drain_grace(&settings)),
             shared,
             cursor: WatchCursor::default(),
             failures: 0,
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -67,6 +67,8 @@
         request: &'a str,
         daemon: SocketAddr,
     },
+    /// A leaf has said in an answer that it is leaving.
+    LeafStatedDeparture { leaf: &'a str, service: &'a str },
     /// A leaf has not answered for so long that it gets no requests until it answers a health check.
     LeafSilent { leaf: &'a str, service: &'a str },
     /// A leaf that was out of reach can be reached again.
@@ -297,6 +299,7 @@
             | Self::LeafLimitUnreadable { .. }
             | Self::LeafRateReportDropped { .. }
             | Self::LeafFailed { .. }
+            | Self::LeafStatedDeparture { .. }
             | Self::LeafSilent { .. }
             | Self::LeafReached { .. }
             | Self::LeafsSilent { .. }
--- a/crates/router/src/leaf.rs
+++ b/crates/router/src/leaf.rs
@@ -8,7 +8,6 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use leaf_stream::{LeafStream, ProgressLimit};
-use medlarpin_core::prelude::LeafId;
 use medlarpin_core::routing::{
     LeafEntry, LeafLoad, LeafRateLimit, RateAccess, RateStatement, RequestRate, StatedRate,
 };
@@ -114,19 +113,6 @@
         }
     }
 
-    /// Identifies the process of the leaf: a leaf that starts again may keep its identifier.
-    pub(crate) fn run_id(&self) -> LeafId {
-        let LeafEntry {
-            id,
-            started_unix_ms,
-            ..
-        } = &self.entry;
-        match started_unix_ms {
-            Some(started_unix_ms) => LeafId::new(&format!("{id}@{started_unix_ms}")),
-            None => id.clone(),
-        }
-    }
-
     /// Locks the measurements of the leaf's load and health.
     pub(crate) fn load(&self) -> MutexGuard<'_, LeafLoad> {
         self.link.load.lock()
--- a/crates/router/src/leaf_table.rs
+++ b/crates/router/src/leaf_table.rs
@@ -1,9 +1,10 @@
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
 use medlarpin_core::prelude::{LeafId, ServiceName};
-use medlarpin_core::routing::LeafDirectory;
+use medlarpin_core::routing::{LeafDirectory, LeafEntry, StatedDepartures};
+use parking_lot::Mutex;
 
 use crate::leaf::Leaf;
 
@@ -12,12 +13,24 @@
 
 /// The published leafs, grouped by service. Readers see a consistent table without locking; each
 /// change of the directory replaces the whole table.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct LeafTable {
     by_service: ArcSwap<ByService>,
+    departures: Mutex<StatedDepartures>,
+    /// Time for which a leaf that says it is leaving is still used if its service has no other leaf.
+    drain_grace: Duration,
 }
 
 impl LeafTable {
+    /// Creates an empty table.
+    pub(crate) fn new(drain_grace: Duration) -> Self {
+        Self {
+            by_service: ArcSwap::default(),
+            departures: Mutex::default(),
+            drain_grace,
+        }
+    }
+
     /// Returns the leafs of a service.
     pub(crate) fn for_service(&self, service: &ServiceName) -> Vec<Arc<Leaf>> {
         let by_service = self.by_service.load();
@@ -48,9 +61,10 @@
     pub(crate) fn update(&self, directory: &LeafDirectory) {
         let mut previous = self.all();
         previous.sort_by(|a, b| a.entry.id.cmp(&b.entry.id));
-        let mut leafs: Vec<Arc<Leaf>> = directory
+        let leafs: Vec<Arc<Leaf>> = directory
             .leafs()
-            .map(|(entry, usable_until)| {
+            .map(|(entry, published_until)| {
+                let usable_until = self.usable_until(entry, published_until);
                 let index = previous.binary_search_by(|leaf| leaf.entry.id.cmp(&entry.id));
                 let same_process = index.ok().map(|index| &previous[index]).filter(|leaf| {
                     leaf.entry.address == entry.address
@@ -66,6 +80,37 @@
                 }
             })
             .collect();
+        self.store(leafs);
+    }
+
+    /// Records that a leaf has said that it is leaving; returns true if that is news.
+    pub(crate) fn record_departure(&self, leaf: &Leaf, now: Instant) -> bool {
+        if !self.departures.lock().record(&leaf.entry.run_id(), now) {
+            return false;
+        }
+        let leafs = self.all().into_iter().map(|known| {
+            if known.entry.run_id() != leaf.entry.run_id() {
+                return known;
+            }
+            let usable_until = self.usable_until(&known.entry, known.usable_until());
+            Arc::new(known.with_entry(known.entry.clone(), usable_until))
+        });
+        self.store(leafs.collect());
+        true
+    }
+
+    /// Returns the time until which a leaf gets requests, from what is published and what it has said
+    /// itself; `None` unless it is leaving.
+    fn usable_until(&self, entry: &LeafEntry, published_until: Option<Instant>) -> Option<Instant> {
+        let stated_at = self.departures.lock().stated_at(&entry.run_id());
+        let stated_until = stated_at.map(|at| at + self.drain_grace);
+        match (published_until, stated_until) {
+            (Some(published), Some(stated)) => Some(published.min(stated)),
+            (published, stated) => published.or(stated),
+        }
+    }
+
+    fn store(&self, mut leafs: Vec<Arc<Leaf>>) {
         leafs.sort_by(|a, b| a.entry.service.cmp(&b.entry.service));
         let mut by_service: ByService = Vec::new();
         for leaf in leafs {
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -237,7 +237,7 @@
                 if failure == LeafFailure::BrokenOff {
                     self.evidence.lost(LostLeaf {
                         service: self.service.clone(),
-                        leaf: leaf.run_id(),
+                        leaf: leaf.entry.run_id(),
                     });
                 }
                 if failure.is_not_arrived() {
@@ -344,7 +344,8 @@
         let mut candidates = Vec::with_capacity(leafs.len());
         for leaf in leafs {
             let is_tried = self.attempts.tried().contains(&leaf.entry.id);
-            let is_avoided = !self.avoided.is_empty() && self.avoided.contains(&leaf.run_id());
+            let is_avoided =
+                !self.avoided.is_empty() && self.avoided.contains(&leaf.entry.run_id());
             let is_within_limit = self.attempts.is_within_limit(&leaf.entry.id);
             if !leaf.is_usable(now) || !is_within_limit || (is_hedge && is_tried) {
                 continue;
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -31,6 +31,12 @@
 const RETRY_RATIO_USED: f64 = 0.9;
 /// Connections to a leaf that a daemon may open in any case: one in use and one for a hedge.
 const CONNECTIONS_MIN: u32 = 2;
+/// Fraction of the drain time for which a leaving leaf is still used if its service has no other
+/// leaf.
+const DRAIN_GRACE_FRACTION: f64 = 0.6;
+/// Time from the choice of a leaf until the request arrives there: opening a connection, and the
+/// way there. A leaf that has drained must get no request, so this is left of the drain time.
+const SEND_TIME_MAX: Duration = Duration::from_millis(800);
 /// Time until a probe that is due shows whether a leaf can be reached. It is longer than
 /// [`SHED_BACK_OFF`], so that a leaf that is out of reach does not count as available.
 const PROBE_TIME: Duration = Duration::from_millis(120);
@@ -121,6 +127,7 @@
         let is_other = |seed: &SocketAddr| Some(*seed) != peer_address;
         let has_peers = peer_address.is_some() && start.seeds.iter().any(is_other);
         let memory_bytes = usize::try_from(settings.memory_mb).unwrap_or(usize::MAX) << 20;
+        let leafs = LeafTable::new(drain_grace(&settings));
         Self {
             config_check: Mutex::new(ConfigCheck::new(&start, has_peers)),
             daemons: own.map(|own| Mutex::new(DaemonList::new(own, start))),
@@ -128,7 +135,7 @@
             settings: ArcSwap::from_pointee(settings),
             clock,
             config: ArcSwapOption::empty(),
-            leafs: LeafTable::default(),
+            leafs,
             answer_memory: BodyMemory::new(memory_bytes / ANSWER_MEMORY_DIVISOR),
             request_memory: BodyMemory::new(memory_bytes / REQUEST_MEMORY_DIVISOR),
             leafs_loaded: AtomicBool::new(false),
@@ -284,6 +291,17 @@
         delegate_selector.choose(others.into_iter(), rand::random(), now)
     }
 
+    /// Records that a leaf has said that it is leaving.
+    pub(crate) fn record_departure(&self, leaf: &Leaf) {
+        if self.leafs.record_departure(leaf, self.now()) {
+            Event::LeafStatedDeparture {
+                leaf: leaf.entry.id.as_str(),
+                service: leaf.entry.service.as_str(),
+            }
+            .log();
+        }
+    }
+
     /// Returns true if a leaf of the service has answered anything since then.
     pub(crate) fn has_heard_leaf(&self, service: &ServiceName, since: Instant) -> bool {
         let leafs = self.leafs.for_service(service);
@@ -355,6 +373,14 @@
     }
 }
 
+/// Returns the time for which a leaving leaf is still used if its service has no other leaf.
+pub(crate) fn drain_grace(settings: &RouterSettings) -> Duration {
+    let drain = settings.drain_duration;
+    drain
+        .mul_f64(DRAIN_GRACE_FRACTION)
+        .min(drain.saturating_sub(SEND_TIME_MAX))
+}
+
 /// Returns a share of a number of connections, rounded down.
 fn share_of(total: u32, share: f64) -> u32 {
     #[expect(
