Send nothing to a leaf for the time that its 503 asks for

A leaf that turns a request away with 503 may add Retry-After: it wants nothing from this daemon for so long. Nothing read the header, so that the leaf got requests again after 40 ms.

Change: the leaf gets no requests until the time is over, at most 5 minutes. A request that was waiting for a connection or a permit goes to another leaf.

What remains: a leaf whose entry is withdrawn and published again within its pause is taken for a new one.

--- a/crates/medlarpin-core/src/routing/leaf_load.rs
+++ b/crates/medlarpin-core/src/routing/leaf_load.rs
@@ -8,6 +8,9 @@
 /// Maximum back-off after such failures; bounds the time until a recovered leaf is noticed.
 pub const FAILURE_BACK_OFF_MAX: Duration = Duration::from_millis(800);
 
+/// Longest pause that a leaf may ask for. A longer one is taken for a mistake of the leaf, which
+/// would otherwise be lost for good.
+pub const PAUSE_MAX: Duration = Duration::from_mins(5);
 /// Time without any answer after which a leaf with a request in flight counts as silent.
 pub const LEAF_SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Minimum time that a cancelled request must have waited to count as unanswered. Leafs pause for
@@ -69,6 +72,9 @@
     failures: u32,
     /// End of the latest back-off, which may have passed.
     blocked_until: Option<Instant>,
+    /// End of the time for which the leaf asked for no requests of this daemon. Neither an answer nor
+    /// a probe shortens it.
+    pause_until: Option<Instant>,
     /// Time of the last answer of any kind.
     heard_at: Option<Instant>,
     /// Requests that were cancelled without an answer since then.
@@ -166,6 +172,18 @@
         self.back_off_until(now + SHED_BACK_OFF);
     }
 
+    /// Records that the leaf rejected a request and asked for no further ones for `pause`.
+    pub fn asked_for_pause(&mut self, pause: Duration, now: Instant) {
+        let until = now + pause.min(PAUSE_MAX);
+        self.pause_until = self.pause_until.max(Some(until));
+    }
+
+    /// Returns the end of the time for which the leaf asked for no requests.
+    #[must_use]
+    pub fn pause_until(&self, now: Instant) -> Option<Instant> {
+        self.pause_until.filter(|until| now < *until)
+    }
+
     /// Records that a request was sent and its answer was lost or unusable.
     ///
     /// A leaf that loses single answers still serves other requests, so the back-off starts only
@@ -232,10 +250,11 @@
         self.in_flight.len()
     }
 
-    /// Returns the end of the back-off if the leaf is in one.
+    /// Returns the end of the back-off, or of the pause that the leaf asked for, if it is in one.
     #[must_use]
     pub fn blocked_until(&self, now: Instant) -> Option<Instant> {
-        self.blocked_until.filter(|until| now < *until)
+        let back_off = self.blocked_until.filter(|until| now < *until);
+        back_off.max(self.pause_until(now))
     }
 
     /// Returns the expected latency of one more request, as a multiple of the typical latency.
--- a/crates/medlarpin-core/src/routing/mod.rs
+++ b/crates/medlarpin-core/src/routing/mod.rs
@@ -51,8 +51,8 @@
 };
 pub use leaf_entry::{LeafEntry, LeafPhase};
 pub use leaf_load::{
-    FAILURE_BACK_OFF_MAX, FAILURE_BACK_OFF_MIN, LEAF_SILENCE_TIMEOUT, LeafLoad, SHED_BACK_OFF,
-    UNANSWERED_MIN, Unreachable,
+    FAILURE_BACK_OFF_MAX, FAILURE_BACK_OFF_MIN, LEAF_SILENCE_TIMEOUT, LeafLoad, PAUSE_MAX,
+    SHED_BACK_OFF, UNANSWERED_MIN, Unreachable,
 };
 pub use leaf_rate_limit::LeafRateLimit;
 pub use memory_budget::MemoryBudget;
--- a/crates/medlarpin-core/tests/routing_choice.rs
+++ b/crates/medlarpin-core/tests/routing_choice.rs
@@ -4,8 +4,8 @@
 
 use medlarpin_core::prelude::*;
 use medlarpin_core::routing::{
-    Candidate, LEAF_SILENCE_TIMEOUT, LeafLoad, Repeatability, Route, RouteTable, RouteTarget,
-    SHED_BACK_OFF, UNANSWERED_MIN, Unreachable, WeightedRoundRobin, WeightedService,
+    Candidate, LEAF_SILENCE_TIMEOUT, LeafLoad, PAUSE_MAX, Repeatability, Route, RouteTable,
+    RouteTarget, SHED_BACK_OFF, UNANSWERED_MIN, Unreachable, WeightedRoundRobin, WeightedService,
     choose_replica,
 };
 
@@ -285,3 +285,25 @@
     assert_eq!(load.unreachable(), None);
     assert_eq!(load.blocked_until(now), None);
 }
+
+/// Guards against an answer or a probe that ends the pause which a leaf asked for, and against a leaf
+/// that is lost because it asked for years.
+#[test]
+fn a_pause_lasts_as_long_as_the_leaf_asked_for() {
+    let now = Instant::now();
+    let pause = Duration::from_secs(2);
+    let mut load = LeafLoad::default();
+    load.asked_for_pause(pause, now);
+    load.asked_for_pause(pause / 2, now);
+    load.answered(TYPICAL, TYPICAL, now);
+    load.reached(now);
+    assert_eq!(load.blocked_until(now), Some(now + pause));
+    assert_eq!(load.blocked_until(now + pause), None);
+
+    load.failed(now);
+    assert_eq!(load.probe_due(now + pause / 2), None);
+    assert!(load.probe_due(now + pause).is_some());
+
+    load.asked_for_pause(Duration::MAX, now);
+    assert_eq!(load.blocked_until(now), Some(now + PAUSE_MAX));
+}
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -8,6 +8,7 @@
 
 use crate::attempt_result::{AttemptResult, LeafAnswer, LeafFailure};
 use crate::caller_request::CallerRequest;
+use crate::event::Event;
 use crate::held_memory::BodyError;
 use crate::leaf::{Leaf, LeafConnection};
 use crate::leaf_rates::LeafRates;
@@ -50,7 +51,7 @@
                 now,
             ),
             Err(LeafFailure::Shed) => load.shed(now),
-            Err(LeafFailure::ConnectionLimit | LeafFailure::Encoding) => {}
+            Err(LeafFailure::ConnectionLimit | LeafFailure::Paused | LeafFailure::Encoding) => {}
             Err(LeafFailure::BrokenOff | LeafFailure::Foreign | LeafFailure::TooLarge) => {
                 load.answer_lost(now);
             }
@@ -99,6 +100,11 @@
         .acquire(connections_max, at_most_once, shared.now())
         .await?;
     loop {
+        // The leaf may have asked for no requests while the connection was being opened.
+        if leaf.load().pause_until(shared.now()).is_some() {
+            leaf.release(connection, None, shared.now());
+            return Err(LeafFailure::Paused);
+        }
         let leaf_request = request
             .for_leaf(leaf.entry.id.as_str(), shared.now())
             .ok_or(LeafFailure::Encoding)?;
@@ -124,6 +130,17 @@
     }
 }
 
+fn record_pause(shared: &Shared, leaf: &Leaf, pause: Duration) {
+    let now = shared.now();
+    leaf.load().asked_for_pause(pause, now);
+    Event::LeafAskedForPause {
+        leaf: leaf.entry.id.as_str(),
+        service: leaf.entry.service.as_str(),
+        pause_ms: pause.as_millis(),
+    }
+    .log();
+}
+
 async fn read_answer(
     shared: &Shared,
     leaf: &Leaf,
@@ -146,6 +163,9 @@
     if head.is_other_leaf {
         return Err(LeafFailure::OtherLeaf);
     }
+    if let Some(pause) = head.pause {
+        record_pause(shared, leaf, pause);
+    }
     if head.phase == LeafPhase::Draining {
         shared.record_departure(leaf);
     }
--- a/crates/router/src/attempt_result.rs
+++ b/crates/router/src/attempt_result.rs
@@ -25,6 +25,8 @@
     Connect,
     /// All connections that this daemon may open to the leaf are in use.
     ConnectionLimit,
+    /// The leaf asked for no requests before this one was sent.
+    Paused,
     /// The leaf rejected the request without running it, because of its load.
     Shed,
     /// The address now belongs to another leaf, which did not run the request.
@@ -45,6 +47,7 @@
         match self {
             Self::Connect => "connect",
             Self::ConnectionLimit => "connection_limit",
+            Self::Paused => "paused",
             Self::Shed => "shed",
             Self::OtherLeaf => "other_leaf",
             Self::BrokenOff => "broken_off",
@@ -57,7 +60,11 @@
     /// Returns true if the request reached no leaf of its service.
     pub(crate) fn is_not_arrived(self) -> bool {
         match self {
-            Self::Connect | Self::ConnectionLimit | Self::OtherLeaf | Self::Encoding => true,
+            Self::Connect
+            | Self::ConnectionLimit
+            | Self::Paused
+            | Self::OtherLeaf
+            | Self::Encoding => true,
             Self::Shed | Self::BrokenOff | Self::TooLarge | Self::Foreign => false,
         }
     }
@@ -68,6 +75,7 @@
             Self::BrokenOff | Self::TooLarge | Self::Foreign => true,
             Self::Connect
             | Self::ConnectionLimit
+            | Self::Paused
             | Self::Shed
             | Self::OtherLeaf
             | Self::Encoding => false,
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -67,6 +67,12 @@
         request: &'a str,
         daemon: SocketAddr,
     },
+    /// A leaf has turned a request away and wants no further ones for a time.
+    LeafAskedForPause {
+        leaf: &'a str,
+        service: &'a str,
+        pause_ms: u128,
+    },
     /// A leaf has said in an answer that it is leaving.
     LeafStatedDeparture { leaf: &'a str, service: &'a str },
     /// A leaf has not answered for so long that it gets no requests until it answers a health check.
@@ -299,6 +305,7 @@
             | Self::LeafLimitUnreadable { .. }
             | Self::LeafRateReportDropped { .. }
             | Self::LeafFailed { .. }
+            | Self::LeafAskedForPause { .. }
             | Self::LeafStatedDeparture { .. }
             | Self::LeafSilent { .. }
             | Self::LeafReached { .. }
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -129,6 +129,10 @@
                     NextStep::AskPermit(leaf, issuer) => {
                         if LeafRates::new(&self.shared).ask_permit(&leaf, issuer).await {
                             let now = self.shared.now();
+                            // The leaf may have asked for no requests meanwhile.
+                            if leaf.load().blocked_until(now).is_some() {
+                                continue;
+                            }
                             if !self.try_send_budget(now) {
                                 self.record_retry_denied();
                                 return Err(self.failure);
