Hand over only requests that no leaf has got

Cause: a request to a single leaf was also handed over when no leaf of its service had been heard for a second. A leaf may run it all the same, and with two leafs allowed a hedge has mostly used the second.

Change: that case is gone. A request is handed over only if it arrived at no leaf, which a refusal now tells apart (`unreachable`); one that a leaf rejected is not handed over either, as it counts as load there. To find out without one caller's request for each leaf, a VM that finds a leaf silent probes the others of its service that have not answered for a second.

--- a/crates/medlarpin-core/src/routing/leaf_load.rs
+++ b/crates/medlarpin-core/src/routing/leaf_load.rs
@@ -138,6 +138,17 @@
         is_new
     }
 
+    /// Lets the leaf be probed at once if it has not answered for [`LEAF_SILENCE_TIMEOUT`], because
+    /// another leaf of its service was found to be silent: the links to both may have failed, and a
+    /// VM that gets few requests would find out with one caller's request for each leaf.
+    pub fn suspect(&mut self, now: Instant) {
+        let recently = now.checked_sub(LEAF_SILENCE_TIMEOUT);
+        let is_heard = recently.is_some_and(|at| self.has_heard_since(at));
+        if !is_heard && self.unreachable.is_none() {
+            self.unreachable = Some(Unreachable::Silent);
+        }
+    }
+
     /// Records that the leaf can be reached, which ends the back-off.
     pub fn reached(&mut self, now: Instant) {
         self.heard(now);
--- a/crates/medlarpin-core/tests/routing_choice.rs
+++ b/crates/medlarpin-core/tests/routing_choice.rs
@@ -266,6 +266,23 @@
     assert_eq!(load.unreachable(), None);
 }
 
+/// Load pattern: the links to several leafs of a service fail. Guards against a caller's request that
+/// waits in vain for each of them in turn.
+#[test]
+fn a_leaf_beside_a_silent_one_is_probed_unless_it_was_heard_lately() {
+    let start = Instant::now();
+    let now = start + LEAF_SILENCE_TIMEOUT * 2;
+    let mut load = LeafLoad::default();
+    load.answered(TYPICAL, TYPICAL, start);
+    load.suspect(now);
+    assert_eq!(load.probe_due(now), Some(Unreachable::Silent));
+
+    let mut load = LeafLoad::default();
+    load.answered(TYPICAL, TYPICAL, now);
+    load.suspect(now);
+    assert_eq!(load.probe_due(now), None);
+}
+
 /// Guards against a caller's request that is the trial of a leaf out of reach, and against a leaf
 /// that is not probed, or probed without pause.
 #[test]
--- a/crates/router/src/delegation.rs
+++ b/crates/router/src/delegation.rs
@@ -213,7 +213,7 @@
     let answer = match served {
         Ok(answer) => answer,
         // No leaf got the request, and the sender or a third daemon may reach one.
-        Err(Refusal::NoLeaf) => return Ok(()),
+        Err(Refusal::Unreachable) => return Ok(()),
         Err(refusal) => refusal_answer(refusal, Some(&request.id)),
     };
     let (head, body) = answer.into_parts();
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -87,7 +87,8 @@
             rate_wait: Some(wait),
             ..
         } => Refusal::rate_limited(*wait, rand::random()),
-        _ => Refusal::NoLeaf,
+        failure if failure.may_have_arrived => Refusal::NoLeaf,
+        _ => Refusal::Unreachable,
     }
 }
 
--- a/crates/router/src/handover.rs
+++ b/crates/router/src/handover.rs
@@ -6,10 +6,8 @@
 use std::time::{Duration, Instant};
 
 use medlarpin_core::prelude::ServiceName;
-use medlarpin_core::routing::{
-    DelegateSelector, KnownDaemon, LEAF_SILENCE_TIMEOUT, Repeatability, Route, RouteTarget, Scatter,
-};
-use tokio::time::{sleep_until, timeout_at};
+use medlarpin_core::routing::{DelegateSelector, KnownDaemon, Route, RouteTarget, Scatter};
+use tokio::time::timeout_at;
 
 use crate::caller_request::CallerRequest;
 use crate::callers::Answer;
@@ -37,17 +35,10 @@
     {
         return result;
     }
-    let served = match single_service(shared, route) {
-        Some(service) if route.repeatability == Repeatability::Idempotent => {
-            serve_despite_silence(shared, route, service, &request).await
-        }
-        service => serve_here(shared, route, service, &request).await,
-    };
-    match served {
-        // No leaf got the request, so that another daemon may still run it.
-        Err(Refusal::NoLeaf) => hand_over(shared, route, &request)
+    match serve_on_own_leafs(shared, route, &request).await {
+        Err(Refusal::Unreachable) => hand_over(shared, route, &request)
             .await
-            .unwrap_or(Err(Refusal::NoLeaf)),
+            .unwrap_or(Err(Refusal::Unreachable)),
         served => served,
     }
 }
@@ -58,77 +49,22 @@
     route: &Arc<Route>,
     request: &Arc<CallerRequest>,
 ) -> Result<Answer, Refusal> {
-    let service = single_service(shared, route);
-    serve_here(shared, route, service, request).await
-}
-
-/// Returns the service that gets the next request of a route to a single leaf; `None` for a route to
-/// all shards.
-fn single_service(shared: &Shared, route: &Route) -> Option<ServiceName> {
-    match &route.target {
-        RouteTarget::Scatter(_) => None,
-        RouteTarget::Service(service) => Some(service.clone()),
+    let state: Arc<RouteState> = shared.route_state(route);
+    let shared = Arc::clone(shared);
+    let service = match &route.target {
+        RouteTarget::Scatter(scatter) => {
+            return gather(shared, scatter, route, &state, request).await;
+        }
+        RouteTarget::Service(service) => service.clone(),
         RouteTarget::Split(parts) => {
-            let state = shared.route_state(route);
             // A part is always chosen, since a split without a positive weight is rejected when it
             // is decoded. The empty name would match no leaf.
             let chosen = state.traffic_split.lock().next(parts);
-            Some(chosen.map_or_else(|| ServiceName::new(""), |part| parts[part].service.clone()))
-        }
-    }
-}
-
-async fn serve_here(
-    shared: &Arc<Shared>,
-    route: &Arc<Route>,
-    service: Option<ServiceName>,
-    request: &Arc<CallerRequest>,
-) -> Result<Answer, Refusal> {
-    let state: Arc<RouteState> = shared.route_state(route);
-    let shared = Arc::clone(shared);
-    match (&route.target, service) {
-        (RouteTarget::Scatter(scatter), _) => gather(shared, scatter, route, &state, request).await,
-        (_, Some(service)) => {
-            let (route, request) = (Arc::clone(route), Arc::clone(request));
-            forward(shared, service, route, state, request).await
+            chosen.map_or_else(|| ServiceName::new(""), |part| parts[part].service.clone())
         }
-        (_, None) => Err(Refusal::NoLeaf),
-    }
-}
-
-/// Serves a request that may run more than once; if no leaf of the service is heard, the request is
-/// handed over as well, as its leafs may be out of reach without any connection having failed.
-async fn serve_despite_silence(
-    shared: &Arc<Shared>,
-    route: &Arc<Route>,
-    service: ServiceName,
-    request: &Arc<CallerRequest>,
-) -> Result<Answer, Refusal> {
-    let here = serve_here(shared, route, Some(service.clone()), request);
-    tokio::pin!(here);
-    let check_at = request.arrived_at + LEAF_SILENCE_TIMEOUT.max(route.target_latency);
-    tokio::select! {
-        served = &mut here => return served,
-        () = sleep_until(check_at.into()) => {}
-    }
-    let is_silent = !shared.has_heard_leaf(&service, request.arrived_at);
-    // A leaf may still get the request, so that the one on the other VM is extra load.
-    if !is_silent || !shared.try_retry(&service, shared.now()) {
-        return here.await;
-    }
-    let elsewhere = hand_over(shared, route, request);
-    tokio::pin!(elsewhere);
-    tokio::select! {
-        served = &mut here => match served {
-            Ok(answer) => Ok(answer),
-            Err(refusal) => elsewhere.await.unwrap_or(Err(refusal)),
-        },
-        handed_over = &mut elsewhere => match handed_over {
-            Some(Ok(answer)) => Ok(answer),
-            // The refusal of the other daemon says nothing of the leafs that this one has asked.
-            Some(Err(_)) | None => here.await,
-        },
-    }
+    };
+    let (route, request) = (Arc::clone(route), Arc::clone(request));
+    forward(shared, service, route, state, request).await
 }
 
 /// Delegates a query that this VM is too small to gather; `None` if it has to be gathered here.
--- a/crates/router/src/leaf_probe.rs
+++ b/crates/router/src/leaf_probe.rs
@@ -60,6 +60,10 @@
         .log();
         // They have probably fallen silent as well.
         leaf.close_idle();
+        let now = shared.now();
+        for other in shared.leafs.for_service(&leaf.entry.service) {
+            other.load().suspect(now);
+        }
     }
 }
 
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -35,6 +35,8 @@
     NoConfig,
     /// No leaf is available; none has run the request.
     NoLeaf,
+    /// This VM reaches no leaf that could run the request; none has got it.
+    Unreachable,
     /// The leafs are overloaded and rejected the request; none has run it.
     LeafsFull,
     /// The leafs have more work than they can do in time, so that a part of the queries is refused;
@@ -107,6 +109,7 @@
             Self::BodyBrokenOff => "body_broken_off",
             Self::NoConfig => "no_config",
             Self::NoLeaf => "no_leaf",
+            Self::Unreachable => "unreachable",
             Self::LeafsFull => "leafs_full",
             Self::Overloaded { .. } => "overloaded",
             Self::RateLimited { .. } => "rate_limited",
@@ -127,6 +130,7 @@
             Self::BodyTimedOut => StatusCode::REQUEST_TIMEOUT,
             Self::NoConfig
             | Self::NoLeaf
+            | Self::Unreachable
             | Self::LeafsFull
             | Self::OutOfMemory
             | Self::Quarantined { .. }
@@ -141,7 +145,7 @@
 
     pub(crate) fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::NoConfig | Self::NoLeaf => Some(RETRY_AFTER_UNAVAILABLE),
+            Self::NoConfig | Self::NoLeaf | Self::Unreachable => Some(RETRY_AFTER_UNAVAILABLE),
             // Another daemon may serve the request at once.
             Self::LeafsFull | Self::OutOfMemory | Self::Stopping => Some(RETRY_AFTER_FULL),
             Self::Overloaded { retry_after_ms } | Self::RateLimited { retry_after_ms } => {
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -165,7 +165,7 @@
     let wait = waits
         .filter_map(|shard| LeafRates::new(shared).wait(shard, now))
         .max();
-    Err(wait.map_or(Refusal::NoLeaf, |wait| {
+    Err(wait.map_or(Refusal::Unreachable, |wait| {
         Refusal::rate_limited(wait, rand::random())
     }))
 }
@@ -218,7 +218,9 @@
 /// Returns the refusal of a query that cannot reach its coverage, from its shards' failures.
 fn refusal_for_query(failures: &[ServiceFailure], may_have_run: bool, timed_out: bool) -> Refusal {
     let may_have_run = may_have_run || failures.iter().any(|failure| failure.may_have_run);
+    let may_have_arrived = failures.iter().any(|failure| failure.may_have_arrived);
     let summary = ServiceFailure {
+        may_have_arrived: may_have_run || may_have_arrived,
         may_have_run,
         last: failures.iter().find_map(|failure| failure.last),
         leaf_answer: None,
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -37,6 +37,8 @@
 /// Why a service gave no successful answer.
 #[derive(Debug)]
 pub(crate) struct ServiceFailure {
+    /// True if a leaf may have got the request, even if it rejected it.
+    pub(crate) may_have_arrived: bool,
     /// True if a leaf may have run the request.
     pub(crate) may_have_run: bool,
     /// Failure of the last failed attempt; `None` if none failed.
@@ -87,6 +89,7 @@
             avoided: Vec::new(),
             is_hedge_denied: false,
             failure: ServiceFailure {
+                may_have_arrived: false,
                 may_have_run: false,
                 last: None,
                 leaf_answer: None,
@@ -120,6 +123,7 @@
             if now >= self.request.deadline {
                 self.log_leafs_silent(now);
                 self.failure.timed_out = true;
+                self.failure.may_have_arrived |= !attempts.is_empty();
                 self.failure.may_have_run |= !attempts.is_empty();
                 return Err(self.failure);
             }
@@ -246,6 +250,8 @@
                 }
                 if failure.is_not_arrived() {
                     self.attempts.not_arrived();
+                } else {
+                    self.failure.may_have_arrived = true;
                 }
                 if failure.may_have_run() {
                     self.record_possible_run(leaf);
@@ -320,6 +326,7 @@
     }
 
     fn record_possible_run(&mut self, leaf: &Leaf) {
+        self.failure.may_have_arrived = true;
         self.failure.may_have_run = true;
         self.attempts.may_have_run(&leaf.entry.id);
     }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -302,12 +302,6 @@
         }
     }
 
-    /// Returns true if a leaf of the service has answered anything since then.
-    pub(crate) fn has_heard_leaf(&self, service: &ServiceName, since: Instant) -> bool {
-        let leafs = self.leafs.for_service(service);
-        leafs.iter().any(|leaf| leaf.load().has_heard_since(since))
-    }
-
     /// Excludes a daemon from delegation for a while after it was late or failed to gather a query.
     pub(crate) fn back_off_delegate(&self, daemon: SocketAddr, now: Instant) {
         if let Some(delegate_selector) = &self.delegate_selector {
