Ask the daemons that served lately while others decline

Cause: each request asked up to six daemons at random, most of which were cut off as well, and a VM with one request a second learns little before its knowledge expires. A delegated query that was declined asked the same large daemons again when it was handed over.

Change: while daemons decline a route, those that have served a request within 10 s come first. Delegation and hand-over share what they know. A daemon that merely declined is no longer left out as the issuer of permits.

--- a/crates/medlarpin-core/src/routing/delegate_selector.rs
+++ b/crates/medlarpin-core/src/routing/delegate_selector.rs
@@ -66,15 +66,24 @@
         random: u64,
         now: Instant,
     ) -> Option<SocketAddr> {
-        let min_cpu_millicores = self.own.cpu_millicores * CAPACITY_RATIO_MIN;
-        let eligible: Vec<SocketAddr> = others
-            .filter(|daemon| daemon.cpu_millicores >= min_cpu_millicores)
-            .map(|daemon| daemon.address)
-            .filter(|daemon| !self.is_backed_off(*daemon, now))
-            .collect();
+        let eligible = self.eligible(others, now);
         let count = u64::try_from(eligible.len()).unwrap_or(1).max(1);
         let index = usize::try_from(random % count).unwrap_or(0);
-        eligible.get(index).copied()
+        eligible.get(index).map(|daemon| daemon.address)
+    }
+
+    /// Returns the daemons with enough CPU capacity that are not in back-off.
+    #[must_use]
+    pub fn eligible(
+        &self,
+        others: impl Iterator<Item = KnownDaemon>,
+        now: Instant,
+    ) -> Vec<KnownDaemon> {
+        let min_cpu_millicores = self.own.cpu_millicores * CAPACITY_RATIO_MIN;
+        others
+            .filter(|daemon| daemon.cpu_millicores >= min_cpu_millicores)
+            .filter(|daemon| !self.is_backed_off(daemon.address, now))
+            .collect()
     }
 
     /// Starts the back-off of a daemon that failed or was late.
--- a/crates/medlarpin-core/src/routing/handover_selector.rs
+++ b/crates/medlarpin-core/src/routing/handover_selector.rs
@@ -8,6 +8,8 @@
 /// messages while no daemon reaches the leafs, and the time until one that reaches them again is
 /// found.
 pub const HANDOVER_BACK_OFF: Duration = Duration::from_secs(2);
+/// Time for which a daemon that served a request counts as one that reaches the leafs.
+pub const SERVED_MEMORY: Duration = Duration::from_secs(10);
 
 /// A daemon that could not serve a route.
 #[derive(Debug, Clone)]
@@ -17,14 +19,19 @@
     until: Instant,
 }
 
-/// Chooses the daemon to which a request is handed over because this VM does not reach the leafs.
+/// Chooses the daemon to which a request is handed over.
 ///
-/// Whether another daemon reaches them shows only when it is asked: the links of each VM to each leaf
-/// fail on their own. A daemon that does not reach them says so at once, and nothing has run then.
+/// Whether another daemon reaches the leafs shows only when it is asked: the links of each VM to each
+/// leaf fail on their own. A daemon that does not reach them says so at once, and nothing has run
+/// then. While some decline, those that have served a request lately are asked first; otherwise all
+/// are asked alike, which spreads the load.
 #[derive(Debug, Clone, Default)]
 pub struct HandoverSelector {
     /// Sorted by daemon and route, without duplicates.
     declines: Vec<Decline>,
+    /// Daemons that served a request, each with the time of the last one; sorted by daemon, without
+    /// duplicates.
+    served: Vec<(SocketAddr, Instant)>,
 }
 
 impl HandoverSelector {
@@ -41,14 +48,17 @@
         random: u64,
         now: Instant,
     ) -> Option<SocketAddr> {
-        let open = |daemon: &&KnownDaemon| !self.has_declined(daemon.address, route, now);
-        let is_fit = |daemon: &&KnownDaemon| daemon.cpu_millicores >= cpu_millicores_min;
-        let fit: Vec<&KnownDaemon> = others.iter().filter(open).filter(is_fit).collect();
-        let eligible = if fit.is_empty() {
-            others.iter().filter(open).collect()
-        } else {
-            fit
+        let is_trouble = self.has_declines(route, now);
+        let open = others
+            .iter()
+            .filter(|daemon| !self.has_declined(daemon.address, route, now));
+        let rank = |daemon: &KnownDaemon| {
+            let is_fit = daemon.cpu_millicores >= cpu_millicores_min;
+            let is_proven = is_trouble && self.has_served(daemon.address, now);
+            (is_fit, is_proven)
         };
+        let best = open.clone().map(rank).max()?;
+        let eligible: Vec<&KnownDaemon> = open.filter(|daemon| rank(daemon) == best).collect();
         let count = u64::try_from(eligible.len()).unwrap_or(1).max(1);
         let index = usize::try_from(random % count).unwrap_or(0);
         eligible.get(index).map(|daemon| daemon.address)
@@ -74,11 +84,38 @@
         }
     }
 
+    /// Records that a daemon served a request.
+    pub fn served(&mut self, daemon: SocketAddr, now: Instant) {
+        match self.served_position(daemon) {
+            Ok(index) => self.served[index].1 = now,
+            Err(index) => {
+                self.served.insert(index, (daemon, now));
+                self.served
+                    .retain(|(_, at)| now.saturating_duration_since(*at) < SERVED_MEMORY);
+            }
+        }
+    }
+
+    fn has_declines(&self, route: &str, now: Instant) -> bool {
+        let mut declines = self.declines.iter();
+        declines.any(|known| *known.route == *route && now < known.until)
+    }
+
     fn has_declined(&self, daemon: SocketAddr, route: &str, now: Instant) -> bool {
         self.position(daemon, route)
             .is_ok_and(|index| now < self.declines[index].until)
     }
 
+    fn has_served(&self, daemon: SocketAddr, now: Instant) -> bool {
+        self.served_position(daemon)
+            .is_ok_and(|index| now.saturating_duration_since(self.served[index].1) < SERVED_MEMORY)
+    }
+
+    fn served_position(&self, daemon: SocketAddr) -> Result<usize, usize> {
+        self.served
+            .binary_search_by_key(&daemon, |(known, _)| *known)
+    }
+
     fn position(&self, daemon: SocketAddr, route: &str) -> Result<usize, usize> {
         self.declines
             .binary_search_by(|known| (known.daemon, &*known.route).cmp(&(daemon, route)))
--- a/crates/medlarpin-core/tests/routing_handover.rs
+++ b/crates/medlarpin-core/tests/routing_handover.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use medlarpin_core::prelude::*;
-use medlarpin_core::routing::{HANDOVER_BACK_OFF, HandoverSelector, KnownDaemon};
+use medlarpin_core::routing::{HANDOVER_BACK_OFF, HandoverSelector, KnownDaemon, SERVED_MEMORY};
 
 fn daemon(number: u8, cpu_millicores: u32) -> KnownDaemon {
     KnownDaemon {
@@ -53,3 +53,32 @@
     selector.declined(others[1].address, &route, now);
     assert!(selector.choose(&route, &others, 300, 0, now).is_some());
 }
+
+/// Load pattern: most VMs have lost their links to the leafs. Guards against requests that ask one VM
+/// without links after another although one that reaches the leafs is known, and against a load on
+/// that one while all can serve.
+#[test]
+fn daemons_that_served_lately_come_first_while_others_decline() {
+    let now = Instant::now();
+    let others: Vec<KnownDaemon> = (0..20).map(|number| daemon(number, 170)).collect();
+    let route: Arc<str> = Arc::from("lookups");
+    let mut selector = HandoverSelector::default();
+    selector.served(others[7].address, now);
+    let chosen = |selector: &HandoverSelector, now: Instant| {
+        let chosen = (0..20).map(|random| selector.choose(&route, &others, 0, random, now));
+        let mut chosen: Vec<Option<SocketAddr>> = chosen.collect();
+        chosen.sort();
+        chosen.dedup();
+        chosen
+    };
+    assert_eq!(chosen(&selector, now).len(), others.len());
+    selector.declined(others[3].address, &route, now);
+    assert_eq!(chosen(&selector, now), [Some(others[7].address)]);
+    let later = now + SERVED_MEMORY;
+    selector.declined(others[3].address, &route, later);
+    assert_eq!(chosen(&selector, later).len(), others.len() - 1);
+    // It has lost its links as well.
+    selector.served(others[7].address, later);
+    selector.declined(others[7].address, &route, later);
+    assert_eq!(chosen(&selector, later).len(), others.len() - 2);
+}
--- a/crates/router/src/handover.rs
+++ b/crates/router/src/handover.rs
@@ -74,17 +74,21 @@
     route: &Arc<Route>,
     request: &Arc<CallerRequest>,
 ) -> Option<Result<Answer, Refusal>> {
+    let selector = shared.handover_selector.as_ref()?;
     for _ in 0..HANDOVERS_MAX {
         let now = shared.now();
-        let daemon = shared.delegate_for(scatter.shards.len(), route.target_latency, now)?;
+        let large = shared.delegates_for(scatter.shards.len(), route.target_latency, now);
+        let random = rand::random();
+        let daemon = selector
+            .lock()
+            .choose(&route.name, &large, 0, random, now)?;
         shared.metrics.delegated.inc();
         Event::Delegated {
             request: request.id_text(),
             daemon,
         }
         .log();
-        let back_off = || shared.back_off_delegate(daemon, shared.now());
-        if let Some(result) = send(shared, daemon, route, request, back_off).await {
+        if let Some(result) = send(shared, daemon, route, request).await {
             return Some(result);
         }
     }
@@ -102,24 +106,18 @@
     for _ in 0..HANDOVERS_MAX {
         let now = shared.now();
         let others: Vec<KnownDaemon> = shared.daemons.as_ref()?.lock().others(now).collect();
-        let daemon = selector.lock().choose(
-            &route.name,
-            &others,
-            cpu_millicores_min,
-            rand::random(),
-            now,
-        )?;
+        let random = rand::random();
+        let daemon =
+            selector
+                .lock()
+                .choose(&route.name, &others, cpu_millicores_min, random, now)?;
         shared.metrics.handed_over.inc();
         Event::HandedOver {
             request: request.id_text(),
             daemon,
         }
         .log();
-        let back_off = || {
-            let now = shared.now();
-            selector.lock().declined(daemon, &route.name, now);
-        };
-        if let Some(result) = send(shared, daemon, route, request, back_off).await {
+        if let Some(result) = send(shared, daemon, route, request).await {
             return Some(result);
         }
     }
@@ -127,14 +125,24 @@
 }
 
 /// Sends a request to another daemon; `None` if that one did not serve it, in which case no leaf got
-/// it. Calls `back_off` if the daemon did not serve it, failed or was late.
+/// it. The daemon is left out for a while if it did not serve the request, failed or was late.
 async fn send(
     shared: &Shared,
     daemon: SocketAddr,
     route: &Route,
     request: &Arc<CallerRequest>,
-    back_off: impl Fn(),
 ) -> Option<Result<Answer, Refusal>> {
+    let declined = || {
+        if let Some(selector) = &shared.handover_selector {
+            let now = shared.now();
+            selector.lock().declined(daemon, &route.name, now);
+        }
+    };
+    // One that merely declined stays in use for other purposes, such as permits.
+    let back_off = || {
+        shared.back_off_delegate(daemon, shared.now());
+        declined();
+    };
     let sent = shared.delegations.send(daemon, Arc::clone(request));
     tokio::pin!(sent);
     let outcome = match timeout_at(late_at(shared.now(), route, request).into(), &mut sent).await {
@@ -147,9 +155,14 @@
         }
     };
     match outcome {
-        DelegationOutcome::Answered(answer) => Some(Ok(answer)),
+        DelegationOutcome::Answered(answer) => {
+            if let Some(selector) = &shared.handover_selector {
+                selector.lock().served(daemon, shared.now());
+            }
+            Some(Ok(answer))
+        }
         DelegationOutcome::NotServed => {
-            back_off();
+            declined();
             Event::HandoverDeclined {
                 request: request.id_text(),
                 daemon,
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -270,25 +270,27 @@
         self.with_retry_budget(service, now, |budget| budget.try_retry(&limits, now))
     }
 
-    /// Returns the daemon to which a query is delegated, or `None` if this one gathers it.
-    pub(crate) fn delegate_for(
+    /// Returns the daemons to which a query may be delegated; none if this one gathers it.
+    pub(crate) fn delegates_for(
         &self,
         shards: usize,
         target_latency: Duration,
         now: Instant,
-    ) -> Option<SocketAddr> {
-        let delegate_selector = self.delegate_selector.as_ref()?;
+    ) -> Vec<KnownDaemon> {
+        let (Some(delegate_selector), Some(daemons)) = (&self.delegate_selector, &self.daemons)
+        else {
+            return Vec::new();
+        };
         // Most daemons gather all their queries themselves, so the list of daemons is copied only
         // for a query that is too large.
         if !delegate_selector
             .lock()
             .is_too_large(shards, target_latency)
         {
-            return None;
+            return Vec::new();
         }
-        let others: Vec<KnownDaemon> = self.daemons.as_ref()?.lock().others(now).collect();
-        let delegate_selector = delegate_selector.lock();
-        delegate_selector.choose(others.into_iter(), rand::random(), now)
+        let others: Vec<KnownDaemon> = daemons.lock().others(now).collect();
+        delegate_selector.lock().eligible(others.into_iter(), now)
     }
 
     /// Records that a leaf has said that it is leaving.
