Name daemons that serve to those whose requests are declined

Each VM searched for one that reaches the leafs on its own, and a small VM whose query all large ones had declined tried its own leafs first, 500 ms for each connection.

Change: a daemon that declines a request names up to four that have served requests of its own lately. A query that daemons have declined is handed over before it is gathered on a VM that is too small for it.

--- a/crates/medlarpin-core/src/routing/handover_selector.rs
+++ b/crates/medlarpin-core/src/routing/handover_selector.rs
@@ -11,6 +11,10 @@
 /// Time for which a daemon that served a request counts as one that reaches the leafs.
 pub const SERVED_MEMORY: Duration = Duration::from_secs(10);
 
+/// Maximum number of daemons that are named to one whose request is declined. With several, not all
+/// turn to the same one.
+pub const HINTS_MAX: usize = 4;
+
 /// A daemon that could not serve a route.
 #[derive(Debug, Clone)]
 struct Decline {
@@ -66,6 +70,7 @@
 
     /// Records that a daemon could not be reached or could not serve the route.
     pub fn declined(&mut self, daemon: SocketAddr, route: &Arc<str>, now: Instant) {
+        self.served.retain(|(known, _)| *known != daemon);
         self.declines.retain(|known| now < known.until);
         let until = now + HANDOVER_BACK_OFF;
         match self.position(daemon, route) {
@@ -84,7 +89,7 @@
         }
     }
 
-    /// Records that a daemon served a request.
+    /// Records that a daemon served a request, of this daemon or of one that said so.
     pub fn served(&mut self, daemon: SocketAddr, now: Instant) {
         match self.served_position(daemon) {
             Ok(index) => self.served[index].1 = now,
@@ -96,6 +101,21 @@
         }
     }
 
+    /// Returns daemons that have served requests lately, the latest first, for a daemon whose request
+    /// this one declines.
+    #[must_use]
+    pub fn latest_served(&self, now: Instant) -> Vec<SocketAddr> {
+        let mut latest: Vec<(SocketAddr, Instant)> = self
+            .served
+            .iter()
+            .copied()
+            .filter(|(_, at)| now.saturating_duration_since(*at) < SERVED_MEMORY)
+            .collect();
+        latest.sort_by_key(|(_, at)| std::cmp::Reverse(*at));
+        latest.truncate(HINTS_MAX);
+        latest.into_iter().map(|(daemon, _)| daemon).collect()
+    }
+
     fn has_declines(&self, route: &str, now: Instant) -> bool {
         let mut declines = self.declines.iter();
         declines.any(|known| *known.route == *route && now < known.until)
--- a/crates/medlarpin-core/tests/routing_handover.rs
+++ b/crates/medlarpin-core/tests/routing_handover.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use medlarpin_core::prelude::*;
-use medlarpin_core::routing::{HANDOVER_BACK_OFF, HandoverSelector, KnownDaemon, SERVED_MEMORY};
+use medlarpin_core::routing::{
+    HANDOVER_BACK_OFF, HINTS_MAX, HandoverSelector, KnownDaemon, SERVED_MEMORY,
+};
 
 fn daemon(number: u8, cpu_millicores: u32) -> KnownDaemon {
     KnownDaemon {
@@ -82,3 +84,22 @@
     selector.declined(others[7].address, &route, later);
     assert_eq!(chosen(&selector, later).len(), others.len() - 2);
 }
+
+/// Load pattern: nearly all VMs have lost their links to the leafs. Guards against VMs that search for
+/// one that reaches the leafs each on their own, and against naming one that no longer does.
+#[test]
+fn the_latest_daemons_that_served_are_named_to_others() {
+    let now = Instant::now();
+    let route: Arc<str> = Arc::from("lookups");
+    let mut selector = HandoverSelector::default();
+    for number in 0..10 {
+        let at = now + Duration::from_millis(u64::from(number));
+        selector.served(daemon(number, 170).address, at);
+    }
+    let named = selector.latest_served(now);
+    assert_eq!(named.len(), HINTS_MAX);
+    assert_eq!(named[0], daemon(9, 170).address);
+    selector.declined(daemon(9, 170).address, &route, now);
+    assert_eq!(selector.latest_served(now)[0], daemon(8, 170).address);
+    assert!(selector.latest_served(now + SERVED_MEMORY * 2).is_empty());
+}
--- a/crates/router/src/delegation.rs
+++ b/crates/router/src/delegation.rs
@@ -1,6 +1,6 @@
 //! The RPC with which one daemon serves a request for another one, both sides.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,18 +11,18 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response};
 use medlarpin_core::prelude::Clock;
-use medlarpin_core::routing::Route;
+use medlarpin_core::routing::{HINTS_MAX, Route};
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
-use wire::peer_capnp::{header, route_peer};
+use wire::peer_capnp::{daemon_address, header, route_peer};
 
 use crate::caller_request::CallerRequest;
 use crate::callers::{Answer, answer_by, find_route, refusal_answer};
 use crate::event::Event;
 use crate::handover::serve_on_own_leafs;
 use crate::peer_pool::PeerPool;
-use crate::peers::millis_u32;
+use crate::peers::{len_u32, millis_u32};
 use crate::refusal::Refusal;
 use crate::shared::Shared;
 
@@ -36,13 +36,24 @@
     /// The daemon served the request, or gave a final refusal.
     Answered(Answer),
     /// The daemon was unreachable or could not serve the request; no leaf got it.
-    NotServed,
+    NotServed {
+        /// Daemons that have served requests of that daemon lately.
+        reaching: Vec<SocketAddr>,
+    },
     /// The RPC failed after the request was sent; leafs may have run it.
     Failed(DelegationError),
     /// The daemon did not answer by the deadline; leafs may have run the request.
     TimedOut,
 }
 
+impl DelegationOutcome {
+    /// The daemon got nothing.
+    fn not_reached() -> Self {
+        let reaching = Vec::new();
+        Self::NotServed { reaching }
+    }
+}
+
 /// Why a delegated query got no usable answer from the daemon.
 #[derive(Debug, Display, Error)]
 pub(crate) enum DelegationError {
@@ -100,9 +111,9 @@
         };
         // The receiving task runs until the process ends, so this fails only at shutdown.
         if self.queries.send(query).is_err() {
-            return DelegationOutcome::NotServed;
+            return DelegationOutcome::not_reached();
         }
-        answer.await.unwrap_or(DelegationOutcome::NotServed)
+        answer.await.unwrap_or(DelegationOutcome::not_reached())
     }
 }
 
@@ -144,11 +155,10 @@
     clock: &dyn Clock,
 ) -> DelegationOutcome {
     let Some(client) = pool.client(daemon, clock).await else {
-        return DelegationOutcome::NotServed;
+        return DelegationOutcome::not_reached();
     };
     match call_serve_request(&client, request, clock).await {
-        Ok(Some(answer)) => DelegationOutcome::Answered(answer),
-        Ok(None) => DelegationOutcome::NotServed,
+        Ok(outcome) => outcome,
         Err(error) => {
             pool.remove(daemon);
             DelegationOutcome::Failed(error)
@@ -156,13 +166,12 @@
     }
 }
 
-/// Calls the other daemon and returns its answer; `None` if it did not serve the query, in which
-/// case no leaf ran it.
+/// Calls the other daemon and returns its answer, or that it did not serve the request.
 async fn call_serve_request(
     client: &route_peer::Client,
     request: &CallerRequest,
     clock: &dyn Clock,
-) -> Result<Option<Answer>, DelegationError> {
+) -> Result<DelegationOutcome, DelegationError> {
     let now = clock.now();
     let mut call = client.serve_request_request();
     let mut params = call.get();
@@ -179,14 +188,16 @@
     let response = call.send().promise.await?;
     let reply = response.get()?;
     if !reply.get_is_served() {
-        return Ok(None);
+        let reaching = read_addresses(reply.get_reaching()?);
+        return Ok(DelegationOutcome::NotServed { reaching });
     }
     let body = Bytes::copy_from_slice(reply.get_body()?);
     let mut answer = Response::builder().status(reply.get_status());
     if let Some(headers) = answer.headers_mut() {
         *headers = read_headers(reply.get_headers()?)?;
     }
-    Ok(Some(answer.body(Full::new(body))?))
+    let answer = answer.body(Full::new(body))?;
+    Ok(DelegationOutcome::Answered(answer))
 }
 
 /// Serves the RPC with which another daemon delegates a query to this one.
@@ -213,7 +224,14 @@
     let answer = match served {
         Ok(answer) => answer,
         // No leaf got the request, and the sender or a third daemon may reach one.
-        Err(Refusal::Unreachable) => return Ok(()),
+        Err(Refusal::Unreachable) => {
+            let selector = shared.handover_selector.as_ref();
+            let reaching = selector.map(|selector| selector.lock().latest_served(shared.now()));
+            let reaching = reaching.unwrap_or_default();
+            let list = results.get().init_reaching(len_u32(&reaching));
+            write_addresses(&reaching, list);
+            return Ok(());
+        }
         Err(refusal) => refusal_answer(refusal, Some(&request.id)),
     };
     let (head, body) = answer.into_parts();
@@ -268,6 +286,27 @@
     Ok(Some((Arc::new(request), route)))
 }
 
+fn write_addresses(
+    daemons: &[SocketAddr],
+    mut list: capnp::struct_list::Builder<'_, daemon_address::Owned>,
+) {
+    for (index, daemon) in (0..).zip(daemons) {
+        // VMs have only IPv4 addresses; the peer could not use any other.
+        if let SocketAddr::V4(address) = daemon {
+            let mut entry = list.reborrow().get(index);
+            entry.set_ipv4(address.ip().to_bits());
+            entry.set_port(address.port());
+        }
+    }
+}
+
+fn read_addresses(list: capnp::struct_list::Reader<'_, daemon_address::Owned>) -> Vec<SocketAddr> {
+    let daemons = list.iter().take(HINTS_MAX);
+    daemons
+        .map(|entry| SocketAddrV4::new(entry.get_ipv4().into(), entry.get_port()).into())
+        .collect()
+}
+
 fn write_headers(headers: &HeaderMap, mut list: capnp::struct_list::Builder<'_, header::Owned>) {
     for (index, (name, value)) in (0..).zip(headers) {
         let mut entry = list.reborrow().get(index);
--- a/crates/router/src/handover.rs
+++ b/crates/router/src/handover.rs
@@ -30,10 +30,16 @@
     request: CallerRequest,
 ) -> Result<Answer, Refusal> {
     let request = Arc::new(request);
-    if let RouteTarget::Scatter(scatter) = &route.target
-        && let Some(result) = delegate(shared, scatter, route, &request).await
-    {
-        return result;
+    if let RouteTarget::Scatter(scatter) = &route.target {
+        let asked = match delegate(shared, scatter, route, &request).await {
+            Delegation::Served(result) => return result,
+            // This VM could gather the query only late, and may not reach the leafs either.
+            Delegation::Declined => hand_over(shared, route, &request).await,
+            Delegation::NotNeeded => None,
+        };
+        if let Some(result) = asked {
+            return result;
+        }
     }
     match serve_on_own_leafs(shared, route, &request).await {
         Err(Refusal::Unreachable) => hand_over(shared, route, &request)
@@ -67,21 +73,35 @@
     forward(shared, service, route, state, request).await
 }
 
-/// Delegates a query that this VM is too small to gather; `None` if it has to be gathered here.
+/// What came of the delegation of a query.
+enum Delegation {
+    /// Another daemon served the query, or refused it for good.
+    Served(Result<Answer, Refusal>),
+    /// Daemons declined the query, and none with enough CPU capacity is left to ask.
+    Declined,
+    /// The query is to be gathered here.
+    NotNeeded,
+}
+
+/// Delegates a query that this VM is too small to gather.
 async fn delegate(
     shared: &Arc<Shared>,
     scatter: &Scatter,
     route: &Arc<Route>,
     request: &Arc<CallerRequest>,
-) -> Option<Result<Answer, Refusal>> {
-    let selector = shared.handover_selector.as_ref()?;
+) -> Delegation {
+    let Some(selector) = &shared.handover_selector else {
+        return Delegation::NotNeeded;
+    };
+    let mut outcome = Delegation::NotNeeded;
     for _ in 0..HANDOVERS_MAX {
         let now = shared.now();
         let large = shared.delegates_for(scatter.shards.len(), route.target_latency, now);
         let random = rand::random();
-        let daemon = selector
-            .lock()
-            .choose(&route.name, &large, 0, random, now)?;
+        let chosen = selector.lock().choose(&route.name, &large, 0, random, now);
+        let Some(daemon) = chosen else {
+            break;
+        };
         shared.metrics.delegated.inc();
         Event::Delegated {
             request: request.id_text(),
@@ -89,10 +109,11 @@
         }
         .log();
         if let Some(result) = send(shared, daemon, route, request).await {
-            return Some(result);
+            return Delegation::Served(result);
         }
+        outcome = Delegation::Declined;
     }
-    None
+    outcome
 }
 
 /// Hands a request over that no leaf has got from this daemon; `None` if no other daemon serves it.
@@ -161,8 +182,9 @@
             }
             Some(Ok(answer))
         }
-        DelegationOutcome::NotServed => {
+        DelegationOutcome::NotServed { reaching } => {
             declined();
+            record_hints(shared, &reaching);
             Event::HandoverDeclined {
                 request: request.id_text(),
                 daemon,
@@ -187,6 +209,18 @@
     }
 }
 
+/// Records the daemons that another one has named as those that serve its requests.
+fn record_hints(shared: &Shared, reaching: &[SocketAddr]) {
+    let (Some(selector), Some(daemons)) = (&shared.handover_selector, &shared.daemons) else {
+        return;
+    };
+    let own = daemons.lock().own().address;
+    let mut selector = selector.lock();
+    for daemon in reaching.iter().filter(|daemon| **daemon != own) {
+        selector.served(*daemon, shared.now());
+    }
+}
+
 /// Returns the CPU capacity that a VM needs to serve a request of the route in time.
 fn cpu_millicores_needed(route: &Route) -> u32 {
     match &route.target {
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -224,6 +224,12 @@
   ageMs @3 :UInt32;
 }
 
+# Address at which other daemons reach a daemon.
+struct DaemonAddress {
+  ipv4 @0 :UInt32;
+  port @1 :UInt16;
+}
+
 struct Header {
   name @0 :Text;
   value @1 :Data;
@@ -250,9 +256,10 @@
   # from the store.
   publishedChanges @2 (afterRevision :UInt64, waitMs :UInt32, afterEra :UInt64) -> (revision :UInt64, storeSilentMs :UInt32, isWhole :Bool, items :List(PublishedItem), era :UInt64);
   # Serves a request on behalf of the sender, whose caller sent it ageMs ago: its VM is too small to
-  # gather the query, or does not reach the leafs. If isServed is false, no leaf got the request. A
-  # daemon of an older release only serves queries over many shards.
-  serveRequest @3 (method :Text, path :Text, headers :List(Header), body :Data, ageMs :UInt32, timeLeftMs :UInt32) -> (isServed :Bool, status :UInt16, headers :List(Header), body :Data);
+  # gather the query, or does not reach the leafs. If isServed is false, no leaf got the request, and
+  # reaching names daemons that have served requests of the receiver lately. A daemon of an older
+  # release only serves queries over many shards.
+  serveRequest @3 (method :Text, path :Text, headers :List(Header), body :Data, ageMs :UInt32, timeLeftMs :UInt32) -> (isServed :Bool, status :UInt16, headers :List(Header), body :Data, reaching :List(DaemonAddress));
   # Tells of crash reports that the receiver may not know; it passes on those that are new to it.
   reportCrashes @4 (reports :List(CrashReport)) -> ();
   # Tells of rates that leafs state; the receiver passes on those that change what it knows.
