Check the reach of leafs with less processor time

The check of all leafs ten times a second copied the whole table.

Change: only leafs that need a check are copied, five times a second.

--- a/crates/medlarpin-core/src/routing/leaf_load.rs
+++ b/crates/medlarpin-core/src/routing/leaf_load.rs
@@ -149,6 +149,15 @@
         }
     }
 
+    /// Returns true if [`Self::check_silence`] or [`Self::probe_due`] may have a result now.
+    #[must_use]
+    pub fn needs_check(&self, now: Instant) -> bool {
+        let oldest = self.in_flight.first();
+        let is_overdue = oldest
+            .is_some_and(|sent_at| now.saturating_duration_since(*sent_at) >= LEAF_SILENCE_TIMEOUT);
+        is_overdue || self.unreachable.is_some()
+    }
+
     /// Records that the leaf can be reached, which ends the back-off.
     pub fn reached(&mut self, now: Instant) {
         self.heard(now);
--- a/crates/medlarpin-core/tests/routing_choice.rs
+++ b/crates/medlarpin-core/tests/routing_choice.rs
@@ -239,8 +239,11 @@
     let waiting_at = start + LEAF_SILENCE_TIMEOUT / 2;
     let mut load = LeafLoad::default();
     load.sent(start);
+    assert!(!load.needs_check(waiting_at));
     assert!(!load.check_silence(waiting_at));
+    assert!(load.needs_check(silent_at));
     assert!(load.check_silence(silent_at));
+    assert!(load.needs_check(silent_at));
     assert_eq!(load.unreachable(), Some(Unreachable::Silent));
     // It is found silent once.
     assert!(!load.check_silence(silent_at));
--- a/crates/router/src/leaf_probe.rs
+++ b/crates/router/src/leaf_probe.rs
@@ -16,7 +16,7 @@
 use crate::shared::Shared;
 
 /// Interval at which all leafs are checked.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Maximum number of probes at a time. It bounds the connections that are opened together when the
 /// links of a VM are back, and the cost while hundreds of leafs are out of reach.
 const PROBES_MAX: usize = 16;
@@ -31,7 +31,9 @@
     loop {
         ticks.tick().await;
         let now = shared.now();
-        for leaf in shared.leafs.all() {
+        // Few of the leafs need anything.
+        let concerned = shared.leafs.filter(|leaf| leaf.load().needs_check(now));
+        for leaf in concerned {
             check_silence(&shared, &leaf);
             let due = leaf.load().probe_due(now);
             let Some(how) = due.filter(|_| leaf.is_usable(now) && leaf.start_probe()) else {
--- a/crates/router/src/leaf_table.rs
+++ b/crates/router/src/leaf_table.rs
@@ -49,6 +49,13 @@
             .collect()
     }
 
+    /// Returns the leafs for which the condition holds, without a copy of the others.
+    pub(crate) fn filter(&self, condition: impl Fn(&Leaf) -> bool) -> Vec<Arc<Leaf>> {
+        let by_service = self.by_service.load();
+        let leafs = by_service.iter().flat_map(|(_, leafs)| leafs);
+        leafs.filter(|leaf| condition(leaf)).cloned().collect()
+    }
+
     /// Returns the leaf with an identifier.
     pub(crate) fn find(&self, id: &LeafId) -> Option<Arc<Leaf>> {
         let by_service = self.by_service.load();
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -39,7 +39,7 @@
 const SEND_TIME_MAX: Duration = Duration::from_millis(800);
 /// Time until a probe that is due shows whether a leaf can be reached. It is longer than
 /// [`SHED_BACK_OFF`], so that a leaf that is out of reach does not count as available.
-const PROBE_TIME: Duration = Duration::from_millis(120);
+const PROBE_TIME: Duration = Duration::from_millis(220);
 /// Divisor of the process's memory; the quotient is for leafs' answers.
 const ANSWER_MEMORY_DIVISOR: usize = 4;
 /// Divisor of the process's memory; the quotient is for the bodies of callers' requests.
