Keep what a leaf has asked for while its entry is missing

A leaf that had answered 503 with Retry-After got requests again within its pause if its entry was withdrawn for longer than the drain grace (1.8 s) and then published as before, as happens to a live leaf that does not reach the store. The table of leafs dropped everything that it knew of a leaf when its entry was gone, and took the same process for a new leaf when it was back. Its stated rate, its reach and its load were forgotten alike.

Ruled out: StatedDepartures, which is kept by run of the leaf. Leafs that start again under their identifier are still new ones (start time).

--- a/crates/medlarpin-core/src/routing/leaf_entry.rs
+++ b/crates/medlarpin-core/src/routing/leaf_entry.rs
@@ -45,6 +45,15 @@
         }
     }
 
+    /// Returns true if both entries are of one run of a leaf, at the same address.
+    #[must_use]
+    pub fn is_of_same_process(&self, other: &Self) -> bool {
+        self.id == other.id
+            && self.address == other.address
+            && self.service == other.service
+            && self.started_unix_ms == other.started_unix_ms
+    }
+
     /// Returns true if this entry was written after another entry of the same leaf.
     #[must_use]
     pub fn is_newer_than(&self, other: &Self) -> bool {
--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -490,7 +490,8 @@
     fn update_leaf_table(&self) {
         let count = i64::try_from(self.directory.len()).unwrap_or(i64::MAX);
         self.shared.metrics.leafs.set(count);
-        self.shared.leafs.update(&self.directory);
+        let now = self.shared.now();
+        self.shared.leafs.update(&self.directory, now);
     }
 }
 
--- a/crates/router/src/leaf.rs
+++ b/crates/router/src/leaf.rs
@@ -113,6 +113,19 @@
         }
     }
 
+    /// Returns the leaf as it is published again after a time without an entry; it shares the
+    /// connections and measurements like that of [`Self::with_entry`].
+    pub(crate) fn listed_again(&self, entry: LeafEntry, usable_until: Option<Instant>) -> Self {
+        // Another leaf may have had the address meanwhile.
+        self.load().republished();
+        self.with_entry(entry, usable_until)
+    }
+
+    /// Returns true if another leaf is the same process at the same address.
+    pub(crate) fn is_same_process(&self, other: &Self) -> bool {
+        self.entry.is_of_same_process(&other.entry)
+    }
+
     /// Locks the measurements of the leaf's load and health.
     pub(crate) fn load(&self) -> MutexGuard<'_, LeafLoad> {
         self.link.load.lock()
--- a/crates/router/src/leaf_table.rs
+++ b/crates/router/src/leaf_table.rs
@@ -7,6 +7,7 @@
 use parking_lot::Mutex;
 
 use crate::leaf::Leaf;
+use crate::unlisted_leafs::UnlistedLeafs;
 
 /// The leafs of each service; sorted by service, without duplicates.
 type ByService = Vec<(ServiceName, Vec<Arc<Leaf>>)>;
@@ -16,6 +17,7 @@
 #[derive(Debug)]
 pub(crate) struct LeafTable {
     by_service: ArcSwap<ByService>,
+    unlisted: Mutex<UnlistedLeafs>,
     departures: Mutex<StatedDepartures>,
     /// Time for which a leaf that says it is leaving is still used if its service has no other leaf.
     drain_grace: Duration,
@@ -26,6 +28,7 @@
     pub(crate) fn new(drain_grace: Duration) -> Self {
         Self {
             by_service: ArcSwap::default(),
+            unlisted: Mutex::default(),
             departures: Mutex::default(),
             drain_grace,
         }
@@ -64,29 +67,38 @@
     }
 
     /// Rebuilds the table from the directory. A leaf whose address, service and process start are
-    /// unchanged keeps its connections and its load.
-    pub(crate) fn update(&self, directory: &LeafDirectory) {
+    /// unchanged keeps its connections and what is known of it, also if it was not listed for a while.
+    pub(crate) fn update(&self, directory: &LeafDirectory, now: Instant) {
         let mut previous = self.all();
         previous.sort_by(|a, b| a.entry.id.cmp(&b.entry.id));
-        let leafs: Vec<Arc<Leaf>> = directory
-            .leafs()
-            .map(|(entry, published_until)| {
-                let usable_until = self.usable_until(entry, published_until);
-                let index = previous.binary_search_by(|leaf| leaf.entry.id.cmp(&entry.id));
-                let same_process = index.ok().map(|index| &previous[index]).filter(|leaf| {
-                    leaf.entry.address == entry.address
-                        && leaf.entry.service == entry.service
-                        && leaf.entry.started_unix_ms == entry.started_unix_ms
-                });
-                match same_process {
-                    None => Arc::new(Leaf::new(entry.clone(), usable_until)),
-                    Some(leaf) if leaf.entry == *entry && leaf.usable_until() == usable_until => {
-                        Arc::clone(leaf)
-                    }
-                    Some(leaf) => Arc::new(leaf.with_entry(entry.clone(), usable_until)),
+        let mut unlisted = self.unlisted.lock();
+        let mut leafs: Vec<Arc<Leaf>> = Vec::with_capacity(directory.len());
+        for (entry, published_until) in directory.leafs() {
+            let usable_until = self.usable_until(entry, published_until);
+            let index = previous.binary_search_by(|leaf| leaf.entry.id.cmp(&entry.id));
+            let same_process = index
+                .ok()
+                .map(|index| &previous[index])
+                .filter(|leaf| leaf.entry.is_of_same_process(entry));
+            leafs.push(match same_process {
+                Some(leaf) if leaf.entry == *entry && leaf.usable_until() == usable_until => {
+                    Arc::clone(leaf)
                 }
-            })
-            .collect();
+                Some(leaf) => Arc::new(leaf.with_entry(entry.clone(), usable_until)),
+                None => Arc::new(match unlisted.take(entry) {
+                    Some(leaf) => leaf.listed_again(entry.clone(), usable_until),
+                    None => Leaf::new(entry.clone(), usable_until),
+                }),
+            });
+        }
+        for leaf in previous {
+            let index = leafs.binary_search_by(|listed| listed.entry.id.cmp(&leaf.entry.id));
+            let is_listed = index.is_ok_and(|index| leafs[index].is_same_process(&leaf));
+            if !is_listed {
+                unlisted.insert(leaf, now);
+            }
+        }
+        drop(unlisted);
         self.store(leafs);
     }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -39,6 +39,7 @@
 mod shared;
 mod stdout_log;
 mod supervised;
+mod unlisted_leafs;
 
 pub use crate::error::RouterError;
 pub use crate::router::Router;
