Probe leafs of services that the configuration does not list

A leaf that fell silent is used again only after it has answered a health check. If the configuration did not list its service, there was no path for the check, and the leaf stayed out of reach until the process ended. It is now asked at the path that applies to a listed service without one.

The mark of a probe in progress is a guard now. A probe that panicked would have left its leaf without further ones.

--- a/crates/router/src/leaf.rs
+++ b/crates/router/src/leaf.rs
@@ -90,6 +90,16 @@
     }
 }
 
+/// Marks a leaf as being probed until it is dropped, also by a probe that panics.
+#[derive(Debug)]
+pub(crate) struct ProbeGuard(Arc<LeafLink>);
+
+impl Drop for ProbeGuard {
+    fn drop(&mut self) {
+        self.0.is_probed.store(false, Ordering::Relaxed);
+    }
+}
+
 impl Leaf {
     pub(crate) fn new(entry: LeafEntry, usable_until: Option<Instant>) -> Self {
         Self {
@@ -284,14 +294,10 @@
         self.link.idle.lock().clear();
     }
 
-    /// Begins a probe; returns false if one is in progress.
-    pub(crate) fn start_probe(&self) -> bool {
-        !self.link.is_probed.swap(true, Ordering::Relaxed)
-    }
-
-    /// Ends a probe.
-    pub(crate) fn end_probe(&self) {
-        self.link.is_probed.store(false, Ordering::Relaxed);
+    /// Begins a probe, which ends when the guard is dropped; `None` if one is in progress.
+    pub(crate) fn start_probe(&self) -> Option<ProbeGuard> {
+        let is_probed = self.link.is_probed.swap(true, Ordering::Relaxed);
+        (!is_probed).then(|| ProbeGuard(Arc::clone(&self.link)))
     }
 
     /// Returns the number of open connections.
--- a/crates/router/src/leaf_probe.rs
+++ b/crates/router/src/leaf_probe.rs
@@ -36,18 +36,19 @@
         for leaf in concerned {
             check_silence(&shared, &leaf);
             let due = leaf.load().probe_due(now);
-            let Some(how) = due.filter(|_| leaf.is_usable(now) && leaf.start_probe()) else {
+            let Some(how) = due.filter(|_| leaf.is_usable(now)) else {
+                continue;
+            };
+            let Some(guard) = leaf.start_probe() else {
                 continue;
             };
             let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
-                leaf.end_probe();
                 break;
             };
             let shared = Arc::clone(&shared);
             tokio::spawn(async move {
                 probe(&shared, &leaf, how).await;
-                leaf.end_probe();
-                drop(permit);
+                drop((guard, permit));
             });
         }
     }
@@ -97,8 +98,9 @@
     mut connection: LeafConnection,
 ) -> Option<LeafConnection> {
     let config = shared.config.load_full()?;
-    let path = &config.service(&leaf.entry.service)?.health_path;
-    let request = Request::get(&**path)
+    let service = config.service(&leaf.entry.service);
+    let path = service.map_or(platform::HEALTH_PATH_DEFAULT, |known| &*known.health_path);
+    let request = Request::get(path)
         .header(HOST, leaf.entry.address.to_string())
         .body(Full::<Bytes>::default())
         .ok()?;
