Keep a part of the hedge budget for requests that would miss their deadline

Ruled out: a closed budget (it was open in each denial), a missing replica, a hedge that was tried only once.

Change: the last 5 extra requests of a budget are for retries, and for hedges of requests that have waited for half of their time. The limit of 5% is as before.

--- a/crates/daemon/src/entry/admission.rs
+++ b/crates/daemon/src/entry/admission.rs
@@ -1,7 +1,7 @@
 //! Admits queries within the teams' limits, and holds the budgets of extra requests (hedges and
 //! retries).
 
-use medlarpin_core::extra_budget::{ExtraBudget, try_spend_both};
+use medlarpin_core::extra_budget::{ExtraBudget, Urgency, try_spend_both};
 use medlarpin_core::latency_window::{LatencyWindow, hedge_delay};
 use medlarpin_core::load_shedder;
 use medlarpin_core::prelude::*;
@@ -219,10 +219,11 @@
         &mut self,
         team: &TeamName,
         service: &ServiceName,
+        urgency: Urgency,
         now: Instant,
     ) -> bool {
         self.budgets(team, service)
-            .is_some_and(|(team, service)| try_spend_both(team, service, now))
+            .is_some_and(|(team, service)| try_spend_both(team, service, urgency, now))
     }
 
     /// Adjusts the budgets to the result of a leaf request.
--- a/crates/daemon/src/entry/group.rs
+++ b/crates/daemon/src/entry/group.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use medlarpin_core::extra_budget::Urgency;
 use medlarpin_core::plan::Batch as PlannedBatch;
 use medlarpin_core::prelude::*;
 use wire::{Batch, BatchReply, ShardResult, ShardTask};
@@ -339,7 +340,7 @@
         let mut admission = self.worker.shared.admission.lock();
         let (team, service) = (&self.batch.team, &self.batch.service);
         let mut tasks = self.batch.tasks.iter();
-        tasks.all(|_task| admission.try_spend_extra(team, service, now))
+        tasks.all(|_task| admission.try_spend_extra(team, service, Urgency::Late, now))
     }
 
     fn uncovered_reply(&self, reason: UncoveredReason) -> BatchReply {
--- a/crates/daemon/src/gather.rs
+++ b/crates/daemon/src/gather.rs
@@ -10,6 +10,7 @@
 
 use futures::future::join_all;
 use medlarpin_core::canary::Clearance;
+use medlarpin_core::extra_budget::Urgency;
 use medlarpin_core::latency_window::{hedge_delay_for_p95, hedge_threshold};
 use medlarpin_core::outlier::is_slow;
 use medlarpin_core::prelude::*;
@@ -180,11 +181,17 @@
             .collect()
     }
 
-    fn try_spend_extra(&self) -> bool {
+    /// Returns the urgency of a hedge that is sent now.
+    fn hedge_urgency(&self) -> Urgency {
+        Urgency::of_hedge(self.batch.time_left, self.time_left())
+    }
+
+    fn try_spend_extra(&self, urgency: Urgency) -> bool {
         let shared = &self.worker.shared;
         let (team, service) = (&self.batch.team, &self.batch.service);
         let now = shared.clock.now();
-        shared.admission.lock().try_spend_extra(team, service, now)
+        let mut admission = shared.admission.lock();
+        admission.try_spend_extra(team, service, urgency, now)
     }
 
     fn record_leaf_result(&self, refused: bool, queue_wait: Duration) {
--- a/crates/daemon/src/gather/shard.rs
+++ b/crates/daemon/src/gather/shard.rs
@@ -5,6 +5,7 @@
 use futures::StreamExt;
 use futures::future::LocalBoxFuture;
 use futures::stream::FuturesUnordered;
+use medlarpin_core::extra_budget::Urgency;
 use medlarpin_core::hedge_timer::HedgeTimer;
 use medlarpin_core::plan::Alternatives;
 use medlarpin_core::prelude::*;
@@ -64,7 +65,7 @@
                 if hedge.is_due(now()) {
                     if !shard.has_untried() {
                         hedge.stop();
-                    } else if context.try_spend_extra() {
+                    } else if context.try_spend_extra(context.hedge_urgency()) {
                         shard.start_next(RequestKind::Hedge);
                         hedge.stop();
                     } else {
@@ -206,7 +207,7 @@
             None => false,
             Some(RequestKind::First) => true,
             Some(RequestKind::Retry | RequestKind::Hedge) => {
-                batch.idempotent && !batch.extra && self.context.try_spend_extra()
+                batch.idempotent && !batch.extra && self.context.try_spend_extra(Urgency::Late)
             }
         };
         if let Some(kind) = next
--- a/crates/medlarpin-core/src/extra_budget.rs
+++ b/crates/medlarpin-core/src/extra_budget.rs
@@ -8,11 +8,36 @@
 pub const FIRST_PER_EXTRA: u64 = 20;
 /// Maximum number of extra requests that a budget can accumulate.
 pub const BURST: u64 = 20;
+/// Extra requests that early hedges leave to late ones and to retries. Hedges at the 95th percentile of
+/// the latency would use up the whole budget by themselves.
+pub const RESERVE: u64 = 5;
 /// Mean queue wait above which the budget is closed; a tenth of the 300 ms latency target.
 pub const QUEUE_WAIT_MAX: Duration = Duration::from_millis(30);
 /// Percentage of refused requests above which the budget is closed.
 pub const REFUSED_PERCENT_MAX: u64 = 10;
 
+/// How urgent an extra request is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Urgency {
+    /// A hedge of a request that would probably be answered in time without it.
+    Early,
+    /// A retry, or a hedge of a request that has waited for half of its time.
+    Late,
+}
+
+impl Urgency {
+    /// Returns the urgency of a hedge of a request that had `time` until its deadline when it was
+    /// sent, and has `time_left` now.
+    #[must_use]
+    pub fn of_hedge(time: Duration, time_left: Duration) -> Self {
+        if time_left <= time / 2 {
+            Self::Late
+        } else {
+            Self::Early
+        }
+    }
+}
+
 /// Token bucket of extra requests. It is closed, so that it grants nothing, under overload.
 #[derive(Debug, Clone, Default)]
 pub struct ExtraBudget {
@@ -35,9 +60,10 @@
         self.earned = (self.earned + 1).min(BURST * FIRST_PER_EXTRA);
     }
 
-    /// Takes one extra request; returns false if none is earned or the budget is closed.
-    pub fn try_spend(&mut self, now: Instant) -> bool {
-        let granted = self.can_spend(now);
+    /// Takes one extra request; returns false if none is earned, only the [`RESERVE`] is left for an
+    /// early one, or the budget is closed.
+    pub fn try_spend(&mut self, urgency: Urgency, now: Instant) -> bool {
+        let granted = self.can_spend(urgency, now);
         if granted {
             self.earned -= FIRST_PER_EXTRA;
         }
@@ -66,12 +92,24 @@
         self.earned / FIRST_PER_EXTRA
     }
 
-    fn can_spend(&self, now: Instant) -> bool {
-        self.extra_requests() > 0 && self.is_open(now)
+    fn can_spend(&self, urgency: Urgency, now: Instant) -> bool {
+        let reserved = match urgency {
+            Urgency::Early => RESERVE,
+            Urgency::Late => 0,
+        };
+        self.extra_requests() > reserved && self.is_open(now)
     }
 }
 
 /// Takes one extra request from both budgets, or from neither and returns false.
-pub fn try_spend_both(team: &mut ExtraBudget, service: &mut ExtraBudget, now: Instant) -> bool {
-    team.can_spend(now) && service.can_spend(now) && team.try_spend(now) && service.try_spend(now)
+pub fn try_spend_both(
+    team: &mut ExtraBudget,
+    service: &mut ExtraBudget,
+    urgency: Urgency,
+    now: Instant,
+) -> bool {
+    team.can_spend(urgency, now)
+        && service.can_spend(urgency, now)
+        && team.try_spend(urgency, now)
+        && service.try_spend(urgency, now)
 }
--- a/crates/medlarpin-core/tests/overload.rs
+++ b/crates/medlarpin-core/tests/overload.rs
@@ -3,7 +3,7 @@
 mod leaf_model;
 
 use leaf_model::{Event, Model, SLOTS};
-use medlarpin_core::extra_budget::ExtraBudget;
+use medlarpin_core::extra_budget::{ExtraBudget, Urgency};
 use medlarpin_core::fair_queue::Discipline;
 use medlarpin_core::latency_window::hedge_delay;
 use medlarpin_core::prelude::*;
@@ -131,7 +131,9 @@
         if state.answered_us.is_some() || is_too_late || self.model.now_us < state.hedge_at_us {
             return;
         }
-        if self.retries == Retries::Unlimited || self.budget.try_spend(self.model.now()) {
+        if self.retries == Retries::Unlimited
+            || self.budget.try_spend(Urgency::Late, self.model.now())
+        {
             self.extra += 1;
             self.attempt(query);
         }
--- a/crates/medlarpin-core/tests/stragglers.rs
+++ b/crates/medlarpin-core/tests/stragglers.rs
@@ -1,6 +1,6 @@
 //! Tests of the latency window, the hedge delay and the retry budget.
 
-use medlarpin_core::extra_budget::{BURST, ExtraBudget, try_spend_both};
+use medlarpin_core::extra_budget::{BURST, ExtraBudget, RESERVE, Urgency, try_spend_both};
 use medlarpin_core::latency_window::{LatencyWindow, hedge_delay, hedge_threshold};
 use medlarpin_core::prelude::*;
 
@@ -92,7 +92,9 @@
         let now = Instant::now();
         let mut budget = ExtraBudget::new();
         (0..first_requests).for_each(|_| budget.earn());
-        let granted = (0..1000).filter(|_| budget.try_spend(now)).count();
+        let granted = (0..1000)
+            .filter(|_| budget.try_spend(Urgency::Late, now))
+            .count();
         assert_eq!(granted as u64, expected, "{first_requests}");
     };
     check(0, 0);
@@ -102,6 +104,37 @@
     check(1_000_000, BURST);
 }
 
+/// Load pattern: a busy machine delays many answers a little, and each of these requests is hedged, until
+/// a leaf hangs. Guards against requests to that leaf that wait for their deadline, because hedges that
+/// saved a few milliseconds have spent the budget.
+#[test]
+fn early_hedges_leave_budget_for_a_leaf_that_hangs() {
+    let now = Instant::now();
+    let mut budget = ExtraBudget::new();
+    let mut early = 0;
+    for _ in 0..2_000 {
+        budget.earn();
+        early += u64::from(budget.try_spend(Urgency::Early, now));
+    }
+    assert!(early * 20 <= 2_000 && early * 20 > 1_800, "{early}");
+    let late = (0..100).filter(|_| budget.try_spend(Urgency::Late, now));
+    assert_eq!(late.count() as u64, RESERVE);
+}
+
+/// Guards against a request that counts as urgent too early or never.
+#[test]
+fn a_hedge_is_late_from_half_of_the_time() {
+    let check = |time_ms: u32, left_ms: u32, expected: Urgency| {
+        let urgency = Urgency::of_hedge(MS * time_ms, MS * left_ms);
+        assert_eq!(urgency, expected, "{left_ms} of {time_ms}");
+    };
+    check(4_000, 4_000, Urgency::Early);
+    check(4_000, 2_001, Urgency::Early);
+    check(4_000, 2_000, Urgency::Late);
+    check(4_000, 0, Urgency::Late);
+    check(0, 0, Urgency::Late);
+}
+
 /// Guards against a retry storm: an overloaded service must get no hedges or retries.
 #[test]
 fn closes_under_overload_and_reopens() {
@@ -113,11 +146,12 @@
             budget.record_result(result < refused, MS * queue_wait_ms, now);
         }
         assert_eq!(
-            budget.try_spend(now + 900 * MS),
+            budget.try_spend(Urgency::Late, now + 900 * MS),
             expected,
             "{refused}/{results}"
         );
-        assert!(budget.try_spend(now + 1100 * MS), "stays closed");
+        let later = now + 1100 * MS;
+        assert!(budget.try_spend(Urgency::Late, later), "stays closed");
     };
     check(0, 0, 0, true);
     check(10, 100, 30, true);
@@ -131,9 +165,9 @@
     let now = Instant::now();
     let (mut team, mut service) = (ExtraBudget::new(), ExtraBudget::new());
     (0..20).for_each(|_| team.earn());
-    assert!(!try_spend_both(&mut team, &mut service, now));
+    assert!(!try_spend_both(&mut team, &mut service, Urgency::Late, now));
     assert_eq!(team.extra_requests(), 1);
     (0..20).for_each(|_| service.earn());
-    assert!(try_spend_both(&mut team, &mut service, now));
+    assert!(try_spend_both(&mut team, &mut service, Urgency::Late, now));
     assert_eq!((team.extra_requests(), service.extra_requests()), (0, 0));
 }
--- a/crates/replay/src/subjects/budget.rs
+++ b/crates/replay/src/subjects/budget.rs
@@ -1,6 +1,6 @@
 use std::time::Instant;
 
-use medlarpin_core::extra_budget::ExtraBudget;
+use medlarpin_core::extra_budget::{ExtraBudget, Urgency};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
@@ -14,7 +14,7 @@
     New,
     /// Records this many first requests, each of which earns part of an extra request.
     Earn { requests: u32 },
-    /// Requests budget for a hedge or a retry.
+    /// Requests budget for a late hedge or a retry.
     Spend,
     /// Records the results of `count` leaf requests.
     Results {
@@ -37,7 +37,7 @@
         BudgetEvent::New => {}
         BudgetEvent::Earn { requests } => (0..requests).for_each(|_| budget.earn()),
         BudgetEvent::Spend => {
-            let granted = budget.try_spend(now);
+            let granted = budget.try_spend(Urgency::Late, now);
             return Some(json!({"granted": granted, "extra": budget.extra_requests()}));
         }
         BudgetEvent::Results {
--- a/crates/xtask/src/capacity/leafs.rs
+++ b/crates/xtask/src/capacity/leafs.rs
@@ -1,7 +1,7 @@
 //! Work of a gatherer for each leaf request, and operations on the tables of tickets and
 //! fingerprints.
 
-use medlarpin_core::extra_budget::{ExtraBudget, try_spend_both};
+use medlarpin_core::extra_budget::{ExtraBudget, Urgency, try_spend_both};
 use medlarpin_core::fair_queue::FairQueue;
 use medlarpin_core::latency_window::{LatencyWindow, hedge_delay};
 use medlarpin_core::leaf_state::LeafState;
@@ -163,7 +163,7 @@
             budget.earn();
             budget.record_result(false, Duration::from_micros(50), now);
         }
-        std::hint::black_box(try_spend_both(&mut team, &mut service, now));
+        std::hint::black_box(try_spend_both(&mut team, &mut service, Urgency::Late, now));
     }
 }
 
