Probe new leafs first while this VM reaches few of the known ones

Change: while more than half of the known leafs are out of reach, a new leaf is taken for out of reach as well until a probe, which follows at once, has reached it. Callers' requests are handed over meanwhile.

--- a/crates/medlarpin-core/src/routing/leaf_load.rs
+++ b/crates/medlarpin-core/src/routing/leaf_load.rs
@@ -149,6 +149,14 @@
         }
     }
 
+    /// Returns true if the links of this VM have probably failed, so that a leaf of which nothing is
+    /// known yet has to be probed before it gets requests: more than half of the known leafs are
+    /// unreachable.
+    #[must_use]
+    pub fn are_links_suspect(unreachable: usize, known: usize) -> bool {
+        unreachable * 2 > known
+    }
+
     /// Returns true if [`Self::check_silence`] or [`Self::probe_due`] may have a result now.
     #[must_use]
     pub fn needs_check(&self, now: Instant) -> bool {
--- a/crates/router/src/leaf_table.rs
+++ b/crates/router/src/leaf_table.rs
@@ -3,7 +3,7 @@
 
 use arc_swap::ArcSwap;
 use medlarpin_core::prelude::{LeafId, ServiceName};
-use medlarpin_core::routing::{LeafDirectory, LeafEntry, StatedDepartures};
+use medlarpin_core::routing::{LeafDirectory, LeafEntry, LeafLoad, StatedDepartures};
 use parking_lot::Mutex;
 
 use crate::leaf::Leaf;
@@ -71,6 +71,17 @@
     pub(crate) fn update(&self, directory: &LeafDirectory, now: Instant) {
         let mut previous = self.all();
         previous.sort_by(|a, b| a.entry.id.cmp(&b.entry.id));
+        let unreachable = previous
+            .iter()
+            .filter(|leaf| leaf.load().unreachable().is_some());
+        let are_links_suspect = LeafLoad::are_links_suspect(unreachable.count(), previous.len());
+        let new_leaf = |entry: &LeafEntry, usable_until| {
+            let leaf = Leaf::new(entry.clone(), usable_until);
+            if are_links_suspect {
+                leaf.load().suspect(now);
+            }
+            leaf
+        };
         let mut unlisted = self.unlisted.lock();
         let mut leafs: Vec<Arc<Leaf>> = Vec::with_capacity(directory.len());
         for (entry, published_until) in directory.leafs() {
@@ -87,7 +98,7 @@
                 Some(leaf) => Arc::new(leaf.with_entry(entry.clone(), usable_until)),
                 None => Arc::new(match unlisted.take(entry) {
                     Some(leaf) => leaf.listed_again(entry.clone(), usable_until),
-                    None => Leaf::new(entry.clone(), usable_until),
+                    None => new_leaf(entry, usable_until),
                 }),
             });
         }
