Hand a query over if connections to its leafs hang

A query whose connections to the leafs hung failed with 502 once the first of them had timed out, although another daemon could have served it: requests that still waited for a connection were taken for requests that a leaf may run. They are counted from the time at which they are written now; a query of which nothing was written is handed over, and its refusal is a truthful 503 if no daemon serves it.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -7,6 +7,7 @@
 use medlarpin_core::routing::{LeafPhase, RateStatement, StatedRate};
 
 use crate::attempt_result::{AttemptResult, LeafAnswer, LeafFailure};
+use crate::call_evidence::CallEvidence;
 use crate::caller_request::CallerRequest;
 use crate::event::Event;
 use crate::held_memory::BodyError;
@@ -80,11 +81,12 @@
     shared: Arc<Shared>,
     leaf: Arc<Leaf>,
     request: Arc<CallerRequest>,
+    evidence: Arc<CallEvidence>,
     at_most_once: bool,
     typical_latency: Duration,
 ) -> AttemptResult {
     let in_flight = InFlightGuard::start(&shared, &leaf, typical_latency);
-    let result = send_request(&shared, &leaf, &request, at_most_once).await;
+    let result = send_request(&shared, &leaf, &request, &evidence, at_most_once).await;
     in_flight.finish(&result);
     result
 }
@@ -93,6 +95,7 @@
     shared: &Shared,
     leaf: &Arc<Leaf>,
     request: &CallerRequest,
+    evidence: &CallEvidence,
     at_most_once: bool,
 ) -> AttemptResult {
     let connections_max = shared.connections_max(&leaf.entry.service);
@@ -110,6 +113,7 @@
             .ok_or(LeafFailure::Encoding)?;
         let sent_at = shared.now();
         connection.progress_limit.restart();
+        let on_wire = evidence.writing();
         match connection.sender.try_send_request(leaf_request).await {
             Ok(response) => {
                 connection.progress_limit.restart();
@@ -124,6 +128,7 @@
                 if !connection.is_reused {
                     return Err(LeafFailure::Connect);
                 }
+                drop(on_wire);
                 connection = leaf.open_new(connections_max).await?;
             }
         }
--- a/crates/router/src/call_evidence.rs
+++ b/crates/router/src/call_evidence.rs
@@ -20,6 +20,8 @@
 pub(crate) struct CallEvidence {
     is_answered: AtomicBool,
     in_flight: AtomicUsize,
+    /// Leaf requests that were written, at least in part, and have no result yet.
+    on_wire: AtomicUsize,
     /// Lost leafs of the services that have not answered.
     lost: Mutex<Vec<LostLeaf>>,
 }
@@ -35,6 +37,19 @@
         self.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 
+    /// Records that a leaf request is being written to its connection; it is on the wire until the
+    /// guard is dropped.
+    pub(crate) fn writing(&self) -> OnWireGuard<'_> {
+        self.on_wire.fetch_add(1, Ordering::Relaxed);
+        OnWireGuard(self)
+    }
+
+    /// Returns true if a leaf may be running a request whose result is not known. Requests that wait
+    /// for a connection do not count.
+    pub(crate) fn is_on_wire(&self) -> bool {
+        self.on_wire.load(Ordering::Relaxed) > 0
+    }
+
     /// Records that a leaf of a service answered successfully, which shows that the request does not
     /// crash the leafs of this service. An error shows nothing: the leaf may not have begun to run
     /// the request.
@@ -78,3 +93,13 @@
         self.lost.lock().clone()
     }
 }
+
+/// Counts a leaf request as being on the wire until it is dropped.
+#[derive(Debug)]
+pub(crate) struct OnWireGuard<'a>(&'a CallEvidence);
+
+impl Drop for OnWireGuard<'_> {
+    fn drop(&mut self) {
+        self.0.on_wire.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -92,8 +92,8 @@
             GatherStep::Wait { until } => until,
             GatherStep::Answer => break,
             GatherStep::GiveUp => {
-                // A shard that answered ran the query, and one in flight may have run it.
-                let may_have_run = !answers.is_empty() || !shards.is_empty();
+                // A shard that answered ran the query, and one that was sent it may have run it.
+                let may_have_run = !answers.is_empty() || evidence.is_on_wire();
                 let timed_out = shared.now() >= policy.deadline;
                 record_coverage(&shared, route, scatter, request, &answers, shards.len());
                 memory.record_evidence(request, &evidence, shared.now());
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -399,6 +399,7 @@
             Arc::clone(&self.shared),
             Arc::clone(&leaf),
             Arc::clone(&self.request),
+            Arc::clone(&self.evidence),
             !self.attempts.is_idempotent(),
             typical_latency,
         );
