Ask daemons again soon if all have declined a request

A VM without links to the leafs refused its callers for up to two seconds after the other daemons had been restarted in turn: each had declined once while it was stopping or starting, and was left out for that time.

If all daemons have declined, the one whose decline is the oldest is asked again after 250 ms.

The new core test fails before (none is chosen until two seconds have passed).

--- a/crates/medlarpin-core/src/routing/handover_selector.rs
+++ b/crates/medlarpin-core/src/routing/handover_selector.rs
@@ -8,6 +8,9 @@
 /// messages while no daemon reaches the leafs, and the time until one that reaches them again is
 /// found.
 pub const HANDOVER_BACK_OFF: Duration = Duration::from_secs(2);
+/// Time after which a daemon that could not serve a route is asked again if all others could not either:
+/// it may have been starting or stopping.
+pub const HANDOVER_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Time for which a daemon that served a request counts as one that reaches the leafs.
 pub const SERVED_MEMORY: Duration = Duration::from_secs(10);
 
@@ -20,7 +23,13 @@
 struct Decline {
     daemon: SocketAddr,
     route: Arc<str>,
-    until: Instant,
+    at: Instant,
+}
+
+impl Decline {
+    fn is_in_force(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.at) < HANDOVER_BACK_OFF
+    }
 }
 
 /// Chooses the daemon to which a request is handed over.
@@ -41,8 +50,9 @@
 impl HandoverSelector {
     /// Chooses one of the other daemons; `None` if none of them can be asked now.
     ///
-    /// Daemons with `cpu_millicores_min`, which a query needs to be gathered in time, come first.
-    /// `random` is uniform.
+    /// Daemons with `cpu_millicores_min`, which a query needs to be gathered in time, come first. If
+    /// all have declined, the one whose decline is the oldest is asked again after
+    /// [`HANDOVER_RETRY_DELAY`]. `random` is uniform.
     #[must_use]
     pub fn choose(
         &self,
@@ -61,7 +71,9 @@
             let is_proven = is_trouble && self.has_served(daemon.address, now);
             (is_fit, is_proven)
         };
-        let best = open.clone().map(rank).max()?;
+        let Some(best) = open.clone().map(rank).max() else {
+            return self.longest_declined(route, others, now);
+        };
         let eligible: Vec<&KnownDaemon> = open.filter(|daemon| rank(daemon) == best).collect();
         let count = u64::try_from(eligible.len()).unwrap_or(1).max(1);
         let index = usize::try_from(random % count).unwrap_or(0);
@@ -71,20 +83,17 @@
     /// Records that a daemon could not be reached or could not serve the route.
     pub fn declined(&mut self, daemon: SocketAddr, route: &Arc<str>, now: Instant) {
         self.served.retain(|(known, _)| *known != daemon);
-        self.declines.retain(|known| now < known.until);
-        let until = now + HANDOVER_BACK_OFF;
+        self.declines.retain(|known| known.is_in_force(now));
         match self.position(daemon, route) {
-            Ok(index) => self.declines[index].until = until,
+            Ok(index) => self.declines[index].at = now,
             Err(index) => {
                 let route = Arc::clone(route);
-                self.declines.insert(
-                    index,
-                    Decline {
-                        daemon,
-                        route,
-                        until,
-                    },
-                );
+                let decline = Decline {
+                    daemon,
+                    route,
+                    at: now,
+                };
+                self.declines.insert(index, decline);
             }
         }
     }
@@ -118,12 +127,28 @@
 
     fn has_declines(&self, route: &str, now: Instant) -> bool {
         let mut declines = self.declines.iter();
-        declines.any(|known| *known.route == *route && now < known.until)
+        declines.any(|known| *known.route == *route && known.is_in_force(now))
     }
 
     fn has_declined(&self, daemon: SocketAddr, route: &str, now: Instant) -> bool {
         self.position(daemon, route)
-            .is_ok_and(|index| now < self.declines[index].until)
+            .is_ok_and(|index| self.declines[index].is_in_force(now))
+    }
+
+    /// Returns the daemon whose decline is the oldest, if that is old enough for another request.
+    fn longest_declined(
+        &self,
+        route: &str,
+        others: &[KnownDaemon],
+        now: Instant,
+    ) -> Option<SocketAddr> {
+        let declines = others.iter().filter_map(|daemon| {
+            let index = self.position(daemon.address, route).ok()?;
+            Some(&self.declines[index])
+        });
+        let oldest = declines.min_by_key(|known| known.at)?;
+        let age = now.saturating_duration_since(oldest.at);
+        (age >= HANDOVER_RETRY_DELAY).then_some(oldest.daemon)
     }
 
     fn has_served(&self, daemon: SocketAddr, now: Instant) -> bool {
--- a/crates/medlarpin-core/src/routing/mod.rs
+++ b/crates/medlarpin-core/src/routing/mod.rs
@@ -44,7 +44,9 @@
     CAPACITY_RATIO_MIN, DELEGATE_BACK_OFF, DelegateSelector, LEAF_REQUEST_CPU, OWN_CPU_SHARE_MAX,
 };
 pub use gather_policy::{GatherPolicy, GatherStep};
-pub use handover_selector::{HANDOVER_BACK_OFF, HINTS_MAX, HandoverSelector, SERVED_MEMORY};
+pub use handover_selector::{
+    HANDOVER_BACK_OFF, HANDOVER_RETRY_DELAY, HINTS_MAX, HandoverSelector, SERVED_MEMORY,
+};
 pub use known_daemon::KnownDaemon;
 pub use leaf_directory::{
     DEPARTED_MEMORY, LAPSED_ENTRY_RETURN_TIME, LeafDirectory, RESTORED_ENTRY_LIFETIME,
--- a/crates/medlarpin-core/tests/routing_handover.rs
+++ b/crates/medlarpin-core/tests/routing_handover.rs
@@ -5,7 +5,8 @@
 
 use medlarpin_core::prelude::*;
 use medlarpin_core::routing::{
-    HANDOVER_BACK_OFF, HINTS_MAX, HandoverSelector, KnownDaemon, SERVED_MEMORY,
+    HANDOVER_BACK_OFF, HANDOVER_RETRY_DELAY, HINTS_MAX, HandoverSelector, KnownDaemon,
+    SERVED_MEMORY,
 };
 
 fn daemon(number: u8, cpu_millicores: u32) -> KnownDaemon {
@@ -40,6 +41,29 @@
     assert!(choose(&selector, &route, 0, start + HANDOVER_BACK_OFF).is_some());
 }
 
+/// Load pattern: the VMs that reach the leafs are restarted in turn, and decline requests meanwhile.
+/// Guards against requests that are refused for seconds after the VMs are back, and against many messages
+/// while no VM reaches the leafs.
+#[test]
+fn daemons_that_declined_are_asked_again_if_no_other_is_left() {
+    let start = Instant::now();
+    let others = [daemon(1, 170), daemon(2, 170)];
+    let route: Arc<str> = Arc::from("lookups");
+    let mut selector = HandoverSelector::default();
+    let choose =
+        |selector: &HandoverSelector, now: Instant| selector.choose(&route, &others, 0, 0, now);
+    selector.declined(others[0].address, &route, start);
+    let later = start + HANDOVER_RETRY_DELAY / 2;
+    selector.declined(others[1].address, &route, later);
+    assert_eq!(choose(&selector, later), None);
+    let first_due = start + HANDOVER_RETRY_DELAY;
+    assert_eq!(choose(&selector, first_due), Some(others[0].address));
+    selector.declined(others[0].address, &route, first_due);
+    assert_eq!(choose(&selector, first_due), None);
+    let second_due = later + HANDOVER_RETRY_DELAY;
+    assert_eq!(choose(&selector, second_due), Some(others[1].address));
+}
+
 /// Guards against a query that is handed over to a VM which cannot gather it in time while a larger
 /// one reaches the leafs.
 #[test]
