Serve requests of other daemons while callers' connections are accepted during a stop

A daemon that is being stopped goes on to serve its own callers for 2.6 s at least, but declined requests of other daemons from the first moment, as it was not ready.

Ruled out: the links of the daemons that declined (their own callers were served), and a stop that takes longer: the daemon ends as soon as the requests in progress are answered, as before.

Change: it serves requests of other daemons as long as it accepts callers' connections, if they are likely to end before the exit. Its readiness is as before.

--- a/crates/router/src/delegation.rs
+++ b/crates/router/src/delegation.rs
@@ -245,8 +245,8 @@
     Ok(())
 }
 
-/// Decodes the query and finds its route; `None` if this daemon has no such route, is not ready or
-/// has no memory for the body.
+/// Decodes the query and finds its route; `None` if this daemon has no such route, is starting, takes
+/// no more requests as it is stopping, or has no memory for the body.
 fn decode_query(
     shared: &Shared,
     params: route_peer::serve_request_params::Reader<'_>,
@@ -262,7 +262,7 @@
         return Ok(None);
     };
     let found = find_route(shared, &caller, head.uri.path());
-    let Some((_, route)) = found.ok().filter(|_| shared.is_ready()) else {
+    let Some((_, route)) = found.ok().filter(|_| shared.is_started()) else {
         return Ok(None);
     };
     let now = shared.now();
@@ -283,7 +283,8 @@
         deadline: (now + time_left).min(arrived_at + route.timeout),
         answer_by: answer_by(&route, arrived_at),
     };
-    Ok(Some((Arc::new(request), route)))
+    let admitted = shared.planned_stop.admit_of_daemon(&route, &request, now);
+    Ok(admitted.ok().map(|()| (Arc::new(request), route)))
 }
 
 fn write_addresses(
--- a/crates/router/src/planned_stop.rs
+++ b/crates/router/src/planned_stop.rs
@@ -11,28 +11,53 @@
 /// slow leaf and a retry; with less, the caller is better served by another daemon at once.
 const TARGET_LATENCIES_LEFT_MIN: u32 = 4;
 
+/// Times of a planned stop.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct StopTimes {
+    /// End of the time for which new connections of callers and requests of other daemons are
+    /// accepted.
+    pub(crate) accepts_until: Instant,
+    /// Time by which all answers have to be written.
+    pub(crate) answers_until: Instant,
+}
+
 /// Whether the daemon is stopping as planned, and when its process will exit.
 #[derive(Debug)]
 pub(crate) struct PlannedStop {
-    /// Time by which all answers have to be written; `None` unless the daemon is stopping.
-    answers_until: watch::Sender<Option<Instant>>,
+    /// `None` unless the daemon is stopping.
+    times: watch::Sender<Option<StopTimes>>,
 }
 
 impl PlannedStop {
     pub(crate) fn new() -> Self {
         Self {
-            answers_until: watch::Sender::new(None),
+            times: watch::Sender::new(None),
         }
     }
 
     /// Begins the stop.
-    pub(crate) fn begin(&self, answers_until: Instant) {
-        self.answers_until.send_replace(Some(answers_until));
+    pub(crate) fn begin(&self, times: StopTimes) {
+        self.times.send_replace(Some(times));
     }
 
     /// Returns true if the stop has begun.
     pub(crate) fn has_begun(&self) -> bool {
-        self.answers_until.borrow().is_some()
+        self.times.borrow().is_some()
+    }
+
+    /// Refuses a request of another daemon that is unlikely to end before the process exits, or that
+    /// arrives when callers' connections are no longer accepted; no leaf has got it.
+    pub(crate) fn admit_of_daemon(
+        &self,
+        route: &Route,
+        request: &CallerRequest,
+        now: Instant,
+    ) -> Result<(), Refusal> {
+        let times = *self.times.borrow();
+        if times.is_some_and(|times| now >= times.accepts_until) {
+            return Err(Refusal::Stopping);
+        }
+        self.admit(route, request, now)
     }
 
     /// Refuses a request that is unlikely to end before the process exits; no leaf has got it.
@@ -42,7 +67,7 @@
         request: &CallerRequest,
         now: Instant,
     ) -> Result<(), Refusal> {
-        let Some(answers_until) = *self.answers_until.borrow() else {
+        let Some(StopTimes { answers_until, .. }) = *self.times.borrow() else {
             return Ok(());
         };
         let needed: Duration = route.target_latency * TARGET_LATENCIES_LEFT_MIN;
@@ -58,12 +83,12 @@
         &self,
         result: impl Future<Output = Result<T, Refusal>>,
     ) -> Result<T, Refusal> {
-        let mut answers_until = self.answers_until.subscribe();
+        let mut times = self.times.subscribe();
         let exit = async {
-            let begun = answers_until.wait_for(Option::is_some).await;
-            let until = begun.ok().and_then(|until| *until);
-            match until {
-                Some(until) => sleep_until(until.into()).await,
+            let begun = times.wait_for(Option::is_some).await;
+            let times = begun.ok().and_then(|times| *times);
+            match times {
+                Some(times) => sleep_until(times.answers_until.into()).await,
                 None => std::future::pending().await,
             }
         };
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -18,6 +18,7 @@
 use crate::leaf_probe::check_leafs;
 use crate::leaf_rate_reports::LeafRateReports;
 use crate::metrics::Metrics;
+use crate::planned_stop::StopTimes;
 use crate::shared::Shared;
 use crate::supervised::run_supervised;
 use crate::{crash_reports, leaf_rate_reports, operators, peers, readiness};
@@ -175,8 +176,10 @@
         let started = shared.now();
         let grace = shared.settings.load().shutdown_grace;
         let grace = grace.saturating_sub(EXIT_MARGIN);
-        let answers_until = started + grace.saturating_sub(ANSWER_MARGIN);
-        shared.planned_stop.begin(answers_until);
+        shared.planned_stop.begin(StopTimes {
+            accepts_until: started + ROTATION_EXIT_TIME,
+            answers_until: started + grace.saturating_sub(ANSWER_MARGIN),
+        });
         Event::Stopping {
             connections: self.connections.open_count(),
         }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -237,12 +237,16 @@
         self.config_check.lock().is_complete(self.now())
     }
 
-    /// Returns true if the daemon has a configuration and the leafs, and is not stopping.
+    /// Returns true if the daemon can serve requests and is not stopping.
     pub(crate) fn is_ready(&self) -> bool {
+        self.is_started() && !self.planned_stop.has_begun()
+    }
+
+    /// Returns true once the daemon has a configuration and the leafs.
+    pub(crate) fn is_started(&self) -> bool {
         self.config.load().is_some()
             && self.is_config_checked()
             && self.leafs_loaded.load(Ordering::Relaxed)
-            && !self.planned_stop.has_begun()
     }
 
     /// Returns the state of a route, which is created on first use.
