Count a lost leaf only if the VM reaches other leafs beside it

Equal requests that came to a VM whose links to the leafs were being reset were refused for 10 minutes by all daemons, although they were harmless: two broken connections to distinct leafs under distinct requests start a quarantine, and exempts only requests that were answered within the last minute.

A crashed leaf and a broken link look alike on one connection. They differ in the leafs beside: a report of a lost leaf is now verified first, by a health check of up to three other leafs of its failure domain, at most half a second. If none answers, the report is dropped. Equal requests are refused with 503 meanwhile, so that a request that does crash leafs reaches no more of them than before. A leaf without others in its domain counts as before.

Ruled out: counting how many leafs a VM loses at once. A query that crashes leafs loses one of each shard, and the requests in progress on them, so that no number tells the two cases apart.

--- a/crates/router/src/call_evidence.rs
+++ b/crates/router/src/call_evidence.rs
@@ -1,6 +1,6 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
-use medlarpin_core::prelude::{LeafId, ServiceName};
+use medlarpin_core::prelude::{FailureDomain, LeafId, ServiceName};
 use parking_lot::Mutex;
 
 /// Number of lost leafs from which a request that none of them answered may be the cause.
@@ -12,6 +12,7 @@
     pub(crate) service: ServiceName,
     /// Run of the leaf, as returned by `LeafEntry::run_id`.
     pub(crate) leaf: LeafId,
+    pub(crate) failure_domain: FailureDomain,
 }
 
 /// What the leaf requests of one caller's request, to one service or to all shards, show about
--- a/crates/router/src/crash_memory.rs
+++ b/crates/router/src/crash_memory.rs
@@ -5,7 +5,7 @@
 
 use medlarpin_core::canary::{Clearance, FingerprintTable, Quarantine};
 use medlarpin_core::ids::stable_hash;
-use medlarpin_core::prelude::{Fingerprint, LeafId, RequestId, ServiceName};
+use medlarpin_core::prelude::{FailureDomain, Fingerprint, LeafId, RequestId, ServiceName};
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
 
@@ -17,8 +17,8 @@
 const REPORTS_PER_REQUEST: usize = 2;
 /// Latest reports that are remembered, so that each is passed on once.
 const KNOWN_REPORTS_MAX: usize = 1_024;
-/// Reports that wait to be sent to other daemons; further ones are dropped, and reach them only with
-/// the next exchange.
+/// Reports that wait to be verified, and that wait to be sent to other daemons. Further ones count
+/// without being verified, and reach other daemons only with the next exchange.
 const QUEUE_MAX: usize = 64;
 
 /// Reports in an exchange, which has to fit into the bytes that control may take.
@@ -38,6 +38,17 @@
     pub(crate) lost_at: Instant,
 }
 
+/// A report of this daemon that does not count yet: the connection may have broken because a link
+/// failed, and not because the leaf crashed.
+#[derive(Debug)]
+pub(crate) struct UnverifiedReport {
+    pub(crate) report: CrashReport,
+    /// Failure domain of the leaf.
+    pub(crate) failure_domain: FailureDomain,
+    /// True if the other daemons are to be told.
+    is_passed_on: bool,
+}
+
 /// What is known of a request before it runs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum RequestClearance {
@@ -50,6 +61,8 @@
         /// Runs of the lost leafs.
         lost: Vec<LeafId>,
     },
+    /// An equal request has just lost a leaf, and it is not known yet whether that leaf crashed.
+    Unverified,
     /// It must not run.
     Quarantined {
         /// Time left of the quarantine.
@@ -60,6 +73,8 @@
 #[derive(Debug, Default)]
 struct State {
     table: FingerprintTable,
+    /// Fingerprints of the reports that are being verified, one for each.
+    unverified: Vec<Fingerprint>,
     /// The latest reports, each with its hash, oldest first.
     known_reports: VecDeque<(u64, CrashReport)>,
 }
@@ -68,19 +83,34 @@
 #[derive(Debug)]
 pub(crate) struct CrashMemory {
     state: Mutex<State>,
+    /// Reports of this daemon to verify.
+    to_verify: mpsc::Sender<UnverifiedReport>,
     /// Reports to pass on to other daemons.
     outgoing: mpsc::Sender<CrashReport>,
 }
 
+/// The queues of a [`CrashMemory`].
+#[derive(Debug)]
+pub(crate) struct CrashReportQueues {
+    pub(crate) to_verify: mpsc::Receiver<UnverifiedReport>,
+    pub(crate) outgoing: mpsc::Receiver<CrashReport>,
+}
+
 impl CrashMemory {
-    /// Creates an empty memory, and the queue of the reports to pass on to other daemons.
-    pub(crate) fn new() -> (Self, mpsc::Receiver<CrashReport>) {
-        let (outgoing, queue) = mpsc::channel(QUEUE_MAX);
+    /// Creates an empty memory and its queues.
+    pub(crate) fn new() -> (Self, CrashReportQueues) {
+        let (to_verify, unverified) = mpsc::channel(QUEUE_MAX);
+        let (outgoing, verified) = mpsc::channel(QUEUE_MAX);
         let memory = Self {
             state: Mutex::default(),
+            to_verify,
             outgoing,
         };
-        (memory, queue)
+        let queues = CrashReportQueues {
+            to_verify: unverified,
+            outgoing: verified,
+        };
+        (memory, queues)
     }
 
     /// Decides whether and how a request to some services may run.
@@ -92,7 +122,7 @@
     ) -> RequestClearance {
         let state = self.state.lock();
         // Nearly always true, so that no request needs to be hashed.
-        if state.table.is_free_of_suspects() {
+        if state.table.is_free_of_suspects() && state.unverified.is_empty() {
             return RequestClearance::Clear;
         }
         let request = request_hash(request);
@@ -103,6 +133,9 @@
                 let left = until.saturating_duration_since(now);
                 return RequestClearance::Quarantined { left };
             }
+            if state.unverified.contains(&fingerprint) {
+                clearance = RequestClearance::Unverified;
+            }
             let lost = state.table.leafs_with_strikes(fingerprint, now);
             if clearance == RequestClearance::Clear && !lost.is_empty() {
                 let service = service.clone();
@@ -143,7 +176,12 @@
         if self.state.lock().table.is_proven(proof, now) {
             return;
         }
-        for LostLeaf { service, leaf } in lost.iter().take(REPORTS_PER_REQUEST) {
+        for lost_leaf in lost.iter().take(REPORTS_PER_REQUEST) {
+            let LostLeaf {
+                service,
+                leaf,
+                failure_domain,
+            } = lost_leaf;
             let fingerprint = fingerprint_of(request_hash(request), service);
             let report = CrashReport {
                 fingerprint,
@@ -162,9 +200,45 @@
                 is_passed_on,
             }
             .log();
-            if self.add_report(&report) && is_passed_on {
-                self.pass_on(report);
-            }
+            self.verify(UnverifiedReport {
+                report,
+                failure_domain: failure_domain.clone(),
+                is_passed_on,
+            });
+        }
+    }
+
+    /// Lets a report be verified. Equal requests do not run meanwhile.
+    fn verify(&self, unverified: UnverifiedReport) {
+        let fingerprint = unverified.report.fingerprint;
+        self.state.lock().unverified.push(fingerprint);
+        if let Err(error) = self.to_verify.try_send(unverified) {
+            self.confirm(error.into_inner());
+        }
+    }
+
+    /// Counts a report, since the links to the leafs beside the lost one work.
+    pub(crate) fn confirm(&self, verified: UnverifiedReport) {
+        self.end_verification(verified.report.fingerprint);
+        if self.add_report(&verified.report) && verified.is_passed_on {
+            self.pass_on(verified.report);
+        }
+    }
+
+    /// Drops a report, since the links of this VM have failed.
+    pub(crate) fn dismiss(&self, unverified: &UnverifiedReport) {
+        self.end_verification(unverified.report.fingerprint);
+        Event::CrashReportDismissed {
+            fingerprint: unverified.report.fingerprint,
+            leaf: unverified.report.leaf.as_str(),
+        }
+        .log();
+    }
+
+    fn end_verification(&self, fingerprint: Fingerprint) {
+        let unverified = &mut self.state.lock().unverified;
+        if let Some(index) = unverified.iter().position(|known| *known == fingerprint) {
+            unverified.swap_remove(index);
         }
     }
 
--- a/crates/router/src/crash_reports.rs
+++ b/crates/router/src/crash_reports.rs
@@ -5,16 +5,57 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures::future::join_all;
 use medlarpin_core::canary::QUARANTINE_DURATION;
-use medlarpin_core::prelude::{Clock, Fingerprint, LeafId};
+use medlarpin_core::prelude::{Clock, FailureDomain, Fingerprint, LeafId};
 use tokio::sync::mpsc;
 use wire::peer_capnp::{crash_report, route_peer};
 
-use crate::crash_memory::CrashReport;
+use crate::crash_memory::{CrashReport, UnverifiedReport};
 use crate::flooding::{self, REPORTS_MAX};
+use crate::leaf_probe::reaches_domain;
 use crate::peers::{self, PeerError, len_u32, millis_u32};
 use crate::shared::Shared;
 
+/// Verifies reports of this daemon until the process ends: a lost leaf counts only if this VM reaches
+/// another leaf of the same failure domain.
+pub(crate) async fn verify(shared: Arc<Shared>, mut reports: mpsc::Receiver<UnverifiedReport>) {
+    while let Some(first) = reports.recv().await {
+        let mut batch = vec![first];
+        // The failure of a link breaks many connections, and one check shows it for all of them.
+        while let Ok(report) = reports.try_recv() {
+            batch.push(report);
+        }
+        let lost: Vec<LeafId> = batch
+            .iter()
+            .map(|unverified| unverified.report.leaf.clone())
+            .collect();
+        let mut domains: Vec<&FailureDomain> = batch
+            .iter()
+            .map(|unverified| &unverified.failure_domain)
+            .collect();
+        domains.sort();
+        domains.dedup();
+        let checks = domains
+            .iter()
+            .map(|domain| reaches_domain(&shared, domain, &lost));
+        let are_reached = join_all(checks).await;
+        let reached: Vec<FailureDomain> = domains
+            .into_iter()
+            .zip(are_reached)
+            .filter(|(_, is_reached)| *is_reached)
+            .map(|(domain, _)| domain.clone())
+            .collect();
+        for unverified in batch {
+            if reached.binary_search(&unverified.failure_domain).is_ok() {
+                shared.crash_memory.confirm(unverified);
+            } else {
+                shared.crash_memory.dismiss(&unverified);
+            }
+        }
+    }
+}
+
 /// Passes reports on until the process ends.
 pub(crate) async fn pass_on(shared: Arc<Shared>, reports: mpsc::Receiver<CrashReport>) {
     let clock = Arc::clone(&shared.clock);
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -235,6 +235,12 @@
         /// True if the other daemons are told.
         is_passed_on: bool,
     },
+    /// A lost leaf does not count, because this VM's links to the leafs beside it have failed as well.
+    CrashReportDismissed {
+        #[serde(serialize_with = "as_text")]
+        fingerprint: Fingerprint,
+        leaf: &'a str,
+    },
     /// A request has crashed leafs and is refused from now on.
     Quarantined {
         #[serde(serialize_with = "as_text")]
@@ -313,6 +319,7 @@
             | Self::NoUsableLeaf { .. } => "leaf",
             Self::DaemonsCounted { .. } | Self::DaemonUnreachable { .. } => "peer",
             Self::RequestLostLeaf { .. }
+            | Self::CrashReportDismissed { .. }
             | Self::Quarantined { .. }
             | Self::CrashReportDropped { .. } => "quarantine",
             Self::Hedged { .. }
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -67,6 +67,7 @@
 ) -> Option<Refusal> {
     match clearance {
         RequestClearance::Quarantined { left } => Some(Refusal::quarantined(*left)),
+        RequestClearance::Unverified => Some(Refusal::NoLeaf),
         // A daemon that is cut off does not know what equal requests did elsewhere.
         RequestClearance::Suspect { .. } if shared.is_isolated() => Some(Refusal::NoLeaf),
         RequestClearance::Suspect { .. } | RequestClearance::Clear => None,
--- a/crates/router/src/leaf_probe.rs
+++ b/crates/router/src/leaf_probe.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::stream::{FuturesUnordered, StreamExt};
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header::HOST;
+use medlarpin_core::prelude::{FailureDomain, LeafId};
 use medlarpin_core::routing::Unreachable;
 use tokio::sync::Semaphore;
 use tokio::time::{MissedTickBehavior, interval, timeout};
@@ -23,6 +25,12 @@
 /// Time limit of the answer to a health check. A leaf answers it after the requests in its queue.
 const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Number of leafs that are asked whether this VM reaches a failure domain; some may be full, or have
+/// crashed as well.
+const DOMAIN_PROBES: usize = 3;
+/// Time limit of such a probe. Requests that are equal to the one that lost a leaf are refused meanwhile.
+const DOMAIN_PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Checks the leafs until the process ends.
 pub(crate) async fn check_leafs(shared: Arc<Shared>) {
     let mut ticks = interval(CHECK_INTERVAL);
@@ -54,6 +62,58 @@
     }
 }
 
+/// Returns true if this VM reaches a leaf of a failure domain other than those that were lost, or if
+/// there is no other.
+pub(crate) async fn reaches_domain(
+    shared: &Shared,
+    domain: &FailureDomain,
+    lost: &[LeafId],
+) -> bool {
+    let now = shared.now();
+    let others = shared.leafs.filter(|leaf| {
+        leaf.entry.failure_domain == *domain
+            && leaf.is_usable(now)
+            && !lost.contains(&leaf.entry.run_id())
+    });
+    if others.is_empty() {
+        return true;
+    }
+    let mut usable: Vec<Arc<Leaf>> = others
+        .into_iter()
+        .filter(|leaf| {
+            let load = leaf.load();
+            load.unreachable().is_none() && load.pause_until(now).is_none()
+        })
+        .collect();
+    while usable.len() > DOMAIN_PROBES {
+        usable.swap_remove(rand::random_range(0..usable.len()));
+    }
+    let mut probes: FuturesUnordered<_> = usable
+        .iter()
+        .map(|leaf| timeout(DOMAIN_PROBE_TIMEOUT, answers_health_check(shared, leaf)))
+        .collect();
+    while let Some(is_reached) = probes.next().await {
+        if is_reached == Ok(true) {
+            return true;
+        }
+    }
+    false
+}
+
+/// Returns true if a leaf answers a health check on a new connection.
+async fn answers_health_check(shared: &Shared, leaf: &Leaf) -> bool {
+    let connections_max = shared.connections_max(&leaf.entry.service);
+    let Ok(connection) = leaf.open_new(connections_max).await else {
+        return false;
+    };
+    let answered = check_health(shared, leaf, connection).await;
+    let is_reached = answered.is_some();
+    if let Some(connection) = answered {
+        leaf.release(connection, None, shared.now());
+    }
+    is_reached
+}
+
 fn check_silence(shared: &Shared, leaf: &Leaf) {
     if leaf.load().check_silence(shared.now()) {
         Event::LeafSilent {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -75,7 +75,7 @@
         }
         .log();
         let (delegations, delegation_task) = Delegations::new();
-        let (crash_memory, crash_reports) = CrashMemory::new();
+        let (crash_memory, crash_queues) = CrashMemory::new();
         let (leaf_rate_reports, leaf_rate_queue) = LeafRateReports::new();
         let (leaf_permits, leaf_permit_task) = LeafPermits::new();
         let shared = Arc::new(Shared::new(
@@ -94,7 +94,14 @@
             Arc::clone(&shared),
             leaf_rate_queue,
         ));
-        spawn_local(crash_reports::pass_on(Arc::clone(&shared), crash_reports));
+        spawn_local(crash_reports::verify(
+            Arc::clone(&shared),
+            crash_queues.to_verify,
+        ));
+        spawn_local(crash_reports::pass_on(
+            Arc::clone(&shared),
+            crash_queues.outgoing,
+        ));
         let connections = Arc::new(Connections::new());
         tokio::spawn(Arc::clone(&connections).accept(query_listener, Arc::clone(&shared)));
         let readiness_endpoint = readiness::endpoint(Arc::clone(&shared));
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -246,6 +246,7 @@
                     self.evidence.lost(LostLeaf {
                         service: self.service.clone(),
                         leaf: leaf.entry.run_id(),
+                        failure_domain: leaf.entry.failure_domain.clone(),
                     });
                 }
                 if failure.is_not_arrived() {
