Use a leaf whose answers broke off only once it has answered a probe

Where connections to leafs open but are reset as soon as they are used, a daemon sent a caller's request to each leaf after every back-off, and that request failed with 502: a leaf whose answers broke off was probed by opening a connection, and one that opened counted as proof. Such a leaf has to answer a health check now, like a silent one.

--- a/crates/medlarpin-core/src/routing/leaf_load.rs
+++ b/crates/medlarpin-core/src/routing/leaf_load.rs
@@ -37,10 +37,10 @@
 /// How a leaf was found to be unreachable from this VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Unreachable {
-    /// Connections could not be opened, or broke repeatedly. A connection that opens shows that the
-    /// leaf can be reached.
+    /// Connections could not be opened. One that opens shows that the leaf can be reached.
     Refused,
-    /// Requests got no answer. Only an answer shows that the leaf can be reached.
+    /// Requests got no answer, or their connections broke. Only an answer shows that the leaf can be
+    /// reached.
     Silent,
 }
 
@@ -219,7 +219,8 @@
     pub fn answer_lost(&mut self, now: Instant) {
         self.observe_shed(1.0, now);
         if self.failures > 0 {
-            self.failed(now);
+            self.unreachable.get_or_insert(Unreachable::Silent);
+            self.start_failure_back_off(now);
         } else {
             self.failures = 1;
         }
