Hand over only requests that another daemon could serve

Where a service had no leaf, or too many shards of a query had none, each request was offered to six other daemons before it was refused, although they read the same list of leafs.

Such a request is refused at once now (no_leaf), unless this daemon has not heard from the store for three seconds, so that others may know of leafs that it does not.

--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -88,7 +88,7 @@
             rate_wait: Some(wait),
             ..
         } => Refusal::rate_limited(*wait, rand::random()),
-        failure if failure.may_have_arrived => Refusal::NoLeaf,
+        failure if failure.may_have_arrived || failure.has_no_leaf => Refusal::NoLeaf,
         _ => Refusal::Unreachable,
     }
 }
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -165,9 +165,16 @@
     let wait = waits
         .filter_map(|shard| LeafRates::new(shared).wait(shard, now))
         .max();
-    Err(wait.map_or(Refusal::Unreachable, |wait| {
-        Refusal::rate_limited(wait, rand::random())
-    }))
+    if let Some(wait) = wait {
+        return Err(Refusal::rate_limited(wait, rand::random()));
+    }
+    let has_leaf = |shard: &&ServiceName| !shared.has_no_leaf(shard, now);
+    let with_leafs = scatter.shards.iter().filter(has_leaf).count();
+    Err(if with_leafs < needed {
+        Refusal::NoLeaf
+    } else {
+        Refusal::Unreachable
+    })
 }
 
 /// Records, logs and counts the shards that have answered, or not, when the query is answered or
@@ -222,6 +229,7 @@
     let summary = ServiceFailure {
         may_have_arrived: may_have_run || may_have_arrived,
         may_have_run,
+        has_no_leaf: failures.iter().all(|failure| failure.has_no_leaf),
         last: failures.iter().find_map(|failure| failure.last),
         leaf_answer: None,
         timed_out: timed_out || failures.iter().any(|failure| failure.timed_out),
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -41,6 +41,8 @@
     pub(crate) may_have_arrived: bool,
     /// True if a leaf may have run the request.
     pub(crate) may_have_run: bool,
+    /// True if the service had no leaf that any daemon could use.
+    pub(crate) has_no_leaf: bool,
     /// Failure of the last failed attempt; `None` if none failed.
     pub(crate) last: Option<LeafFailure>,
     /// An answer of a leaf with an unsuccessful status.
@@ -91,6 +93,7 @@
             failure: ServiceFailure {
                 may_have_arrived: false,
                 may_have_run: false,
+                has_no_leaf: false,
                 last: None,
                 leaf_answer: None,
                 timed_out: false,
@@ -302,6 +305,7 @@
             _ => {
                 let request = self.request.id_text();
                 self.shared.log_no_usable_leaf(request, &self.service, now);
+                self.failure.has_no_leaf = self.shared.has_no_leaf(&self.service, now);
                 self.failure.rate_wait = LeafRates::new(&self.shared).wait(&self.service, now);
                 NextStep::Fail
             }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -40,6 +40,9 @@
 /// Time until a probe that is due shows whether a leaf can be reached. It is longer than
 /// [`SHED_BACK_OFF`], so that a leaf that is out of reach does not count as available.
 const PROBE_TIME: Duration = Duration::from_millis(220);
+/// Maximum age of the last answer of the store with which this daemon knows all published leafs. A
+/// follower's is up to 1.4 s older than that of the daemon that it follows.
+const CURRENT_ITEMS_AGE_MAX: Duration = Duration::from_secs(3);
 /// Divisor of the process's memory; the quotient is for leafs' answers.
 const ANSWER_MEMORY_DIVISOR: usize = 4;
 /// Divisor of the process's memory; the quotient is for the bodies of callers' requests.
@@ -216,6 +219,16 @@
         })
     }
 
+    /// Returns true if no daemon can use a leaf of the service, since none is published, or all have
+    /// left. Other daemons may know better if this one has not heard from the store for a while.
+    pub(crate) fn has_no_leaf(&self, service: &ServiceName, now: Instant) -> bool {
+        let current_at = self.published_items.current_at();
+        let is_current =
+            current_at.is_some_and(|at| now.saturating_duration_since(at) < CURRENT_ITEMS_AGE_MAX);
+        let leafs = self.leafs.for_service(service);
+        is_current && !leafs.iter().any(|leaf| leaf.is_usable(now))
+    }
+
     pub(crate) fn now(&self) -> Instant {
         self.clock.now()
     }
