Ask fewer daemons while none could serve a route lately

While the leafs of many shards are down for all daemons, each request was offered to six others in vain. After a request that none served, only two are asked for the next ones of the route, until one serves or is named as one that does, or ten seconds have passed.

--- a/crates/medlarpin-core/src/routing/handover_selector.rs
+++ b/crates/medlarpin-core/src/routing/handover_selector.rs
@@ -14,6 +14,12 @@
 /// Time for which a daemon that served a request counts as one that reaches the leafs.
 pub const SERVED_MEMORY: Duration = Duration::from_secs(10);
 
+/// Maximum number of daemons that are asked to serve a request. Those that cannot are left out for a
+/// while, so that the next request finds others.
+pub const HANDOVERS_MAX: usize = 6;
+/// The same number after a request for which none was found, until one is: probably the leafs are down,
+/// and not the links to them.
+pub const HANDOVERS_MAX_AFTER_FAILURE: usize = 2;
 /// Maximum number of daemons that are named to one whose request is declined. With several, not all
 /// turn to the same one.
 pub const HINTS_MAX: usize = 4;
@@ -45,6 +51,9 @@
     /// Daemons that served a request, each with the time of the last one; sorted by daemon, without
     /// duplicates.
     served: Vec<(SocketAddr, Instant)>,
+    /// Routes with a request that no daemon has served, each with the time of the last one; sorted by
+    /// route, without duplicates.
+    failed_searches: Vec<(Arc<str>, Instant)>,
 }
 
 impl HandoverSelector {
@@ -80,6 +89,31 @@
         eligible.get(index).map(|daemon| daemon.address)
     }
 
+    /// Returns how many daemons may be asked to serve one request of a route.
+    #[must_use]
+    pub fn asks_max(&self, route: &str, now: Instant) -> usize {
+        let has_failed = self.failed_search_position(route).is_ok_and(|index| {
+            now.saturating_duration_since(self.failed_searches[index].1) < SERVED_MEMORY
+        });
+        if has_failed {
+            HANDOVERS_MAX_AFTER_FAILURE
+        } else {
+            HANDOVERS_MAX
+        }
+    }
+
+    /// Records that no daemon served a request of the route.
+    pub fn search_failed(&mut self, route: &Arc<str>, now: Instant) {
+        match self.failed_search_position(route) {
+            Ok(index) => self.failed_searches[index].1 = now,
+            Err(index) => {
+                self.failed_searches.insert(index, (Arc::clone(route), now));
+                self.failed_searches
+                    .retain(|(_, at)| now.saturating_duration_since(*at) < SERVED_MEMORY);
+            }
+        }
+    }
+
     /// Records that a daemon could not be reached or could not serve the route.
     pub fn declined(&mut self, daemon: SocketAddr, route: &Arc<str>, now: Instant) {
         self.served.retain(|(known, _)| *known != daemon);
@@ -100,6 +134,7 @@
 
     /// Records that a daemon served a request, of this daemon or of one that said so.
     pub fn served(&mut self, daemon: SocketAddr, now: Instant) {
+        self.failed_searches.clear();
         match self.served_position(daemon) {
             Ok(index) => self.served[index].1 = now,
             Err(index) => {
@@ -156,6 +191,11 @@
             .is_ok_and(|index| now.saturating_duration_since(self.served[index].1) < SERVED_MEMORY)
     }
 
+    fn failed_search_position(&self, route: &str) -> Result<usize, usize> {
+        self.failed_searches
+            .binary_search_by(|(known, _)| (**known).cmp(route))
+    }
+
     fn served_position(&self, daemon: SocketAddr) -> Result<usize, usize> {
         self.served
             .binary_search_by_key(&daemon, |(known, _)| *known)
--- a/crates/medlarpin-core/src/routing/mod.rs
+++ b/crates/medlarpin-core/src/routing/mod.rs
@@ -45,7 +45,8 @@
 };
 pub use gather_policy::{GatherPolicy, GatherStep};
 pub use handover_selector::{
-    HANDOVER_BACK_OFF, HANDOVER_RETRY_DELAY, HINTS_MAX, HandoverSelector, SERVED_MEMORY,
+    HANDOVER_BACK_OFF, HANDOVER_RETRY_DELAY, HANDOVERS_MAX, HANDOVERS_MAX_AFTER_FAILURE, HINTS_MAX,
+    HandoverSelector, SERVED_MEMORY,
 };
 pub use known_daemon::KnownDaemon;
 pub use leaf_directory::{
--- a/crates/medlarpin-core/tests/routing_handover.rs
+++ b/crates/medlarpin-core/tests/routing_handover.rs
@@ -5,8 +5,8 @@
 
 use medlarpin_core::prelude::*;
 use medlarpin_core::routing::{
-    HANDOVER_BACK_OFF, HANDOVER_RETRY_DELAY, HINTS_MAX, HandoverSelector, KnownDaemon,
-    SERVED_MEMORY,
+    HANDOVER_BACK_OFF, HANDOVER_RETRY_DELAY, HANDOVERS_MAX, HANDOVERS_MAX_AFTER_FAILURE, HINTS_MAX,
+    HandoverSelector, KnownDaemon, SERVED_MEMORY,
 };
 
 fn daemon(number: u8, cpu_millicores: u32) -> KnownDaemon {
@@ -64,6 +64,24 @@
     assert_eq!(choose(&selector, second_due), Some(others[1].address));
 }
 
+/// Load pattern: the leafs of many shards are down, so that no daemon can serve the queries. Guards
+/// against messages of each VM to many others for each of its requests, and against a VM that no longer
+/// looks for others once some reach the leafs again.
+#[test]
+fn fewer_daemons_are_asked_after_a_search_without_success() {
+    let start = Instant::now();
+    let route: Arc<str> = Arc::from("lookups");
+    let mut selector = HandoverSelector::default();
+    assert_eq!(selector.asks_max(&route, start), HANDOVERS_MAX);
+    selector.search_failed(&route, start);
+    let asks_max = |selector: &HandoverSelector, now| selector.asks_max(&route, now);
+    assert_eq!(asks_max(&selector, start), HANDOVERS_MAX_AFTER_FAILURE);
+    assert_eq!(selector.asks_max("searches", start), HANDOVERS_MAX);
+    assert_eq!(asks_max(&selector, start + SERVED_MEMORY), HANDOVERS_MAX);
+    selector.served(daemon(1, 170).address, start);
+    assert_eq!(asks_max(&selector, start), HANDOVERS_MAX);
+}
+
 /// Guards against a query that is handed over to a VM which cannot gather it in time while a larger
 /// one reaches the leafs.
 #[test]
--- a/crates/router/src/handover.rs
+++ b/crates/router/src/handover.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use medlarpin_core::prelude::ServiceName;
-use medlarpin_core::routing::{DelegateSelector, KnownDaemon, Route, RouteTarget, Scatter};
+use medlarpin_core::routing::{
+    DelegateSelector, HANDOVERS_MAX, KnownDaemon, Route, RouteTarget, Scatter,
+};
 use tokio::time::timeout_at;
 
 use crate::caller_request::CallerRequest;
@@ -19,10 +21,6 @@
 use crate::scatter::gather;
 use crate::shared::Shared;
 
-/// Maximum number of daemons that are asked to serve a request. Those that cannot are left out for a
-/// while, so that the next request finds others.
-const HANDOVERS_MAX: usize = 6;
-
 /// Serves a request: on this VM, or on another one that can gather it in time or reaches its leafs.
 pub(crate) async fn serve(
     shared: &Arc<Shared>,
@@ -124,14 +122,17 @@
 ) -> Option<Result<Answer, Refusal>> {
     let selector = shared.handover_selector.as_ref()?;
     let cpu_millicores_min = cpu_millicores_needed(route);
-    for _ in 0..HANDOVERS_MAX {
+    let asks_max = selector.lock().asks_max(&route.name, shared.now());
+    for _ in 0..asks_max {
         let now = shared.now();
         let others: Vec<KnownDaemon> = shared.daemons.as_ref()?.lock().others(now).collect();
         let random = rand::random();
-        let daemon =
-            selector
-                .lock()
-                .choose(&route.name, &others, cpu_millicores_min, random, now)?;
+        let chosen = selector
+            .lock()
+            .choose(&route.name, &others, cpu_millicores_min, random, now);
+        let Some(daemon) = chosen else {
+            break;
+        };
         shared.metrics.handed_over.inc();
         Event::HandedOver {
             request: request.id_text(),
@@ -142,6 +143,7 @@
             return Some(result);
         }
     }
+    selector.lock().search_failed(&route.name, shared.now());
     None
 }
 
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -36,6 +36,10 @@
 
 /// Why a service gave no successful answer.
 #[derive(Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the facts are independent of each other"
+)]
 pub(crate) struct ServiceFailure {
     /// True if a leaf may have got the request, even if it rejected it.
     pub(crate) may_have_arrived: bool,
