Tell only the collecting daemons of a lost leaf, and all of a quarantine

Ruled out by trials: the probes of leafs (one at a time, none at all, none of leafs beside a silent one) and the requests that are handed over.

Change: a report goes to two daemons, chosen by rendezvous hashing of its fingerprint, where the reports of one request meet whichever daemons it came to. The reports that start a quarantine are passed on to all daemons as before, and exchanges carry the latest reports as before.

The tests of crashing requests keep their limits.

--- a/crates/router/src/crash_memory.rs
+++ b/crates/router/src/crash_memory.rs
@@ -45,10 +45,20 @@
     pub(crate) report: CrashReport,
     /// Failure domain of the leaf.
     pub(crate) failure_domain: FailureDomain,
-    /// True if the other daemons are to be told.
+    /// True if the daemons that collect such reports are to be told.
     is_passed_on: bool,
 }
 
+/// What the addition of a report has changed.
+enum Added {
+    /// The report was known.
+    Nothing,
+    /// The report is new.
+    Report,
+    /// The report has started a quarantine, together with the others of its fingerprint.
+    Quarantine(Vec<CrashReport>),
+}
+
 /// What is known of a request before it runs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum RequestClearance {
@@ -85,30 +95,36 @@
     state: Mutex<State>,
     /// Reports of this daemon to verify.
     to_verify: mpsc::Sender<UnverifiedReport>,
-    /// Reports to pass on to other daemons.
-    outgoing: mpsc::Sender<CrashReport>,
+    /// Reports for the daemons that collect those of their fingerprints.
+    to_owners: mpsc::Sender<CrashReport>,
+    /// Reports that started a quarantine, for all daemons.
+    to_all: mpsc::Sender<CrashReport>,
 }
 
 /// The queues of a [`CrashMemory`].
 #[derive(Debug)]
 pub(crate) struct CrashReportQueues {
-    pub(crate) to_verify: mpsc::Receiver<UnverifiedReport>,
-    pub(crate) outgoing: mpsc::Receiver<CrashReport>,
+    pub(crate) unverified: mpsc::Receiver<UnverifiedReport>,
+    pub(crate) for_owners: mpsc::Receiver<CrashReport>,
+    pub(crate) for_all: mpsc::Receiver<CrashReport>,
 }
 
 impl CrashMemory {
     /// Creates an empty memory and its queues.
     pub(crate) fn new() -> (Self, CrashReportQueues) {
         let (to_verify, unverified) = mpsc::channel(QUEUE_MAX);
-        let (outgoing, verified) = mpsc::channel(QUEUE_MAX);
+        let (to_owners, for_owners) = mpsc::channel(QUEUE_MAX);
+        let (to_all, for_all) = mpsc::channel(QUEUE_MAX);
         let memory = Self {
             state: Mutex::default(),
             to_verify,
-            outgoing,
+            to_owners,
+            to_all,
         };
         let queues = CrashReportQueues {
-            to_verify: unverified,
-            outgoing: verified,
+            unverified,
+            for_owners,
+            for_all,
         };
         (memory, queues)
     }
@@ -190,7 +206,7 @@
                 lost_at: now,
             };
             // A single lost leaf of a query that other shards answer is common, as leafs lose
-            // answers. It counts here, but is not worth a message to all daemons.
+            // answers. It counts here, but is not worth a message.
             let of_service = lost.iter().filter(|other| other.service == *service);
             let is_passed_on = !evidence.is_answered() || of_service.count() > 1;
             Event::RequestLostLeaf {
@@ -220,8 +236,12 @@
     /// Counts a report, since the links to the leafs beside the lost one work.
     pub(crate) fn confirm(&self, verified: UnverifiedReport) {
         self.end_verification(verified.report.fingerprint);
-        if self.add_report(&verified.report) && verified.is_passed_on {
-            self.pass_on(verified.report);
+        match self.add_report(&verified.report) {
+            Added::Report if verified.is_passed_on => {
+                send_report(&self.to_owners, verified.report);
+            }
+            Added::Report | Added::Nothing => {}
+            Added::Quarantine(reports) => self.tell_all(reports),
         }
     }
 
@@ -242,10 +262,10 @@
         }
     }
 
-    /// Adds a report of another daemon, and passes it on if it is new.
-    pub(crate) fn receive(&self, report: CrashReport) {
-        if self.add_report(&report) {
-            self.pass_on(report);
+    /// Adds a report of another daemon, and tells all daemons if it starts a quarantine.
+    pub(crate) fn receive(&self, report: &CrashReport) {
+        if let Added::Quarantine(reports) = self.add_report(report) {
+            self.tell_all(reports);
         }
     }
 
@@ -270,8 +290,8 @@
         reports.map(|(_, report)| report.clone()).collect()
     }
 
-    /// Adds a report of this daemon or of another one; returns false if it is known.
-    fn add_report(&self, report: &CrashReport) -> bool {
+    /// Adds a report of this daemon or of another one.
+    fn add_report(&self, report: &CrashReport) -> Added {
         let mut state = self.state.lock();
         let hash = stable_hash(&[
             &report.fingerprint.0.to_le_bytes(),
@@ -279,7 +299,7 @@
             &report.request_hash.to_le_bytes(),
         ]);
         if state.known_reports.iter().any(|(known, _)| *known == hash) {
-            return false;
+            return Added::Nothing;
         }
         if state.known_reports.len() >= KNOWN_REPORTS_MAX {
             state.known_reports.pop_front();
@@ -290,20 +310,20 @@
             state
                 .table
                 .strike(report.fingerprint, &report.leaf, request, report.lost_at);
+        let Some(quarantine) = quarantine else {
+            return Added::Report;
+        };
+        let known = state.known_reports.iter().map(|(_, known)| known);
+        let reports = known.filter(|known| known.fingerprint == report.fingerprint);
+        let reports = reports.cloned().collect();
         drop(state);
-        if let Some(quarantine) = quarantine {
-            log_quarantine(&quarantine, report.lost_at);
-        }
-        true
+        log_quarantine(&quarantine, report.lost_at);
+        Added::Quarantine(reports)
     }
 
-    fn pass_on(&self, report: CrashReport) {
-        // Full only if many leafs break off at once; the exchanges then tell of the quarantines.
-        if let Err(error) = self.outgoing.try_send(report) {
-            Event::CrashReportDropped {
-                error: &error.to_string(),
-            }
-            .log();
+    fn tell_all(&self, reports: Vec<CrashReport>) {
+        for report in reports {
+            send_report(&self.to_all, report);
         }
     }
 
@@ -337,6 +357,16 @@
     }
 }
 
+fn send_report(queue: &mpsc::Sender<CrashReport>, report: CrashReport) {
+    // Full only if many leafs break off at once; the exchanges then tell of the quarantines.
+    if let Err(error) = queue.try_send(report) {
+        Event::CrashReportDropped {
+            error: &error.to_string(),
+        }
+        .log();
+    }
+}
+
 fn log_quarantine(quarantine: &Quarantine, now: Instant) {
     Event::Quarantined {
         fingerprint: quarantine.fingerprint,
--- a/crates/router/src/crash_reports.rs
+++ b/crates/router/src/crash_reports.rs
@@ -8,10 +8,13 @@
 use futures::future::join_all;
 use medlarpin_core::canary::QUARANTINE_DURATION;
 use medlarpin_core::prelude::{Clock, FailureDomain, Fingerprint, LeafId};
+use medlarpin_core::routing::report_owners;
 use tokio::sync::mpsc;
+use tokio::task::spawn_local;
 use wire::peer_capnp::{crash_report, route_peer};
 
 use crate::crash_memory::{CrashReport, UnverifiedReport};
+use crate::event::Event;
 use crate::flooding::{self, REPORTS_MAX};
 use crate::leaf_probe::reaches_domain;
 use crate::peers::{self, PeerError, len_u32, millis_u32};
@@ -56,7 +59,32 @@
     }
 }
 
-/// Passes reports on until the process ends.
+/// Tells the daemons that collect the reports of a fingerprint, until the process ends.
+pub(crate) async fn tell_owners(shared: Arc<Shared>, mut reports: mpsc::Receiver<CrashReport>) {
+    while let Some(report) = reports.recv().await {
+        let owners: Vec<SocketAddr> = shared.daemons.as_ref().map_or_else(Vec::new, |daemons| {
+            let daemons = daemons.lock();
+            let own = daemons.own().address;
+            let others = daemons.others(shared.now()).map(|daemon| daemon.address);
+            let owners = report_owners(report.fingerprint, others.chain([own]));
+            owners.into_iter().filter(|owner| *owner != own).collect()
+        });
+        for daemon in owners {
+            let (report, clock) = (report.clone(), Arc::clone(&shared.clock));
+            spawn_local(async move {
+                if let Err(error) = send(daemon, &[report], &*clock).await {
+                    Event::DaemonUnreachable {
+                        daemon,
+                        error: &error,
+                    }
+                    .log();
+                }
+            });
+        }
+    }
+}
+
+/// Passes reports that started a quarantine on to all daemons, until the process ends.
 pub(crate) async fn pass_on(shared: Arc<Shared>, reports: mpsc::Receiver<CrashReport>) {
     let clock = Arc::clone(&shared.clock);
     flooding::pass_on(shared, reports, |daemon, batch| {
@@ -72,7 +100,7 @@
     params: route_peer::report_crashes_params::Reader<'_>,
 ) -> Result<(), capnp::Error> {
     for report in read_reports(params.get_reports()?, shared.now())? {
-        shared.crash_memory.receive(report);
+        shared.crash_memory.receive(&report);
     }
     Ok(())
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -96,11 +96,15 @@
         ));
         spawn_local(crash_reports::verify(
             Arc::clone(&shared),
-            crash_queues.to_verify,
+            crash_queues.unverified,
+        ));
+        spawn_local(crash_reports::tell_owners(
+            Arc::clone(&shared),
+            crash_queues.for_owners,
         ));
         spawn_local(crash_reports::pass_on(
             Arc::clone(&shared),
-            crash_queues.outgoing,
+            crash_queues.for_all,
         ));
         let connections = Arc::new(Connections::new());
         tokio::spawn(Arc::clone(&connections).accept(query_listener, Arc::clone(&shared)));
