Let requests wait for a verification for two seconds at most

If the task that verifies reports of lost leafs ended with a report in hand, equal requests would have been refused until the process ended.

--- a/crates/router/src/crash_memory.rs
+++ b/crates/router/src/crash_memory.rs
@@ -21,6 +21,10 @@
 /// without being verified, and reach other daemons only with the next exchange.
 const QUEUE_MAX: usize = 64;
 
+/// Time after which a request no longer waits for the verification of a report. It takes half a second,
+/// and a second if another one is in progress.
+const VERIFICATION_TIME_MAX: Duration = Duration::from_secs(2);
+
 /// Reports in an exchange, which has to fit into the bytes that control may take.
 const EXCHANGED_REPORTS_MAX: usize = 16;
 
@@ -83,8 +87,8 @@
 #[derive(Debug, Default)]
 struct State {
     table: FingerprintTable,
-    /// Fingerprints of the reports that are being verified, one for each.
-    unverified: Vec<Fingerprint>,
+    /// Fingerprints of the reports that are being verified, one for each, with the times of the losses.
+    unverified: Vec<(Fingerprint, Instant)>,
     /// The latest reports, each with its hash, oldest first.
     known_reports: VecDeque<(u64, CrashReport)>,
 }
@@ -149,7 +153,11 @@
                 let left = until.saturating_duration_since(now);
                 return RequestClearance::Quarantined { left };
             }
-            if state.unverified.contains(&fingerprint) {
+            let is_unverified = state
+                .unverified
+                .iter()
+                .any(|(known, at)| *known == fingerprint && now < *at + VERIFICATION_TIME_MAX);
+            if is_unverified {
                 clearance = RequestClearance::Unverified;
             }
             let lost = state.table.leafs_with_strikes(fingerprint, now);
@@ -226,8 +234,12 @@
 
     /// Lets a report be verified. Equal requests do not run meanwhile.
     fn verify(&self, unverified: UnverifiedReport) {
-        let fingerprint = unverified.report.fingerprint;
-        self.state.lock().unverified.push(fingerprint);
+        let CrashReport {
+            fingerprint,
+            lost_at,
+            ..
+        } = unverified.report;
+        self.state.lock().unverified.push((fingerprint, lost_at));
         if let Err(error) = self.to_verify.try_send(unverified) {
             self.confirm(error.into_inner());
         }
@@ -257,7 +269,10 @@
 
     fn end_verification(&self, fingerprint: Fingerprint) {
         let unverified = &mut self.state.lock().unverified;
-        if let Some(index) = unverified.iter().position(|known| *known == fingerprint) {
+        if let Some(index) = unverified
+            .iter()
+            .position(|(known, _)| *known == fingerprint)
+        {
             unverified.swap_remove(index);
         }
     }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -54,7 +54,8 @@
 /// State that is shared by all requests and background tasks.
 ///
 /// A lock of this struct is held for a single call, never across an await and never together with
-/// another one. The exception is `routes`, which is locked while a route's state is created.
+/// another one. The exceptions are `routes`, which is locked while a route's state is created, and the
+/// unlisted leafs of `leafs`, which are locked before all others while the table is rebuilt.
 #[derive(Debug)]
 pub(crate) struct Shared {
     /// Replaced when the settings file is read again.
