Hand requests over only under the same configuration

Change: serveRequest states the version in force on both sides. A request is not served under another version than that of its sender; a sender with the older one fetches the newer one from that daemon before it goes on. A daemon of an older release states 0, and serves and is served as before.

--- a/crates/router/src/config_sync.rs
+++ b/crates/router/src/config_sync.rs
@@ -54,27 +54,8 @@
     if is_newer() && shared.is_config_checked() {
         sleep(USUAL_ARRIVAL_TIME).await;
     }
-    if is_newer() {
-        let item = peers::fetch_config(daemon).await?;
-        match item.decode() {
-            Some(Change::Config(config)) => {
-                Event::ConfigFromDaemon {
-                    daemon,
-                    version: config.version.0,
-                }
-                .log();
-                offer(shared, *config, &item);
-            }
-            Some(Change::Unusable { key, error, .. }) => {
-                Event::EntryUnusable {
-                    key: &key,
-                    error: &error,
-                }
-                .log();
-                return Ok(());
-            }
-            _ => return Ok(()),
-        }
+    if is_newer() && !fetch_newer(shared, daemon, theirs).await? {
+        return Ok(());
     }
     // A daemon without a configuration is starting and has nothing to compare with.
     if theirs > ConfigVersion::default() {
@@ -83,6 +64,39 @@
     Ok(())
 }
 
+/// Fetches the configuration of another daemon and puts it in force if its version, `theirs`, is newer than
+/// the present one; returns true if it did.
+pub(crate) async fn fetch_newer(
+    shared: &Shared,
+    daemon: SocketAddr,
+    theirs: ConfigVersion,
+) -> Result<bool, PeerError> {
+    if theirs <= ConfigVersion(shared.config_version()) {
+        return Ok(false);
+    }
+    let item = peers::fetch_config(daemon).await?;
+    match item.decode() {
+        Some(Change::Config(config)) => {
+            Event::ConfigFromDaemon {
+                daemon,
+                version: config.version.0,
+            }
+            .log();
+            offer(shared, *config, &item);
+            Ok(true)
+        }
+        Some(Change::Unusable { key, error, .. }) => {
+            Event::EntryUnusable {
+                key: &key,
+                error: &error,
+            }
+            .log();
+            Ok(false)
+        }
+        _ => Ok(false),
+    }
+}
+
 /// Compares the configuration in force with that of a daemon that has called, in a task of its own.
 pub(crate) fn compare_later(shared: &Arc<Shared>, daemon: SocketAddr, theirs: ConfigVersion) {
     if theirs <= ConfigVersion(shared.config_version()) && shared.is_config_checked() {
--- a/crates/router/src/delegation.rs
+++ b/crates/router/src/delegation.rs
@@ -10,8 +10,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response};
-use medlarpin_core::prelude::Clock;
-use medlarpin_core::routing::{HINTS_MAX, Route};
+use medlarpin_core::routing::{ConfigVersion, HINTS_MAX, Route};
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
@@ -19,6 +18,7 @@
 
 use crate::caller_request::CallerRequest;
 use crate::callers::{Answer, answer_by, find_route, refusal_answer};
+use crate::config_sync;
 use crate::event::Event;
 use crate::handover::serve_on_own_leafs;
 use crate::peer_pool::PeerPool;
@@ -40,6 +40,9 @@
         /// Daemons that have served requests of that daemon lately.
         reaching: Vec<SocketAddr>,
     },
+    /// The daemon had a newer configuration in force, which this one has fetched; no leaf got the
+    /// request.
+    ConfigFetched,
     /// The RPC failed after the request was sent; leafs may have run it.
     Failed(DelegationError),
     /// The daemon did not answer by the deadline; leafs may have run the request.
@@ -119,11 +122,11 @@
 
 impl DelegationTask {
     /// Sends queries until the process ends. The connections are bound to this task's thread.
-    pub(crate) async fn run(mut self, clock: Arc<dyn Clock>) {
+    pub(crate) async fn run(mut self, shared: Arc<Shared>) {
         let pool = Rc::new(PeerPool::default());
         while let Some(query) = self.queries.recv().await {
             let pool = Rc::clone(&pool);
-            let clock = Arc::clone(&clock);
+            let shared = Arc::clone(&shared);
             spawn_local(async move {
                 let DelegatedQuery {
                     daemon,
@@ -131,14 +134,14 @@
                     mut reply,
                 } = query;
                 tokio::select! {
-                    outcome = send(&pool, daemon, &request, &*clock) => {
+                    outcome = send(&pool, daemon, &request, &shared) => {
                         // Fails only if the caller has disconnected, in which case the outcome is
                         // not needed.
                         let _ = reply.send(outcome);
                     }
                     () = reply.closed() => {
                         // The daemon did not answer in time, so that the connection may be silent.
-                        if clock.now() >= request.deadline {
+                        if shared.now() >= request.deadline {
                             pool.remove(daemon);
                         }
                     }
@@ -152,13 +155,27 @@
     pool: &PeerPool,
     daemon: SocketAddr,
     request: &CallerRequest,
-    clock: &dyn Clock,
+    shared: &Shared,
 ) -> DelegationOutcome {
-    let Some(client) = pool.client(daemon, clock).await else {
+    let Some(client) = pool.client(daemon, &*shared.clock).await else {
         return DelegationOutcome::not_reached();
     };
-    match call_serve_request(&client, request, clock).await {
-        Ok(outcome) => outcome,
+    match call_serve_request(&client, request, shared).await {
+        Ok((DelegationOutcome::NotServed { reaching }, theirs)) => {
+            match config_sync::fetch_newer(shared, daemon, theirs).await {
+                Ok(true) => DelegationOutcome::ConfigFetched,
+                Ok(false) => DelegationOutcome::NotServed { reaching },
+                Err(error) => {
+                    Event::DaemonUnreachable {
+                        daemon,
+                        error: &error,
+                    }
+                    .log();
+                    DelegationOutcome::NotServed { reaching }
+                }
+            }
+        }
+        Ok((outcome, _)) => outcome,
         Err(error) => {
             pool.remove(daemon);
             DelegationOutcome::Failed(error)
@@ -166,13 +183,14 @@
     }
 }
 
-/// Calls the other daemon and returns its answer, or that it did not serve the request.
+/// Calls the other daemon and returns its answer, or that it did not serve the request, and the version
+/// of its configuration.
 async fn call_serve_request(
     client: &route_peer::Client,
     request: &CallerRequest,
-    clock: &dyn Clock,
-) -> Result<DelegationOutcome, DelegationError> {
-    let now = clock.now();
+    shared: &Shared,
+) -> Result<(DelegationOutcome, ConfigVersion), DelegationError> {
+    let now = shared.now();
     let mut call = client.serve_request_request();
     let mut params = call.get();
     params.set_method(request.head.method.as_str());
@@ -181,15 +199,17 @@
     let age = now.saturating_duration_since(request.arrived_at);
     params.set_age_ms(millis_u32(age + DELEGATION_DELAY));
     params.set_time_left_ms(millis_u32(request.time_left(now)));
+    params.set_config_version(shared.config_version());
     params.set_body(&request.body);
     let headers = &request.head.headers;
     let list = params.init_headers(u32::try_from(headers.len()).unwrap_or(u32::MAX));
     write_headers(headers, list);
     let response = call.send().promise.await?;
     let reply = response.get()?;
+    let config_version = ConfigVersion(reply.get_config_version());
     if !reply.get_is_served() {
         let reaching = read_addresses(reply.get_reaching()?);
-        return Ok(DelegationOutcome::NotServed { reaching });
+        return Ok((DelegationOutcome::NotServed { reaching }, config_version));
     }
     let body = Bytes::copy_from_slice(reply.get_body()?);
     let mut answer = Response::builder().status(reply.get_status());
@@ -197,7 +217,7 @@
         *headers = read_headers(reply.get_headers()?)?;
     }
     let answer = answer.body(Full::new(body))?;
-    Ok(DelegationOutcome::Answered(answer))
+    Ok((DelegationOutcome::Answered(answer), config_version))
 }
 
 /// Serves the RPC with which another daemon delegates a query to this one.
@@ -206,6 +226,7 @@
     params: route_peer::serve_request_params::Reader<'_>,
     mut results: route_peer::ServeRequestResults,
 ) -> Result<(), capnp::Error> {
+    results.get().set_config_version(shared.config_version());
     let (request, route) = match decode_query(shared, params) {
         Ok(Some(query)) => query,
         Ok(None) => return Ok(()),
@@ -245,8 +266,8 @@
     Ok(())
 }
 
-/// Decodes the query and finds its route; `None` if this daemon has no such route, is starting, takes
-/// no more requests as it is stopping, or has no memory for the body.
+/// Decodes the query and finds its route; `None` if this daemon has another configuration or no such
+/// route, is starting, takes no more requests as it is stopping, or has no memory for the body.
 fn decode_query(
     shared: &Shared,
     params: route_peer::serve_request_params::Reader<'_>,
@@ -261,6 +282,12 @@
     let Ok(caller) = platform::parse_caller_head(&head) else {
         return Ok(None);
     };
+    // The sender must not handle later requests as an older configuration says than this one. A daemon
+    // of an older release states version 0.
+    let theirs = params.get_config_version();
+    if theirs != 0 && theirs != shared.config_version() {
+        return Ok(None);
+    }
     let found = find_route(shared, &caller, head.uri.path());
     let Some((_, route)) = found.ok().filter(|_| shared.is_started()) else {
         return Ok(None);
--- a/crates/router/src/handover.rs
+++ b/crates/router/src/handover.rs
@@ -194,6 +194,8 @@
             .log();
             None
         }
+        // The daemon serves the request if it is asked again.
+        DelegationOutcome::ConfigFetched => None,
         DelegationOutcome::Failed(error) => {
             back_off();
             Event::DelegationFailed {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -88,7 +88,7 @@
             leaf_permits,
             Metrics::new()?,
         ));
-        spawn_local(delegation_task.run(Arc::clone(&clock)));
+        spawn_local(delegation_task.run(Arc::clone(&shared)));
         spawn_local(leaf_permit_task.run(clock));
         spawn_local(leaf_rate_reports::pass_on(
             Arc::clone(&shared),
