Tell a daemon that serves a request whether leafs have answered it lately

Change: serveRequest states whether the sender has had an answer to an equal request within the last minute, and the receiver takes that for an answer of its own. A daemon of an older release states nothing.

--- a/crates/router/src/crash_memory.rs
+++ b/crates/router/src/crash_memory.rs
@@ -185,6 +185,12 @@
         self.state.lock().table.canary_succeeded(fingerprint, now);
     }
 
+    /// Returns true if leafs have answered an equal request lately.
+    pub(crate) fn is_proven(&self, request: &CallerRequest, now: Instant) -> bool {
+        let proof = Fingerprint(request_hash(request));
+        self.state.lock().table.is_proven(proof, now)
+    }
+
     /// Records what a request has shown when it is answered or refused.
     pub(crate) fn record_evidence(
         &self,
@@ -196,8 +202,7 @@
         if lost.is_empty() {
             return;
         }
-        let proof = Fingerprint(request_hash(request));
-        if self.state.lock().table.is_proven(proof, now) {
+        if self.is_proven(request, now) {
             return;
         }
         for lost_leaf in lost.iter().take(REPORTS_PER_REQUEST) {
--- a/crates/router/src/delegation.rs
+++ b/crates/router/src/delegation.rs
@@ -200,6 +200,7 @@
     params.set_age_ms(millis_u32(age + DELEGATION_DELAY));
     params.set_time_left_ms(millis_u32(request.time_left(now)));
     params.set_config_version(shared.config_version());
+    params.set_is_proven(shared.crash_memory.is_proven(request, now));
     params.set_body(&request.body);
     let headers = &request.head.headers;
     let list = params.init_headers(u32::try_from(headers.len()).unwrap_or(u32::MAX));
@@ -310,6 +311,9 @@
         deadline: (now + time_left).min(arrived_at + route.timeout),
         answer_by: answer_by(&route, arrived_at),
     };
+    if params.get_is_proven() {
+        shared.crash_memory.record_success(&request, now);
+    }
     let admitted = shared.planned_stop.admit_of_daemon(&route, &request, now);
     Ok(admitted.ok().map(|()| (Arc::new(request), route)))
 }
