Probe unused leafs first while most known ones are out of reach

The class: absence of evidence taken for evidence.

Ruled out: the configuration (in force everywhere at 13.6 s) and the suspended VMs (not among the refusing ones).

Change: leafs that have never answered are no evidence. While more leafs are out of reach than have answered, every leaf that has not answered since the second before is probed before it gets requests, once. LinkSuspicion decides; the leaf table asks it on each check and change, which replaces the rule for new leafs in update().

--- a/crates/medlarpin-core/src/routing/leaf_load.rs
+++ b/crates/medlarpin-core/src/routing/leaf_load.rs
@@ -142,19 +142,15 @@
     /// another leaf of its service was found to be silent: the links to both may have failed, and a
     /// VM that gets few requests would find out with one caller's request for each leaf.
     pub fn suspect(&mut self, now: Instant) {
-        let recently = now.checked_sub(LEAF_SILENCE_TIMEOUT);
-        let is_heard = recently.is_some_and(|at| self.has_heard_since(at));
-        if !is_heard && self.unreachable.is_none() {
-            self.unreachable = Some(Unreachable::Silent);
-        }
+        let recently = now.checked_sub(LEAF_SILENCE_TIMEOUT).unwrap_or(now);
+        self.suspect_unless_heard_since(recently);
     }
 
-    /// Returns true if the links of this VM have probably failed, so that a leaf of which nothing is
-    /// known yet has to be probed before it gets requests: more than half of the known leafs are
-    /// unreachable.
-    #[must_use]
-    pub fn are_links_suspect(unreachable: usize, known: usize) -> bool {
-        unreachable * 2 > known
+    /// Lets the leaf be probed at once if it has not answered since then.
+    pub fn suspect_unless_heard_since(&mut self, at: Instant) {
+        if !self.has_heard_since(at) {
+            self.unreachable.get_or_insert(Unreachable::Silent);
+        }
     }
 
     /// Returns true if [`Self::check_silence`] or [`Self::probe_due`] may have a result now.
@@ -257,6 +253,12 @@
         self.heard_at.is_some_and(|heard_at| heard_at >= at)
     }
 
+    /// Returns true if the leaf has ever answered.
+    #[must_use]
+    pub fn has_been_heard(&self) -> bool {
+        self.heard_at.is_some()
+    }
+
     fn heard(&mut self, now: Instant) {
         self.heard_at = Some(now);
         self.unanswered = 0;
--- /dev/null
+++ b/crates/medlarpin-core/src/routing/link_suspicion.rs
@@ -0,0 +1,35 @@
+use std::time::Instant;
+
+use super::LEAF_SILENCE_TIMEOUT;
+
+/// Whether the links of this VM to its leafs have probably failed.
+///
+/// Leafs that are out of reach and leafs that have answered are evidence. Leafs of which nothing is
+/// known are none: right after a new set of shards is published, they can be the majority.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LinkSuspicion {
+    /// Time since which a leaf must have answered to count as reached; `None` while the links are
+    /// not suspect.
+    unheard_since: Option<Instant>,
+}
+
+impl LinkSuspicion {
+    /// Updates the suspicion from the number of leafs that are out of reach, and of those within reach
+    /// that have ever answered.
+    ///
+    /// Returns the time since which a leaf must have answered to get requests without a probe; `None`
+    /// unless the links are suspect. It stays the same while they are, so that each leaf needs only one
+    /// answer.
+    pub fn observe(
+        &mut self,
+        unreachable: usize,
+        reachable: usize,
+        now: Instant,
+    ) -> Option<Instant> {
+        self.unheard_since = (unreachable > reachable).then(|| {
+            let recently = now.checked_sub(LEAF_SILENCE_TIMEOUT).unwrap_or(now);
+            self.unheard_since.unwrap_or(recently)
+        });
+        self.unheard_since
+    }
+}
--- a/crates/medlarpin-core/src/routing/mod.rs
+++ b/crates/medlarpin-core/src/routing/mod.rs
@@ -13,6 +13,7 @@
 mod leaf_entry;
 mod leaf_load;
 mod leaf_rate_limit;
+mod link_suspicion;
 mod memory_budget;
 mod observation_time;
 mod query_admission;
@@ -59,6 +60,7 @@
     SHED_BACK_OFF, UNANSWERED_MIN, Unreachable,
 };
 pub use leaf_rate_limit::LeafRateLimit;
+pub use link_suspicion::LinkSuspicion;
 pub use memory_budget::MemoryBudget;
 pub use observation_time::{OUTAGE_MIN, ObservationTime};
 pub use query_admission::{QueryAdmission, SHARD_ALIVE_TIME};
--- a/crates/router/src/leaf_probe.rs
+++ b/crates/router/src/leaf_probe.rs
@@ -39,6 +39,7 @@
     loop {
         ticks.tick().await;
         let now = shared.now();
+        shared.leafs.check_links(now);
         // Few of the leafs need anything.
         let concerned = shared.leafs.filter(|leaf| leaf.load().needs_check(now));
         for leaf in concerned {
--- a/crates/router/src/leaf_table.rs
+++ b/crates/router/src/leaf_table.rs
@@ -3,7 +3,7 @@
 
 use arc_swap::ArcSwap;
 use medlarpin_core::prelude::{LeafId, ServiceName};
-use medlarpin_core::routing::{LeafDirectory, LeafEntry, LeafLoad, StatedDepartures};
+use medlarpin_core::routing::{LeafDirectory, LeafEntry, LinkSuspicion, StatedDepartures};
 use parking_lot::Mutex;
 
 use crate::leaf::Leaf;
@@ -19,6 +19,7 @@
     by_service: ArcSwap<ByService>,
     unlisted: Mutex<UnlistedLeafs>,
     departures: Mutex<StatedDepartures>,
+    links: Mutex<LinkSuspicion>,
     /// Time for which a leaf that says it is leaving is still used if its service has no other leaf.
     drain_grace: Duration,
 }
@@ -30,6 +31,7 @@
             by_service: ArcSwap::default(),
             unlisted: Mutex::default(),
             departures: Mutex::default(),
+            links: Mutex::default(),
             drain_grace,
         }
     }
@@ -71,17 +73,6 @@
     pub(crate) fn update(&self, directory: &LeafDirectory, now: Instant) {
         let mut previous = self.all();
         previous.sort_by(|a, b| a.entry.id.cmp(&b.entry.id));
-        let unreachable = previous
-            .iter()
-            .filter(|leaf| leaf.load().unreachable().is_some());
-        let are_links_suspect = LeafLoad::are_links_suspect(unreachable.count(), previous.len());
-        let new_leaf = |entry: &LeafEntry, usable_until| {
-            let leaf = Leaf::new(entry.clone(), usable_until);
-            if are_links_suspect {
-                leaf.load().suspect(now);
-            }
-            leaf
-        };
         let mut unlisted = self.unlisted.lock();
         let mut leafs: Vec<Arc<Leaf>> = Vec::with_capacity(directory.len());
         for (entry, published_until) in directory.leafs() {
@@ -98,7 +89,7 @@
                 Some(leaf) => Arc::new(leaf.with_entry(entry.clone(), usable_until)),
                 None => Arc::new(match unlisted.take(entry) {
                     Some(leaf) => leaf.listed_again(entry.clone(), usable_until),
-                    None => new_leaf(entry, usable_until),
+                    None => Leaf::new(entry.clone(), usable_until),
                 }),
             });
         }
@@ -111,6 +102,26 @@
         }
         drop(unlisted);
         self.store(leafs);
+        self.check_links(now);
+    }
+
+    /// Lets the leafs that have not answered lately be probed before they get requests, if the links of
+    /// this VM have probably failed.
+    pub(crate) fn check_links(&self, now: Instant) {
+        let leafs = self.filter(|leaf| leaf.is_usable(now));
+        let is_unreachable = |leaf: &&Arc<Leaf>| leaf.load().unreachable().is_some();
+        let unreachable = leafs.iter().filter(is_unreachable).count();
+        let is_reachable = |leaf: &&Arc<Leaf>| {
+            let load = leaf.load();
+            load.unreachable().is_none() && load.has_been_heard()
+        };
+        let reachable = leafs.iter().filter(is_reachable).count();
+        let suspicion = self.links.lock().observe(unreachable, reachable, now);
+        if let Some(unheard_since) = suspicion {
+            for leaf in leafs {
+                leaf.load().suspect_unless_heard_since(unheard_since);
+            }
+        }
     }
 
     /// Records that a leaf has said that it is leaving; returns true if that is news.
