Let the admitted share grow for all idle intervals after an overload

Callers were refused as overloaded at a moment without any load: after the last query that had counted as overload, the share stayed low until the next query came, whenever that was.

Cause: LoadShedder::advance reduced the share for an interval with overload and left out the idle intervals after it, for which the share grows otherwise.

Change: only the interval with overload reduces the share; each further one that has passed since lets it grow. With queries in every interval nothing changes.

The extended test share_recovers_while_idle fails before.

--- a/crates/medlarpin-core/src/load_shedder.rs
+++ b/crates/medlarpin-core/src/load_shedder.rs
@@ -81,15 +81,14 @@
         if elapsed < INTERVAL {
             return;
         }
+        // Intervals without queries count as well, so that the share recovers while no queries arrive.
+        let mut without_overload = (elapsed.as_secs_f64() / INTERVAL.as_secs_f64()).floor();
         if self.refused * 100 > self.total * self.refused_percent_max {
             let accepted = 1.0 - self.refused as f64 / self.total as f64;
             self.share = (self.share * accepted.max(REDUCTION_FACTOR_MIN)).max(SHARE_MIN);
-        } else {
-            // Intervals without queries count as well, so that the share recovers while no queries
-            // arrive.
-            let intervals = elapsed.as_secs_f64() / INTERVAL.as_secs_f64();
-            self.share = (self.share * GROWTH_FACTOR.powf(intervals.floor())).min(1.0);
+            without_overload -= 1.0;
         }
+        self.share = (self.share * GROWTH_FACTOR.powf(without_overload)).min(1.0);
         self.interval_start = now;
         (self.refused, self.total) = (0, 0);
     }
--- a/crates/medlarpin-core/tests/load_shedder.rs
+++ b/crates/medlarpin-core/tests/load_shedder.rs
@@ -46,6 +46,11 @@
     shedder.record(90, 100, now);
     assert!(!shedder.admits(0.6, now + INTERVAL));
     assert!(shedder.admits(0.99, now + INTERVAL * 7));
+
+    // No query is decided on between the overload and the end of the idle time.
+    let mut shedder = LoadShedder::new(now);
+    shedder.record(90, 100, now);
+    assert!(shedder.admits(0.99, now + INTERVAL * 7));
 }
 
 /// Guards against a slow leaf that is not detected, and against normal variation detected as slow.
