Do not count shards out of reach as overload

Cause: QueryAdmission counts a shard as overloaded if it is missing from an answer and has answered within 1.5 s. Right after the links failed, all missing shards are of this kind, and the share of admitted queries falls to 5%.

Change: a missing shard counts only if this VM reaches a leaf of it, as far as is known.

The new test shards_out_of_reach_cause_no_refusals fails before.

--- a/crates/medlarpin-core/src/routing/query_admission.rs
+++ b/crates/medlarpin-core/src/routing/query_admission.rs
@@ -50,11 +50,15 @@
     }
 
     /// Records the end of a query: the shards that answered in time, and those that did not.
+    ///
+    /// `is_reached` tells whether this VM reaches a leaf of a shard. One that it does not reach is
+    /// missing whatever the load.
     pub fn record<'a>(
         &mut self,
         route: &Arc<Route>,
         scatter: &Scatter,
         covered: impl Iterator<Item = &'a ServiceName>,
+        is_reached: impl Fn(&ServiceName) -> bool,
         now: Instant,
     ) {
         let mut is_covered = vec![false; scatter.shards.len()];
@@ -65,8 +69,9 @@
             }
         }
         let missing = scatter.shards.iter().zip(&is_covered);
-        let missing =
-            missing.filter(|(shard, is_covered)| !**is_covered && self.is_alive(shard, now));
+        let missing = missing.filter(|(shard, is_covered)| {
+            !**is_covered && self.is_alive(shard, now) && is_reached(shard)
+        });
         let missing = missing.count() as u64;
         let answered = is_covered.iter().filter(|covered| **covered).count() as u64;
         let shedder = self.shedder(route, scatter, now);
--- a/crates/medlarpin-core/tests/routing_admission.rs
+++ b/crates/medlarpin-core/tests/routing_admission.rs
@@ -87,7 +87,7 @@
         while ends.front().is_some_and(|(end_ms, _)| *end_ms <= now_ms) {
             let (end_ms, covered) = ends.pop_front().unwrap();
             let at = start + Duration::from_millis(end_ms);
-            admission.record(&route, &scatter, covered.iter(), at);
+            admission.record(&route, &scatter, covered.iter(), |_| true, at);
         }
         random = medlarpin_core::ids::stable_hash(&[&random.to_le_bytes()]);
         let fraction = (random >> 11) as f64 / (1_u64 << 53) as f64;
@@ -133,13 +133,13 @@
 ) -> (QueryAdmission, Instant) {
     let mut admission = QueryAdmission::new();
     let mut now = Instant::now();
-    admission.record(route, scatter, scatter.shards.iter(), now);
+    admission.record(route, scatter, scatter.shards.iter(), |_| true, now);
     for _ in 0..40 {
         now += Duration::from_millis(100);
         let _ = admission.admits(route, 0.0, now);
         // A live shard answers some queries.
         let covered = scatter.shards.iter().skip(missing);
-        admission.record(route, scatter, covered, now);
+        admission.record(route, scatter, covered, |_| true, now);
     }
     (admission, now)
 }
@@ -155,6 +155,24 @@
     assert!(admission.shed_routes().is_empty());
 }
 
+/// Guards against refusing queries for overload because of shards that this VM does not reach, right after
+/// its links to them failed.
+#[test]
+fn shards_out_of_reach_cause_no_refusals() {
+    let scatter = scatter();
+    let route = route("search", 1, scatter.clone());
+    let mut admission = QueryAdmission::new();
+    let mut now = Instant::now();
+    admission.record(&route, &scatter, scatter.shards.iter(), |_| true, now);
+    let (lost, reached) = scatter.shards.split_at(6);
+    for _ in 0..10 {
+        now += Duration::from_millis(100);
+        let is_reached = |shard: &ServiceName| !lost.contains(shard);
+        admission.record(&route, &scatter, reached.iter(), is_reached, now);
+        assert!(admission.admits(&route, 0.999, now));
+    }
+}
+
 /// Guards against refusing urgent queries while less urgent ones over the same shards are admitted,
 /// and against refusing those of other shards.
 #[test]
@@ -163,11 +181,11 @@
     let urgent = route("a", 1, scatter.clone());
     let mut admission = QueryAdmission::new();
     let mut now = Instant::now();
-    admission.record(&urgent, &scatter, scatter.shards.iter(), now);
+    admission.record(&urgent, &scatter, scatter.shards.iter(), |_| true, now);
     for _ in 0..8 {
         now += Duration::from_millis(100);
         let covered = scatter.shards.iter().skip(6);
-        admission.record(&urgent, &scatter, covered, now);
+        admission.record(&urgent, &scatter, covered, |_| true, now);
     }
     now += Duration::from_millis(100);
     assert!(!admission.admits(&urgent, 0.9, now));
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -188,10 +188,12 @@
     in_flight: usize,
 ) {
     let covered = answers.iter().map(|(shard, _)| shard);
+    let now = shared.now();
+    let is_reached = |shard: &ServiceName| shared.reaches_leaf_of(shard, now);
     shared
         .query_admission
         .lock()
-        .record(route, scatter, covered, shared.now());
+        .record(route, scatter, covered, is_reached, now);
     let missing = scatter.shards.len() - answers.len();
     if missing == 0 {
         return;
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -220,6 +220,13 @@
         })
     }
 
+    /// Returns true unless this VM is known to reach no leaf of the service.
+    pub(crate) fn reaches_leaf_of(&self, service: &ServiceName, now: Instant) -> bool {
+        let leafs = self.leafs.for_service(service);
+        let mut usable = leafs.iter().filter(|leaf| leaf.is_usable(now));
+        usable.any(|leaf| leaf.load().unreachable().is_none())
+    }
+
     /// Returns true if no daemon can use a leaf of the service, since none is published, or all have
     /// left. Other daemons may know better if this one has not heard from the store for a while.
     pub(crate) fn has_no_leaf(&self, service: &ServiceName, now: Instant) -> bool {
