Hand requests over with one loop for both reasons

delegate() and hand_over() were nearly the same loop, and only one of them asked fewer daemons after a search that found none. One function takes the reason now; both draw on asks_max.

DelegateSelector::choose was used by tests only; they choose as production does, with HandoverSelector among the eligible daemons.

Tests of medlarpin-core, router and platform-stand-in pass.

--- a/crates/medlarpin-core/src/routing/delegate_selector.rs
+++ b/crates/medlarpin-core/src/routing/delegate_selector.rs
@@ -14,7 +14,7 @@
 /// Time without delegated queries after a daemon failed or was late.
 pub const DELEGATE_BACK_OFF: Duration = Duration::from_secs(3);
 
-/// Decides which queries are delegated to another daemon, and to which one.
+/// Decides which queries are delegated to another daemon, and which daemons suit.
 ///
 /// A small VM cannot gather a query over many shards within the target latency. A daemon on a VM
 /// with more CPU capacity gathers the query instead, and this daemon forwards the answer. If all
@@ -56,34 +56,14 @@
         millicores
     }
 
-    /// Chooses one of the daemons with enough CPU capacity; `None` if there is none.
-    ///
-    /// `random` is uniform.
-    #[must_use]
-    pub fn choose(
-        &self,
-        others: impl Iterator<Item = KnownDaemon>,
-        random: u64,
-        now: Instant,
-    ) -> Option<SocketAddr> {
-        let eligible = self.eligible(others, now);
-        let count = u64::try_from(eligible.len()).unwrap_or(1).max(1);
-        let index = usize::try_from(random % count).unwrap_or(0);
-        eligible.get(index).map(|daemon| daemon.address)
-    }
-
     /// Returns the daemons with enough CPU capacity that are not in back-off.
     #[must_use]
-    pub fn eligible(
-        &self,
-        others: impl Iterator<Item = KnownDaemon>,
-        now: Instant,
-    ) -> Vec<KnownDaemon> {
+    pub fn eligible(&self, others: &[KnownDaemon], now: Instant) -> Vec<KnownDaemon> {
         let min_cpu_millicores = self.own.cpu_millicores * CAPACITY_RATIO_MIN;
-        others
-            .filter(|daemon| daemon.cpu_millicores >= min_cpu_millicores)
-            .filter(|daemon| !self.is_backed_off(daemon.address, now))
-            .collect()
+        let suits = |daemon: &&KnownDaemon| {
+            daemon.cpu_millicores >= min_cpu_millicores && !self.is_backed_off(daemon.address, now)
+        };
+        others.iter().filter(suits).copied().collect()
     }
 
     /// Starts the back-off of a daemon that failed or was late.
--- a/crates/medlarpin-core/tests/routing_delegates.rs
+++ b/crates/medlarpin-core/tests/routing_delegates.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use medlarpin_core::prelude::*;
-use medlarpin_core::routing::{DELEGATE_BACK_OFF, DelegateSelector, KnownDaemon};
+use medlarpin_core::routing::{DELEGATE_BACK_OFF, DelegateSelector, HandoverSelector, KnownDaemon};
 
 const SHORT: Duration = Duration::from_millis(60);
 
@@ -33,7 +33,8 @@
     if !selector.is_too_large(shards, SHORT) {
         return None;
     }
-    selector.choose(daemons.iter().copied(), random, now)
+    let suitable = selector.eligible(daemons, now);
+    HandoverSelector::default().choose("search", &suitable, 0, random, now)
 }
 
 /// Guards against a small VM that gathers a query over 90 shards itself and exceeds the target
--- a/crates/router/src/handover.rs
+++ b/crates/router/src/handover.rs
@@ -6,9 +6,7 @@
 use std::time::{Duration, Instant};
 
 use medlarpin_core::prelude::ServiceName;
-use medlarpin_core::routing::{
-    DelegateSelector, HANDOVERS_MAX, KnownDaemon, Route, RouteTarget, Scatter,
-};
+use medlarpin_core::routing::{DelegateSelector, Route, RouteTarget, Scatter};
 use tokio::time::timeout_at;
 
 use crate::caller_request::CallerRequest;
@@ -29,20 +27,25 @@
 ) -> Result<Answer, Refusal> {
     let request = Arc::new(request);
     if let RouteTarget::Scatter(scatter) = &route.target {
-        let asked = match delegate(shared, scatter, route, &request).await {
-            Delegation::Served(result) => return result,
+        match hand_over(shared, route, &request, HandoverReason::TooLarge(scatter)).await {
+            Handover::Served(result) => return result,
             // This VM could gather the query only late, and may not reach the leafs either.
-            Delegation::Declined => hand_over(shared, route, &request).await,
-            Delegation::NotNeeded => None,
-        };
-        if let Some(result) = asked {
-            return result;
+            Handover::Declined => {
+                let asked = hand_over(shared, route, &request, HandoverReason::OutOfReach).await;
+                if let Handover::Served(result) = asked {
+                    return result;
+                }
+            }
+            Handover::NotPossible => {}
         }
     }
     match serve_on_own_leafs(shared, route, &request).await {
-        Err(Refusal::Unreachable) => hand_over(shared, route, &request)
-            .await
-            .unwrap_or(Err(Refusal::Unreachable)),
+        Err(Refusal::Unreachable) => {
+            match hand_over(shared, route, &request, HandoverReason::OutOfReach).await {
+                Handover::Served(result) => result,
+                Handover::Declined | Handover::NotPossible => Err(Refusal::Unreachable),
+            }
+        }
         served => served,
     }
 }
@@ -71,80 +74,82 @@
     forward(shared, service, route, state, request).await
 }
 
-/// What came of the delegation of a query.
-enum Delegation {
-    /// Another daemon served the query, or refused it for good.
+/// Why a request goes to another daemon.
+#[derive(Debug, Clone, Copy)]
+enum HandoverReason<'a> {
+    /// This VM is too small to gather the query in time.
+    TooLarge(&'a Scatter),
+    /// This VM does not reach the leafs, and no leaf has got the request.
+    OutOfReach,
+}
+
+/// What came of a handover.
+enum Handover {
+    /// Another daemon served the request, or refused it for good.
     Served(Result<Answer, Refusal>),
-    /// Daemons declined the query, and none with enough CPU capacity is left to ask.
+    /// Daemons declined the request, and none that suits is left to ask.
     Declined,
-    /// The query is to be gathered here.
-    NotNeeded,
+    /// There was no daemon to ask.
+    NotPossible,
 }
 
-/// Delegates a query that this VM is too small to gather.
-async fn delegate(
+/// Asks other daemons in turn to serve a request.
+async fn hand_over(
     shared: &Arc<Shared>,
-    scatter: &Scatter,
     route: &Arc<Route>,
     request: &Arc<CallerRequest>,
-) -> Delegation {
+    reason: HandoverReason<'_>,
+) -> Handover {
     let Some(selector) = &shared.handover_selector else {
-        return Delegation::NotNeeded;
+        return Handover::NotPossible;
     };
-    let mut outcome = Delegation::NotNeeded;
-    for _ in 0..HANDOVERS_MAX {
+    let mut outcome = Handover::NotPossible;
+    let asks_max = selector.lock().asks_max(&route.name, shared.now());
+    for _ in 0..asks_max {
         let now = shared.now();
-        let large = shared.delegates_for(scatter.shards.len(), route.target_latency, now);
+        let (others, cpu_millicores_min) = match reason {
+            HandoverReason::TooLarge(scatter) => {
+                let shards = scatter.shards.len();
+                (shared.delegates_for(shards, route.target_latency, now), 0)
+            }
+            HandoverReason::OutOfReach => (shared.other_daemons(now), cpu_millicores_needed(route)),
+        };
         let random = rand::random();
-        let chosen = selector.lock().choose(&route.name, &large, 0, random, now);
+        let chosen = selector
+            .lock()
+            .choose(&route.name, &others, cpu_millicores_min, random, now);
         let Some(daemon) = chosen else {
             break;
         };
-        shared.metrics.delegated.inc();
-        Event::Delegated {
-            request: request.id_text(),
-            daemon,
-        }
-        .log();
+        record_handover(shared, request, daemon, reason);
         if let Some(result) = send(shared, daemon, route, request).await {
-            return Delegation::Served(result);
+            return Handover::Served(result);
         }
-        outcome = Delegation::Declined;
+        outcome = Handover::Declined;
+    }
+    if matches!(reason, HandoverReason::OutOfReach) {
+        selector.lock().search_failed(&route.name, shared.now());
     }
     outcome
 }
 
-/// Hands a request over that no leaf has got from this daemon; `None` if no other daemon serves it.
-async fn hand_over(
-    shared: &Arc<Shared>,
-    route: &Arc<Route>,
-    request: &Arc<CallerRequest>,
-) -> Option<Result<Answer, Refusal>> {
-    let selector = shared.handover_selector.as_ref()?;
-    let cpu_millicores_min = cpu_millicores_needed(route);
-    let asks_max = selector.lock().asks_max(&route.name, shared.now());
-    for _ in 0..asks_max {
-        let now = shared.now();
-        let others: Vec<KnownDaemon> = shared.daemons.as_ref()?.lock().others(now).collect();
-        let random = rand::random();
-        let chosen = selector
-            .lock()
-            .choose(&route.name, &others, cpu_millicores_min, random, now);
-        let Some(daemon) = chosen else {
-            break;
-        };
-        shared.metrics.handed_over.inc();
-        Event::HandedOver {
-            request: request.id_text(),
-            daemon,
+fn record_handover(
+    shared: &Shared,
+    request: &CallerRequest,
+    daemon: SocketAddr,
+    reason: HandoverReason<'_>,
+) {
+    let request = request.id_text();
+    match reason {
+        HandoverReason::TooLarge(_) => {
+            shared.metrics.delegated.inc();
+            Event::Delegated { request, daemon }.log();
         }
-        .log();
-        if let Some(result) = send(shared, daemon, route, request).await {
-            return Some(result);
+        HandoverReason::OutOfReach => {
+            shared.metrics.handed_over.inc();
+            Event::HandedOver { request, daemon }.log();
         }
     }
-    selector.lock().search_failed(&route.name, shared.now());
-    None
 }
 
 /// Sends a request to another daemon; `None` if that one did not serve it, in which case no leaf got
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -302,8 +302,7 @@
         target_latency: Duration,
         now: Instant,
     ) -> Vec<KnownDaemon> {
-        let (Some(delegate_selector), Some(daemons)) = (&self.delegate_selector, &self.daemons)
-        else {
+        let Some(delegate_selector) = &self.delegate_selector else {
             return Vec::new();
         };
         // Most daemons gather all their queries themselves, so the list of daemons is copied only
@@ -314,8 +313,14 @@
         {
             return Vec::new();
         }
-        let others: Vec<KnownDaemon> = daemons.lock().others(now).collect();
-        delegate_selector.lock().eligible(others.into_iter(), now)
+        let others = self.other_daemons(now);
+        delegate_selector.lock().eligible(&others, now)
+    }
+
+    /// Returns the other daemons that share the leafs with this one.
+    pub(crate) fn other_daemons(&self, now: Instant) -> Vec<KnownDaemon> {
+        let daemons = self.daemons.as_ref();
+        daemons.map_or_else(Vec::new, |daemons| daemons.lock().others(now).collect())
     }
 
     /// Records that a leaf has said that it is leaving.
