Tell an unusable configuration of another daemon from an old one

fetch_newer returned false for both. A ConfigFetch names the outcomes. Also removes Leaf::is_same_process, which only called a method of its entry.

Tests of medlarpin-core, router and platform-stand-in pass.

--- a/crates/router/src/config_sync.rs
+++ b/crates/router/src/config_sync.rs
@@ -17,6 +17,17 @@
 /// store or the followed daemon, as it normally does.
 const USUAL_ARRIVAL_TIME: Duration = Duration::from_millis(400);
 
+/// What came of a fetch of another daemon's configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ConfigFetch {
+    /// The present configuration is as new.
+    NotNeeded,
+    /// The configuration was fetched.
+    Fetched,
+    /// The other daemon's configuration cannot be used here.
+    Unusable,
+}
+
 /// Puts a configuration in force if it is newer than the present one; `item` is what published it.
 pub(crate) fn offer(shared: &Shared, config: RoutingConfig, item: &Item) {
     let in_force = shared.config.load().as_ref().map(|known| known.version);
@@ -54,7 +65,7 @@
     if is_newer() && shared.is_config_checked() {
         sleep(USUAL_ARRIVAL_TIME).await;
     }
-    if is_newer() && !fetch_newer(shared, daemon, theirs).await? {
+    if fetch_newer(shared, daemon, theirs).await? == ConfigFetch::Unusable {
         return Ok(());
     }
     // A daemon without a configuration is starting and has nothing to compare with.
@@ -65,14 +76,14 @@
 }
 
 /// Fetches the configuration of another daemon and puts it in force if its version, `theirs`, is newer than
-/// the present one; returns true if it did.
+/// the present one.
 pub(crate) async fn fetch_newer(
     shared: &Shared,
     daemon: SocketAddr,
     theirs: ConfigVersion,
-) -> Result<bool, PeerError> {
+) -> Result<ConfigFetch, PeerError> {
     if theirs <= ConfigVersion(shared.config_version()) {
-        return Ok(false);
+        return Ok(ConfigFetch::NotNeeded);
     }
     let item = peers::fetch_config(daemon).await?;
     match item.decode() {
@@ -83,7 +94,7 @@
             }
             .log();
             offer(shared, *config, &item);
-            Ok(true)
+            Ok(ConfigFetch::Fetched)
         }
         Some(Change::Unusable { key, error, .. }) => {
             Event::EntryUnusable {
@@ -91,9 +102,10 @@
                 error: &error,
             }
             .log();
-            Ok(false)
+            Ok(ConfigFetch::Unusable)
         }
-        _ => Ok(false),
+        // The item is that of the configuration.
+        _ => Ok(ConfigFetch::Unusable),
     }
 }
 
--- a/crates/router/src/delegation.rs
+++ b/crates/router/src/delegation.rs
@@ -18,7 +18,7 @@
 
 use crate::caller_request::CallerRequest;
 use crate::callers::{Answer, answer_by, find_route, refusal_answer};
-use crate::config_sync;
+use crate::config_sync::{self, ConfigFetch};
 use crate::event::Event;
 use crate::handover::serve_on_own_leafs;
 use crate::peer_pool::PeerPool;
@@ -163,8 +163,10 @@
     match call_serve_request(&client, request, shared).await {
         Ok((DelegationOutcome::NotServed { reaching }, theirs)) => {
             match config_sync::fetch_newer(shared, daemon, theirs).await {
-                Ok(true) => DelegationOutcome::ConfigFetched,
-                Ok(false) => DelegationOutcome::NotServed { reaching },
+                Ok(ConfigFetch::Fetched) => DelegationOutcome::ConfigFetched,
+                Ok(ConfigFetch::NotNeeded | ConfigFetch::Unusable) => {
+                    DelegationOutcome::NotServed { reaching }
+                }
                 Err(error) => {
                     Event::DaemonUnreachable {
                         daemon,
--- a/crates/router/src/leaf.rs
+++ b/crates/router/src/leaf.rs
@@ -131,11 +131,6 @@
         self.with_entry(entry, usable_until)
     }
 
-    /// Returns true if another leaf is the same process at the same address.
-    pub(crate) fn is_same_process(&self, other: &Self) -> bool {
-        self.entry.is_of_same_process(&other.entry)
-    }
-
     /// Locks the measurements of the leaf's load and health.
     pub(crate) fn load(&self) -> MutexGuard<'_, LeafLoad> {
         self.link.load.lock()
--- a/crates/router/src/leaf_table.rs
+++ b/crates/router/src/leaf_table.rs
@@ -95,7 +95,8 @@
         }
         for leaf in previous {
             let index = leafs.binary_search_by(|listed| listed.entry.id.cmp(&leaf.entry.id));
-            let is_listed = index.is_ok_and(|index| leafs[index].is_same_process(&leaf));
+            let is_listed =
+                index.is_ok_and(|index| leafs[index].entry.is_of_same_process(&leaf.entry));
             if !is_listed {
                 unlisted.insert(leaf, now);
             }
