Leave a larger part of the retry ratio unused, for callers that move

Cause: a daemon's budget counts the requests of the 10 s before its last retry. A daemon that stops has spent what its requests of the seconds before allow, its callers move, and their next requests allow retries at the daemons that get them. Summed over all daemons, more requests count than arrived in any one window.

Ruled out: attempts counted as not arrived (no connect failure or 421 at this service), the reserve of restarted daemons (0 for 10 s after the start), and handed-over requests that count twice (9).

Change: 0.85 of the ratio is used. This is a margin, not a bound by construction.

--- a/crates/medlarpin-core/src/routing/mod.rs
+++ b/crates/medlarpin-core/src/routing/mod.rs
@@ -69,7 +69,9 @@
 pub use replica_choice::{Candidate, choose_replica};
 pub use report_owners::{REPORT_OWNERS, report_owners};
 pub use request_rate::RequestRate;
-pub use retry_budget::{RESERVE_PARTS_MAX, RetryBudget, RetryLimits, reserve_parts};
+pub use retry_budget::{
+    RESERVE_PARTS_MAX, RETRY_RATIO_USED, RetryBudget, RetryLimits, reserve_parts,
+};
 pub use route::{Repeatability, Route, RouteTarget, Scatter, WeightedService};
 pub use route_latency::RouteLatency;
 pub use route_table::RouteTable;
--- a/crates/medlarpin-core/src/routing/retry_budget.rs
+++ b/crates/medlarpin-core/src/routing/retry_budget.rs
@@ -16,6 +16,11 @@
     pub window: Duration,
 }
 
+/// Fraction of a service's retry ratio that a daemon uses. The rest covers retries that fall into
+/// another window than their request, and requests that count at two daemons in one window, since
+/// their callers moved from one that had spent its budget to another.
+pub const RETRY_RATIO_USED: f64 = 0.85;
+
 /// Maximum number of parts into which the window is divided for the reserve.
 pub const RESERVE_PARTS_MAX: u32 = 4;
 /// Least retries in a part; smaller parts would lose much of the reserve to rounding.
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -7,7 +7,8 @@
 use medlarpin_core::prelude::{Clock, FailureDomain, ServiceName};
 use medlarpin_core::routing::{
     ConfigCheck, DaemonList, DelegateSelector, HandoverSelector, KnownDaemon, ProcessStart,
-    QueryAdmission, RetryBudget, RetryLimits, Route, RoutingConfig, SHED_BACK_OFF, reserve_parts,
+    QueryAdmission, RETRY_RATIO_USED, RetryBudget, RetryLimits, Route, RoutingConfig,
+    SHED_BACK_OFF, reserve_parts,
 };
 use parking_lot::Mutex;
 use settings::RouterSettings;
@@ -26,9 +27,6 @@
 use crate::published_items::PublishedItems;
 use crate::route_state::RouteState;
 
-/// Fraction of the configured retry ratio that this daemon uses. The rest covers retries that fall
-/// into another window than their request.
-const RETRY_RATIO_USED: f64 = 0.9;
 /// Connections to a leaf that a daemon may open in any case: one in use and one for a hedge.
 const CONNECTIONS_MIN: u32 = 2;
 /// Fraction of the drain time for which a leaving leaf is still used if its service has no other
