--- a/crates/medlarpin-core/src/routing/link_suspicion.rs
+++ b/crates/medlarpin-core/src/routing/link_suspicion.rs
@@ -2,6 +2,10 @@
 
 use super::LEAF_SILENCE_TIMEOUT;
 
+/// Least number of leafs out of reach for a suspicion. A VM that has just started has heard from few
+/// leafs, and one or two of them may be down.
+const UNREACHABLE_MIN: usize = 3;
+
 /// Whether the links of this VM to its leafs have probably failed.
 ///
 /// Leafs that are out of reach and leafs that have answered are evidence. Leafs of which nothing is
@@ -26,7 +30,8 @@
         reachable: usize,
         now: Instant,
     ) -> Option<Instant> {
-        self.unheard_since = (unreachable > reachable).then(|| {
+        let is_suspect = unreachable >= UNREACHABLE_MIN && unreachable > reachable;
+        self.unheard_since = is_suspect.then(|| {
             let recently = now.checked_sub(LEAF_SILENCE_TIMEOUT).unwrap_or(now);
             self.unheard_since.unwrap_or(recently)
         });
