Log when the links of a VM become suspect and when they are trusted again

Whether a VM probes its leafs first showed only in the state of each leaf. Two log events name the number of leafs out of reach and of those within reach.

Also removes the stray first line of a doc comment, and says why the last arm of fetch_newer cannot be met.

--- a/crates/medlarpin-core/src/routing/link_suspicion.rs
+++ b/crates/medlarpin-core/src/routing/link_suspicion.rs
@@ -37,4 +37,10 @@
         });
         self.unheard_since
     }
+
+    /// Returns true if the links were suspect when they were last observed.
+    #[must_use]
+    pub fn is_suspect(&self) -> bool {
+        self.unheard_since.is_some()
+    }
 }
--- a/crates/router/src/config_sync.rs
+++ b/crates/router/src/config_sync.rs
@@ -104,7 +104,7 @@
             .log();
             Ok(ConfigFetch::Unusable)
         }
-        // The item is that of the configuration.
+        // `fetch_config` returns the configuration's item, which decodes to nothing else.
         _ => Ok(ConfigFetch::Unusable),
     }
 }
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -79,12 +79,22 @@
     LeafSilent { leaf: &'a str, service: &'a str },
     /// A leaf that was out of reach can be reached again.
     LeafReached { leaf: &'a str, service: &'a str },
+    /// The links of this VM have probably failed: leafs that have not answered lately get no requests
+    /// until a probe has reached them.
+    LinksSuspect {
+        unreachable: usize,
+        reachable: usize,
+    },
+    /// The links of this VM are no longer suspect.
+    LinksTrusted {
+        unreachable: usize,
+        reachable: usize,
+    },
     /// A query is delegated to another daemon.
     Delegated {
         request: &'a str,
         daemon: SocketAddr,
     },
-    /// The daemon that a query was delegated to cannot be reached or cannot serve it. No leaf
     /// The daemon that a query was delegated to failed; leafs may have run the query.
     DelegationFailed {
         request: &'a str,
@@ -315,6 +325,8 @@
             | Self::LeafStatedDeparture { .. }
             | Self::LeafSilent { .. }
             | Self::LeafReached { .. }
+            | Self::LinksSuspect { .. }
+            | Self::LinksTrusted { .. }
             | Self::LeafsSilent { .. }
             | Self::NoUsableLeaf { .. } => "leaf",
             Self::DaemonsCounted { .. } | Self::DaemonUnreachable { .. } => "peer",
--- a/crates/router/src/leaf_table.rs
+++ b/crates/router/src/leaf_table.rs
@@ -6,6 +6,7 @@
 use medlarpin_core::routing::{LeafDirectory, LeafEntry, LinkSuspicion, StatedDepartures};
 use parking_lot::Mutex;
 
+use crate::event::Event;
 use crate::leaf::Leaf;
 use crate::unlisted_leafs::UnlistedLeafs;
 
@@ -117,7 +118,23 @@
             load.unreachable().is_none() && load.has_been_heard()
         };
         let reachable = leafs.iter().filter(is_reachable).count();
-        let suspicion = self.links.lock().observe(unreachable, reachable, now);
+        let mut links = self.links.lock();
+        let was_suspect = links.is_suspect();
+        let suspicion = links.observe(unreachable, reachable, now);
+        drop(links);
+        match (was_suspect, suspicion.is_some()) {
+            (false, true) => Event::LinksSuspect {
+                unreachable,
+                reachable,
+            }
+            .log(),
+            (true, false) => Event::LinksTrusted {
+                unreachable,
+                reachable,
+            }
+            .log(),
+            (true, true) | (false, false) => {}
+        }
         if let Some(unheard_since) = suspicion {
             for leaf in leafs {
                 leaf.load().suspect_unless_heard_since(unheard_since);
