--- a/review/harness/src/leaf.rs
+++ b/review/harness/src/leaf.rs
@@ -7,6 +7,7 @@
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 /// A request that arrived at a leaf.
 #[derive(Debug, Clone)]
@@ -41,6 +42,7 @@
     pub id: String,
     /// Address.
     pub address: SocketAddr,
+    is_dark: watch::Sender<bool>,
 }
 
 impl Leaf {
@@ -61,22 +63,40 @@
         let handler: Handler = Arc::new(move |request| Box::pin(handler(request)));
         let connections = AtomicU64::new(0);
         let leaf_id: Arc<str> = id.into();
+        let is_dark = watch::Sender::new(false);
+        let dark = is_dark.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let number = connections.fetch_add(1, Ordering::Relaxed);
                 let (handler, leaf_id) = (Arc::clone(&handler), Arc::clone(&leaf_id));
+                let mut dark = dark.subscribe();
                 tokio::spawn(async move {
-                    // A connection that breaks is the daemon's choice or the end of the run.
-                    let _ = serve(stream, number, &leaf_id, &handler).await;
+                    let mut stream = stream;
+                    tokio::select! {
+                        biased;
+                        Ok(_) = dark.wait_for(|is_dark| *is_dark) => {}
+                        // A connection that breaks is the daemon's choice or the end of the run.
+                        _ = serve(&mut stream, number, &leaf_id, &handler) => return,
+                    }
+                    // The connection stays open without an answer.
+                    std::future::pending::<()>().await;
+                    drop(stream);
                 });
             }
         });
         Ok(Self {
             id: id.to_owned(),
             address,
+            is_dark,
         })
     }
 
+    /// Lets the leaf fall silent: its connections and new ones stay open, and it answers nothing and runs
+    /// nothing from now on.
+    pub fn go_dark(&self) {
+        self.is_dark.send_replace(true);
+    }
+
     /// Returns the leaf's entry in the store.
     #[must_use]
     pub fn entry(&self, service: &str, state: &str, sequence: u64) -> Value {
@@ -111,14 +131,14 @@
 }
 
 async fn serve(
-    mut stream: TcpStream,
+    stream: &mut TcpStream,
     connection: u64,
     leaf_id: &str,
     handler: &Handler,
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
     loop {
-        let head = read_head(&mut stream).await?;
+        let head = read_head(stream).await?;
         let length = header(&head, "content-length").parse().unwrap_or(0);
         let mut body = vec![0; length];
         stream.read_exact(&mut body).await?;
@@ -147,7 +167,7 @@
         }
         let reply = tokio::select! {
             reply = handler(request) => reply,
-            () = closed(&stream) => return Ok(()),
+            () = closed(stream) => return Ok(()),
         };
         match reply {
             LeafReply::Send(bytes) => stream.write_all(&bytes).await?,
