Log what decides whether a lost leaf counts, and how a daemon knows of it

The logs told that a report was dismissed, but not what had been asked, so that a failed link, a silent neighbour and a missing connection looked the same; nor whether a daemon had a report from its own loss, a message or an exchange, or had let a request through on suspicion.

New lines: failure_domain_checked, crash_report_learned, sent_on_suspicion. New counters: lost leafs that count, and that do not. No decision changes.

--- a/crates/router/src/crash_memory.rs
+++ b/crates/router/src/crash_memory.rs
@@ -7,6 +7,7 @@
 use medlarpin_core::ids::stable_hash;
 use medlarpin_core::prelude::{FailureDomain, Fingerprint, LeafId, RequestId, ServiceName};
 use parking_lot::Mutex;
+use serde::Serialize;
 use tokio::sync::mpsc;
 
 use crate::call_evidence::{CallEvidence, LostLeaf};
@@ -53,6 +54,18 @@
     is_passed_on: bool,
 }
 
+/// How a daemon came to know a crash report; the variants' names appear in log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum ReportSource {
+    /// This daemon lost the leaf.
+    Own,
+    /// Another daemon told it as news.
+    Report,
+    /// Another daemon listed it in an exchange.
+    Exchange,
+}
+
 /// What the addition of a report has changed.
 enum Added {
     /// The report was known.
@@ -246,14 +259,14 @@
         } = unverified.report;
         self.state.lock().unverified.push((fingerprint, lost_at));
         if let Err(error) = self.to_verify.try_send(unverified) {
-            self.confirm(error.into_inner());
+            self.confirm(error.into_inner(), lost_at);
         }
     }
 
     /// Counts a report, since the links to the leafs beside the lost one work.
-    pub(crate) fn confirm(&self, verified: UnverifiedReport) {
+    pub(crate) fn confirm(&self, verified: UnverifiedReport, now: Instant) {
         self.end_verification(verified.report.fingerprint);
-        match self.add_report(&verified.report) {
+        match self.add_report(&verified.report, ReportSource::Own, now) {
             Added::Report if verified.is_passed_on => {
                 send_report(&self.to_owners, verified.report);
             }
@@ -283,17 +296,17 @@
     }
 
     /// Adds a report of another daemon, and tells all daemons if it starts a quarantine.
-    pub(crate) fn receive(&self, report: &CrashReport) {
-        if let Added::Quarantine(reports) = self.add_report(report) {
+    pub(crate) fn receive(&self, report: &CrashReport, now: Instant) {
+        if let Added::Quarantine(reports) = self.add_report(report, ReportSource::Report, now) {
             self.tell_all(reports);
         }
     }
 
     /// Adds reports that another daemon told in an exchange, so that those are learned too that were
     /// passed on before this daemon started or while it was cut off.
-    pub(crate) fn merge_reports(&self, reports: &[CrashReport]) {
+    pub(crate) fn merge_reports(&self, reports: &[CrashReport], now: Instant) {
         for report in reports {
-            self.add_report(report);
+            self.add_report(report, ReportSource::Exchange, now);
         }
     }
 
@@ -311,7 +324,7 @@
     }
 
     /// Adds a report of this daemon or of another one.
-    fn add_report(&self, report: &CrashReport) -> Added {
+    fn add_report(&self, report: &CrashReport, source: ReportSource, now: Instant) -> Added {
         let mut state = self.state.lock();
         let hash = stable_hash(&[
             &report.fingerprint.0.to_le_bytes(),
@@ -325,6 +338,13 @@
             state.known_reports.pop_front();
         }
         state.known_reports.push_back((hash, report.clone()));
+        Event::CrashReportLearned {
+            fingerprint: report.fingerprint,
+            leaf: report.leaf.as_str(),
+            source,
+            age_ms: now.saturating_duration_since(report.lost_at).as_millis(),
+        }
+        .log();
         let request = RequestId(report.request_hash.into());
         let quarantine =
             state
--- a/crates/router/src/crash_reports.rs
+++ b/crates/router/src/crash_reports.rs
@@ -51,8 +51,10 @@
             .collect();
         for unverified in batch {
             if reached.binary_search(&unverified.failure_domain).is_ok() {
-                shared.crash_memory.confirm(unverified);
+                shared.metrics.lost_leafs_counted.inc();
+                shared.crash_memory.confirm(unverified, shared.now());
             } else {
+                shared.metrics.lost_leafs_dismissed.inc();
                 shared.crash_memory.dismiss(&unverified);
             }
         }
@@ -99,8 +101,9 @@
     shared: &Shared,
     params: route_peer::report_crashes_params::Reader<'_>,
 ) -> Result<(), capnp::Error> {
-    for report in read_reports(params.get_reports()?, shared.now())? {
-        shared.crash_memory.receive(&report);
+    let now = shared.now();
+    for report in read_reports(params.get_reports()?, now)? {
+        shared.crash_memory.receive(&report, now);
     }
     Ok(())
 }
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -7,6 +7,7 @@
 use serde::{Serialize, Serializer};
 
 use crate::attempt_result::LeafFailure;
+use crate::crash_memory::ReportSource;
 use crate::delegation::DelegationError;
 use crate::peers::PeerError;
 use crate::refusal::Refusal;
@@ -245,6 +246,31 @@
         /// True if the other daemons are told.
         is_passed_on: bool,
     },
+    /// Leafs of a failure domain were asked whether this VM reaches them, after another one was lost.
+    FailureDomainChecked {
+        failure_domain: &'a str,
+        /// Usable leafs of the domain beside the lost ones.
+        others: usize,
+        /// Those that were sent a health check; the rest is out of reach, paused or not needed.
+        asked: usize,
+        is_reached: bool,
+    },
+    /// A lost leaf counts against a request that it may have been running.
+    CrashReportLearned {
+        #[serde(serialize_with = "as_text")]
+        fingerprint: Fingerprint,
+        leaf: &'a str,
+        source: ReportSource,
+        /// Time since the loss.
+        age_ms: u128,
+    },
+    /// A request is sent to one leaf only, because equal ones have lost leafs.
+    SentOnSuspicion {
+        request: &'a str,
+        service: &'a str,
+        /// Runs of the leafs that equal requests have lost.
+        lost: &'a [&'a str],
+    },
     /// A lost leaf does not count, because this VM's links to the leafs beside it have failed as well.
     CrashReportDismissed {
         #[serde(serialize_with = "as_text")]
@@ -331,6 +357,9 @@
             | Self::NoUsableLeaf { .. } => "leaf",
             Self::DaemonsCounted { .. } | Self::DaemonUnreachable { .. } => "peer",
             Self::RequestLostLeaf { .. }
+            | Self::FailureDomainChecked { .. }
+            | Self::CrashReportLearned { .. }
+            | Self::SentOnSuspicion { .. }
             | Self::CrashReportDismissed { .. }
             | Self::Quarantined { .. }
             | Self::CrashReportDropped { .. } => "quarantine",
--- a/crates/router/src/leaf_probe.rs
+++ b/crates/router/src/leaf_probe.rs
@@ -76,7 +76,9 @@
             && leaf.is_usable(now)
             && !lost.contains(&leaf.entry.run_id())
     });
+    let others_count = others.len();
     if others.is_empty() {
+        log_domain_check(domain, others_count, 0, true);
         return true;
     }
     let mut usable: Vec<Arc<Leaf>> = others
@@ -93,12 +95,22 @@
         .iter()
         .map(|leaf| timeout(DOMAIN_PROBE_TIMEOUT, answers_health_check(shared, leaf)))
         .collect();
-    while let Some(is_reached) = probes.next().await {
-        if is_reached == Ok(true) {
-            return true;
-        }
+    let mut is_reached = false;
+    while !is_reached && let Some(answered) = probes.next().await {
+        is_reached = answered == Ok(true);
+    }
+    log_domain_check(domain, others_count, usable.len(), is_reached);
+    is_reached
+}
+
+fn log_domain_check(domain: &FailureDomain, others: usize, asked: usize, is_reached: bool) {
+    Event::FailureDomainChecked {
+        failure_domain: domain.as_str(),
+        others,
+        asked,
+        is_reached,
     }
-    false
+    .log();
 }
 
 /// Returns true if a leaf answers a health check on a new connection.
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -30,6 +30,8 @@
     pub(crate) retries_denied: IntCounter,
     leaf_permits: IntCounter,
     leaf_permits_denied: IntCounter,
+    pub(crate) lost_leafs_counted: IntCounter,
+    pub(crate) lost_leafs_dismissed: IntCounter,
     pub(crate) store_calls: IntCounter,
     pub(crate) store_failures: IntCounter,
     pub(crate) config_version: IntGauge,
@@ -105,6 +107,14 @@
                 "medlarpin_retries_denied_total",
                 "Retries that the repeat limit prevented",
             )?,
+            lost_leafs_counted: counter(
+                "medlarpin_lost_leafs_counted_total",
+                "Leafs that ended under a request, which counts against it",
+            )?,
+            lost_leafs_dismissed: counter(
+                "medlarpin_lost_leafs_dismissed_total",
+                "Leafs lost under a request that do not count against it",
+            )?,
             store_calls: counter("medlarpin_store_calls_total", "Calls to the store")?,
             store_failures: counter(
                 "medlarpin_store_failures_total",
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -249,7 +249,7 @@
     let crash_memory = &shared.crash_memory;
     crash_memory.merge_quarantines(&quarantines, shared.now());
     let crashes = crash_reports::read_reports(reply.get_crashes()?, shared.now())?;
-    crash_memory.merge_reports(&crashes);
+    crash_memory.merge_reports(&crashes, shared.now());
     Ok(ConfigVersion(reply.get_config_version()))
 }
 
@@ -339,7 +339,8 @@
         config_sync::compare_later(&self.shared, peer.address, their_version);
         let crash_memory = &self.shared.crash_memory;
         crash_memory.merge_quarantines(&read_quarantines(params.get_quarantines()?), now);
-        crash_memory.merge_reports(&crash_reports::read_reports(params.get_crashes()?, now)?);
+        let reports = crash_reports::read_reports(params.get_crashes()?, now)?;
+        crash_memory.merge_reports(&reports, now);
         let crashes = crash_memory.latest_reports(now);
         let quarantines = crash_memory.quarantines(now);
         let mut reply = results.get();
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -108,6 +108,13 @@
 
     /// Limits the request to a single leaf, because equal ones have lost the leafs `lost`.
     pub(crate) fn into_canary(mut self, lost: Vec<LeafId>) -> Self {
+        let lost_leafs: Vec<&str> = lost.iter().map(LeafId::as_str).collect();
+        Event::SentOnSuspicion {
+            request: self.request.id_text(),
+            service: self.service.as_str(),
+            lost: &lost_leafs,
+        }
+        .log();
         self.attempts = CallAttempts::canary();
         self.avoided = lost;
         self
