Ask a lost leaf itself whether it has ended

What callers saw: two leafs ended under each retry of one request, and 502 at once, without end; and, the other way round, a harmless request refused for ten minutes because live leafs had lost its answers.

Cause: a loss counted if another leaf of the failure domain answered a health check, whatever the lost leaf did. If no other one answered, the loss was forgotten; if one did, a lost answer counted like a crash.

Ruled out: lost reports (one daemon shows it), the account by service (the route does not move). The log of the failing test: failure_domain_checked others 1, asked 1, is_reached false; crash_report_dismissed.

Change: the lost leaf is sent a health check on a new connection. It lives if it answers, and has ended if another leaf answers at its address. If it refuses connections or is silent, the leafs beside it decide: a VM whose links refuse new connections sees all refuse. A leaf that the store no longer lists has ended. `LossVerdict` in the core decides.

--- a/crates/medlarpin-core/src/canary.rs
+++ b/crates/medlarpin-core/src/canary.rs
@@ -4,11 +4,13 @@
 //! loss of a connection during a canary is a strike against the query's fingerprint. Two strikes on
 //! distinct leafs and for distinct requests quarantine the fingerprint.
 
+mod loss_verdict;
 mod proven;
 mod quarantines;
 mod strikes;
 mod table;
 
+pub use loss_verdict::{LossVerdict, LostLeafSign, NeighbourSign};
 pub use quarantines::Quarantine;
 pub use table::{Clearance, FingerprintTable};
 
--- /dev/null
+++ b/crates/medlarpin-core/src/canary/loss_verdict.rs
@@ -0,0 +1,63 @@
+/// What a leaf does on a new connection, after one was lost while it was running a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LostLeafSign {
+    /// It answers, whatever the answer.
+    Answers,
+    /// Another leaf answers at its address.
+    Replaced,
+    /// Nothing listens at its address.
+    Refuses,
+    /// Nothing is heard of it.
+    Silent,
+}
+
+/// Whether this VM reaches the leafs beside a lost one, in the same failure domain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NeighbourSign {
+    /// One of them answers.
+    Reached,
+    /// None answers, and some refuse connections, as all do while the links of this VM refuse new ones.
+    Refusing,
+    /// None answers.
+    Silent,
+    /// There is none to ask.
+    Nobody,
+}
+
+/// Whether a leaf that was lost under a request has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LossVerdict {
+    /// The leaf lives: only its answer or the connection was lost.
+    Lives,
+    /// The leaf has ended.
+    Ended,
+    /// The leaf may have ended, or the links to it may have failed.
+    Unknown,
+}
+
+impl LossVerdict {
+    /// Judges a loss by what was seen of the leaf and of those beside it.
+    ///
+    /// A leaf that does not answer has ended if the store lists it no longer, as leafs that live renew their
+    /// entries there, or if it behaves otherwise than those beside it.
+    #[must_use]
+    pub fn of(leaf: LostLeafSign, neighbours: NeighbourSign, is_listed: bool) -> Self {
+        match leaf {
+            LostLeafSign::Answers => Self::Lives,
+            LostLeafSign::Replaced => Self::Ended,
+            LostLeafSign::Refuses | LostLeafSign::Silent if !is_listed => Self::Ended,
+            LostLeafSign::Refuses => match neighbours {
+                NeighbourSign::Reached | NeighbourSign::Silent | NeighbourSign::Nobody => {
+                    Self::Ended
+                }
+                NeighbourSign::Refusing => Self::Unknown,
+            },
+            LostLeafSign::Silent => match neighbours {
+                NeighbourSign::Reached => Self::Ended,
+                NeighbourSign::Refusing | NeighbourSign::Silent | NeighbourSign::Nobody => {
+                    Self::Unknown
+                }
+            },
+        }
+    }
+}
--- a/crates/medlarpin-core/tests/canary.rs
+++ b/crates/medlarpin-core/tests/canary.rs
@@ -1,7 +1,8 @@
 //! Tests of canaries, strikes and quarantines of fingerprints.
 
 use medlarpin_core::canary::{
-    Clearance, FingerprintTable, PROVEN_TTL, QUARANTINE_DURATION, Quarantine, canary_group,
+    Clearance, FingerprintTable, LossVerdict, LostLeafSign, NeighbourSign, PROVEN_TTL,
+    QUARANTINE_DURATION, Quarantine, canary_group,
 };
 use medlarpin_core::prelude::*;
 
@@ -172,3 +173,32 @@
     );
     assert_eq!(canary_group(FINGERPRINT, &[] as &[&str]), None);
 }
+
+/// Guards against losses that count although the leaf lives, and against ended leafs that do not count
+/// because nothing else of their failure domain answers.
+#[test]
+fn a_loss_counts_only_if_the_leaf_has_ended() {
+    use LostLeafSign::{Answers, Refuses, Replaced, Silent};
+    use NeighbourSign::{Nobody, Reached, Refusing};
+    let check = |leaf, neighbours, is_listed, verdict| {
+        let found = LossVerdict::of(leaf, neighbours, is_listed);
+        assert_eq!(found, verdict, "{leaf:?}, {neighbours:?}, {is_listed}");
+    };
+    for neighbours in [Reached, Refusing, NeighbourSign::Silent, Nobody] {
+        for is_listed in [true, false] {
+            check(Answers, neighbours, is_listed, LossVerdict::Lives);
+            check(Replaced, neighbours, is_listed, LossVerdict::Ended);
+        }
+        check(Silent, neighbours, false, LossVerdict::Ended);
+        check(Refuses, neighbours, false, LossVerdict::Ended);
+    }
+    check(Refuses, Reached, true, LossVerdict::Ended);
+    check(Refuses, NeighbourSign::Silent, true, LossVerdict::Ended);
+    check(Refuses, Nobody, true, LossVerdict::Ended);
+    // As seen by a VM whose links refuse new connections.
+    check(Refuses, Refusing, true, LossVerdict::Unknown);
+    check(Silent, Reached, true, LossVerdict::Ended);
+    check(Silent, Refusing, true, LossVerdict::Unknown);
+    check(Silent, NeighbourSign::Silent, true, LossVerdict::Unknown);
+    check(Silent, Nobody, true, LossVerdict::Unknown);
+}
--- a/crates/router/src/call_evidence.rs
+++ b/crates/router/src/call_evidence.rs
@@ -1,18 +1,19 @@
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
-use medlarpin_core::prelude::{FailureDomain, LeafId, ServiceName};
+use medlarpin_core::prelude::ServiceName;
 use parking_lot::Mutex;
 
+use crate::leaf::Leaf;
+
 /// Number of lost leafs from which a request that none of them answered may be the cause.
 const SUSPICIOUS_LOSSES: usize = 2;
 
 /// A leaf whose connection broke while it may have been running a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone)]
 pub(crate) struct LostLeaf {
     pub(crate) service: ServiceName,
-    /// Run of the leaf, as returned by `LeafEntry::run_id`.
-    pub(crate) leaf: LeafId,
-    pub(crate) failure_domain: FailureDomain,
+    pub(crate) leaf: Arc<Leaf>,
 }
 
 /// What the leaf requests of one caller's request, to one service or to all shards, show about
--- a/crates/router/src/crash_memory.rs
+++ b/crates/router/src/crash_memory.rs
@@ -1,11 +1,12 @@
 //! Memory of requests that crash the leafs which run them, shared with the other daemons.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use medlarpin_core::canary::{Clearance, FingerprintTable, Quarantine};
 use medlarpin_core::ids::stable_hash;
-use medlarpin_core::prelude::{FailureDomain, Fingerprint, LeafId, RequestId, ServiceName};
+use medlarpin_core::prelude::{Fingerprint, LeafId, RequestId, ServiceName};
 use parking_lot::Mutex;
 use serde::Serialize;
 use tokio::sync::mpsc;
@@ -13,6 +14,7 @@
 use crate::call_evidence::{CallEvidence, LostLeaf};
 use crate::caller_request::CallerRequest;
 use crate::event::Event;
+use crate::leaf::Leaf;
 
 /// Reports of one request: enough for a second request to show that the first one was at fault.
 const REPORTS_PER_REQUEST: usize = 2;
@@ -44,12 +46,11 @@
 }
 
 /// A report of this daemon that does not count yet: the connection may have broken because a link
-/// failed, and not because the leaf crashed.
+/// failed or the leaf lost an answer, and not because the leaf ended.
 #[derive(Debug)]
 pub(crate) struct UnverifiedReport {
     pub(crate) report: CrashReport,
-    /// Failure domain of the leaf.
-    pub(crate) failure_domain: FailureDomain,
+    pub(crate) leaf: Arc<Leaf>,
     /// True if the daemons that collect such reports are to be told.
     is_passed_on: bool,
 }
@@ -219,15 +220,11 @@
             return;
         }
         for lost_leaf in lost.iter().take(REPORTS_PER_REQUEST) {
-            let LostLeaf {
-                service,
-                leaf,
-                failure_domain,
-            } = lost_leaf;
+            let LostLeaf { service, leaf } = lost_leaf;
             let fingerprint = fingerprint_of(request_hash(request), service);
             let report = CrashReport {
                 fingerprint,
-                leaf: leaf.clone(),
+                leaf: leaf.entry.run_id(),
                 request_hash: stable_hash(&[request.id.as_bytes()]),
                 lost_at: now,
             };
@@ -238,13 +235,13 @@
             Event::RequestLostLeaf {
                 request: request.id_text(),
                 fingerprint,
-                leaf: leaf.as_str(),
+                leaf: report.leaf.as_str(),
                 is_passed_on,
             }
             .log();
             self.verify(UnverifiedReport {
                 report,
-                failure_domain: failure_domain.clone(),
+                leaf: Arc::clone(leaf),
                 is_passed_on,
             });
         }
@@ -263,7 +260,7 @@
         }
     }
 
-    /// Counts a report, since the links to the leafs beside the lost one work.
+    /// Counts a report, since the leaf has ended.
     pub(crate) fn confirm(&self, verified: UnverifiedReport, now: Instant) {
         self.end_verification(verified.report.fingerprint);
         match self.add_report(&verified.report, ReportSource::Own, now) {
@@ -275,7 +272,7 @@
         }
     }
 
-    /// Drops a report, since the links of this VM have failed.
+    /// Drops a report, since the leaf lives or the links of this VM have failed.
     pub(crate) fn dismiss(&self, unverified: &UnverifiedReport) {
         self.end_verification(unverified.report.fingerprint);
         Event::CrashReportDismissed {
--- a/crates/router/src/crash_reports.rs
+++ b/crates/router/src/crash_reports.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use futures::future::join_all;
-use medlarpin_core::canary::QUARANTINE_DURATION;
+use medlarpin_core::canary::{LossVerdict, LostLeafSign, NeighbourSign, QUARANTINE_DURATION};
 use medlarpin_core::prelude::{Clock, FailureDomain, Fingerprint, LeafId};
 use medlarpin_core::routing::report_owners;
 use tokio::sync::mpsc;
@@ -16,12 +16,12 @@
 use crate::crash_memory::{CrashReport, UnverifiedReport};
 use crate::event::Event;
 use crate::flooding::{self, REPORTS_MAX};
-use crate::leaf_probe::reaches_domain;
+use crate::leaf::Leaf;
+use crate::loss_check::{ask_lost_leaf, ask_neighbours, judge};
 use crate::peers::{self, PeerError, len_u32, millis_u32};
 use crate::shared::Shared;
 
-/// Verifies reports of this daemon until the process ends: a lost leaf counts only if this VM reaches
-/// another leaf of the same failure domain.
+/// Verifies reports of this daemon until the process ends: a lost leaf counts only if it has ended.
 pub(crate) async fn verify(shared: Arc<Shared>, mut reports: mpsc::Receiver<UnverifiedReport>) {
     while let Some(first) = reports.recv().await {
         let mut batch = vec![first];
@@ -29,31 +29,54 @@
         while let Ok(report) = reports.try_recv() {
             batch.push(report);
         }
-        let lost: Vec<LeafId> = batch
-            .iter()
-            .map(|unverified| unverified.report.leaf.clone())
-            .collect();
-        let mut domains: Vec<&FailureDomain> = batch
-            .iter()
-            .map(|unverified| &unverified.failure_domain)
-            .collect();
-        domains.sort();
-        domains.dedup();
-        let checks = domains
-            .iter()
-            .map(|domain| reaches_domain(&shared, domain, &lost));
-        let are_reached = join_all(checks).await;
-        let reached: Vec<FailureDomain> = domains
-            .into_iter()
-            .zip(are_reached)
-            .filter(|(_, is_reached)| *is_reached)
-            .map(|(domain, _)| domain.clone())
-            .collect();
-        for unverified in batch {
-            if reached.binary_search(&unverified.failure_domain).is_ok() {
+        verify_batch(&shared, batch).await;
+    }
+}
+
+async fn verify_batch(shared: &Shared, batch: Vec<UnverifiedReport>) {
+    let mut leafs: Vec<(LeafId, Arc<Leaf>)> = batch
+        .iter()
+        .map(|unverified| (unverified.report.leaf.clone(), Arc::clone(&unverified.leaf)))
+        .collect();
+    leafs.sort_by(|(a, _), (b, _)| a.cmp(b));
+    leafs.dedup_by(|(a, _), (b, _)| a == b);
+    let lost: Vec<LeafId> = leafs.iter().map(|(run, _)| run.clone()).collect();
+    let signs = leafs.iter().map(|(_, leaf)| ask_lost_leaf(shared, leaf));
+    let signs: Vec<LostLeafSign> = join_all(signs).await;
+    let is_open = |sign: &LostLeafSign| match sign {
+        LostLeafSign::Answers | LostLeafSign::Replaced => false,
+        LostLeafSign::Refuses | LostLeafSign::Silent => true,
+    };
+    let mut domains: Vec<&FailureDomain> = leafs
+        .iter()
+        .zip(&signs)
+        .filter(|(_, sign)| is_open(sign))
+        .map(|((_, leaf), _)| &leaf.entry.failure_domain)
+        .collect();
+    domains.sort();
+    domains.dedup();
+    let neighbours = domains
+        .iter()
+        .map(|domain| ask_neighbours(shared, domain, &lost));
+    let neighbours: Vec<NeighbourSign> = join_all(neighbours).await;
+    let verdicts: Vec<LossVerdict> = leafs
+        .iter()
+        .zip(&signs)
+        .map(|((_, leaf), sign)| {
+            let domain = domains.binary_search(&&leaf.entry.failure_domain);
+            // Those of other domains decide nothing.
+            let neighbours = domain.map_or(NeighbourSign::Nobody, |index| neighbours[index]);
+            judge(shared, leaf, *sign, neighbours)
+        })
+        .collect();
+    for unverified in batch {
+        let index = lost.binary_search(&unverified.report.leaf);
+        match index.map_or(LossVerdict::Unknown, |index| verdicts[index]) {
+            LossVerdict::Ended => {
                 shared.metrics.lost_leafs_counted.inc();
                 shared.crash_memory.confirm(unverified, shared.now());
-            } else {
+            }
+            LossVerdict::Lives | LossVerdict::Unknown => {
                 shared.metrics.lost_leafs_dismissed.inc();
                 shared.crash_memory.dismiss(&unverified);
             }
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -1,6 +1,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 
+use medlarpin_core::canary::{LossVerdict, LostLeafSign, NeighbourSign};
 use medlarpin_core::prelude::Fingerprint;
 use medlarpin_core::routing::Source;
 use platform::{EntryError, RequestError, StoreError};
@@ -255,6 +256,18 @@
         asked: usize,
         is_reached: bool,
     },
+    /// A leaf that was lost under a request was judged.
+    LossJudged {
+        leaf: &'a str,
+        #[serde(serialize_with = "as_debug")]
+        sign: LostLeafSign,
+        #[serde(serialize_with = "as_debug")]
+        neighbours: NeighbourSign,
+        /// True if the store lists the leaf.
+        is_listed: bool,
+        #[serde(serialize_with = "as_debug")]
+        verdict: LossVerdict,
+    },
     /// A lost leaf counts against a request that it may have been running.
     CrashReportLearned {
         #[serde(serialize_with = "as_text")]
@@ -271,7 +284,7 @@
         /// Runs of the leafs that equal requests have lost.
         lost: &'a [&'a str],
     },
-    /// A lost leaf does not count, because this VM's links to the leafs beside it have failed as well.
+    /// A lost leaf does not count: it lives, or this VM's links to the leafs beside it have failed as well.
     CrashReportDismissed {
         #[serde(serialize_with = "as_text")]
         fingerprint: Fingerprint,
@@ -358,6 +371,7 @@
             Self::DaemonsCounted { .. } | Self::DaemonUnreachable { .. } => "peer",
             Self::RequestLostLeaf { .. }
             | Self::FailureDomainChecked { .. }
+            | Self::LossJudged { .. }
             | Self::CrashReportLearned { .. }
             | Self::SentOnSuspicion { .. }
             | Self::CrashReportDismissed { .. }
@@ -390,3 +404,8 @@
 fn as_text<S: Serializer>(value: impl fmt::Display, serializer: S) -> Result<S::Ok, S::Error> {
     serializer.collect_str(&value)
 }
+
+/// Serializes the value by its name in the code, in lower case.
+fn as_debug<S: Serializer>(value: &impl fmt::Debug, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.serialize_str(&format!("{value:?}").to_lowercase())
+}
--- a/crates/router/src/leaf.rs
+++ b/crates/router/src/leaf.rs
@@ -1,3 +1,4 @@
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -40,6 +41,26 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
+/// Why no connection to a leaf could be opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum OpenError {
+    /// All connections that this daemon may open to the leaf are in use.
+    Limit,
+    /// Nothing listens at the leaf's address.
+    Refused,
+    /// The connection failed in another way, or was not opened in time.
+    Unreachable,
+}
+
+impl From<OpenError> for LeafFailure {
+    fn from(error: OpenError) -> Self {
+        match error {
+            OpenError::Limit => Self::ConnectionLimit,
+            OpenError::Refused | OpenError::Unreachable => Self::Connect,
+        }
+    }
+}
+
 /// A pooled connection that carries no request at present.
 #[derive(Debug)]
 struct IdleConnection {
@@ -225,19 +246,28 @@
         self.open_new(connections_max).await
     }
 
-    /// Opens a connection unless `connections_max` are open.
+    /// Like [`Self::open`], for a request.
     pub(crate) async fn open_new(
         &self,
         connections_max: u32,
     ) -> Result<LeafConnection, LeafFailure> {
+        Ok(self.open(connections_max).await?)
+    }
+
+    /// Opens a connection unless `connections_max` are open.
+    pub(crate) async fn open(&self, connections_max: u32) -> Result<LeafConnection, OpenError> {
         if self.link.open.fetch_add(1, Ordering::Relaxed) >= connections_max {
             self.link.open.fetch_sub(1, Ordering::Relaxed);
-            return Err(LeafFailure::ConnectionLimit);
+            return Err(OpenError::Limit);
         }
         let guard = OpenConnectionGuard(Arc::clone(&self.link));
         let opened = timeout(CONNECT_TIMEOUT, open(self.entry.address)).await;
-        let Ok(Ok((sender, connection, progress_limit))) = opened else {
-            return Err(LeafFailure::Connect);
+        let (sender, connection, progress_limit) = match opened {
+            Ok(Ok(opened)) => opened,
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return Err(OpenError::Refused);
+            }
+            Ok(Err(_)) | Err(_) => return Err(OpenError::Unreachable),
         };
         tokio::spawn(async move {
             // The error also reaches the request that uses the connection, which reports it.
@@ -335,7 +365,7 @@
 
 type Connection = hyper::client::conn::http1::Connection<TokioIo<LeafStream>, Full<Bytes>>;
 
-async fn open(address: SocketAddr) -> std::io::Result<(Sender, Connection, ProgressLimit)> {
+async fn open(address: SocketAddr) -> io::Result<(Sender, Connection, ProgressLimit)> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let socket = SockRef::from(&stream);
@@ -350,6 +380,6 @@
         .max_buf_size(READ_BUFFER_BYTES_MAX)
         .handshake(TokioIo::new(stream))
         .await
-        .map_err(std::io::Error::other)?;
+        .map_err(io::Error::other)?;
     Ok((sender, connection, progress_limit))
 }
--- a/crates/router/src/leaf_probe.rs
+++ b/crates/router/src/leaf_probe.rs
@@ -4,11 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::stream::{FuturesUnordered, StreamExt};
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header::HOST;
-use medlarpin_core::prelude::{FailureDomain, LeafId};
+use medlarpin_core::prelude::LeafId;
 use medlarpin_core::routing::Unreachable;
 use tokio::sync::Semaphore;
 use tokio::time::{MissedTickBehavior, interval, timeout};
@@ -25,12 +24,6 @@
 /// Time limit of the answer to a health check. A leaf answers it after the requests in its queue.
 const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Number of leafs that are asked whether this VM reaches a failure domain; some may be full, or have
-/// crashed as well.
-const DOMAIN_PROBES: usize = 3;
-/// Time limit of such a probe. Requests that are equal to the one that lost a leaf are refused meanwhile.
-const DOMAIN_PROBE_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Checks the leafs until the process ends.
 pub(crate) async fn check_leafs(shared: Arc<Shared>) {
     let mut ticks = interval(CHECK_INTERVAL);
@@ -63,70 +56,6 @@
     }
 }
 
-/// Returns true if this VM reaches a leaf of a failure domain other than those that were lost, or if
-/// there is no other.
-pub(crate) async fn reaches_domain(
-    shared: &Shared,
-    domain: &FailureDomain,
-    lost: &[LeafId],
-) -> bool {
-    let now = shared.now();
-    let others = shared.leafs.filter(|leaf| {
-        leaf.entry.failure_domain == *domain
-            && leaf.is_usable(now)
-            && !lost.contains(&leaf.entry.run_id())
-    });
-    let others_count = others.len();
-    if others.is_empty() {
-        log_domain_check(domain, others_count, 0, true);
-        return true;
-    }
-    let mut usable: Vec<Arc<Leaf>> = others
-        .into_iter()
-        .filter(|leaf| {
-            let load = leaf.load();
-            load.unreachable().is_none() && load.pause_until(now).is_none()
-        })
-        .collect();
-    while usable.len() > DOMAIN_PROBES {
-        usable.swap_remove(rand::random_range(0..usable.len()));
-    }
-    let mut probes: FuturesUnordered<_> = usable
-        .iter()
-        .map(|leaf| timeout(DOMAIN_PROBE_TIMEOUT, answers_health_check(shared, leaf)))
-        .collect();
-    let mut is_reached = false;
-    while !is_reached && let Some(answered) = probes.next().await {
-        is_reached = answered == Ok(true);
-    }
-    log_domain_check(domain, others_count, usable.len(), is_reached);
-    is_reached
-}
-
-fn log_domain_check(domain: &FailureDomain, others: usize, asked: usize, is_reached: bool) {
-    Event::FailureDomainChecked {
-        failure_domain: domain.as_str(),
-        others,
-        asked,
-        is_reached,
-    }
-    .log();
-}
-
-/// Returns true if a leaf answers a health check on a new connection.
-async fn answers_health_check(shared: &Shared, leaf: &Leaf) -> bool {
-    let connections_max = shared.connections_max(&leaf.entry.service);
-    let Ok(connection) = leaf.open_new(connections_max).await else {
-        return false;
-    };
-    let answered = check_health(shared, leaf, connection).await;
-    let is_reached = answered.is_some();
-    if let Some(connection) = answered {
-        leaf.release(connection, None, shared.now());
-    }
-    is_reached
-}
-
 fn check_silence(shared: &Shared, leaf: &Leaf) {
     if leaf.load().check_silence(shared.now()) {
         Event::LeafSilent {
@@ -148,7 +77,10 @@
     let opened = leaf.open_new(connections_max).await.ok();
     let connection = match (opened, how) {
         (Some(connection), Unreachable::Refused) => Some(connection),
-        (Some(connection), Unreachable::Silent) => check_health(shared, leaf, connection).await,
+        (Some(connection), Unreachable::Silent) => {
+            let answer = check_health(shared, leaf, connection).await;
+            answer.map(|answer| answer.connection)
+        }
         (None, _) => None,
     };
     let now = shared.now();
@@ -164,12 +96,20 @@
     leaf.release(connection, None, now);
 }
 
-/// Returns the connection if the leaf answers on it, whatever the answer.
-async fn check_health(
+/// The answer to a health check, whatever it says.
+pub(crate) struct HealthAnswer {
+    /// The connection, which can be used again.
+    pub(crate) connection: LeafConnection,
+    /// The leaf that answered, if it states its identifier.
+    pub(crate) answered_by: Option<LeafId>,
+}
+
+/// Sends a health check; `None` if there is no answer.
+pub(crate) async fn check_health(
     shared: &Shared,
     leaf: &Leaf,
     mut connection: LeafConnection,
-) -> Option<LeafConnection> {
+) -> Option<HealthAnswer> {
     let config = shared.config.load_full()?;
     let service = config.service(&leaf.entry.service);
     let path = service.map_or(platform::HEALTH_PATH_DEFAULT, |known| &*known.health_path);
@@ -182,12 +122,16 @@
         connection.sender.send_request(request),
     );
     let response = answered.await.ok()?.ok()?;
+    let answered_by = platform::health_check_leaf(response.headers());
     // An answer with a body would be taken for that of the next request.
     let body = shared
         .answer_memory
         .read(response.into_body(), HEALTH_BODY_BYTES_MAX, || {});
     let read = timeout(HEALTH_CHECK_TIMEOUT, body).await;
-    matches!(read, Ok(Ok(_))).then_some(connection)
+    matches!(read, Ok(Ok(_))).then_some(HealthAnswer {
+        connection,
+        answered_by,
+    })
 }
 
 /// Limit of the size of the answer to a health check.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -24,6 +24,7 @@
 mod leaf_rate_reports;
 mod leaf_rates;
 mod leaf_table;
+mod loss_check;
 mod metrics;
 mod operators;
 mod peer_pool;
--- /dev/null
+++ b/crates/router/src/loss_check.rs
@@ -0,0 +1,130 @@
+//! Finds out whether a leaf that was lost under a request has ended, or only its connection.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::stream::{FuturesUnordered, StreamExt};
+use medlarpin_core::canary::{LossVerdict, LostLeafSign, NeighbourSign};
+use medlarpin_core::prelude::{FailureDomain, LeafId};
+use medlarpin_core::routing::Unreachable;
+use tokio::time::timeout;
+
+use crate::event::Event;
+use crate::leaf::{Leaf, OpenError};
+use crate::leaf_probe::check_health;
+use crate::shared::Shared;
+
+/// Number of leafs beside a lost one that are asked; some may be full, or have ended as well.
+const NEIGHBOURS_ASKED: usize = 3;
+/// Time limit of each check. Requests that are equal to the one that lost a leaf are refused meanwhile.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Asks a lost leaf for its health on a new connection.
+pub(crate) async fn ask_lost_leaf(shared: &Shared, leaf: &Leaf) -> LostLeafSign {
+    timeout(CHECK_TIMEOUT, ask_health(shared, leaf))
+        .await
+        .unwrap_or(LostLeafSign::Silent)
+}
+
+async fn ask_health(shared: &Shared, leaf: &Leaf) -> LostLeafSign {
+    let connections_max = shared.connections_max(&leaf.entry.service);
+    let connection = match leaf.open(connections_max).await {
+        Ok(connection) => connection,
+        Err(OpenError::Refused) => return LostLeafSign::Refuses,
+        Err(OpenError::Limit | OpenError::Unreachable) => return LostLeafSign::Silent,
+    };
+    let Some(healthy) = check_health(shared, leaf, connection).await else {
+        return LostLeafSign::Silent;
+    };
+    let is_other = healthy.answered_by.is_some_and(|id| id != leaf.entry.id);
+    leaf.release(healthy.connection, None, shared.now());
+    if is_other {
+        LostLeafSign::Replaced
+    } else {
+        LostLeafSign::Answers
+    }
+}
+
+/// Asks leafs of a failure domain other than the lost ones for their health.
+pub(crate) async fn ask_neighbours(
+    shared: &Shared,
+    domain: &FailureDomain,
+    lost: &[LeafId],
+) -> NeighbourSign {
+    let now = shared.now();
+    let others = shared.leafs.filter(|leaf| {
+        leaf.entry.failure_domain == *domain
+            && leaf.is_usable(now)
+            && !lost.contains(&leaf.entry.run_id())
+    });
+    let others_count = others.len();
+    let mut signs: Vec<LostLeafSign> = Vec::new();
+    let mut asked: Vec<Arc<Leaf>> = Vec::new();
+    for leaf in others {
+        let load = leaf.load();
+        match load.unreachable() {
+            Some(Unreachable::Refused) => signs.push(LostLeafSign::Refuses),
+            Some(Unreachable::Silent) => signs.push(LostLeafSign::Silent),
+            None if load.pause_until(now).is_none() => {
+                drop(load);
+                asked.push(leaf);
+            }
+            None => {}
+        }
+    }
+    while asked.len() > NEIGHBOURS_ASKED {
+        asked.swap_remove(rand::random_range(0..asked.len()));
+    }
+    let mut checks: FuturesUnordered<_> = asked
+        .iter()
+        .map(|leaf| ask_lost_leaf(shared, leaf))
+        .collect();
+    while !signs.contains(&LostLeafSign::Answers)
+        && let Some(sign) = checks.next().await
+    {
+        signs.push(sign);
+    }
+    let is_reached = signs.contains(&LostLeafSign::Answers);
+    Event::FailureDomainChecked {
+        failure_domain: domain.as_str(),
+        others: others_count,
+        asked: asked.len(),
+        is_reached,
+    }
+    .log();
+    if is_reached {
+        NeighbourSign::Reached
+    } else if others_count == 0 {
+        NeighbourSign::Nobody
+    } else if signs.contains(&LostLeafSign::Refuses) {
+        NeighbourSign::Refusing
+    } else {
+        NeighbourSign::Silent
+    }
+}
+
+/// Returns true if the store lists this run of a leaf, or did when this daemon last heard from it.
+pub(crate) fn is_listed(shared: &Shared, leaf: &Leaf) -> bool {
+    let listed = shared.leafs.find(&leaf.entry.id);
+    listed.is_some_and(|listed| listed.entry.is_of_same_process(&leaf.entry))
+}
+
+/// Judges the loss of a leaf; `neighbours` is what was seen of the leafs beside it.
+pub(crate) fn judge(
+    shared: &Shared,
+    leaf: &Leaf,
+    sign: LostLeafSign,
+    neighbours: NeighbourSign,
+) -> LossVerdict {
+    let is_listed = is_listed(shared, leaf);
+    let verdict = LossVerdict::of(sign, neighbours, is_listed);
+    Event::LossJudged {
+        leaf: leaf.entry.id.as_str(),
+        sign,
+        neighbours,
+        is_listed,
+        verdict,
+    }
+    .log();
+    verdict
+}
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -228,7 +228,7 @@
     /// Records the result of an attempt; returns the answer if it is successful.
     fn handle_result(
         &mut self,
-        leaf: &Leaf,
+        leaf: &Arc<Leaf>,
         sent_at: Instant,
         result: AttemptResult,
     ) -> Option<LeafAnswer> {
@@ -259,8 +259,7 @@
                 if failure == LeafFailure::BrokenOff {
                     self.evidence.lost(LostLeaf {
                         service: self.service.clone(),
-                        leaf: leaf.entry.run_id(),
-                        failure_domain: leaf.entry.failure_domain.clone(),
+                        leaf: Arc::clone(leaf),
                     });
                 }
                 if failure.is_not_arrived() {
