Open a connection beyond the limit to check a leaf's health after a loss

What callers saw: as before, two leafs ended under each retry and 502 at once, on daemons with traffic.

Cause: the check opened a new connection within this daemon's part of the leaf's connections, and a busy daemon has them all open, mostly idle. The check failed without being sent, and the loss was forgotten.

Ruled out: that the leafs do not answer; the log had others 2, asked 2, is_reached false, while both answered.

Change: the check may open one connection beyond the limit, and an idle one closes in its place.

--- a/crates/router/src/leaf.rs
+++ b/crates/router/src/leaf.rs
@@ -254,6 +254,21 @@
         Ok(self.open(connections_max).await?)
     }
 
+    /// Opens a connection for a health check, also while `connections_max` are open: a busy daemon nearly
+    /// always has as many. An idle one closes in its place.
+    pub(crate) async fn open_for_check(
+        &self,
+        connections_max: u32,
+    ) -> Result<LeafConnection, OpenError> {
+        if self.open_connections() >= connections_max {
+            let mut idle = self.link.idle.lock();
+            if !idle.is_empty() {
+                idle.remove(0);
+            }
+        }
+        self.open(connections_max.saturating_add(1)).await
+    }
+
     /// Opens a connection unless `connections_max` are open.
     pub(crate) async fn open(&self, connections_max: u32) -> Result<LeafConnection, OpenError> {
         if self.link.open.fetch_add(1, Ordering::Relaxed) >= connections_max {
--- a/crates/router/src/loss_check.rs
+++ b/crates/router/src/loss_check.rs
@@ -28,7 +28,7 @@
 
 async fn ask_health(shared: &Shared, leaf: &Leaf) -> LostLeafSign {
     let connections_max = shared.connections_max(&leaf.entry.service);
-    let connection = match leaf.open(connections_max).await {
+    let connection = match leaf.open_for_check(connections_max).await {
         Ok(connection) => connection,
         Err(OpenError::Refused) => return LostLeafSign::Refuses,
         Err(OpenError::Limit | OpenError::Unreachable) => return LostLeafSign::Silent,
