Keep a loss that cannot be judged yet, and judge it again

What callers saw: as before; two leafs ended under each retry while neither the lost leaf nor any other of its failure domain answered.

Cause: a loss that could not be told from a failed link was dropped as if nothing had happened, and the next equal request was an ordinary one. There was no state between "counts" and "never happened".

Change: such a report is kept for up to 30 s. Until it is judged, equal requests are sent to a single leaf, and not to the lost one. Each second the leaf and those beside it are asked again; a leaf that the store has ceased to list, and that does not answer, has ended. An answer to an equal request drops the report. Nothing is told to other daemons before.

--- a/crates/router/src/crash_memory.rs
+++ b/crates/router/src/crash_memory.rs
@@ -28,6 +28,12 @@
 /// and a second if another one is in progress.
 const VERIFICATION_TIME_MAX: Duration = Duration::from_secs(2);
 
+/// Reports that wait for a sign of whether their leafs have ended. Of further ones the oldest is dropped.
+const UNRESOLVED_MAX: usize = 256;
+/// Time after which a report is dropped if nothing has shown that its leaf has ended. The store no longer
+/// lists a leaf after three missed heartbeats, if this daemon reaches the store.
+const RESOLUTION_TIME_MAX: Duration = Duration::from_secs(30);
+
 /// Reports in an exchange, which has to fit into the bytes that control may take.
 const EXCHANGED_REPORTS_MAX: usize = 16;
 
@@ -103,10 +109,27 @@
     table: FingerprintTable,
     /// Fingerprints of the reports that are being verified, one for each, with the times of the losses.
     unverified: Vec<(Fingerprint, Instant)>,
+    /// Reports of leafs of which it is not known whether they have ended; at most [`UNRESOLVED_MAX`].
+    unresolved: Vec<UnverifiedReport>,
     /// The latest reports, each with its hash, oldest first.
     known_reports: VecDeque<(u64, CrashReport)>,
 }
 
+impl State {
+    /// Returns true if no request is suspected of anything.
+    fn is_free_of_suspects(&self) -> bool {
+        self.table.is_free_of_suspects() && self.unverified.is_empty() && self.unresolved.is_empty()
+    }
+
+    /// Returns the runs of leafs that may have ended under a request.
+    fn unresolved_leafs(&self, fingerprint: Fingerprint) -> impl Iterator<Item = LeafId> {
+        let of_request = self.unresolved.iter().map(|unverified| &unverified.report);
+        of_request
+            .filter(move |report| report.fingerprint == fingerprint)
+            .map(|report| report.leaf.clone())
+    }
+}
+
 /// The crash reports and quarantines that this daemon knows.
 #[derive(Debug)]
 pub(crate) struct CrashMemory {
@@ -156,7 +179,7 @@
     ) -> RequestClearance {
         let state = self.state.lock();
         // Nearly always true, so that no request needs to be hashed.
-        if state.table.is_free_of_suspects() && state.unverified.is_empty() {
+        if state.is_free_of_suspects() {
             return RequestClearance::Clear;
         }
         let request = request_hash(request);
@@ -174,7 +197,8 @@
             if is_unverified {
                 clearance = RequestClearance::Unverified;
             }
-            let lost = state.table.leafs_with_strikes(fingerprint, now);
+            let mut lost = state.table.leafs_with_strikes(fingerprint, now);
+            lost.extend(state.unresolved_leafs(fingerprint));
             if clearance == RequestClearance::Clear && !lost.is_empty() {
                 let service = service.clone();
                 clearance = RequestClearance::Suspect { service, lost };
@@ -186,9 +210,12 @@
     /// Records that a leaf of a service answered a request, which thus does not crash its leafs.
     pub(crate) fn record_answer(&self, request: &CallerRequest, service: &ServiceName) {
         let mut state = self.state.lock();
-        if !state.table.is_free_of_suspects() {
+        if !state.is_free_of_suspects() {
             let fingerprint = fingerprint_of(request_hash(request), service);
             state.table.clear_strikes(fingerprint);
+            let is_other =
+                |unverified: &UnverifiedReport| unverified.report.fingerprint != fingerprint;
+            state.unresolved.retain(is_other);
         }
     }
 
@@ -272,7 +299,32 @@
         }
     }
 
-    /// Drops a report, since the leaf lives or the links of this VM have failed.
+    /// Keeps a report of a leaf of which it is not known whether it has ended. Until it is, equal requests
+    /// are sent to a single leaf first.
+    pub(crate) fn suspend(&self, unverified: UnverifiedReport, now: Instant) {
+        self.end_verification(unverified.report.fingerprint);
+        let age = now.saturating_duration_since(unverified.report.lost_at);
+        if age >= RESOLUTION_TIME_MAX {
+            return self.dismiss(&unverified);
+        }
+        let unresolved = &mut self.state.lock().unresolved;
+        if unresolved.len() >= UNRESOLVED_MAX {
+            unresolved.remove(0);
+        }
+        unresolved.push(unverified);
+    }
+
+    /// Takes the reports of leafs of which it is not known whether they have ended, to verify them again.
+    pub(crate) fn take_unresolved(&self) -> Vec<UnverifiedReport> {
+        std::mem::take(&mut self.state.lock().unresolved)
+    }
+
+    /// Returns true if there are such reports.
+    pub(crate) fn has_unresolved(&self) -> bool {
+        !self.state.lock().unresolved.is_empty()
+    }
+
+    /// Drops a report, since the leaf lives or nothing has shown that it has ended.
     pub(crate) fn dismiss(&self, unverified: &UnverifiedReport) {
         self.end_verification(unverified.report.fingerprint);
         Event::CrashReportDismissed {
--- a/crates/router/src/crash_reports.rs
+++ b/crates/router/src/crash_reports.rs
@@ -11,6 +11,7 @@
 use medlarpin_core::routing::report_owners;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 use wire::peer_capnp::{crash_report, route_peer};
 
 use crate::crash_memory::{CrashReport, UnverifiedReport};
@@ -21,10 +22,21 @@
 use crate::peers::{self, PeerError, len_u32, millis_u32};
 use crate::shared::Shared;
 
+/// Interval at which leafs are asked again of which it is not known whether they have ended.
+const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Verifies reports of this daemon until the process ends: a lost leaf counts only if it has ended.
 pub(crate) async fn verify(shared: Arc<Shared>, mut reports: mpsc::Receiver<UnverifiedReport>) {
-    while let Some(first) = reports.recv().await {
-        let mut batch = vec![first];
+    loop {
+        let mut batch = tokio::select! {
+            first = reports.recv() => match first {
+                Some(first) => vec![first],
+                None => return,
+            },
+            () = sleep(RECHECK_INTERVAL), if shared.crash_memory.has_unresolved() => {
+                shared.crash_memory.take_unresolved()
+            }
+        };
         // The failure of a link breaks many connections, and one check shows it for all of them.
         while let Ok(report) = reports.try_recv() {
             batch.push(report);
@@ -76,10 +88,11 @@
                 shared.metrics.lost_leafs_counted.inc();
                 shared.crash_memory.confirm(unverified, shared.now());
             }
-            LossVerdict::Lives | LossVerdict::Unknown => {
+            LossVerdict::Lives => {
                 shared.metrics.lost_leafs_dismissed.inc();
                 shared.crash_memory.dismiss(&unverified);
             }
+            LossVerdict::Unknown => shared.crash_memory.suspend(unverified, shared.now()),
         }
     }
 }
--- a/crates/router/src/loss_check.rs
+++ b/crates/router/src/loss_check.rs
@@ -6,7 +6,7 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 use medlarpin_core::canary::{LossVerdict, LostLeafSign, NeighbourSign};
 use medlarpin_core::prelude::{FailureDomain, LeafId};
-use medlarpin_core::routing::Unreachable;
+use medlarpin_core::routing::{LeafPhase, Unreachable};
 use tokio::time::timeout;
 
 use crate::event::Event;
@@ -104,9 +104,12 @@
 }
 
 /// Returns true if the store lists this run of a leaf, or did when this daemon last heard from it.
-pub(crate) fn is_listed(shared: &Shared, leaf: &Leaf) -> bool {
-    let listed = shared.leafs.find(&leaf.entry.id);
-    listed.is_some_and(|listed| listed.entry.is_of_same_process(&leaf.entry))
+fn is_listed(shared: &Shared, leaf: &Leaf) -> bool {
+    shared.leafs.find(&leaf.entry.id).is_some_and(|known| {
+        // A leaf without an entry stays in use for a while, unlike one that is listed as draining.
+        let is_withdrawn = known.is_leaving() && known.entry.phase == LeafPhase::Ready;
+        known.entry.is_of_same_process(&leaf.entry) && !is_withdrawn
+    })
 }
 
 /// Judges the loss of a leaf; `neighbours` is what was seen of the leafs beside it.
