Record the evidence of a request whose caller leaves

What callers saw: a query that ends the leafs of one shard was sent on, two leafs a query, as long as its callers left before the other shards had answered.

Cause: what a request had shown was recorded after its last await. A caller that leaves drops the future, and with it the lost leafs; so does a delegated request whose reply is closed, and a stop.

Change: `EvidenceRecorder` records it when it is dropped. After an answer it is dropped with the late shards, so that a leaf that is lost within their grace time counts too.

--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -12,6 +12,7 @@
 use crate::caller_request::CallerRequest;
 use crate::callers::Answer;
 use crate::crash_memory::RequestClearance;
+use crate::evidence_recorder::EvidenceRecorder;
 use crate::refusal::Refusal;
 use crate::route_state::RouteState;
 use crate::service_call::{ServiceCall, ServiceFailure};
@@ -32,6 +33,7 @@
         return Err(refusal);
     }
     let evidence = Arc::new(CallEvidence::default());
+    let recorder = EvidenceRecorder::new(&shared, &request, &evidence);
     let mut call = ServiceCall::new(
         Arc::clone(&shared),
         service,
@@ -44,7 +46,7 @@
         call = call.into_canary(lost);
     }
     let result = call.run().await;
-    memory.record_evidence(&request, &evidence, shared.now());
+    drop(recorder);
     match result {
         Ok(answer) => {
             memory.record_success(&request, shared.now());
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -14,6 +14,7 @@
 mod discovery;
 mod error;
 mod event;
+mod evidence_recorder;
 mod flooding;
 mod forward;
 mod handover;
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -19,6 +19,7 @@
 use crate::callers::Answer;
 use crate::crash_memory::RequestClearance;
 use crate::event::Event;
+use crate::evidence_recorder::EvidenceRecorder;
 use crate::forward::{refusal_for, refusal_for_clearance};
 use crate::leaf_rates::LeafRates;
 use crate::refusal::Refusal;
@@ -54,6 +55,7 @@
     let reachable = reachable_shards(&shared, scatter, request, policy.needed)?;
     admit(&shared, route)?;
     let evidence = Arc::new(CallEvidence::default());
+    let recorder = EvidenceRecorder::new(&shared, request, &evidence);
     let call = |shard: &ServiceName| {
         ServiceCall::new(
             Arc::clone(&shared),
@@ -74,10 +76,7 @@
         let first = unsent.swap_remove(position.unwrap_or(0));
         match call(first).into_canary(lost).run().await {
             Ok(answer) => answers.push((first.clone(), answer)),
-            Err(failure) => {
-                memory.record_evidence(request, &evidence, shared.now());
-                return Err(refusal_for(&failure));
-            }
+            Err(failure) => return Err(refusal_for(&failure)),
         }
     }
     let mut shards: FuturesUnordered<_> = unsent
@@ -96,7 +95,6 @@
                 let may_have_run = !answers.is_empty() || evidence.is_on_wire();
                 let timed_out = shared.now() >= policy.deadline;
                 record_coverage(&shared, route, scatter, request, &answers, shards.len());
-                memory.record_evidence(request, &evidence, shared.now());
                 return Err(refusal_for_query(&failures, may_have_run, timed_out));
             }
         };
@@ -113,7 +111,6 @@
         .metrics
         .record_gather(shared.now() - request.arrived_at);
     record_coverage(&shared, route, scatter, request, &answers, shards.len());
-    memory.record_evidence(request, &evidence, shared.now());
     if answers.len() == policy.shard_count {
         memory.record_success(request, shared.now());
     }
@@ -122,6 +119,7 @@
             let all = async { while shards.next().await.is_some() {} };
             // Dropping the others closes their connections, which cancels them on the leafs.
             let _ = timeout(LATE_SHARD_GRACE, all).await;
+            drop(recorder);
         });
     }
     Ok(merge(scatter, policy.shard_count, &answers, &request.id))
