Record for each shard that it has answered a query

Cause: a query counted as harmless only once all its shards had answered. While one is missing nothing proves any query, and a crash of all leafs of another shard counts against all that they run. Turned round: once one shard's leafs were lost, the query was sent to that shard first, and refused if it had no leaf, although the others were enough.

Ruled out: stricter evidence alone; the leafs had crashed, so each loss is a true one.

Change: a proof names the services that did not answer, with their latest answer before; the others are proven for a minute. Losses of a proven service do not count. The proof belongs to the services that the route names, so that those of another index or of a moved route are not proven by it. A query that any shard has answered is sent to all at once, with a single leaf of the suspicious ones; only one that none has answered waits for a canary.

--- a/crates/medlarpin-core/src/canary.rs
+++ b/crates/medlarpin-core/src/canary.rs
@@ -10,7 +10,7 @@
 mod strikes;
 mod table;
 
-pub use loss_verdict::{LossVerdict, LostLeafSign, NeighbourSign};
+pub use loss_verdict::{LossKind, LossVerdict, LostLeafSign, NeighbourSign};
 pub use quarantines::Quarantine;
 pub use table::{Clearance, FingerprintTable};
 
--- a/crates/medlarpin-core/src/canary/loss_verdict.rs
+++ b/crates/medlarpin-core/src/canary/loss_verdict.rs
@@ -1,3 +1,12 @@
+/// How a leaf was lost while it may have been running a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LossKind {
+    /// The connection of the request broke.
+    Broken,
+    /// The leaf has not answered the request, nor anything else since.
+    Unanswered,
+}
+
 /// What a leaf does on a new connection, after one was lost while it was running a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LostLeafSign {
@@ -39,9 +48,15 @@
     /// Judges a loss by what was seen of the leaf and of those beside it.
     ///
     /// A leaf that does not answer has ended if the store lists it no longer, as leafs that live renew their
-    /// entries there, or if it behaves otherwise than those beside it.
+    /// entries there, or if it behaves otherwise than those beside it. Silence alone shows nothing as long
+    /// as the leaf is listed: it may be slow, or hang for some seconds.
     #[must_use]
-    pub fn of(leaf: LostLeafSign, neighbours: NeighbourSign, is_listed: bool) -> Self {
+    pub fn of(
+        kind: LossKind,
+        leaf: LostLeafSign,
+        neighbours: NeighbourSign,
+        is_listed: bool,
+    ) -> Self {
         match leaf {
             LostLeafSign::Answers => Self::Lives,
             LostLeafSign::Replaced => Self::Ended,
@@ -52,9 +67,10 @@
                 }
                 NeighbourSign::Refusing => Self::Unknown,
             },
-            LostLeafSign::Silent => match neighbours {
-                NeighbourSign::Reached => Self::Ended,
-                NeighbourSign::Refusing | NeighbourSign::Silent | NeighbourSign::Nobody => {
+            LostLeafSign::Silent => match (kind, neighbours) {
+                (LossKind::Broken, NeighbourSign::Reached) => Self::Ended,
+                (LossKind::Unanswered, _)
+                | (_, NeighbourSign::Refusing | NeighbourSign::Silent | NeighbourSign::Nobody) => {
                     Self::Unknown
                 }
             },
--- a/crates/medlarpin-core/src/canary/table.rs
+++ b/crates/medlarpin-core/src/canary/table.rs
@@ -98,6 +98,28 @@
         self.proven.contains(fingerprint, now)
     }
 
+    /// Records that a query ran successfully but for some of its parts, which are named by fingerprints of
+    /// their own.
+    pub fn succeeded_in_part(
+        &mut self,
+        fingerprint: Fingerprint,
+        missing: Vec<Fingerprint>,
+        now: Instant,
+    ) {
+        self.proven.insert_in_part(fingerprint, missing, now);
+    }
+
+    /// Returns true if the part of a query ran successfully within [`PROVEN_TTL`](super::PROVEN_TTL).
+    #[must_use]
+    pub fn is_part_proven(
+        &self,
+        fingerprint: Fingerprint,
+        part: Fingerprint,
+        now: Instant,
+    ) -> bool {
+        self.proven.contains_part(fingerprint, part, now)
+    }
+
     /// Records another successful run of a proven query, which renews its proof.
     pub fn record_success(&mut self, fingerprint: Fingerprint, now: Instant) {
         if self.proven.contains(fingerprint, now) {
--- a/crates/medlarpin-core/src/routing/route.rs
+++ b/crates/medlarpin-core/src/routing/route.rs
@@ -43,6 +43,21 @@
     Scatter(Scatter),
 }
 
+impl RouteTarget {
+    /// Returns the sets of services that can answer a request: all services of one set answer it together.
+    #[must_use]
+    pub fn service_sets(&self) -> Vec<&[ServiceName]> {
+        match self {
+            Self::Service(service) => vec![std::slice::from_ref(service)],
+            Self::Split(parts) => parts
+                .iter()
+                .map(|part| std::slice::from_ref(&part.service))
+                .collect(),
+            Self::Scatter(scatter) => vec![&scatter.shards],
+        }
+    }
+}
+
 /// A published route.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Route {
--- a/crates/router/src/call_evidence.rs
+++ b/crates/router/src/call_evidence.rs
@@ -4,6 +4,7 @@
 use medlarpin_core::prelude::ServiceName;
 use parking_lot::Mutex;
 
+use crate::crash_memory::ProofKey;
 use crate::leaf::Leaf;
 
 /// Number of lost leafs from which a request that none of them answered may be the cause.
@@ -18,8 +19,9 @@
 
 /// What the leaf requests of one caller's request, to one service or to all shards, show about
 /// whether it crashes the leafs.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct CallEvidence {
+    proof: ProofKey,
     is_answered: AtomicBool,
     in_flight: AtomicUsize,
     /// Leaf requests that were written, at least in part, and have no result yet.
@@ -29,6 +31,22 @@
 }
 
 impl CallEvidence {
+    /// Creates the evidence of a request of which nothing was sent.
+    pub(crate) fn new(proof: ProofKey) -> Self {
+        Self {
+            proof,
+            is_answered: AtomicBool::default(),
+            in_flight: AtomicUsize::default(),
+            on_wire: AtomicUsize::default(),
+            lost: Mutex::default(),
+        }
+    }
+
+    /// Returns the key by which it is recorded that leafs answered the request.
+    pub(crate) fn proof(&self) -> ProofKey {
+        self.proof
+    }
+
     /// Records that a leaf request is sent.
     pub(crate) fn sent(&self) {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
@@ -60,9 +78,14 @@
         self.lost.lock().retain(|lost| lost.service != *service);
     }
 
-    /// Records that the connection to a leaf broke after the request was sent.
+    /// Records that the connection to a leaf broke after the request was sent, or that the leaf fell
+    /// silent.
     pub(crate) fn lost(&self, lost: LostLeaf) {
-        self.lost.lock().push(lost);
+        let mut known = self.lost.lock();
+        let run = lost.leaf.entry.run_id();
+        if known.iter().all(|known| known.leaf.entry.run_id() != run) {
+            known.push(lost);
+        }
     }
 
     /// Returns true if a leaf of any service answered successfully.
@@ -81,8 +104,13 @@
 
     /// Returns true if a leaf of the service was lost and none has answered.
     pub(crate) fn has_lost(&self, service: &ServiceName) -> bool {
+        self.lost_count(service) > 0
+    }
+
+    /// Returns the number of lost leafs of the service; zero if one has answered.
+    pub(crate) fn lost_count(&self, service: &ServiceName) -> usize {
         let lost = self.lost.lock();
-        lost.iter().any(|lost| lost.service == *service)
+        lost.iter().filter(|lost| lost.service == *service).count()
     }
 
     /// Returns true if a leaf request in flight may still show that the request is harmless.
--- a/crates/router/src/caller_request.rs
+++ b/crates/router/src/caller_request.rs
@@ -1,10 +1,12 @@
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::HeaderValue;
+use hyper::header::{HOST, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Uri};
+use medlarpin_core::ids::stable_hash;
 
 use crate::held_memory::HeldMemory;
 
@@ -23,6 +25,25 @@
     /// Deadline that leafs get while it lies ahead; after it they get `deadline`. A leaf that
     /// cannot answer by its deadline drops the request from its queue.
     pub(crate) answer_by: Instant,
+    /// Set when a leaf gets the request.
+    pub(crate) identity: OnceLock<Arc<RequestIdentity>>,
+}
+
+/// What tells a request from others, and equal ones from each other.
+#[derive(Debug)]
+pub(crate) struct RequestIdentity {
+    /// Hash of the method, host, target and body; equal requests have the same one.
+    pub(crate) content_hash: u64,
+    /// Hash of the request's identifier.
+    pub(crate) id_hash: u64,
+    id: HeaderValue,
+}
+
+impl RequestIdentity {
+    /// Returns the identifier for log lines, or "unreadable" if it is not visible ASCII.
+    pub(crate) fn id_text(&self) -> &str {
+        self.id.to_str().unwrap_or("unreadable")
+    }
 }
 
 impl CallerRequest {
@@ -31,6 +52,24 @@
         self.id.to_str().unwrap_or("unreadable")
     }
 
+    /// Returns what tells the request from others.
+    pub(crate) fn identity(&self) -> &Arc<RequestIdentity> {
+        self.identity.get_or_init(|| {
+            let host = self.head.headers.get(HOST);
+            let target = self.head.uri.path_and_query();
+            Arc::new(RequestIdentity {
+                content_hash: stable_hash(&[
+                    self.head.method.as_str().as_bytes(),
+                    host.map_or(&[], |host| host.as_bytes()),
+                    target.map_or("/", |path| path.as_str()).as_bytes(),
+                    &self.body,
+                ]),
+                id_hash: stable_hash(&[self.id.as_bytes()]),
+                id: self.id.clone(),
+            })
+        })
+    }
+
     /// Returns the time until the deadline.
     pub(crate) fn time_left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -1,7 +1,7 @@
 //! Handling of callers' requests.
 
 use std::convert::Infallible;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -120,6 +120,7 @@
         arrived_at,
         deadline: arrived_at + time_left,
         answer_by: answer_by(route, arrived_at),
+        identity: OnceLock::new(),
     })
 }
 
--- a/crates/router/src/crash_memory.rs
+++ b/crates/router/src/crash_memory.rs
@@ -4,15 +4,16 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use medlarpin_core::canary::{Clearance, FingerprintTable, Quarantine};
+use medlarpin_core::canary::{Clearance, FingerprintTable, LossKind, Quarantine};
 use medlarpin_core::ids::stable_hash;
 use medlarpin_core::prelude::{Fingerprint, LeafId, RequestId, ServiceName};
+use medlarpin_core::routing::RouteTarget;
 use parking_lot::Mutex;
 use serde::Serialize;
 use tokio::sync::mpsc;
 
 use crate::call_evidence::{CallEvidence, LostLeaf};
-use crate::caller_request::CallerRequest;
+use crate::caller_request::{CallerRequest, RequestIdentity};
 use crate::event::Event;
 use crate::leaf::Leaf;
 
@@ -51,16 +52,51 @@
     pub(crate) lost_at: Instant,
 }
 
+impl CrashReport {
+    /// Returns a hash that tells the report from others.
+    fn key(&self) -> u64 {
+        stable_hash(&[
+            &self.fingerprint.0.to_le_bytes(),
+            self.leaf.as_str().as_bytes(),
+            &self.request_hash.to_le_bytes(),
+        ])
+    }
+}
+
 /// A report of this daemon that does not count yet: the connection may have broken because a link
 /// failed or the leaf lost an answer, and not because the leaf ended.
 #[derive(Debug)]
 pub(crate) struct UnverifiedReport {
     pub(crate) report: CrashReport,
     pub(crate) leaf: Arc<Leaf>,
+    pub(crate) kind: LossKind,
+    /// True once the loss was judged without a result.
+    pub(crate) is_unresolved: bool,
     /// True if the daemons that collect such reports are to be told.
     is_passed_on: bool,
 }
 
+/// Identifies a request and the services that answer it, to record that they have.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ProofKey {
+    content_hash: u64,
+    fingerprint: Fingerprint,
+}
+
+impl ProofKey {
+    /// Returns the key of a request that goes to all these services.
+    pub(crate) fn new(request: &CallerRequest, services: &[ServiceName]) -> Self {
+        let content_hash = request.identity().content_hash;
+        let content = content_hash.to_le_bytes();
+        let names = services.iter().map(|service| service.as_str().as_bytes());
+        let parts: Vec<&[u8]> = std::iter::once(&content[..]).chain(names).collect();
+        Self {
+            content_hash,
+            fingerprint: Fingerprint(stable_hash(&parts)),
+        }
+    }
+}
+
 /// How a daemon came to know a crash report; the variants' names appear in log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -83,18 +119,21 @@
     Quarantine(Vec<CrashReport>),
 }
 
+/// A service of which equal requests have lost leafs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Suspicion {
+    pub(crate) service: ServiceName,
+    /// Runs of the lost leafs.
+    pub(crate) lost: Vec<LeafId>,
+}
+
 /// What is known of a request before it runs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum RequestClearance {
     /// It may run.
     Clear,
-    /// An equal request lost leafs, so that this one is sent to a single leaf first.
-    Suspect {
-        /// Service whose leafs were lost.
-        service: ServiceName,
-        /// Runs of the lost leafs.
-        lost: Vec<LeafId>,
-    },
+    /// Equal requests lost leafs of these services, so that this one is sent to a single leaf of each.
+    Suspect(Vec<Suspicion>),
     /// An equal request has just lost a leaf, and it is not known yet whether that leaf crashed.
     Unverified,
     /// It must not run.
@@ -104,14 +143,30 @@
     },
 }
 
+/// A report that is being verified.
+#[derive(Debug)]
+struct PendingReport {
+    /// The report's [`CrashReport::key`].
+    key: u64,
+    fingerprint: Fingerprint,
+    lost_at: Instant,
+}
+
+impl PendingReport {
+    /// Returns true if a request waits for the verification.
+    fn delays(&self, fingerprint: Fingerprint, now: Instant) -> bool {
+        self.fingerprint == fingerprint && now < self.lost_at + VERIFICATION_TIME_MAX
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     table: FingerprintTable,
-    /// Fingerprints of the reports that are being verified, one for each, with the times of the losses.
-    unverified: Vec<(Fingerprint, Instant)>,
+    /// The reports that are being verified.
+    unverified: Vec<PendingReport>,
     /// Reports of leafs of which it is not known whether they have ended; at most [`UNRESOLVED_MAX`].
     unresolved: Vec<UnverifiedReport>,
-    /// The latest reports, each with its hash, oldest first.
+    /// The latest reports, each with its key, oldest first.
     known_reports: VecDeque<(u64, CrashReport)>,
 }
 
@@ -182,36 +237,38 @@
         if state.is_free_of_suspects() {
             return RequestClearance::Clear;
         }
-        let request = request_hash(request);
-        let mut clearance = RequestClearance::Clear;
+        let request = request.identity().content_hash;
+        let mut is_unverified = false;
+        let mut suspicions = Vec::new();
         for service in services {
             let fingerprint = fingerprint_of(request, service);
             if let Clearance::Quarantined { until } = state.table.check(fingerprint, now) {
                 let left = until.saturating_duration_since(now);
                 return RequestClearance::Quarantined { left };
             }
-            let is_unverified = state
-                .unverified
-                .iter()
-                .any(|(known, at)| *known == fingerprint && now < *at + VERIFICATION_TIME_MAX);
-            if is_unverified {
-                clearance = RequestClearance::Unverified;
-            }
+            let mut unverified = state.unverified.iter();
+            is_unverified |= unverified.any(|pending| pending.delays(fingerprint, now));
             let mut lost = state.table.leafs_with_strikes(fingerprint, now);
             lost.extend(state.unresolved_leafs(fingerprint));
-            if clearance == RequestClearance::Clear && !lost.is_empty() {
+            if !lost.is_empty() {
                 let service = service.clone();
-                clearance = RequestClearance::Suspect { service, lost };
+                suspicions.push(Suspicion { service, lost });
             }
         }
-        clearance
+        if is_unverified {
+            RequestClearance::Unverified
+        } else if suspicions.is_empty() {
+            RequestClearance::Clear
+        } else {
+            RequestClearance::Suspect(suspicions)
+        }
     }
 
     /// Records that a leaf of a service answered a request, which thus does not crash its leafs.
     pub(crate) fn record_answer(&self, request: &CallerRequest, service: &ServiceName) {
         let mut state = self.state.lock();
         if !state.is_free_of_suspects() {
-            let fingerprint = fingerprint_of(request_hash(request), service);
+            let fingerprint = fingerprint_of(request.identity().content_hash, service);
             state.table.clear_strikes(fingerprint);
             let is_other =
                 |unverified: &UnverifiedReport| unverified.report.fingerprint != fingerprint;
@@ -219,17 +276,53 @@
         }
     }
 
-    /// Records that all leafs that a request needs answered it. A later loss of a connection during
-    /// an equal request has another cause, such as the failure of a link.
-    pub(crate) fn record_success(&self, request: &CallerRequest, now: Instant) {
-        let fingerprint = Fingerprint(request_hash(request));
-        self.state.lock().table.canary_succeeded(fingerprint, now);
+    /// Records that leafs answered a request, but for those of the services `missing`. A later loss of a
+    /// connection during an equal request has another cause, such as the failure of a link.
+    pub(crate) fn record_success(&self, proof: ProofKey, missing: &[&ServiceName], now: Instant) {
+        let part = |service: &&ServiceName| fingerprint_of(proof.content_hash, service);
+        let missing = missing.iter().map(part).collect();
+        let mut state = self.state.lock();
+        state
+            .table
+            .succeeded_in_part(proof.fingerprint, missing, now);
+    }
+
+    /// Records that leafs have answered a request of a route somewhere else.
+    pub(crate) fn record_success_elsewhere(
+        &self,
+        request: &CallerRequest,
+        target: &RouteTarget,
+        now: Instant,
+    ) {
+        for services in target.service_sets() {
+            self.record_success(ProofKey::new(request, services), &[], now);
+        }
+    }
+
+    /// Returns true if all services to which a route may send a request have answered an equal one lately.
+    pub(crate) fn is_proven_for_route(
+        &self,
+        request: &CallerRequest,
+        target: &RouteTarget,
+        now: Instant,
+    ) -> bool {
+        target.service_sets().into_iter().all(|services| {
+            let proof = ProofKey::new(request, services);
+            let is_proven = |service| self.is_proven(proof, service, now);
+            self.is_proven_in_part(proof, now) && services.iter().all(is_proven)
+        })
+    }
+
+    /// Returns true if leafs of any service have answered an equal request lately.
+    pub(crate) fn is_proven_in_part(&self, proof: ProofKey, now: Instant) -> bool {
+        self.state.lock().table.is_proven(proof.fingerprint, now)
     }
 
-    /// Returns true if leafs have answered an equal request lately.
-    pub(crate) fn is_proven(&self, request: &CallerRequest, now: Instant) -> bool {
-        let proof = Fingerprint(request_hash(request));
-        self.state.lock().table.is_proven(proof, now)
+    /// Returns true if a leaf of the service has answered an equal request lately.
+    pub(crate) fn is_proven(&self, proof: ProofKey, service: &ServiceName, now: Instant) -> bool {
+        let part = fingerprint_of(proof.content_hash, service);
+        let state = self.state.lock();
+        state.table.is_part_proven(proof.fingerprint, part, now)
     }
 
     /// Records what a request has shown when it is answered or refused.
@@ -243,45 +336,73 @@
         if lost.is_empty() {
             return;
         }
-        if self.is_proven(request, now) {
+        let is_unproven = |lost: &&LostLeaf| !self.is_proven(evidence.proof(), &lost.service, now);
+        for lost_leaf in lost.iter().filter(is_unproven).take(REPORTS_PER_REQUEST) {
+            self.report(
+                request.identity(),
+                evidence,
+                &lost_leaf.leaf,
+                LossKind::Broken,
+                now,
+            );
+        }
+    }
+
+    fn report(
+        &self,
+        request: &RequestIdentity,
+        evidence: &CallEvidence,
+        leaf: &Arc<Leaf>,
+        kind: LossKind,
+        now: Instant,
+    ) {
+        let service = &leaf.entry.service;
+        let report = CrashReport {
+            fingerprint: fingerprint_of(request.content_hash, service),
+            leaf: leaf.entry.run_id(),
+            request_hash: request.id_hash,
+            lost_at: now,
+        };
+        if self.is_known(&report) {
             return;
         }
-        for lost_leaf in lost.iter().take(REPORTS_PER_REQUEST) {
-            let LostLeaf { service, leaf } = lost_leaf;
-            let fingerprint = fingerprint_of(request_hash(request), service);
-            let report = CrashReport {
-                fingerprint,
-                leaf: leaf.entry.run_id(),
-                request_hash: stable_hash(&[request.id.as_bytes()]),
-                lost_at: now,
-            };
-            // A single lost leaf of a query that other shards answer is common, as leafs lose
-            // answers. It counts here, but is not worth a message.
-            let of_service = lost.iter().filter(|other| other.service == *service);
-            let is_passed_on = !evidence.is_answered() || of_service.count() > 1;
-            Event::RequestLostLeaf {
-                request: request.id_text(),
-                fingerprint,
-                leaf: report.leaf.as_str(),
-                is_passed_on,
-            }
-            .log();
-            self.verify(UnverifiedReport {
-                report,
-                leaf: Arc::clone(leaf),
-                is_passed_on,
-            });
+        // A single lost leaf of a query that other shards answer is common, as leafs crash. It counts
+        // here, but is not worth a message.
+        let is_passed_on = !evidence.is_answered() || evidence.lost_count(service) > 1;
+        Event::RequestLostLeaf {
+            request: request.id_text(),
+            fingerprint: report.fingerprint,
+            leaf: report.leaf.as_str(),
+            is_passed_on,
         }
+        .log();
+        self.verify(UnverifiedReport {
+            report,
+            leaf: Arc::clone(leaf),
+            kind,
+            is_unresolved: false,
+            is_passed_on,
+        });
+    }
+
+    /// Returns true if the report has been counted, or waits for a decision.
+    fn is_known(&self, report: &CrashReport) -> bool {
+        let key = report.key();
+        let state = self.state.lock();
+        let mut unresolved = state.unresolved.iter();
+        state.known_reports.iter().any(|(known, _)| *known == key)
+            || state.unverified.iter().any(|pending| pending.key == key)
+            || unresolved.any(|unverified| unverified.report.key() == key)
     }
 
     /// Lets a report be verified. Equal requests do not run meanwhile.
     fn verify(&self, unverified: UnverifiedReport) {
-        let CrashReport {
-            fingerprint,
+        let lost_at = unverified.report.lost_at;
+        self.state.lock().unverified.push(PendingReport {
+            key: unverified.report.key(),
+            fingerprint: unverified.report.fingerprint,
             lost_at,
-            ..
-        } = unverified.report;
-        self.state.lock().unverified.push((fingerprint, lost_at));
+        });
         if let Err(error) = self.to_verify.try_send(unverified) {
             self.confirm(error.into_inner(), lost_at);
         }
@@ -289,7 +410,7 @@
 
     /// Counts a report, since the leaf has ended.
     pub(crate) fn confirm(&self, verified: UnverifiedReport, now: Instant) {
-        self.end_verification(verified.report.fingerprint);
+        self.end_verification(&verified.report);
         match self.add_report(&verified.report, ReportSource::Own, now) {
             Added::Report if verified.is_passed_on => {
                 send_report(&self.to_owners, verified.report);
@@ -301,8 +422,8 @@
 
     /// Keeps a report of a leaf of which it is not known whether it has ended. Until it is, equal requests
     /// are sent to a single leaf first.
-    pub(crate) fn suspend(&self, unverified: UnverifiedReport, now: Instant) {
-        self.end_verification(unverified.report.fingerprint);
+    pub(crate) fn suspend(&self, mut unverified: UnverifiedReport, now: Instant) {
+        self.end_verification(&unverified.report);
         let age = now.saturating_duration_since(unverified.report.lost_at);
         if age >= RESOLUTION_TIME_MAX {
             return self.dismiss(&unverified);
@@ -311,12 +432,16 @@
         if unresolved.len() >= UNRESOLVED_MAX {
             unresolved.remove(0);
         }
+        unverified.is_unresolved = true;
         unresolved.push(unverified);
     }
 
-    /// Takes the reports of leafs of which it is not known whether they have ended, to verify them again.
-    pub(crate) fn take_unresolved(&self) -> Vec<UnverifiedReport> {
-        std::mem::take(&mut self.state.lock().unresolved)
+    /// Takes up to `max` of the reports of leafs of which it is not known whether they have ended, to verify
+    /// them again. Those that were not verified for the longest time come first.
+    pub(crate) fn take_unresolved(&self, max: usize) -> Vec<UnverifiedReport> {
+        let unresolved = &mut self.state.lock().unresolved;
+        let count = unresolved.len().min(max);
+        unresolved.drain(..count).collect()
     }
 
     /// Returns true if there are such reports.
@@ -326,7 +451,7 @@
 
     /// Drops a report, since the leaf lives or nothing has shown that it has ended.
     pub(crate) fn dismiss(&self, unverified: &UnverifiedReport) {
-        self.end_verification(unverified.report.fingerprint);
+        self.end_verification(&unverified.report);
         Event::CrashReportDismissed {
             fingerprint: unverified.report.fingerprint,
             leaf: unverified.report.leaf.as_str(),
@@ -334,14 +459,12 @@
         .log();
     }
 
-    fn end_verification(&self, fingerprint: Fingerprint) {
-        let unverified = &mut self.state.lock().unverified;
-        if let Some(index) = unverified
-            .iter()
-            .position(|(known, _)| *known == fingerprint)
-        {
-            unverified.swap_remove(index);
-        }
+    fn end_verification(&self, report: &CrashReport) {
+        let key = report.key();
+        self.state
+            .lock()
+            .unverified
+            .retain(|pending| pending.key != key);
     }
 
     /// Adds a report of another daemon, and tells all daemons if it starts a quarantine.
@@ -375,18 +498,14 @@
     /// Adds a report of this daemon or of another one.
     fn add_report(&self, report: &CrashReport, source: ReportSource, now: Instant) -> Added {
         let mut state = self.state.lock();
-        let hash = stable_hash(&[
-            &report.fingerprint.0.to_le_bytes(),
-            report.leaf.as_str().as_bytes(),
-            &report.request_hash.to_le_bytes(),
-        ]);
-        if state.known_reports.iter().any(|(known, _)| *known == hash) {
+        let key = report.key();
+        if state.known_reports.iter().any(|(known, _)| *known == key) {
             return Added::Nothing;
         }
         if state.known_reports.len() >= KNOWN_REPORTS_MAX {
             state.known_reports.pop_front();
         }
-        state.known_reports.push_back((hash, report.clone()));
+        state.known_reports.push_back((key, report.clone()));
         Event::CrashReportLearned {
             fingerprint: report.fingerprint,
             leaf: report.leaf.as_str(),
@@ -464,19 +583,6 @@
     .log();
 }
 
-/// Returns the hash of a request; equal requests have the same one.
-fn request_hash(request: &CallerRequest) -> u64 {
-    let head = &request.head;
-    let host = head.headers.get(hyper::header::HOST);
-    let target = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    stable_hash(&[
-        head.method.as_str().as_bytes(),
-        host.map_or(&[], |host| host.as_bytes()),
-        target.as_bytes(),
-        &request.body,
-    ])
-}
-
 /// Returns the fingerprint of a request to a service; `request` is the request's hash.
 fn fingerprint_of(request: u64, service: &ServiceName) -> Fingerprint {
     Fingerprint(stable_hash(&[
--- a/crates/router/src/crash_reports.rs
+++ b/crates/router/src/crash_reports.rs
@@ -22,6 +22,8 @@
 use crate::peers::{self, PeerError, len_u32, millis_u32};
 use crate::shared::Shared;
 
+/// Maximum number of reports that are verified together; each of their leafs is sent a health check.
+const BATCH_MAX: usize = 16;
 /// Interval at which leafs are asked again of which it is not known whether they have ended.
 const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -34,11 +36,13 @@
                 None => return,
             },
             () = sleep(RECHECK_INTERVAL), if shared.crash_memory.has_unresolved() => {
-                shared.crash_memory.take_unresolved()
+                shared.crash_memory.take_unresolved(BATCH_MAX)
             }
         };
         // The failure of a link breaks many connections, and one check shows it for all of them.
-        while let Ok(report) = reports.try_recv() {
+        while batch.len() < BATCH_MAX
+            && let Ok(report) = reports.try_recv()
+        {
             batch.push(report);
         }
         verify_batch(&shared, batch).await;
@@ -71,19 +75,15 @@
         .iter()
         .map(|domain| ask_neighbours(shared, domain, &lost));
     let neighbours: Vec<NeighbourSign> = join_all(neighbours).await;
-    let verdicts: Vec<LossVerdict> = leafs
-        .iter()
-        .zip(&signs)
-        .map(|((_, leaf), sign)| {
-            let domain = domains.binary_search(&&leaf.entry.failure_domain);
-            // Those of other domains decide nothing.
-            let neighbours = domain.map_or(NeighbourSign::Nobody, |index| neighbours[index]);
-            judge(shared, leaf, *sign, neighbours)
-        })
-        .collect();
     for unverified in batch {
+        let leaf = &unverified.leaf;
         let index = lost.binary_search(&unverified.report.leaf);
-        match index.map_or(LossVerdict::Unknown, |index| verdicts[index]) {
+        let sign = index.map_or(LostLeafSign::Silent, |index| signs[index]);
+        let domain = domains.binary_search(&&leaf.entry.failure_domain);
+        // Those of other domains decide nothing.
+        let neighbours = domain.map_or(NeighbourSign::Nobody, |index| neighbours[index]);
+        let is_first = !unverified.is_unresolved;
+        match judge(shared, leaf, unverified.kind, sign, neighbours, is_first) {
             LossVerdict::Ended => {
                 shared.metrics.lost_leafs_counted.inc();
                 shared.crash_memory.confirm(unverified, shared.now());
--- a/crates/router/src/delegation.rs
+++ b/crates/router/src/delegation.rs
@@ -2,7 +2,7 @@
 
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -73,6 +73,8 @@
 struct DelegatedQuery {
     daemon: SocketAddr,
     request: Arc<CallerRequest>,
+    /// True if leafs have answered an equal request lately.
+    is_proven: bool,
     reply: oneshot::Sender<DelegationOutcome>,
 }
 
@@ -105,11 +107,13 @@
         &self,
         daemon: SocketAddr,
         request: Arc<CallerRequest>,
+        is_proven: bool,
     ) -> DelegationOutcome {
         let (reply, answer) = oneshot::channel();
         let query = DelegatedQuery {
             daemon,
             request,
+            is_proven,
             reply,
         };
         // The receiving task runs until the process ends, so this fails only at shutdown.
@@ -131,10 +135,11 @@
                 let DelegatedQuery {
                     daemon,
                     request,
+                    is_proven,
                     mut reply,
                 } = query;
                 tokio::select! {
-                    outcome = send(&pool, daemon, &request, &shared) => {
+                    outcome = send(&pool, daemon, &request, is_proven, &shared) => {
                         // Fails only if the caller has disconnected, in which case the outcome is
                         // not needed.
                         let _ = reply.send(outcome);
@@ -155,12 +160,13 @@
     pool: &PeerPool,
     daemon: SocketAddr,
     request: &CallerRequest,
+    is_proven: bool,
     shared: &Shared,
 ) -> DelegationOutcome {
     let Some(client) = pool.client(daemon, &*shared.clock).await else {
         return DelegationOutcome::not_reached();
     };
-    match call_serve_request(&client, request, shared).await {
+    match call_serve_request(&client, request, is_proven, shared).await {
         Ok((DelegationOutcome::NotServed { reaching }, theirs)) => {
             match config_sync::fetch_newer(shared, daemon, theirs).await {
                 Ok(ConfigFetch::Fetched) => DelegationOutcome::ConfigFetched,
@@ -190,6 +196,7 @@
 async fn call_serve_request(
     client: &route_peer::Client,
     request: &CallerRequest,
+    is_proven: bool,
     shared: &Shared,
 ) -> Result<(DelegationOutcome, ConfigVersion), DelegationError> {
     let now = shared.now();
@@ -202,7 +209,7 @@
     params.set_age_ms(millis_u32(age + DELEGATION_DELAY));
     params.set_time_left_ms(millis_u32(request.time_left(now)));
     params.set_config_version(shared.config_version());
-    params.set_is_proven(shared.crash_memory.is_proven(request, now));
+    params.set_is_proven(is_proven);
     params.set_body(&request.body);
     let headers = &request.head.headers;
     let list = params.init_headers(u32::try_from(headers.len()).unwrap_or(u32::MAX));
@@ -312,9 +319,11 @@
         arrived_at,
         deadline: (now + time_left).min(arrived_at + route.timeout),
         answer_by: answer_by(&route, arrived_at),
+        identity: OnceLock::new(),
     };
     if params.get_is_proven() {
-        shared.crash_memory.record_success(&request, now);
+        let memory = &shared.crash_memory;
+        memory.record_success_elsewhere(&request, &route.target, now);
     }
     let admitted = shared.planned_stop.admit_of_daemon(&route, &request, now);
     Ok(admitted.ok().map(|()| (Arc::new(request), route)))
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -1,7 +1,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 
-use medlarpin_core::canary::{LossVerdict, LostLeafSign, NeighbourSign};
+use medlarpin_core::canary::{LossKind, LossVerdict, LostLeafSign, NeighbourSign};
 use medlarpin_core::prelude::Fingerprint;
 use medlarpin_core::routing::Source;
 use platform::{EntryError, RequestError, StoreError};
@@ -260,6 +260,8 @@
     LossJudged {
         leaf: &'a str,
         #[serde(serialize_with = "as_debug")]
+        kind: LossKind,
+        #[serde(serialize_with = "as_debug")]
         sign: LostLeafSign,
         #[serde(serialize_with = "as_debug")]
         neighbours: NeighbourSign,
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -11,7 +11,7 @@
 use crate::call_evidence::CallEvidence;
 use crate::caller_request::CallerRequest;
 use crate::callers::Answer;
-use crate::crash_memory::RequestClearance;
+use crate::crash_memory::{ProofKey, RequestClearance};
 use crate::evidence_recorder::EvidenceRecorder;
 use crate::refusal::Refusal;
 use crate::route_state::RouteState;
@@ -32,7 +32,8 @@
     if let Some(refusal) = refusal_for_clearance(&shared, &clearance) {
         return Err(refusal);
     }
-    let evidence = Arc::new(CallEvidence::default());
+    let proof = ProofKey::new(&request, services);
+    let evidence = Arc::new(CallEvidence::new(proof));
     let recorder = EvidenceRecorder::new(&shared, &request, &evidence);
     let mut call = ServiceCall::new(
         Arc::clone(&shared),
@@ -42,14 +43,15 @@
         Arc::clone(&request),
         Arc::clone(&evidence),
     );
-    if let RequestClearance::Suspect { lost, .. } = clearance {
-        call = call.into_canary(lost);
+    if let RequestClearance::Suspect(suspicions) = clearance {
+        let lost = suspicions.into_iter().flat_map(|suspicion| suspicion.lost);
+        call = call.into_canary(lost.collect());
     }
     let result = call.run().await;
     drop(recorder);
     match result {
         Ok(answer) => {
-            memory.record_success(&request, shared.now());
+            memory.record_success(proof, &[], shared.now());
             Ok(caller_answer(answer))
         }
         Err(failure) => match failure {
@@ -71,8 +73,8 @@
         RequestClearance::Quarantined { left } => Some(Refusal::quarantined(*left)),
         RequestClearance::Unverified => Some(Refusal::NoLeaf),
         // A daemon that is cut off does not know what equal requests did elsewhere.
-        RequestClearance::Suspect { .. } if shared.is_isolated() => Some(Refusal::NoLeaf),
-        RequestClearance::Suspect { .. } | RequestClearance::Clear => None,
+        RequestClearance::Suspect(_) if shared.is_isolated() => Some(Refusal::NoLeaf),
+        RequestClearance::Suspect(_) | RequestClearance::Clear => None,
     }
 }
 
--- a/crates/router/src/handover.rs
+++ b/crates/router/src/handover.rs
@@ -171,7 +171,11 @@
         shared.back_off_delegate(daemon, shared.now());
         declined();
     };
-    let sent = shared.delegations.send(daemon, Arc::clone(request));
+    let memory = &shared.crash_memory;
+    let is_proven = memory.is_proven_for_route(request, &route.target, shared.now());
+    let sent = shared
+        .delegations
+        .send(daemon, Arc::clone(request), is_proven);
     tokio::pin!(sent);
     let outcome = match timeout_at(late_at(shared.now(), route, request).into(), &mut sent).await {
         Ok(outcome) => outcome,
--- a/crates/router/src/leaf.rs
+++ b/crates/router/src/leaf.rs
@@ -10,7 +10,8 @@
 use hyper_util::rt::TokioIo;
 use leaf_stream::{LeafStream, ProgressLimit};
 use medlarpin_core::routing::{
-    LeafEntry, LeafLoad, LeafRateLimit, RateAccess, RateStatement, RequestRate, StatedRate,
+    LeafEntry, LeafLoad, LeafPhase, LeafRateLimit, RateAccess, RateStatement, RequestRate,
+    StatedRate,
 };
 use parking_lot::{Mutex, MutexGuard};
 use socket2::{SockRef, TcpKeepalive};
@@ -360,6 +361,12 @@
         self.usable_until.is_some()
     }
 
+    /// Returns true if the leaf has no entry any more, although it did not say that it leaves. It stays in
+    /// use for a while.
+    pub(crate) fn is_withdrawn(&self) -> bool {
+        self.is_leaving() && self.entry.phase == LeafPhase::Ready
+    }
+
     /// Takes the most recently used connection that may be reused, and closes those that may not.
     fn take_idle(&self, at_most_once: bool, now: Instant) -> Option<LeafConnection> {
         let mut idle = self.link.idle.lock();
--- a/crates/router/src/loss_check.rs
+++ b/crates/router/src/loss_check.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use futures::stream::{FuturesUnordered, StreamExt};
-use medlarpin_core::canary::{LossVerdict, LostLeafSign, NeighbourSign};
+use medlarpin_core::canary::{LossKind, LossVerdict, LostLeafSign, NeighbourSign};
 use medlarpin_core::prelude::{FailureDomain, LeafId};
-use medlarpin_core::routing::{LeafPhase, Unreachable};
+use medlarpin_core::routing::Unreachable;
 use tokio::time::timeout;
 
 use crate::event::Event;
@@ -105,24 +105,28 @@
 
 /// Returns true if the store lists this run of a leaf, or did when this daemon last heard from it.
 fn is_listed(shared: &Shared, leaf: &Leaf) -> bool {
-    shared.leafs.find(&leaf.entry.id).is_some_and(|known| {
-        // A leaf without an entry stays in use for a while, unlike one that is listed as draining.
-        let is_withdrawn = known.is_leaving() && known.entry.phase == LeafPhase::Ready;
-        known.entry.is_of_same_process(&leaf.entry) && !is_withdrawn
-    })
+    let known = shared.leafs.find(&leaf.entry.id);
+    known.is_some_and(|known| known.entry.is_of_same_process(&leaf.entry) && !known.is_withdrawn())
 }
 
-/// Judges the loss of a leaf; `neighbours` is what was seen of the leafs beside it.
+/// Judges the loss of a leaf; `neighbours` is what was seen of the leafs beside it. Logs the verdict, but only
+/// once that it is unknown.
 pub(crate) fn judge(
     shared: &Shared,
     leaf: &Leaf,
+    kind: LossKind,
     sign: LostLeafSign,
     neighbours: NeighbourSign,
+    is_first: bool,
 ) -> LossVerdict {
     let is_listed = is_listed(shared, leaf);
-    let verdict = LossVerdict::of(sign, neighbours, is_listed);
+    let verdict = LossVerdict::of(kind, sign, neighbours, is_listed);
+    if verdict == LossVerdict::Unknown && !is_first {
+        return verdict;
+    }
     Event::LossJudged {
         leaf: leaf.entry.id.as_str(),
+        kind,
         sign,
         neighbours,
         is_listed,
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -17,7 +17,7 @@
 use crate::call_evidence::CallEvidence;
 use crate::caller_request::CallerRequest;
 use crate::callers::Answer;
-use crate::crash_memory::RequestClearance;
+use crate::crash_memory::{ProofKey, RequestClearance};
 use crate::event::Event;
 use crate::evidence_recorder::EvidenceRecorder;
 use crate::forward::{refusal_for, refusal_for_clearance};
@@ -54,27 +54,43 @@
     // Before the admission: another daemon may serve a query whose leafs this VM does not reach.
     let reachable = reachable_shards(&shared, scatter, request, policy.needed)?;
     admit(&shared, route)?;
-    let evidence = Arc::new(CallEvidence::default());
+    let proof = ProofKey::new(request, &scatter.shards);
+    let evidence = Arc::new(CallEvidence::new(proof));
     let recorder = EvidenceRecorder::new(&shared, request, &evidence);
+    let suspicions = match clearance {
+        RequestClearance::Suspect(suspicions) => suspicions,
+        _ => Vec::new(),
+    };
     let call = |shard: &ServiceName| {
-        ServiceCall::new(
+        let call = ServiceCall::new(
             Arc::clone(&shared),
             shard.clone(),
             Arc::clone(route),
             Arc::clone(state),
             Arc::clone(request),
             Arc::clone(&evidence),
-        )
+        );
+        let suspicion = suspicions.iter().find(|known| known.service == *shard);
+        match suspicion {
+            Some(suspicion) => call.into_canary(suspicion.lost.clone()),
+            None => call,
+        }
     };
     let mut answers: Vec<(ServiceName, LeafAnswer)> = Vec::with_capacity(policy.shard_count);
     let mut failures: Vec<ServiceFailure> = Vec::new();
     let mut unsent = reachable;
-    if let RequestClearance::Suspect { service, lost } = clearance
-        && !unsent.is_empty()
-    {
-        let position = unsent.iter().position(|shard| **shard == service);
+    // A query that leafs of some shards have answered ends at most those of the others.
+    let needs_canary = !suspicions.is_empty() && !memory.is_proven_in_part(proof, shared.now());
+    if needs_canary && !unsent.is_empty() {
+        let is_suspicious =
+            |shard: &&ServiceName| suspicions.iter().any(|known| known.service == **shard);
+        let position = unsent.iter().position(is_suspicious);
         let first = unsent.swap_remove(position.unwrap_or(0));
-        match call(first).into_canary(lost).run().await {
+        let canary = match position {
+            Some(_) => call(first),
+            None => call(first).into_canary(Vec::new()),
+        };
+        match canary.run().await {
             Ok(answer) => answers.push((first.clone(), answer)),
             Err(failure) => return Err(refusal_for(&failure)),
         }
@@ -95,6 +111,10 @@
                 let may_have_run = !answers.is_empty() || evidence.is_on_wire();
                 let timed_out = shared.now() >= policy.deadline;
                 record_coverage(&shared, route, scatter, request, &answers, shards.len());
+                if !answers.is_empty() {
+                    let missing = missing_shards(scatter, &answers);
+                    memory.record_success(proof, &missing, shared.now());
+                }
                 return Err(refusal_for_query(&failures, may_have_run, timed_out));
             }
         };
@@ -111,9 +131,7 @@
         .metrics
         .record_gather(shared.now() - request.arrived_at);
     record_coverage(&shared, route, scatter, request, &answers, shards.len());
-    if answers.len() == policy.shard_count {
-        memory.record_success(request, shared.now());
-    }
+    memory.record_success(proof, &missing_shards(scatter, &answers), shared.now());
     if !shards.is_empty() {
         tokio::spawn(async move {
             let all = async { while shards.next().await.is_some() {} };
@@ -125,6 +143,20 @@
     Ok(merge(scatter, policy.shard_count, &answers, &request.id))
 }
 
+/// Returns the shards without an answer.
+fn missing_shards<'a>(
+    scatter: &'a Scatter,
+    answers: &[(ServiceName, LeafAnswer)],
+) -> Vec<&'a ServiceName> {
+    let mut answered: Vec<&ServiceName> = answers.iter().map(|(shard, _)| shard).collect();
+    if answered.len() == scatter.shards.len() {
+        return Vec::new();
+    }
+    answered.sort_unstable();
+    let is_missing = |shard: &&ServiceName| answered.binary_search(shard).is_err();
+    scatter.shards.iter().filter(is_missing).collect()
+}
+
 /// Refuses a part of the queries while the leafs are overloaded.
 fn admit(shared: &Shared, route: &Route) -> Result<(), Refusal> {
     let mut admission = shared.query_admission.lock();
