Count leafs that fall silent under a request

Cause: only a broken connection was evidence. A leaf that ends behind a severed connection or a cut, or with its VM, shows as a time-out, and a request that is cancelled leaves nothing at all.

Change: each leaf keeps the requests that it has not answered, and for a while those that were cancelled (`LeafRuns`). When it falls silent, refuses connections or is no longer listed, they are reported. Silence alone counts for nothing, as a slow leaf is silent as well: the report waits, and equal requests go to a single leaf meanwhile, until the leaf answers or the store no longer lists it. A request that another daemon served is no longer suspect. The leafs, not the reports, bound what is verified at a time, so that many requests on a lost leaf do not delay each other; reports keep their weight while they are verified again.

Tests, which failed before: a_request_under_which_leafs_fall_silent_is_refused (12 leafs ended, 5 allowed), the same with callers that leave (11), leafs_that_fall_silent_count_once_the_store_no_longer_lists_them (8, 3 allowed). The first two now let the store drop the entries of ended leafs, as the platform does after three heartbeats.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -95,7 +95,7 @@
     shared: &Shared,
     leaf: &Arc<Leaf>,
     request: &CallerRequest,
-    evidence: &CallEvidence,
+    evidence: &Arc<CallEvidence>,
     at_most_once: bool,
 ) -> AttemptResult {
     let connections_max = shared.connections_max(&leaf.entry.service);
@@ -114,10 +114,16 @@
         let sent_at = shared.now();
         connection.progress_limit.restart();
         let on_wire = evidence.writing();
+        let run = leaf.runs().start(request, evidence, &shared.clock);
         match connection.sender.try_send_request(leaf_request).await {
             Ok(response) => {
                 connection.progress_limit.restart();
-                return read_answer(shared, leaf, request, sent_at, response, connection).await;
+                let answer = read_answer(shared, leaf, request, sent_at, response, connection);
+                let result = answer.await;
+                if !matches!(result, Err(LeafFailure::BrokenOff)) {
+                    run.answered();
+                }
+                return result;
             }
             Err(mut error) => {
                 // The error returns the message if no byte of it was written.
@@ -125,6 +131,7 @@
                 if !is_unsent {
                     return Err(LeafFailure::BrokenOff);
                 }
+                run.not_sent();
                 if !connection.is_reused {
                     return Err(LeafFailure::Connect);
                 }
--- a/crates/router/src/call_evidence.rs
+++ b/crates/router/src/call_evidence.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
+use medlarpin_core::canary::LossKind;
 use medlarpin_core::prelude::ServiceName;
 use parking_lot::Mutex;
 
@@ -10,11 +11,12 @@
 /// Number of lost leafs from which a request that none of them answered may be the cause.
 const SUSPICIOUS_LOSSES: usize = 2;
 
-/// A leaf whose connection broke while it may have been running a request.
+/// A leaf whose connection broke, or that fell silent, while it may have been running a request.
 #[derive(Debug, Clone)]
 pub(crate) struct LostLeaf {
     pub(crate) service: ServiceName,
     pub(crate) leaf: Arc<Leaf>,
+    pub(crate) kind: LossKind,
 }
 
 /// What the leaf requests of one caller's request, to one service or to all shards, show about
@@ -83,8 +85,11 @@
     pub(crate) fn lost(&self, lost: LostLeaf) {
         let mut known = self.lost.lock();
         let run = lost.leaf.entry.run_id();
-        if known.iter().all(|known| known.leaf.entry.run_id() != run) {
-            known.push(lost);
+        let is_same = |known: &&mut LostLeaf| known.leaf.entry.run_id() == run;
+        match known.iter_mut().find(is_same) {
+            Some(known) if lost.kind == LossKind::Broken => known.kind = LossKind::Broken,
+            Some(_) => {}
+            None => known.push(lost),
         }
     }
 
--- a/crates/router/src/crash_memory.rs
+++ b/crates/router/src/crash_memory.rs
@@ -16,6 +16,7 @@
 use crate::caller_request::{CallerRequest, RequestIdentity};
 use crate::event::Event;
 use crate::leaf::Leaf;
+use crate::leaf_runs::LeafRun;
 
 /// Reports of one request: enough for a second request to show that the first one was at fault.
 const REPORTS_PER_REQUEST: usize = 2;
@@ -149,13 +150,32 @@
     /// The report's [`CrashReport::key`].
     key: u64,
     fingerprint: Fingerprint,
-    lost_at: Instant,
+    /// Run of the lost leaf.
+    leaf: LeafId,
+    /// Time until which equal requests are refused. Those that come later, or if there is none, are sent to a
+    /// single leaf.
+    refused_until: Option<Instant>,
 }
 
 impl PendingReport {
-    /// Returns true if a request waits for the verification.
-    fn delays(&self, fingerprint: Fingerprint, now: Instant) -> bool {
-        self.fingerprint == fingerprint && now < self.lost_at + VERIFICATION_TIME_MAX
+    fn new(unverified: &UnverifiedReport) -> Self {
+        let report = &unverified.report;
+        let is_refused = match unverified.kind {
+            LossKind::Broken => !unverified.is_unresolved,
+            // It shows little.
+            LossKind::Unanswered => false,
+        };
+        Self {
+            key: report.key(),
+            fingerprint: report.fingerprint,
+            leaf: report.leaf.clone(),
+            refused_until: is_refused.then(|| report.lost_at + VERIFICATION_TIME_MAX),
+        }
+    }
+
+    /// Returns true if requests of the fingerprint are refused for now.
+    fn refuses(&self, fingerprint: Fingerprint, now: Instant) -> bool {
+        self.fingerprint == fingerprint && self.refused_until.is_some_and(|until| now < until)
     }
 }
 
@@ -178,10 +198,14 @@
 
     /// Returns the runs of leafs that may have ended under a request.
     fn unresolved_leafs(&self, fingerprint: Fingerprint) -> impl Iterator<Item = LeafId> {
-        let of_request = self.unresolved.iter().map(|unverified| &unverified.report);
-        of_request
-            .filter(move |report| report.fingerprint == fingerprint)
-            .map(|report| report.leaf.clone())
+        let unresolved = self.unresolved.iter().map(|unverified| &unverified.report);
+        let unresolved = unresolved.map(|report| (report.fingerprint, &report.leaf));
+        let pending = self.unverified.iter();
+        let pending = pending.map(|pending| (pending.fingerprint, &pending.leaf));
+        unresolved
+            .chain(pending)
+            .filter(move |(known, _)| *known == fingerprint)
+            .map(|(_, leaf)| leaf.clone())
     }
 }
 
@@ -247,7 +271,7 @@
                 return RequestClearance::Quarantined { left };
             }
             let mut unverified = state.unverified.iter();
-            is_unverified |= unverified.any(|pending| pending.delays(fingerprint, now));
+            is_unverified |= unverified.any(|pending| pending.refuses(fingerprint, now));
             let mut lost = state.table.leafs_with_strikes(fingerprint, now);
             lost.extend(state.unresolved_leafs(fingerprint));
             if !lost.is_empty() {
@@ -336,7 +360,9 @@
         if lost.is_empty() {
             return;
         }
-        let is_unproven = |lost: &&LostLeaf| !self.is_proven(evidence.proof(), &lost.service, now);
+        let is_unproven = |lost: &&LostLeaf| {
+            lost.kind == LossKind::Broken && !self.is_proven(evidence.proof(), &lost.service, now)
+        };
         for lost_leaf in lost.iter().filter(is_unproven).take(REPORTS_PER_REQUEST) {
             self.report(
                 request.identity(),
@@ -348,6 +374,22 @@
         }
     }
 
+    /// Records the requests that a leaf had not answered when it fell silent, refused connections or was no
+    /// longer listed: one of them may have ended it.
+    pub(crate) fn record_unanswered(&self, leaf: &Arc<Leaf>, runs: &[LeafRun], now: Instant) {
+        for run in runs {
+            if self.is_proven(run.evidence.proof(), &leaf.entry.service, now) {
+                continue;
+            }
+            run.evidence.lost(LostLeaf {
+                service: leaf.entry.service.clone(),
+                leaf: Arc::clone(leaf),
+                kind: LossKind::Unanswered,
+            });
+            self.report(&run.request, &run.evidence, leaf, LossKind::Unanswered, now);
+        }
+    }
+
     fn report(
         &self,
         request: &RequestIdentity,
@@ -398,11 +440,8 @@
     /// Lets a report be verified. Equal requests do not run meanwhile.
     fn verify(&self, unverified: UnverifiedReport) {
         let lost_at = unverified.report.lost_at;
-        self.state.lock().unverified.push(PendingReport {
-            key: unverified.report.key(),
-            fingerprint: unverified.report.fingerprint,
-            lost_at,
-        });
+        let pending = PendingReport::new(&unverified);
+        self.state.lock().unverified.push(pending);
         if let Err(error) = self.to_verify.try_send(unverified) {
             self.confirm(error.into_inner(), lost_at);
         }
@@ -436,17 +475,24 @@
         unresolved.push(unverified);
     }
 
-    /// Takes up to `max` of the reports of leafs of which it is not known whether they have ended, to verify
-    /// them again. Those that were not verified for the longest time come first.
-    pub(crate) fn take_unresolved(&self, max: usize) -> Vec<UnverifiedReport> {
-        let unresolved = &mut self.state.lock().unresolved;
-        let count = unresolved.len().min(max);
-        unresolved.drain(..count).collect()
-    }
-
-    /// Returns true if there are such reports.
-    pub(crate) fn has_unresolved(&self) -> bool {
-        !self.state.lock().unresolved.is_empty()
+    /// Takes the reports of up to `leafs_max` leafs of which it is not known whether they have ended, to
+    /// verify them again. Those that were not verified for the longest time come first.
+    pub(crate) fn take_unresolved(&self, leafs_max: usize) -> Vec<UnverifiedReport> {
+        let mut state = self.state.lock();
+        let mut leafs: Vec<LeafId> = Vec::new();
+        for unverified in &state.unresolved {
+            let leaf = &unverified.report.leaf;
+            if leafs.len() < leafs_max && !leafs.contains(leaf) {
+                leafs.push(leaf.clone());
+            }
+        }
+        let taken: Vec<UnverifiedReport> = state
+            .unresolved
+            .extract_if(.., |unverified| leafs.contains(&unverified.report.leaf))
+            .collect();
+        let pending = taken.iter().map(PendingReport::new);
+        state.unverified.extend(pending);
+        taken
     }
 
     /// Drops a report, since the leaf lives or nothing has shown that it has ended.
--- a/crates/router/src/crash_reports.rs
+++ b/crates/router/src/crash_reports.rs
@@ -6,93 +6,116 @@
 use std::time::{Duration, Instant};
 
 use futures::future::join_all;
-use medlarpin_core::canary::{LossVerdict, LostLeafSign, NeighbourSign, QUARANTINE_DURATION};
+use medlarpin_core::canary::{
+    LossKind, LossVerdict, LostLeafSign, NeighbourSign, QUARANTINE_DURATION,
+};
 use medlarpin_core::prelude::{Clock, FailureDomain, Fingerprint, LeafId};
 use medlarpin_core::routing::report_owners;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{MissedTickBehavior, interval};
 use wire::peer_capnp::{crash_report, route_peer};
 
 use crate::crash_memory::{CrashReport, UnverifiedReport};
 use crate::event::Event;
 use crate::flooding::{self, REPORTS_MAX};
-use crate::leaf::Leaf;
 use crate::loss_check::{ask_lost_leaf, ask_neighbours, judge};
 use crate::peers::{self, PeerError, len_u32, millis_u32};
 use crate::shared::Shared;
 
-/// Maximum number of reports that are verified together; each of their leafs is sent a health check.
-const BATCH_MAX: usize = 16;
+/// Maximum number of leafs that are asked together whether they have ended.
+const LEAFS_MAX: usize = 16;
 /// Interval at which leafs are asked again of which it is not known whether they have ended.
 const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Verifies reports of this daemon until the process ends: a lost leaf counts only if it has ended.
 pub(crate) async fn verify(shared: Arc<Shared>, mut reports: mpsc::Receiver<UnverifiedReport>) {
+    let mut rechecks = interval(RECHECK_INTERVAL);
+    rechecks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        let mut batch = tokio::select! {
+        let mut batch = ReportBatch::default();
+        tokio::select! {
+            biased;
+            _ = rechecks.tick() => {
+                let unresolved = shared.crash_memory.take_unresolved(LEAFS_MAX);
+                for report in unresolved {
+                    batch.add(report);
+                }
+            }
             first = reports.recv() => match first {
-                Some(first) => vec![first],
+                Some(first) => batch.add(first),
                 None => return,
             },
-            () = sleep(RECHECK_INTERVAL), if shared.crash_memory.has_unresolved() => {
-                shared.crash_memory.take_unresolved(BATCH_MAX)
-            }
-        };
+        }
         // The failure of a link breaks many connections, and one check shows it for all of them.
-        while batch.len() < BATCH_MAX
+        while batch.leafs.len() < LEAFS_MAX
             && let Ok(report) = reports.try_recv()
         {
-            batch.push(report);
+            batch.add(report);
+        }
+        if !batch.leafs.is_empty() {
+            verify_batch(&shared, batch).await;
+        }
+    }
+}
+
+/// Reports that are verified together.
+#[derive(Debug, Default)]
+struct ReportBatch {
+    /// The lost leafs by their runs, each with its reports; sorted, without duplicates.
+    leafs: Vec<(LeafId, Vec<UnverifiedReport>)>,
+}
+
+impl ReportBatch {
+    fn add(&mut self, report: UnverifiedReport) {
+        let run = &report.report.leaf;
+        match self.leafs.binary_search_by(|(known, _)| known.cmp(run)) {
+            Ok(index) => self.leafs[index].1.push(report),
+            Err(index) => self.leafs.insert(index, (run.clone(), vec![report])),
         }
-        verify_batch(&shared, batch).await;
     }
 }
 
-async fn verify_batch(shared: &Shared, batch: Vec<UnverifiedReport>) {
-    let mut leafs: Vec<(LeafId, Arc<Leaf>)> = batch
+async fn verify_batch(shared: &Shared, batch: ReportBatch) {
+    let runs: Vec<LeafId> = batch.leafs.iter().map(|(run, _)| run.clone()).collect();
+    let asked = batch
+        .leafs
         .iter()
-        .map(|unverified| (unverified.report.leaf.clone(), Arc::clone(&unverified.leaf)))
-        .collect();
-    leafs.sort_by(|(a, _), (b, _)| a.cmp(b));
-    leafs.dedup_by(|(a, _), (b, _)| a == b);
-    let lost: Vec<LeafId> = leafs.iter().map(|(run, _)| run.clone()).collect();
-    let signs = leafs.iter().map(|(_, leaf)| ask_lost_leaf(shared, leaf));
-    let signs: Vec<LostLeafSign> = join_all(signs).await;
-    let is_open = |sign: &LostLeafSign| match sign {
-        LostLeafSign::Answers | LostLeafSign::Replaced => false,
-        LostLeafSign::Refuses | LostLeafSign::Silent => true,
-    };
-    let mut domains: Vec<&FailureDomain> = leafs
+        .map(|(_, reports)| ask_lost_leaf(shared, &reports[0].leaf));
+    let signs: Vec<LostLeafSign> = join_all(asked).await;
+    let mut domains: Vec<FailureDomain> = batch
+        .leafs
         .iter()
         .zip(&signs)
-        .filter(|(_, sign)| is_open(sign))
-        .map(|((_, leaf), _)| &leaf.entry.failure_domain)
+        .filter(|((_, reports), sign)| match sign {
+            LostLeafSign::Refuses => true,
+            // Of a leaf that only fell silent, those beside it tell nothing.
+            LostLeafSign::Silent => reports.iter().any(|report| report.kind == LossKind::Broken),
+            LostLeafSign::Answers | LostLeafSign::Replaced => false,
+        })
+        .map(|((_, reports), _)| reports[0].leaf.entry.failure_domain.clone())
         .collect();
     domains.sort();
     domains.dedup();
-    let neighbours = domains
+    let asked = domains
         .iter()
-        .map(|domain| ask_neighbours(shared, domain, &lost));
-    let neighbours: Vec<NeighbourSign> = join_all(neighbours).await;
-    for unverified in batch {
-        let leaf = &unverified.leaf;
-        let index = lost.binary_search(&unverified.report.leaf);
-        let sign = index.map_or(LostLeafSign::Silent, |index| signs[index]);
-        let domain = domains.binary_search(&&leaf.entry.failure_domain);
-        // Those of other domains decide nothing.
-        let neighbours = domain.map_or(NeighbourSign::Nobody, |index| neighbours[index]);
-        let is_first = !unverified.is_unresolved;
-        match judge(shared, leaf, unverified.kind, sign, neighbours, is_first) {
-            LossVerdict::Ended => {
-                shared.metrics.lost_leafs_counted.inc();
-                shared.crash_memory.confirm(unverified, shared.now());
-            }
-            LossVerdict::Lives => {
-                shared.metrics.lost_leafs_dismissed.inc();
-                shared.crash_memory.dismiss(&unverified);
+        .map(|domain| ask_neighbours(shared, domain, &runs));
+    let neighbours: Vec<NeighbourSign> = join_all(asked).await;
+    for ((_, reports), sign) in batch.leafs.into_iter().zip(signs) {
+        for report in reports {
+            let domain = domains.binary_search(&report.leaf.entry.failure_domain);
+            let neighbours = domain.map_or(NeighbourSign::Nobody, |index| neighbours[index]);
+            match judge(shared, &report, sign, neighbours) {
+                LossVerdict::Ended => {
+                    shared.metrics.lost_leafs_counted.inc();
+                    shared.crash_memory.confirm(report, shared.now());
+                }
+                LossVerdict::Lives => {
+                    shared.metrics.lost_leafs_dismissed.inc();
+                    shared.crash_memory.dismiss(&report);
+                }
+                LossVerdict::Unknown => shared.crash_memory.suspend(report, shared.now()),
             }
-            LossVerdict::Unknown => shared.crash_memory.suspend(unverified, shared.now()),
         }
     }
 }
--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -18,6 +18,7 @@
 
 use crate::config_sync;
 use crate::event::Event;
+use crate::leaf_probe::report_withdrawn;
 use crate::peers::{self, FollowedDaemon, PeerError};
 use crate::published_items::Update;
 use crate::shared::{Shared, drain_grace};
@@ -495,7 +496,8 @@
         let count = i64::try_from(self.directory.len()).unwrap_or(i64::MAX);
         self.shared.metrics.leafs.set(count);
         let now = self.shared.now();
-        self.shared.leafs.update(&self.directory, now);
+        let withdrawn = self.shared.leafs.update(&self.directory, now);
+        report_withdrawn(&self.shared, &withdrawn);
     }
 }
 
--- a/crates/router/src/handover.rs
+++ b/crates/router/src/handover.rs
@@ -191,6 +191,9 @@
             if let Some(selector) = &shared.handover_selector {
                 selector.lock().served(daemon, shared.now());
             }
+            if answer.status().is_success() {
+                record_answer_elsewhere(shared, route, request);
+            }
             Some(Ok(answer))
         }
         DelegationOutcome::NotServed { reaching } => {
@@ -222,6 +225,23 @@
     }
 }
 
+/// Records that a leaf has answered a request that another daemon served: it does not end the leafs that
+/// this daemon has lost.
+fn record_answer_elsewhere(shared: &Shared, route: &Route, request: &CallerRequest) {
+    let memory = &shared.crash_memory;
+    match &route.target {
+        RouteTarget::Service(service) => memory.record_answer(request, service),
+        RouteTarget::Split(parts) => {
+            for part in parts {
+                memory.record_answer(request, &part.service);
+            }
+        }
+        // Some of the shards may be missing.
+        RouteTarget::Scatter(_) => return,
+    }
+    memory.record_success_elsewhere(request, &route.target, shared.now());
+}
+
 /// Records the daemons that another one has named as those that serve its requests.
 fn record_hints(shared: &Shared, reaching: &[SocketAddr]) {
     let (Some(selector), Some(daemons)) = (&shared.handover_selector, &shared.daemons) else {
--- a/crates/router/src/leaf.rs
+++ b/crates/router/src/leaf.rs
@@ -20,6 +20,7 @@
 
 use crate::attempt_result::LeafFailure;
 use crate::event::Event;
+use crate::leaf_runs::LeafRuns;
 
 /// Time limit for opening a connection. A SYN is sent again only after a second, so a longer
 /// wait would rarely help.
@@ -100,6 +101,7 @@
     open: AtomicU32,
     /// True while a probe is in progress.
     is_probed: AtomicBool,
+    runs: Arc<LeafRuns>,
 }
 
 /// Decrements the number of open connections when it is dropped.
@@ -153,6 +155,11 @@
         self.with_entry(entry, usable_until)
     }
 
+    /// Returns the requests that the leaf may be running.
+    pub(crate) fn runs(&self) -> &Arc<LeafRuns> {
+        &self.link.runs
+    }
+
     /// Locks the measurements of the leaf's load and health.
     pub(crate) fn load(&self) -> MutexGuard<'_, LeafLoad> {
         self.link.load.lock()
--- a/crates/router/src/leaf_probe.rs
+++ b/crates/router/src/leaf_probe.rs
@@ -8,7 +8,7 @@
 use hyper::Request;
 use hyper::header::HOST;
 use medlarpin_core::prelude::LeafId;
-use medlarpin_core::routing::Unreachable;
+use medlarpin_core::routing::{LEAF_SILENCE_TIMEOUT, Unreachable};
 use tokio::sync::Semaphore;
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
@@ -37,6 +37,7 @@
         let concerned = shared.leafs.filter(|leaf| leaf.load().needs_check(now));
         for leaf in concerned {
             check_silence(&shared, &leaf);
+            report_unanswered(&shared, &leaf);
             let due = leaf.load().probe_due(now);
             let Some(how) = due.filter(|_| leaf.is_usable(now)) else {
                 continue;
@@ -56,6 +57,31 @@
     }
 }
 
+/// Records the requests that an unreachable leaf may have been running when it ended.
+fn report_unanswered(shared: &Shared, leaf: &Arc<Leaf>) {
+    let now = shared.now();
+    let unreachable = leaf.load().unreachable();
+    let sent_by = match unreachable {
+        None => return,
+        Some(Unreachable::Refused) => Some(now),
+        // A leaf may be taken for silent because others are.
+        Some(Unreachable::Silent) => now.checked_sub(LEAF_SILENCE_TIMEOUT),
+    };
+    if let Some(sent_by) = sent_by {
+        let runs = leaf.runs().take(sent_by);
+        shared.crash_memory.record_unanswered(leaf, &runs, now);
+    }
+}
+
+/// Records the requests that leafs may have been running which the store no longer lists.
+pub(crate) fn report_withdrawn(shared: &Shared, withdrawn: &[Arc<Leaf>]) {
+    let now = shared.now();
+    for leaf in withdrawn {
+        let runs = leaf.runs().take(now);
+        shared.crash_memory.record_unanswered(leaf, &runs, now);
+    }
+}
+
 fn check_silence(shared: &Shared, leaf: &Leaf) {
     if leaf.load().check_silence(shared.now()) {
         Event::LeafSilent {
--- a/crates/router/src/leaf_table.rs
+++ b/crates/router/src/leaf_table.rs
@@ -69,9 +69,10 @@
         leafs.find(|leaf| leaf.entry.id == *id).cloned()
     }
 
-    /// Rebuilds the table from the directory. A leaf whose address, service and process start are
+    /// Rebuilds the table from the directory; returns the leafs that are no longer listed although they had not
+    /// said that they leave. A leaf whose address, service and process start are
     /// unchanged keeps its connections and what is known of it, also if it was not listed for a while.
-    pub(crate) fn update(&self, directory: &LeafDirectory, now: Instant) {
+    pub(crate) fn update(&self, directory: &LeafDirectory, now: Instant) -> Vec<Arc<Leaf>> {
         let mut previous = self.all();
         previous.sort_by(|a, b| a.entry.id.cmp(&b.entry.id));
         let mut unlisted = self.unlisted.lock();
@@ -94,10 +95,15 @@
                 }),
             });
         }
+        let mut withdrawn = Vec::new();
         for leaf in previous {
             let index = leafs.binary_search_by(|listed| listed.entry.id.cmp(&leaf.entry.id));
             let is_listed =
                 index.is_ok_and(|index| leafs[index].entry.is_of_same_process(&leaf.entry));
+            let is_withdrawn = !is_listed || index.is_ok_and(|index| leafs[index].is_withdrawn());
+            if is_withdrawn && !leaf.is_leaving() {
+                withdrawn.push(Arc::clone(&leaf));
+            }
             if !is_listed {
                 unlisted.insert(leaf, now);
             }
@@ -105,6 +111,7 @@
         drop(unlisted);
         self.store(leafs);
         self.check_links(now);
+        withdrawn
     }
 
     /// Lets the leafs that have not answered lately be probed before they get requests, if the links of
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -24,6 +24,7 @@
 mod leaf_probe;
 mod leaf_rate_reports;
 mod leaf_rates;
+mod leaf_runs;
 mod leaf_table;
 mod loss_check;
 mod metrics;
--- a/crates/router/src/loss_check.rs
+++ b/crates/router/src/loss_check.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use futures::stream::{FuturesUnordered, StreamExt};
-use medlarpin_core::canary::{LossKind, LossVerdict, LostLeafSign, NeighbourSign};
+use medlarpin_core::canary::{LossVerdict, LostLeafSign, NeighbourSign};
 use medlarpin_core::prelude::{FailureDomain, LeafId};
 use medlarpin_core::routing::Unreachable;
 use tokio::time::timeout;
 
+use crate::crash_memory::UnverifiedReport;
 use crate::event::Event;
 use crate::leaf::{Leaf, OpenError};
 use crate::leaf_probe::check_health;
@@ -109,29 +110,26 @@
     known.is_some_and(|known| known.entry.is_of_same_process(&leaf.entry) && !known.is_withdrawn())
 }
 
-/// Judges the loss of a leaf; `neighbours` is what was seen of the leafs beside it. Logs the verdict, but only
-/// once that it is unknown.
+/// Judges a loss by what was seen of the leaf and of those beside it. Logs the verdict, but only once that it
+/// is unknown.
 pub(crate) fn judge(
     shared: &Shared,
-    leaf: &Leaf,
-    kind: LossKind,
+    report: &UnverifiedReport,
     sign: LostLeafSign,
     neighbours: NeighbourSign,
-    is_first: bool,
 ) -> LossVerdict {
-    let is_listed = is_listed(shared, leaf);
-    let verdict = LossVerdict::of(kind, sign, neighbours, is_listed);
-    if verdict == LossVerdict::Unknown && !is_first {
-        return verdict;
-    }
-    Event::LossJudged {
-        leaf: leaf.entry.id.as_str(),
-        kind,
-        sign,
-        neighbours,
-        is_listed,
-        verdict,
+    let is_listed = is_listed(shared, &report.leaf);
+    let verdict = LossVerdict::of(report.kind, sign, neighbours, is_listed);
+    if verdict != LossVerdict::Unknown || !report.is_unresolved {
+        Event::LossJudged {
+            leaf: report.leaf.entry.id.as_str(),
+            kind: report.kind,
+            sign,
+            neighbours,
+            is_listed,
+            verdict,
+        }
+        .log();
     }
-    .log();
     verdict
 }
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use futures::stream::{FuturesUnordered, StreamExt};
+use medlarpin_core::canary::LossKind;
 use medlarpin_core::hedge_timer::HedgeTimer;
 use medlarpin_core::prelude::{LeafId, ServiceName};
 use medlarpin_core::routing::{CallAttempts, Candidate, Route, choose_replica};
@@ -260,6 +261,7 @@
                     self.evidence.lost(LostLeaf {
                         service: self.service.clone(),
                         leaf: Arc::clone(leaf),
+                        kind: LossKind::Broken,
                     });
                 }
                 if failure.is_not_arrived() {
