Keep the account of a request that ends leafs by the request, whatever the service

What callers saw: a request that all daemons refused ran again, and ended leafs, as soon as its route moved to another service: 502 instead of 503. In the operators' record the request ended leafs of two services, and the eighth retry reached leafs 40 s after the seventh.

Cause: strikes and quarantines were kept by request and service, so that each service starts a new account.

Change: reports carry the request's own fingerprint (a new field), under which strikes of all services count together; an answer of a service clears the strikes of that service alone. On another service the request goes to a single leaf first, unless that service has answered an equal one. Reports go to the daemons that collect either account, as daemons of an older release count by service; their reports count as before.

A canary stays undecided for 5 s, the time in which the store drops a leaf, and ends early if its leaf turns out to live.

--- a/crates/router/src/canary_slots.rs
+++ b/crates/router/src/canary_slots.rs
@@ -4,9 +4,9 @@
 use medlarpin_core::prelude::Clock;
 use parking_lot::Mutex;
 
-/// Time for which a canary without a result holds its slot. A leaf counts as silent after a second, and
-/// is checked within another one.
-const UNDECIDED_TIME_MAX: Duration = Duration::from_secs(3);
+/// Time for which a canary without a result holds its slot. The store no longer lists a leaf that has ended
+/// after three missed heartbeats of 1.2 s, which decides.
+const UNDECIDED_TIME_MAX: Duration = Duration::from_secs(5);
 
 /// The suspicious requests that are being tried on a single leaf, one of those that are equal at a time.
 #[derive(Debug, Clone, Default)]
@@ -55,6 +55,12 @@
             content_hash,
         })
     }
+
+    /// Frees the slot of requests that turned out not to end their leafs.
+    pub(crate) fn free(&self, content_hash: u64) {
+        let mut slots = self.0.lock();
+        slots.retain(|slot| slot.content_hash != content_hash);
+    }
 }
 
 /// The slot of a request. Dropping it leaves the request undecided.
@@ -67,8 +73,7 @@
 impl CanarySlot {
     /// Records that the request has shown what it does, or was not sent.
     pub(crate) fn decided(self) {
-        let mut slots = self.slots.0.lock();
-        slots.retain(|slot| slot.content_hash != self.content_hash);
+        self.slots.free(self.content_hash);
     }
 }
 
--- a/crates/router/src/crash_memory.rs
+++ b/crates/router/src/crash_memory.rs
@@ -46,6 +46,8 @@
 pub(crate) struct CrashReport {
     /// Identifies the request and the service of the leaf.
     pub(crate) fingerprint: Fingerprint,
+    /// Identifies the request alone; `None` from a daemon of an older release.
+    pub(crate) request: Option<Fingerprint>,
     /// Run of the leaf.
     pub(crate) leaf: LeafId,
     /// Hash of the request's identifier.
@@ -57,6 +59,12 @@
 }
 
 impl CrashReport {
+    /// Returns the fingerprint under which the report counts: that of the request, whatever the service, as a
+    /// route may move to another one.
+    fn account(&self) -> Fingerprint {
+        self.request.unwrap_or(self.fingerprint)
+    }
+
     /// Returns a hash that tells the report from others.
     fn key(&self) -> u64 {
         stable_hash(&[
@@ -194,6 +202,20 @@
 }
 
 impl State {
+    /// Returns the time left of a quarantine.
+    fn quarantine_left(&self, fingerprint: Fingerprint, now: Instant) -> Option<Duration> {
+        match self.table.check(fingerprint, now) {
+            Clearance::Quarantined { until } => Some(until.saturating_duration_since(now)),
+            Clearance::Proven | Clearance::NeedsCanary | Clearance::CanaryRunning => None,
+        }
+    }
+
+    /// Returns true if a leaf of the service has answered an equal request lately.
+    fn is_proven(&self, proof: ProofKey, service: &ServiceName, now: Instant) -> bool {
+        let part = fingerprint_of(proof.content_hash, service);
+        self.table.is_part_proven(proof.fingerprint, part, now)
+    }
+
     /// Returns true if no request is suspected of anything.
     fn is_free_of_suspects(&self) -> bool {
         self.table.is_free_of_suspects() && self.unverified.is_empty() && self.unresolved.is_empty()
@@ -269,13 +291,16 @@
         if state.is_free_of_suspects() {
             return RequestClearance::Clear;
         }
+        let proof = ProofKey::new(request, services);
         let request = request.identity().content_hash;
+        if let Some(left) = state.quarantine_left(Fingerprint(request), now) {
+            return RequestClearance::Quarantined { left };
+        }
         let mut is_unverified = false;
         let mut suspicions = Vec::new();
         for service in services {
             let fingerprint = fingerprint_of(request, service);
-            if let Clearance::Quarantined { until } = state.table.check(fingerprint, now) {
-                let left = until.saturating_duration_since(now);
+            if let Some(left) = state.quarantine_left(fingerprint, now) {
                 return RequestClearance::Quarantined { left };
             }
             let mut unverified = state.unverified.iter();
@@ -287,6 +312,16 @@
                 suspicions.push(Suspicion { service, lost });
             }
         }
+        if suspicions.is_empty()
+            && let Some(service) = services.first()
+        {
+            // A route that moves takes the suspicion with it.
+            let lost = state.table.leafs_with_strikes(Fingerprint(request), now);
+            if !lost.is_empty() && !state.is_proven(proof, service, now) {
+                let service = service.clone();
+                suspicions.push(Suspicion { service, lost });
+            }
+        }
         if is_unverified {
             RequestClearance::Unverified
         } else if suspicions.is_empty() {
@@ -310,11 +345,15 @@
     pub(crate) fn record_answer(&self, request: &CallerRequest, service: &ServiceName) {
         let mut state = self.state.lock();
         if !state.is_free_of_suspects() {
-            let fingerprint = fingerprint_of(request.identity().content_hash, service);
+            let request = request.identity().content_hash;
+            let fingerprint = fingerprint_of(request, service);
             state.table.clear_strikes(fingerprint);
+            let account = Fingerprint(request);
+            state.table.clear_strikes_of(account, fingerprint);
             let is_other =
                 |unverified: &UnverifiedReport| unverified.report.fingerprint != fingerprint;
             state.unresolved.retain(is_other);
+            self.canaries.free(request);
         }
     }
 
@@ -362,9 +401,7 @@
 
     /// Returns true if a leaf of the service has answered an equal request lately.
     pub(crate) fn is_proven(&self, proof: ProofKey, service: &ServiceName, now: Instant) -> bool {
-        let part = fingerprint_of(proof.content_hash, service);
-        let state = self.state.lock();
-        state.table.is_part_proven(proof.fingerprint, part, now)
+        self.state.lock().is_proven(proof, service, now)
     }
 
     /// Records what a request has shown when it is answered or refused.
@@ -419,6 +456,7 @@
         } = lost;
         let report = CrashReport {
             fingerprint: fingerprint_of(request.content_hash, service),
+            request: Some(Fingerprint(request.content_hash)),
             leaf: leaf.entry.run_id(),
             request_hash: request.id_hash,
             intact_at: *intact_at,
@@ -532,6 +570,9 @@
     /// Drops a report, since the leaf lives or nothing has shown that it has ended.
     pub(crate) fn dismiss(&self, unverified: &UnverifiedReport) {
         self.end_verification(&unverified.report);
+        if let Some(request) = unverified.report.request {
+            self.canaries.free(request.0);
+        }
         Event::CrashReportDismissed {
             fingerprint: unverified.report.fingerprint,
             leaf: unverified.report.leaf.as_str(),
@@ -568,7 +609,7 @@
         let latest = state.known_reports.iter().rev();
         let suspicious = latest.filter(|(_, report)| {
             let table = &state.table;
-            let lost = table.leafs_with_strikes(report.fingerprint, now);
+            let lost = table.leafs_with_strikes(report.account(), now);
             lost.contains(&report.leaf)
         });
         let reports = suspicious.take(EXCHANGED_REPORTS_MAX);
@@ -600,12 +641,12 @@
             intact_at: report.intact_at,
             lost_at: report.lost_at,
         };
-        let quarantine = state.table.add_strike(report.fingerprint, strike, now);
+        let quarantine = state.table.add_strike(report.account(), strike, now);
         let Some(quarantine) = quarantine else {
             return Added::Report;
         };
         let known = state.known_reports.iter().map(|(_, known)| known);
-        let reports = known.filter(|known| known.fingerprint == report.fingerprint);
+        let reports = known.filter(|known| known.account() == report.account());
         let reports = reports.cloned().collect();
         drop(state);
         log_quarantine(&quarantine, now);
--- a/crates/router/src/crash_reports.rs
+++ b/crates/router/src/crash_reports.rs
@@ -129,8 +129,18 @@
             let daemons = daemons.lock();
             let own = daemons.own().address;
             let others = daemons.others(shared.now()).map(|daemon| daemon.address);
-            let owners = report_owners(report.fingerprint, others.chain([own]));
-            owners.into_iter().filter(|owner| *owner != own).collect()
+            let known: Vec<SocketAddr> = others.chain([own]).collect();
+            // Daemons of an older release collect by request and service.
+            let accounts = [report.request, Some(report.fingerprint)];
+            let mut owners: Vec<SocketAddr> = accounts
+                .into_iter()
+                .flatten()
+                .flat_map(|account| report_owners(account, known.iter().copied()))
+                .filter(|owner| *owner != own)
+                .collect();
+            owners.sort();
+            owners.dedup();
+            owners
         });
         for daemon in owners {
             let (report, clock) = (report.clone(), Arc::clone(&shared.clock));
@@ -186,6 +196,10 @@
         };
         Ok(CrashReport {
             fingerprint: Fingerprint(report.get_fingerprint()),
+            request: match report.get_request() {
+                0 => None,
+                request => Some(Fingerprint(request)),
+            },
             leaf: LeafId::new(report.get_leaf()?.to_str()?),
             request_hash: report.get_request_hash(),
             intact_at,
@@ -204,6 +218,7 @@
     for (index, report) in (0..).zip(reports) {
         let mut entry = list.reborrow().get(index);
         entry.set_fingerprint(report.fingerprint.0);
+        entry.set_request(report.request.map_or(0, |request| request.0));
         entry.set_leaf(report.leaf.as_str());
         entry.set_request_hash(report.request_hash);
         entry.set_age_ms(millis_u32(now.saturating_duration_since(report.lost_at)));
