Send crash reports again, and to the next daemons by rank

A report went once to each of the two daemons that collect those of its request; if both were gone, frozen or cut off, only exchanges with random daemons (mean 2 s, 16 reports) carried it on.

A daemon that did not get it is replaced by the next one by rank, where the reports of other senders meet as well. Reports of 100 ms go to a daemon in one message instead of one connection each.

Suspected only: the record does not show whether reports were lost.

--- a/crates/medlarpin-core/src/routing/mod.rs
+++ b/crates/medlarpin-core/src/routing/mod.rs
@@ -20,6 +20,7 @@
 mod rate_access;
 mod rate_statement;
 mod replica_choice;
+mod report_delivery;
 mod report_owners;
 mod request_rate;
 mod retry_budget;
@@ -67,6 +68,7 @@
 pub use rate_access::{RateAccess, is_dense};
 pub use rate_statement::RateStatement;
 pub use replica_choice::{Candidate, choose_replica};
+pub use report_delivery::{RESEND_DELAY, ReportDelivery};
 pub use report_owners::{REPORT_OWNERS, report_owners};
 pub use request_rate::RequestRate;
 pub use retry_budget::{
--- a/crates/router/src/crash_reports.rs
+++ b/crates/router/src/crash_reports.rs
@@ -10,15 +10,15 @@
     LossKind, LossVerdict, LostLeafSign, NeighbourSign, QUARANTINE_DURATION,
 };
 use medlarpin_core::prelude::{Clock, FailureDomain, Fingerprint, LeafId};
-use medlarpin_core::routing::report_owners;
+use medlarpin_core::routing::{RESEND_DELAY, ReportDelivery};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 use wire::peer_capnp::{crash_report, route_peer};
 
 use crate::crash_memory::{CrashReport, UnverifiedReport};
 use crate::event::Event;
-use crate::flooding::{self, REPORTS_MAX};
+use crate::flooding::{self, COLLECT_TIME, REPORTS_MAX};
 use crate::loss_check::{ask_lost_leaf, ask_neighbours, judge};
 use crate::peers::{self, PeerError, len_u32, millis_u32};
 use crate::shared::Shared;
@@ -122,39 +122,80 @@
     }
 }
 
-/// Tells the daemons that collect the reports of a fingerprint, until the process ends.
+/// Tells the daemons that collect the reports of a request, until the process ends.
 pub(crate) async fn tell_owners(shared: Arc<Shared>, mut reports: mpsc::Receiver<CrashReport>) {
-    while let Some(report) = reports.recv().await {
-        let owners: Vec<SocketAddr> = shared.daemons.as_ref().map_or_else(Vec::new, |daemons| {
-            let daemons = daemons.lock();
-            let own = daemons.own().address;
-            let others = daemons.others(shared.now()).map(|daemon| daemon.address);
-            let known: Vec<SocketAddr> = others.chain([own]).collect();
+    while let Some(first) = reports.recv().await {
+        // Many requests lose a leaf at a time.
+        sleep(COLLECT_TIME).await;
+        let mut batch = vec![first];
+        while batch.len() < REPORTS_MAX
+            && let Ok(report) = reports.try_recv()
+        {
+            batch.push(report);
+        }
+        spawn_local(deliver(Arc::clone(&shared), batch));
+    }
+}
+
+/// Sends each report to the daemons that collect it, with one message a daemon, and again to others if some
+/// do not answer.
+async fn deliver(shared: Arc<Shared>, batch: Vec<CrashReport>) {
+    let Some(daemons) = &shared.daemons else {
+        return;
+    };
+    let own = daemons.lock().own().address;
+    let mut deliveries: Vec<(CrashReport, ReportDelivery)> = batch
+        .into_iter()
+        .map(|report| {
             // Daemons of an older release collect by request and service.
             let accounts = [report.request, Some(report.fingerprint)];
-            let mut owners: Vec<SocketAddr> = accounts
-                .into_iter()
-                .flatten()
-                .flat_map(|account| report_owners(account, known.iter().copied()))
-                .filter(|owner| *owner != own)
+            let accounts = accounts.into_iter().flatten().collect();
+            (report, ReportDelivery::new(accounts, own))
+        })
+        .collect();
+    loop {
+        let others = shared.other_daemons(shared.now());
+        let mut known: Vec<SocketAddr> = others.iter().map(|daemon| daemon.address).collect();
+        known.push(own);
+        let receivers: Vec<Vec<SocketAddr>> = deliveries
+            .iter_mut()
+            .map(|(_, delivery)| delivery.next_round(&known))
+            .collect();
+        let mut daemons = receivers.concat();
+        daemons.sort();
+        daemons.dedup();
+        if daemons.is_empty() {
+            return;
+        }
+        let sends = daemons.iter().map(|daemon| {
+            let reports = deliveries.iter().zip(&receivers);
+            let reports: Vec<CrashReport> = reports
+                .filter(|(_, receivers)| receivers.contains(daemon))
+                .map(|((report, _), _)| report.clone())
                 .collect();
-            owners.sort();
-            owners.dedup();
-            owners
+            send_logged(*daemon, reports, &shared)
         });
-        for daemon in owners {
-            let (report, clock) = (report.clone(), Arc::clone(&shared.clock));
-            spawn_local(async move {
-                if let Err(error) = send(daemon, &[report], &*clock).await {
-                    Event::DaemonUnreachable {
-                        daemon,
-                        error: &error,
-                    }
-                    .log();
-                }
-            });
+        let arrived = join_all(sends).await;
+        for ((_, delivery), receivers) in deliveries.iter_mut().zip(&receivers) {
+            for daemon in receivers {
+                let index = daemons.binary_search(daemon);
+                delivery.sent(*daemon, index.is_ok_and(|index| arrived[index]));
+            }
         }
+        if arrived.iter().all(|has_arrived| *has_arrived) {
+            return;
+        }
+        sleep(RESEND_DELAY).await;
+    }
+}
+
+/// Sends reports to a daemon; returns true if it has them.
+async fn send_logged(daemon: SocketAddr, reports: Vec<CrashReport>, shared: &Shared) -> bool {
+    let sent = send(daemon, &reports, &*shared.clock).await;
+    if let Err(error) = &sent {
+        Event::DaemonUnreachable { daemon, error }.log();
     }
+    sent.is_ok()
 }
 
 /// Passes reports that started a quarantine on to all daemons, until the process ends.
--- a/crates/router/src/flooding.rs
+++ b/crates/router/src/flooding.rs
@@ -17,7 +17,7 @@
 const RECEIVERS: usize = 4;
 /// Time for which reports are collected before they are sent, which bounds the number of messages
 /// when many leafs change at once.
-const COLLECT_TIME: Duration = Duration::from_millis(100);
+pub(crate) const COLLECT_TIME: Duration = Duration::from_millis(100);
 /// Maximum number of reports in a message.
 pub(crate) const REPORTS_MAX: usize = 64;
 
