Suspect the shard whose leafs ended, and try one copy at a time only once one has

What callers saw: at a VM that had lost its links, 3 of 30 requests to new leafs failed; and a query that ends the leafs of its last shard went on to two of them.

Cause: with one account a request, the suspicion fell on the first service of a query, whatever shard had lost leafs. And while it was only unknown whether a leaf had ended, a query waited for a canary on one leaf, so that the VM found out about its links one leaf at a time.

In a failing run two leafs of six were known to be silent after 4 s, below the three that make the links suspect; `sent_on_suspicion` for service b with no lost leaf, then `leafs_silent` after 801 ms. Ruled out: load (both modes at one load).

Change: strikes name their service by their origin; the canary and the single copy need a leaf that has ended.

--- a/crates/router/src/crash_memory.rs
+++ b/crates/router/src/crash_memory.rs
@@ -137,6 +137,8 @@
     pub(crate) service: ServiceName,
     /// Runs of the lost leafs.
     pub(crate) lost: Vec<LeafId>,
+    /// True if one of them has certainly ended.
+    pub(crate) is_confirmed: bool,
 }
 
 /// What is known of a request before it runs.
@@ -293,7 +295,8 @@
         }
         let proof = ProofKey::new(request, services);
         let request = request.identity().content_hash;
-        if let Some(left) = state.quarantine_left(Fingerprint(request), now) {
+        let account = Fingerprint(request);
+        if let Some(left) = state.quarantine_left(account, now) {
             return RequestClearance::Quarantined { left };
         }
         let mut is_unverified = false;
@@ -305,21 +308,32 @@
             }
             let mut unverified = state.unverified.iter();
             is_unverified |= unverified.any(|pending| pending.refuses(fingerprint, now));
-            let mut lost = state.table.leafs_with_strikes(fingerprint, now);
+            // Those under the request's account, and those that daemons of an older release reported.
+            let strikes = state.table.strikes(account, now);
+            let strikes = strikes.chain(state.table.strikes(fingerprint, now));
+            let of_service = strikes.filter(|strike| strike.origin == fingerprint);
+            let mut lost: Vec<LeafId> = of_service.map(|strike| strike.leaf.clone()).collect();
+            let is_confirmed = !lost.is_empty();
             lost.extend(state.unresolved_leafs(fingerprint));
             if !lost.is_empty() {
-                let service = service.clone();
-                suspicions.push(Suspicion { service, lost });
+                suspicions.push(Suspicion {
+                    service: service.clone(),
+                    lost,
+                    is_confirmed,
+                });
             }
         }
         if suspicions.is_empty()
             && let Some(service) = services.first()
         {
             // A route that moves takes the suspicion with it.
-            let lost = state.table.leafs_with_strikes(Fingerprint(request), now);
+            let lost = state.table.leafs_with_strikes(account, now);
             if !lost.is_empty() && !state.is_proven(proof, service, now) {
-                let service = service.clone();
-                suspicions.push(Suspicion { service, lost });
+                suspicions.push(Suspicion {
+                    service: service.clone(),
+                    lost,
+                    is_confirmed: true,
+                });
             }
         }
         if is_unverified {
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -77,6 +77,12 @@
         RequestClearance::Unverified => Err(Refusal::NoLeaf),
         // A daemon that is cut off does not know what equal requests did elsewhere.
         RequestClearance::Suspect(_) if shared.is_isolated() => Err(Refusal::NoLeaf),
+        // The links of this VM may have failed, which further requests show soonest.
+        RequestClearance::Suspect(suspicions)
+            if suspicions.iter().all(|suspicion| !suspicion.is_confirmed) =>
+        {
+            Ok((suspicions, None))
+        }
         RequestClearance::Suspect(suspicions) => {
             match shared.crash_memory.start_canary(request, &shared.clock) {
                 Ok(slot) => Ok((suspicions, Some(slot))),
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -96,8 +96,10 @@
     let mut answers: Vec<(ServiceName, LeafAnswer)> = Vec::with_capacity(policy.shard_count);
     let mut failures: Vec<ServiceFailure> = Vec::new();
     let mut unsent = reachable;
-    // A query that leafs of some shards have answered ends at most those of the others.
-    let needs_canary = !suspicions.is_empty() && !memory.is_proven_in_part(proof, shared.now());
+    // A query that leafs of some shards have answered ends at most those of the others. While no leaf is known to
+    // have ended, the links of this VM may have failed, which all shards together show soonest.
+    let is_confirmed = suspicions.iter().any(|suspicion| suspicion.is_confirmed);
+    let needs_canary = is_confirmed && !memory.is_proven_in_part(proof, shared.now());
     if needs_canary && !unsent.is_empty() {
         let is_suspicious =
             |shard: &&ServiceName| suspicions.iter().any(|known| known.service == **shard);
