Pass on to the caller's daemon which leafs have said that they leave

What leafs saw: a daemon that had passed on an answer with a notice of leaving sent that leaf 1 or 2 requests more than 3 s later (DRAIN), once its links were back while the store was away.

Cause: only the daemon that talks to the leaf reads the notice. One that gets the answer from another daemon, as it does not reach the leafs or is too small, passes the header on and forgets it.

Change: an answer between daemons names the runs of leafs that said so within the last 10 s, 64 at most, and the receiver records them like those of its own leafs. The new field is empty from a daemon of an older release. Server-Limit is passed on among all daemons already; a pause (Retry-After of a 503) binds only the machine that the leaf answered.

--- a/crates/medlarpin-core/src/routing/stated_departures.rs
+++ b/crates/medlarpin-core/src/routing/stated_departures.rs
@@ -1,3 +1,4 @@
+use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
 use crate::ids::LeafId;
@@ -42,6 +43,19 @@
             .map(|index| self.departures[index].1)
     }
 
+    /// Returns the runs of leafs that have said so since then, the latest first, at most `max`.
+    #[must_use]
+    pub fn since(&self, at: Instant, max: usize) -> Vec<LeafId> {
+        let mut latest: Vec<&(LeafId, Instant)> = self
+            .departures
+            .iter()
+            .filter(|(_, stated_at)| *stated_at >= at)
+            .collect();
+        latest.sort_by_key(|(_, stated_at)| Reverse(*stated_at));
+        let runs = latest.into_iter().take(max).map(|(run, _)| run.clone());
+        runs.collect()
+    }
+
     fn position(&self, run: &LeafId) -> Result<usize, usize> {
         self.departures
             .binary_search_by(|(known, _)| known.cmp(run))
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -181,7 +181,7 @@
         record_pause(shared, leaf, pause);
     }
     if head.phase == LeafPhase::Draining {
-        shared.record_departure(leaf);
+        shared.record_departure(&leaf.entry.run_id());
     }
     // A rejection without a limit does not end one: it may come from the leaf's listener.
     if !head.not_executed || head.stated_rate != StatedRate::Unlimited {
--- a/crates/router/src/delegation.rs
+++ b/crates/router/src/delegation.rs
@@ -10,6 +10,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response};
+use medlarpin_core::ids::LeafId;
 use medlarpin_core::routing::{ConfigVersion, HINTS_MAX, Route};
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
@@ -30,6 +31,11 @@
 /// time on a VM with a twelfth of a core. The other daemon treats the query as having arrived that
 /// much earlier, so that its answer is in time.
 const DELEGATION_DELAY: Duration = Duration::from_millis(6);
+/// Age up to which another daemon is told, with an answer, that a leaf has said it is leaving: longer than a
+/// request takes.
+const DEPARTURES_AGE_MAX: Duration = Duration::from_secs(10);
+/// Maximum number of such leafs in an answer; each takes some 40 bytes.
+const DEPARTURES_MAX: usize = 64;
 /// Outcome of a request that was sent to another daemon.
 #[derive(Debug)]
 pub(crate) enum DelegationOutcome {
@@ -221,6 +227,9 @@
         let reaching = read_addresses(reply.get_reaching()?);
         return Ok((DelegationOutcome::NotServed { reaching }, config_version));
     }
+    for run in reply.get_leaving()?.iter().take(DEPARTURES_MAX) {
+        shared.record_departure(&LeafId::new(run?.to_str()?));
+    }
     let body = Bytes::copy_from_slice(reply.get_body()?);
     let mut answer = Response::builder().status(reply.get_status());
     if let Some(headers) = answer.headers_mut() {
@@ -268,6 +277,9 @@
     let (head, body) = answer.into_parts();
     let Ok(body) = body.collect().await;
     let mut reply = results.get();
+    let since = shared.now().checked_sub(DEPARTURES_AGE_MAX);
+    let leaving = since.map(|since| shared.leafs.departures_since(since, DEPARTURES_MAX));
+    write_runs(&leaving.unwrap_or_default(), reply.reborrow());
     reply.set_is_served(true);
     reply.set_status(head.status.as_u16());
     reply.set_body(&body.to_bytes());
@@ -329,6 +341,13 @@
     Ok(admitted.ok().map(|()| (Arc::new(request), route)))
 }
 
+fn write_runs(runs: &[LeafId], reply: route_peer::serve_request_results::Builder<'_>) {
+    let mut list = reply.init_leaving(len_u32(runs));
+    for (index, run) in (0..).zip(runs) {
+        list.set(index, run.as_str());
+    }
+}
+
 fn write_addresses(
     daemons: &[SocketAddr],
     mut list: capnp::struct_list::Builder<'_, daemon_address::Owned>,
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -75,8 +75,8 @@
         service: &'a str,
         pause_ms: u128,
     },
-    /// A leaf has said in an answer that it is leaving.
-    LeafStatedDeparture { leaf: &'a str, service: &'a str },
+    /// A run of a leaf has said in an answer, to this or another daemon, that it is leaving.
+    LeafStatedDeparture { leaf: &'a str },
     /// A leaf has not answered for so long that it gets no requests until it answers a health check.
     LeafSilent { leaf: &'a str, service: &'a str },
     /// A leaf that was out of reach can be reached again.
--- a/crates/router/src/leaf_table.rs
+++ b/crates/router/src/leaf_table.rs
@@ -149,13 +149,18 @@
         }
     }
 
-    /// Records that a leaf has said that it is leaving; returns true if that is news.
-    pub(crate) fn record_departure(&self, leaf: &Leaf, now: Instant) -> bool {
-        if !self.departures.lock().record(&leaf.entry.run_id(), now) {
+    /// Returns the runs of leafs that have said since then that they are leaving, the latest first.
+    pub(crate) fn departures_since(&self, at: Instant, max: usize) -> Vec<LeafId> {
+        self.departures.lock().since(at, max)
+    }
+
+    /// Records that a run of a leaf has said that it is leaving; returns true if that is news.
+    pub(crate) fn record_departure(&self, run: &LeafId, now: Instant) -> bool {
+        if !self.departures.lock().record(run, now) {
             return false;
         }
         let leafs = self.all().into_iter().map(|known| {
-            if known.entry.run_id() != leaf.entry.run_id() {
+            if known.entry.run_id() != *run {
                 return known;
             }
             let usable_until = self.usable_until(&known.entry, known.usable_until());
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use medlarpin_core::prelude::{Clock, FailureDomain, ServiceName};
+use medlarpin_core::prelude::{Clock, FailureDomain, LeafId, ServiceName};
 use medlarpin_core::routing::{
     ConfigCheck, DaemonList, DelegateSelector, HandoverSelector, KnownDaemon, ProcessStart,
     QueryAdmission, RETRY_RATIO_USED, RetryBudget, RetryLimits, Route, RoutingConfig,
@@ -321,14 +321,10 @@
         daemons.map_or_else(Vec::new, |daemons| daemons.lock().others(now).collect())
     }
 
-    /// Records that a leaf has said that it is leaving.
-    pub(crate) fn record_departure(&self, leaf: &Leaf) {
-        if self.leafs.record_departure(leaf, self.now()) {
-            Event::LeafStatedDeparture {
-                leaf: leaf.entry.id.as_str(),
-                service: leaf.entry.service.as_str(),
-            }
-            .log();
+    /// Records that a run of a leaf has said, to this or another daemon, that it is leaving.
+    pub(crate) fn record_departure(&self, run: &LeafId) {
+        if self.leafs.record_departure(run, self.now()) {
+            Event::LeafStatedDeparture { leaf: run.as_str() }.log();
         }
     }
 
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -264,9 +264,10 @@
   # gather the query, or does not reach the leafs. If isServed is false, no leaf got the request, and
   # reaching names daemons that have served requests of the receiver lately. configVersion is that in force
   # on either side, or 0 if it is not known; a request is not served under another one. isProven
-  # tells that leafs have answered an equal request of the sender lately. A daemon of an older
-  # release only serves queries over many shards.
-  serveRequest @3 (method :Text, path :Text, headers :List(Header), body :Data, ageMs :UInt32, timeLeftMs :UInt32, configVersion :UInt64, isProven :Bool) -> (isServed :Bool, status :UInt16, headers :List(Header), body :Data, reaching :List(DaemonAddress), configVersion :UInt64);
+  # tells that leafs have answered an equal request of the sender lately. leaving has the runs of leafs
+  # that have lately told the receiver that they leave. A daemon of an older release only serves queries over
+  # many shards.
+  serveRequest @3 (method :Text, path :Text, headers :List(Header), body :Data, ageMs :UInt32, timeLeftMs :UInt32, configVersion :UInt64, isProven :Bool) -> (isServed :Bool, status :UInt16, headers :List(Header), body :Data, reaching :List(DaemonAddress), configVersion :UInt64, leaving :List(Text));
   # Tells of crash reports that the receiver may not know; it passes on those that are new to it.
   reportCrashes @4 (reports :List(CrashReport)) -> ();
   # Tells of rates that leafs state; the receiver passes on those that change what it knows.
