--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -4,6 +4,7 @@
 //! store.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -14,12 +15,13 @@
     WatchCursor,
 };
 use platform::{Change, Item, Snapshot, Store, StoreError};
-use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::config_sync;
 use crate::event::Event;
+use crate::first_items::{self, ItemsOfDaemon};
 use crate::leaf_probe::report_withdrawn;
-use crate::peers::{self, FollowedDaemon, PeerError};
+use crate::peers::{FollowedDaemon, PeerError};
 use crate::published_items::Update;
 use crate::shared::{Shared, drain_grace};
 
@@ -44,12 +46,6 @@
 const RETRY_BACK_OFF_MIN: Duration = Duration::from_millis(100);
 /// Upper limit of the back-off.
 const RETRY_BACK_OFF_MAX: Duration = Duration::from_millis(800);
-/// Time limit of the first read at startup; it doubles with each of the first four failed reads.
-/// The store normally answers within milliseconds.
-const STARTUP_READ_TIMEOUT: Duration = Duration::from_millis(150);
-/// Number of daemons that are asked for the published items after each failed call at startup.
-/// Several are asked since the seeds may have just started as well.
-const STARTUP_PEERS_PER_FAILURE: u32 = 4;
 /// Interval at which connections that were idle for too long are closed.
 const IDLE_SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -99,6 +95,9 @@
 
     /// Runs until the task is dropped.
     pub(crate) async fn run(mut self) {
+        if !self.shared.leafs_loaded.load(Ordering::Relaxed) {
+            self.load_first_items().await;
+        }
         loop {
             let source = self.choose_source();
             let revision_before = self.shared.published_items.revision();
@@ -119,8 +118,7 @@
         let now = self.shared.now();
         let is_followed = self.has_follower(now);
         let source = match (&self.selector, &self.shared.daemons) {
-            // At startup the store is read: the other daemons may be starting at the same time.
-            (Some(selector), Some(daemons)) if self.shared.leafs_loaded.load(Ordering::Relaxed) => {
+            (Some(selector), Some(daemons)) => {
                 let seeds = &self.shared.settings.load().seed_addresses;
                 let all = daemons.lock().all(seeds, now);
                 selector.choose(&all, is_followed, now)
@@ -189,21 +187,28 @@
         self.shared.metrics.store_calls.inc();
         match self.read_or_watch_store(wait).await {
             Ok(StoreRead::Interrupted) => {}
-            Ok(StoreRead::Answered) => {
-                let now = self.shared.now();
-                if was_failing {
-                    Event::StoreReached {
-                        after_ms: (now - started).as_millis(),
-                        revision: self.cursor.revision().unwrap_or_default().number,
-                    }
-                    .log();
-                }
-                self.failures = 0;
-                if let Some(selector) = &mut self.selector {
-                    selector.store_answered(now);
-                }
+            Ok(StoreRead::Answered) => self.record_store_answer(started, was_failing),
+            Err(error) => {
+                self.record_store_failure(&error);
+                sleep(self.retry_back_off()).await;
+            }
+        }
+    }
+
+    /// Records that the store has answered a call made at `started`; `is_first` is true after a failed
+    /// call or at the start.
+    fn record_store_answer(&mut self, started: Instant, is_first: bool) {
+        let now = self.shared.now();
+        if is_first {
+            Event::StoreReached {
+                after_ms: (now - started).as_millis(),
+                revision: self.cursor.revision().unwrap_or_default().number,
             }
-            Err(error) => self.handle_store_failure(&error).await,
+            .log();
+        }
+        self.failures = 0;
+        if let Some(selector) = &mut self.selector {
+            selector.store_answered(now);
         }
     }
 
@@ -212,14 +217,8 @@
         let started = self.shared.now();
         match self.cursor.next_read() {
             NextRead::Snapshot => {
-                let snapshot = self.read_all().await?;
-                log_unreadable(snapshot.unreadable, snapshot.revision);
-                self.cursor.snapshot_read(snapshot.revision);
-                self.apply_snapshot(snapshot.items, snapshot.revision, Some(started));
-                self.shared
-                    .config_check
-                    .lock()
-                    .store_read(snapshot.revision);
+                let snapshot = self.store.read_all().await?;
+                self.apply_store_snapshot(snapshot, started);
             }
             NextRead::ChangesAfter(after) => {
                 let is_interruptible = wait > WATCH_WAIT;
@@ -305,16 +304,56 @@
         Ok(update)
     }
 
-    /// Reads all items. At startup the time limit is short at first, so that other daemons are soon
-    /// asked instead if the store hangs.
-    async fn read_all(&mut self) -> Result<Snapshot, StoreError> {
-        if self.shared.leafs_loaded.load(Ordering::Relaxed) {
-            return self.store.read_all().await;
+    /// Loads all items at the start, from the store or from another daemon, whichever has them first.
+    async fn load_first_items(&mut self) {
+        let shared = Arc::clone(&self.shared);
+        let mut from_daemon = pin!(first_items::fetch_from_daemons(&shared));
+        loop {
+            let started = self.shared.now();
+            self.shared.metrics.store_calls.inc();
+            tokio::select! {
+                biased;
+                read = self.store.read_all() => match read {
+                    Ok(snapshot) => {
+                        self.apply_store_snapshot(snapshot, started);
+                        return self.record_store_answer(started, true);
+                    }
+                    Err(error) => self.record_store_failure(&error),
+                },
+                loaded = &mut from_daemon => return self.apply_items_of_daemon(loaded),
+            }
+            tokio::select! {
+                biased;
+                loaded = &mut from_daemon => return self.apply_items_of_daemon(loaded),
+                () = sleep(self.retry_back_off()) => {}
+            }
         }
-        let limit = STARTUP_READ_TIMEOUT * (1 << self.failures.min(4));
-        timeout(limit, self.store.read_all())
-            .await
-            .unwrap_or(Err(StoreError::TimedOut(limit)))
+    }
+
+    fn apply_items_of_daemon(&mut self, loaded: ItemsOfDaemon) {
+        let ItemsOfDaemon {
+            daemon,
+            items,
+            revision,
+        } = loaded;
+        Event::ItemsFromDaemon {
+            daemon,
+            revision: revision.number,
+            items: items.len(),
+        }
+        .log();
+        self.apply_snapshot(items, revision, None);
+    }
+
+    /// Applies a snapshot of the store that was read from `started` on.
+    fn apply_store_snapshot(&mut self, snapshot: Snapshot, started: Instant) {
+        log_unreadable(snapshot.unreadable, snapshot.revision);
+        self.cursor.snapshot_read(snapshot.revision);
+        self.apply_snapshot(snapshot.items, snapshot.revision, Some(started));
+        self.shared
+            .config_check
+            .lock()
+            .store_read(snapshot.revision);
     }
 
     /// Replaces all items; leafs without an item are withdrawn.
@@ -439,7 +478,7 @@
         }
     }
 
-    async fn handle_store_failure(&mut self, error: &StoreError) {
+    fn record_store_failure(&mut self, error: &StoreError) {
         self.cursor.reset();
         Event::StoreFailed {
             error,
@@ -447,42 +486,17 @@
         }
         .log();
         self.shared.metrics.store_failures.inc();
-        for _ in 0..STARTUP_PEERS_PER_FAILURE {
-            if !self.shared.leafs_loaded.load(Ordering::Relaxed) {
-                self.load_from_peer().await;
-            }
-        }
-        let back_off_factor = 1_u32 << self.failures.min(3);
         self.failures = self.failures.saturating_add(1);
         if let Some(selector) = &mut self.selector {
             selector.store_failed(self.shared.now());
         }
-        let back_off = (RETRY_BACK_OFF_MIN * back_off_factor).min(RETRY_BACK_OFF_MAX);
-        sleep(back_off.mul_f64(0.5 + rand::random::<f64>() / 2.0)).await;
     }
 
-    /// Loads the items from another daemon, for a startup while the store is unreachable.
-    async fn load_from_peer(&mut self) {
-        let Some(peer) = peers::next_peer(&self.shared) else {
-            return;
-        };
-        match peers::fetch_items(peer).await {
-            Ok((items, revision)) if revision > StoreRevision::default() => {
-                Event::ItemsFromDaemon {
-                    daemon: peer,
-                    revision: revision.number,
-                    items: items.len(),
-                }
-                .log();
-                self.apply_snapshot(items, revision, None);
-            }
-            Ok(_) => {}
-            Err(error) => Event::DaemonUnreachable {
-                daemon: peer,
-                error: &error,
-            }
-            .log(),
-        }
+    /// Returns the pause after the latest failed call to the store, with jitter.
+    fn retry_back_off(&self) -> Duration {
+        let factor = 1_u32 << self.failures.saturating_sub(1).min(3);
+        let back_off = (RETRY_BACK_OFF_MIN * factor).min(RETRY_BACK_OFF_MAX);
+        back_off.mul_f64(0.5 + rand::random::<f64>() / 2.0)
     }
 
     /// Removes the withdrawn leafs whose grace period has passed.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -16,6 +16,7 @@
 mod error;
 mod event;
 mod evidence_recorder;
+mod first_items;
 mod flooding;
 mod forward;
 mod handover;
