Probe leafs that are back before those that are still down

Cause: after an outage of many leafs, a daemon starts at most 16 probes each 200 ms in the order of their names, and leafs that are still down keep the permits for the time limit of a connection.

Change: probes of leafs without a failed one come first, with permits of their own, and the next one starts as soon as one has ended.

--- a/crates/medlarpin-core/src/routing/leaf_load.rs
+++ b/crates/medlarpin-core/src/routing/leaf_load.rs
@@ -1,5 +1,7 @@
 use std::time::{Duration, Instant};
 
+use super::ProbeDue;
+
 /// Back-off after a rejected request; within this time, a full leaf finishes a queued request.
 pub const SHED_BACK_OFF: Duration = Duration::from_millis(40);
 /// First back-off after a failed connection attempt or repeatedly lost answers; doubles with each
@@ -176,12 +178,14 @@
         self.unreachable
     }
 
-    /// Returns how to probe the leaf now: it is unreachable, and the back-off since the last attempt
-    /// is over.
+    /// Returns the probe that the leaf needs now: it is unreachable, and the back-off since the last
+    /// attempt is over.
     #[must_use]
-    pub fn probe_due(&self, now: Instant) -> Option<Unreachable> {
-        self.unreachable
-            .filter(|_| self.blocked_until(now).is_none())
+    pub fn probe_due(&self, now: Instant) -> Option<ProbeDue> {
+        let how = self
+            .unreachable
+            .filter(|_| self.blocked_until(now).is_none())?;
+        Some(ProbeDue::new(how, self.failures))
     }
 
     /// Records a probe without an answer.
--- a/crates/medlarpin-core/tests/routing_choice.rs
+++ b/crates/medlarpin-core/tests/routing_choice.rs
@@ -4,9 +4,9 @@
 
 use medlarpin_core::prelude::*;
 use medlarpin_core::routing::{
-    Candidate, LEAF_SILENCE_TIMEOUT, LeafLoad, PAUSE_MAX, Repeatability, Route, RouteTable,
-    RouteTarget, SHED_BACK_OFF, UNANSWERED_MIN, Unreachable, WeightedRoundRobin, WeightedService,
-    choose_replica,
+    Candidate, LEAF_SILENCE_TIMEOUT, LeafLoad, PAUSE_MAX, ProbeDue, Repeatability, Route,
+    RouteTable, RouteTarget, SHED_BACK_OFF, UNANSWERED_MIN, Unreachable, WeightedRoundRobin,
+    WeightedService, choose_replica,
 };
 
 const TYPICAL: Duration = Duration::from_millis(20);
@@ -278,7 +278,10 @@
     let mut load = LeafLoad::default();
     load.answered(TYPICAL, TYPICAL, start);
     load.suspect(now);
-    assert_eq!(load.probe_due(now), Some(Unreachable::Silent));
+    assert_eq!(
+        load.probe_due(now).map(ProbeDue::how),
+        Some(Unreachable::Silent)
+    );
 
     let mut load = LeafLoad::default();
     load.answered(TYPICAL, TYPICAL, now);
@@ -296,7 +299,10 @@
     assert_eq!(load.probe_due(now), None);
     for _ in 0..3 {
         now = load.blocked_until(now).unwrap_or(now);
-        assert_eq!(load.probe_due(now), Some(Unreachable::Refused));
+        assert_eq!(
+            load.probe_due(now).map(ProbeDue::how),
+            Some(Unreachable::Refused)
+        );
         load.probe_failed(now);
         assert_eq!(load.probe_due(now), None);
         assert_eq!(load.unreachable(), Some(Unreachable::Refused));
@@ -327,3 +333,26 @@
     load.asked_for_pause(Duration::MAX, now);
     assert_eq!(load.blocked_until(now), Some(now + PAUSE_MAX));
 }
+
+/// Guards against leafs that are back after an outage of many and wait behind those that are still down:
+/// each of these takes the time limit of a probe.
+#[test]
+fn leafs_without_a_failed_probe_are_probed_first() {
+    let now = Instant::now();
+    let check = |failed_probes: u32, first: bool| {
+        let mut load = LeafLoad::default();
+        load.suspect(now);
+        let mut at = now;
+        for _ in 0..failed_probes {
+            load.probe_failed(at);
+            at += Duration::from_secs(2);
+        }
+        let due = load.probe_due(at).expect("a probe is due");
+        assert_eq!(due.is_first(), first, "{failed_probes} failed probes");
+        due.order()
+    };
+    let orders: Vec<u32> = [(0, true), (1, false), (2, false), (5, false)]
+        .map(|(failed_probes, first)| check(failed_probes, first))
+        .to_vec();
+    assert!(orders.is_sorted(), "{orders:?}");
+}
--- a/crates/router/src/leaf_probe.rs
+++ b/crates/router/src/leaf_probe.rs
@@ -8,9 +8,9 @@
 use hyper::Request;
 use hyper::header::HOST;
 use medlarpin_core::prelude::LeafId;
-use medlarpin_core::routing::{LEAF_SILENCE_TIMEOUT, Unreachable};
+use medlarpin_core::routing::{LEAF_SILENCE_TIMEOUT, ProbeDue, Unreachable};
 use tokio::sync::Semaphore;
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout, timeout_at};
 
 use crate::event::Event;
 use crate::leaf::{Leaf, LeafConnection};
@@ -18,8 +18,9 @@
 
 /// Interval at which all leafs are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// Maximum number of probes at a time. It bounds the connections that are opened together when the
-/// links of a VM are back, and the cost while hundreds of leafs are out of reach.
+/// Maximum number of first probes at a time, and of further ones. It bounds the connections that are opened
+/// together when the links of a VM are back, and the cost while hundreds of leafs are out of reach. Leafs
+/// that are still down take the time limit of a connection each, and must not delay those that are back.
 const PROBES_MAX: usize = 16;
 /// Time limit of the answer to a health check. A leaf answers it after the requests in its queue.
 const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(800);
@@ -28,32 +29,55 @@
 pub(crate) async fn check_leafs(shared: Arc<Shared>) {
     let mut ticks = interval(CHECK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let permits = Arc::new(Semaphore::new(PROBES_MAX));
+    let first_probes = Arc::new(Semaphore::new(PROBES_MAX));
+    let further_probes = Arc::new(Semaphore::new(PROBES_MAX));
     loop {
         ticks.tick().await;
         let now = shared.now();
         shared.leafs.check_links(now);
         // Few of the leafs need anything.
         let concerned = shared.leafs.filter(|leaf| leaf.load().needs_check(now));
+        let mut due = Vec::new();
         for leaf in concerned {
             check_silence(&shared, &leaf);
             report_unanswered(&shared, &leaf);
-            let due = leaf.load().probe_due(now);
-            let Some(how) = due.filter(|_| leaf.is_usable(now)) else {
-                continue;
-            };
-            let Some(guard) = leaf.start_probe() else {
-                continue;
-            };
-            let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
-                break;
-            };
-            let shared = Arc::clone(&shared);
-            tokio::spawn(async move {
-                probe(&shared, &leaf, how).await;
-                drop((guard, permit));
-            });
+            let probe_due = leaf.load().probe_due(now);
+            if let Some(probe_due) = probe_due
+                && leaf.is_usable(now)
+            {
+                due.push((probe_due, leaf));
+            }
         }
+        due.sort_by_key(|(probe_due, _)| probe_due.order());
+        let (first, further): (Vec<_>, Vec<_>) = due
+            .into_iter()
+            .partition(|(probe_due, _)| probe_due.is_first());
+        tokio::join!(
+            start_probes(&shared, first, &first_probes),
+            start_probes(&shared, further, &further_probes),
+        );
+    }
+}
+
+/// Starts probes in the given order, as many as get a permit within the interval of the checks.
+async fn start_probes(
+    shared: &Arc<Shared>,
+    due: Vec<(ProbeDue, Arc<Leaf>)>,
+    permits: &Arc<Semaphore>,
+) {
+    let until = Instant::now() + CHECK_INTERVAL;
+    for (probe_due, leaf) in due {
+        let Some(guard) = leaf.start_probe() else {
+            continue;
+        };
+        let Ok(Ok(permit)) = timeout_at(until, Arc::clone(permits).acquire_owned()).await else {
+            return;
+        };
+        let shared = Arc::clone(shared);
+        tokio::spawn(async move {
+            probe(&shared, &leaf, probe_due.how()).await;
+            drop((guard, permit));
+        });
     }
 }
 
