--- a/crates/medlarpin-core/src/routing/mod.rs
+++ b/crates/medlarpin-core/src/routing/mod.rs
@@ -6,6 +6,7 @@
 mod config_check;
 mod daemon_list;
 mod delegate_selector;
+mod evacuated_domains;
 mod gather_policy;
 mod handover_selector;
 mod known_daemon;
@@ -46,6 +47,7 @@
 pub use delegate_selector::{
     CAPACITY_RATIO_MIN, DELEGATE_BACK_OFF, DelegateSelector, LEAF_REQUEST_CPU, OWN_CPU_SHARE_MAX,
 };
+pub use evacuated_domains::{EvacuatedDomains, Evacuation, EvacuationChanges, RETURNS_MAX};
 pub use gather_policy::{GatherPolicy, GatherStep};
 pub use handover_selector::{
     HANDOVER_BACK_OFF, HANDOVER_RETRY_DELAY, HANDOVERS_MAX, HANDOVERS_MAX_AFTER_FAILURE, HINTS_MAX,
