Decode the keys of evacuations and pass them on between daemons

The store's client filtered these keys out. Replies with items state whether the keys are included, which an older release does not, and exchanges carry the domains that stay evacuated after a restore.

--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -248,18 +248,28 @@
   isWithdrawn @2 :Bool;
 }
 
+# A failure domain that stays evacuated for a while after the store was restored from a copy that lacks
+# the key of the evacuation.
+struct KeptEvacuation {
+  failureDomain @0 :Text;
+  timeLeftMs @1 :UInt32;
+}
+
 # Protocol between daemons that serve published routes.
 interface RoutePeer {
   # Exchanges the daemons that both sides know, their quarantined requests, the versions of their
-  # configurations in force, 0 if there is none, and their latest crash reports.
-  greet @0 (sender :KnownDaemon, known :List(KnownDaemon), quarantines :List(Quarantine), configVersion :UInt64, crashes :List(CrashReport)) -> (known :List(KnownDaemon), responder :KnownDaemon, quarantines :List(Quarantine), configVersion :UInt64, crashes :List(CrashReport));
+  # configurations in force, 0 if there is none, their latest crash reports, and the evacuations that a
+  # restored store lacks.
+  greet @0 (sender :KnownDaemon, known :List(KnownDaemon), quarantines :List(Quarantine), configVersion :UInt64, crashes :List(CrashReport), keptEvacuations :List(KeptEvacuation)) -> (known :List(KnownDaemon), responder :KnownDaemon, quarantines :List(Quarantine), configVersion :UInt64, crashes :List(CrashReport), keptEvacuations :List(KeptEvacuation));
   # Returns all items at a revision of the store; revision 0 if the peer has not read them yet. era
-  # rises each time the store is restored from a copy and gives revisions out again.
-  publishedItems @1 () -> (revision :UInt64, items :List(PublishedItem), era :UInt64);
+  # rises each time the store is restored from a copy and gives revisions out again. passesEvacuations
+  # tells that the items include the keys of evacuated failure domains, which a daemon of an older release
+  # leaves out.
+  publishedItems @1 () -> (revision :UInt64, items :List(PublishedItem), era :UInt64, passesEvacuations :Bool);
   # Waits for changes after a revision. If isWhole, the reply holds all published items, because the
   # peer does not know the individual changes. storeSilentMs is the time since the peer last heard
-  # from the store.
-  publishedChanges @2 (afterRevision :UInt64, waitMs :UInt32, afterEra :UInt64) -> (revision :UInt64, storeSilentMs :UInt32, isWhole :Bool, items :List(PublishedItem), era :UInt64);
+  # from the store. passesEvacuations has the same meaning as in publishedItems.
+  publishedChanges @2 (afterRevision :UInt64, waitMs :UInt32, afterEra :UInt64) -> (revision :UInt64, storeSilentMs :UInt32, isWhole :Bool, items :List(PublishedItem), era :UInt64, passesEvacuations :Bool);
   # Serves a request on behalf of the sender, whose caller sent it ageMs ago: its VM is too small to
   # gather the query, or does not reach the leafs. If isServed is false, no leaf got the request, and
   # reaching names daemons that have served requests of the receiver lately. configVersion is that in force
