Send no request to leafs of evacuated failure domains

The leaf table keeps the evacuated domains and a flag at each leaf, which the choice of a leaf, probes, checks of lost leafs and link suspicion ask; attempts and health checks ask once more right before they write. Followers get all items over a restore, and daemons that do not pass the keys on are not followed.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -52,7 +52,12 @@
                 now,
             ),
             Err(LeafFailure::Shed) => load.shed(now),
-            Err(LeafFailure::ConnectionLimit | LeafFailure::Paused | LeafFailure::Encoding) => {}
+            Err(
+                LeafFailure::ConnectionLimit
+                | LeafFailure::Paused
+                | LeafFailure::Evacuated
+                | LeafFailure::Encoding,
+            ) => {}
             Err(LeafFailure::BrokenOff | LeafFailure::Foreign | LeafFailure::TooLarge) => {
                 load.answer_lost(now);
             }
@@ -108,6 +113,11 @@
             leaf.release(connection, None, shared.now());
             return Err(LeafFailure::Paused);
         }
+        // So may the operator; the connection is of no use then.
+        if shared.leafs.is_evacuated(leaf) {
+            shared.metrics.evacuated_requests.inc();
+            return Err(LeafFailure::Evacuated);
+        }
         let leaf_request = request
             .for_leaf(leaf.entry.id.as_str(), shared.now())
             .ok_or(LeafFailure::Encoding)?;
--- a/crates/router/src/crash_reports.rs
+++ b/crates/router/src/crash_reports.rs
@@ -107,6 +107,12 @@
         for report in reports {
             let domain = domains.binary_search(&report.leaf.entry.failure_domain);
             let neighbours = domain.map_or(NeighbourSign::Nobody, |index| neighbours[index]);
+            // Leafs of an evacuated domain are not asked, and may have been stopped.
+            if shared.leafs.is_evacuated(&report.leaf) {
+                shared.metrics.lost_leafs_dismissed.inc();
+                shared.crash_memory.dismiss(&report);
+                continue;
+            }
             match judge(shared, &report, sign, neighbours) {
                 LossVerdict::Ended => {
                     shared.metrics.lost_leafs_counted.inc();
--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -17,9 +17,10 @@
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::config_sync;
+use crate::evacuations::{self, KeyChange};
 use crate::event::Event;
 use crate::leaf_probe::report_withdrawn;
-use crate::peers::{self, FollowedDaemon, PeerError};
+use crate::peers::{self, FetchedItems, FollowedDaemon, PeerError};
 use crate::published_items::Update;
 use crate::shared::{Shared, drain_grace};
 
@@ -50,6 +51,9 @@
 /// Number of daemons that are asked for the published items after each failed call at startup.
 /// Several are asked since the seeds may have just started as well.
 const STARTUP_PEERS_PER_FAILURE: u32 = 4;
+/// Number of failed calls to the store after which a daemon that starts loads the items of one that does
+/// not pass evacuations on. Before, which takes some seconds, it looks for another one.
+const FAILURES_BEFORE_INCOMPLETE_ITEMS: u32 = 4;
 /// Interval at which connections that were idle for too long are closed.
 const IDLE_SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -110,7 +114,7 @@
             if self.shared.published_items.revision() != revision_before {
                 sleep(self.change_debounce(source)).await;
             }
-            self.remove_expired_leafs();
+            self.remove_expired();
         }
     }
 
@@ -214,8 +218,10 @@
             NextRead::Snapshot => {
                 let snapshot = self.read_all().await?;
                 log_unreadable(snapshot.unreadable, snapshot.revision);
+                let invalid = &snapshot.invalid_evacuations;
+                evacuations::record_invalid(&self.shared.metrics, invalid, snapshot.revision);
                 self.cursor.snapshot_read(snapshot.revision);
-                self.apply_snapshot(snapshot.items, snapshot.revision, Some(started));
+                self.apply_snapshot(snapshot.items, snapshot.revision, Some(started), true);
                 self.shared
                     .config_check
                     .lock()
@@ -230,6 +236,8 @@
                     }
                 };
                 log_unreadable(watched.unreadable, watched.revision);
+                let invalid = &watched.invalid_evacuations;
+                evacuations::record_invalid(&self.shared.metrics, invalid, watched.revision);
                 if self.cursor.advance(watched.total, watched.revision) {
                     let now = self.shared.now();
                     self.apply_changes(watched.changes, watched.revision, Some(now));
@@ -264,6 +272,11 @@
                 return selector.daemon_failed(daemon, now);
             }
         };
+        // Its changes would hide those of evacuations.
+        if update.revision > StoreRevision::default() && !update.has_evacuations {
+            Event::DaemonLacksEvacuations { daemon }.log();
+            return selector.daemon_failed(daemon, now);
+        }
         let known = self.shared.published_items.revision();
         match update.current_at {
             Some(_) if update.revision >= known => selector.daemon_answered(),
@@ -287,7 +300,7 @@
             self.cursor.snapshot_read(update.revision);
         }
         if update.is_snapshot {
-            self.apply_snapshot(update.items, update.revision, update.current_at);
+            self.apply_snapshot(update.items, update.revision, update.current_at, true);
         } else {
             self.apply_changes(update.items, update.revision, update.current_at);
         }
@@ -299,7 +312,13 @@
             Some(followed) if followed.can_serve(daemon, now) => followed,
             _ => FollowedDaemon::connect(daemon, now).await?,
         };
-        let known = self.shared.published_items.revision();
+        let published = &self.shared.published_items;
+        // Changes alone would leave out the evacuations that began before.
+        let known = if published.has_evacuations() {
+            published.revision()
+        } else {
+            StoreRevision::default()
+        };
         let update = followed.changes_since(known, &*self.shared.clock).await?;
         self.followed = Some(followed);
         Ok(update)
@@ -317,14 +336,17 @@
             .unwrap_or(Err(StoreError::TimedOut(limit)))
     }
 
-    /// Replaces all items; leafs without an item are withdrawn.
+    /// Replaces all items; leafs without an item are withdrawn. `has_evacuations` tells whether the items
+    /// include the keys of evacuated failure domains.
     fn apply_snapshot(
         &mut self,
         items: Vec<Item>,
         revision: StoreRevision,
         current_at: Option<Instant>,
+        has_evacuations: bool,
     ) {
         let observed = self.observation_time(revision);
+        let mut keys = Vec::new();
         let mut entries = Vec::new();
         let mut usable = Vec::with_capacity(items.len());
         for item in items {
@@ -334,17 +356,22 @@
             let is_usable = !matches!(change, Change::Unusable { .. });
             match change {
                 Change::Leaf(entry) => entries.push(entry),
-                change => self.apply_change(&item, change, revision, observed),
+                change => self.apply_change(&item, change, revision, observed, &mut keys),
             }
             if is_usable {
                 usable.push(item);
             }
         }
+        // Before the leafs can be used.
+        if has_evacuations {
+            let shared = &self.shared;
+            evacuations::replace_all(&shared.leafs, &shared.metrics, keys, revision, observed.now);
+        }
         self.directory.replace_all(entries, observed);
         self.update_leaf_table();
         self.shared.leafs_loaded.store(true, Ordering::Relaxed);
         let published = &self.shared.published_items;
-        published.replace_all(usable, revision, current_at);
+        published.replace_all(usable, revision, current_at, has_evacuations);
     }
 
     /// Applies changes, oldest first.
@@ -356,6 +383,7 @@
     ) {
         if !items.is_empty() {
             let observed = self.observation_time(revision);
+            let mut keys = Vec::new();
             for item in &mut items {
                 let Some(change) = item.decode() else {
                     continue;
@@ -364,8 +392,16 @@
                 if matches!(change, Change::Unusable { .. }) {
                     item.value = None;
                 }
-                self.apply_change(item, change, revision, observed);
+                self.apply_change(item, change, revision, observed, &mut keys);
             }
+            let shared = &self.shared;
+            evacuations::apply_changes(
+                &shared.leafs,
+                &shared.metrics,
+                &keys,
+                revision,
+                observed.now,
+            );
             self.update_leaf_table();
         }
         self.shared
@@ -393,12 +429,14 @@
         }
     }
 
+    /// Applies a change; those of evacuations are collected in `keys`.
     fn apply_change(
         &mut self,
         item: &Item,
         change: Change,
         revision: StoreRevision,
         observed: ObservationTime,
+        keys: &mut Vec<KeyChange>,
     ) {
         match change {
             Change::Config(config) => config_sync::offer(&self.shared, *config, item),
@@ -416,6 +454,14 @@
                 }
             }
             Change::LeafWithdrawn(leaf) => self.withdraw_leaf(&leaf, revision, observed),
+            Change::Evacuated(domain) => keys.push(KeyChange {
+                domain,
+                is_evacuated: true,
+            }),
+            Change::ReturnedToService(domain) => keys.push(KeyChange {
+                domain,
+                is_evacuated: false,
+            }),
             Change::Unusable { key, leaf, error } => {
                 Event::EntryUnusable {
                     key: &key,
@@ -467,14 +513,26 @@
             return;
         };
         match peers::fetch_items(peer).await {
-            Ok((items, revision)) if revision > StoreRevision::default() => {
+            Ok(fetched)
+                if !fetched.has_evacuations
+                    && fetched.revision > StoreRevision::default()
+                    && self.failures < FAILURES_BEFORE_INCOMPLETE_ITEMS =>
+            {
+                Event::DaemonLacksEvacuations { daemon: peer }.log();
+            }
+            Ok(fetched) if fetched.revision > StoreRevision::default() => {
+                let FetchedItems {
+                    items,
+                    revision,
+                    has_evacuations,
+                } = fetched;
                 Event::ItemsFromDaemon {
                     daemon: peer,
                     revision: revision.number,
                     items: items.len(),
                 }
                 .log();
-                self.apply_snapshot(items, revision, None);
+                self.apply_snapshot(items, revision, None, has_evacuations);
             }
             Ok(_) => {}
             Err(error) => Event::DaemonUnreachable {
@@ -485,8 +543,12 @@
         }
     }
 
-    /// Removes the withdrawn leafs whose grace period has passed.
-    fn remove_expired_leafs(&mut self) {
+    /// Removes the withdrawn leafs whose grace period has passed, and ends the evacuations whose keys a
+    /// restore has removed.
+    fn remove_expired(&mut self) {
+        let shared = &self.shared;
+        let revision = shared.published_items.revision();
+        evacuations::expire(&shared.leafs, &shared.metrics, revision, shared.now());
         if !self.directory.expire(self.shared.now()).is_empty() {
             self.update_leaf_table();
         }
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -152,6 +152,29 @@
         #[serde(serialize_with = "as_text")]
         error: &'a EntryError,
     },
+    /// Failure domains are evacuated: their leafs get no requests.
+    DomainsEvacuated {
+        /// Names of some of the domains.
+        failure_domains: &'a [&'a str],
+        count: usize,
+        revision: u64,
+    },
+    /// Evacuated failure domains are back in service.
+    DomainsReturned {
+        /// Names of some of the domains.
+        failure_domains: &'a [&'a str],
+        count: usize,
+        revision: u64,
+    },
+    /// Keys of evacuations name no failure domain.
+    EvacuationsInvalid {
+        count: usize,
+        /// The first of these keys, which may be shortened.
+        first: &'a str,
+        revision: u64,
+    },
+    /// A daemon was not followed because it does not pass evacuations on.
+    DaemonLacksEvacuations { daemon: SocketAddr },
     /// A leaf was published for the first time, or its published entry changed.
     LeafChanged {
         leaf: &'a str,
@@ -206,6 +229,8 @@
         leaving: usize,
         /// Leafs that get no requests for a back-off time after failures or rejections.
         blocked: usize,
+        /// Leafs whose failure domain is evacuated.
+        evacuated: usize,
         /// Leafs of whose stated request rate this daemon has used its share.
         rate_limited: usize,
     },
@@ -354,6 +379,10 @@
             | Self::ConfigFromDaemon { .. }
             | Self::ConfigIgnored { .. }
             | Self::ItemsUnreadable { .. }
+            | Self::DomainsEvacuated { .. }
+            | Self::DomainsReturned { .. }
+            | Self::EvacuationsInvalid { .. }
+            | Self::DaemonLacksEvacuations { .. }
             | Self::EntryUnusable { .. } => "config",
             Self::LeafChanged { .. }
             | Self::LeafWithdrawn { .. }
--- a/crates/router/src/leaf.rs
+++ b/crates/router/src/leaf.rs
@@ -101,6 +101,8 @@
     open: AtomicU32,
     /// True while a probe is in progress.
     is_probed: AtomicBool,
+    /// True while the failure domain that the newest entry names is evacuated.
+    is_evacuated: AtomicBool,
     runs: Arc<LeafRuns>,
 }
 
@@ -358,9 +360,28 @@
         self.open_connections() < connections_max || !self.link.idle.lock().is_empty()
     }
 
-    /// Returns true unless the leaf's time for new requests is over, or another leaf has its address.
+    /// Returns true unless the leaf's time for new requests is over, its failure domain is evacuated, or
+    /// another leaf has its address.
     pub(crate) fn is_usable(&self, now: Instant) -> bool {
-        self.usable_until.is_none_or(|at| now < at) && !self.load().is_replaced()
+        self.usable_until.is_none_or(|at| now < at)
+            && !self.is_evacuated()
+            && !self.load().is_replaced()
+    }
+
+    /// Returns true while the failure domain that the leaf's newest entry names is evacuated.
+    pub(crate) fn is_evacuated(&self) -> bool {
+        self.link.is_evacuated.load(Ordering::Relaxed)
+    }
+
+    /// Records whether the leaf's failure domain is evacuated.
+    pub(crate) fn set_evacuated(&self, is_evacuated: bool, now: Instant) {
+        let was_evacuated = self.link.is_evacuated.swap(is_evacuated, Ordering::Relaxed);
+        match (was_evacuated, is_evacuated) {
+            (false, true) => self.close_idle(),
+            // That they were not answered tells nothing: the leafs may have been stopped meanwhile.
+            (true, false) => drop(self.link.runs.take(now)),
+            (true, true) | (false, false) => {}
+        }
     }
 
     /// Returns true if the leaf is draining or was withdrawn.
--- a/crates/router/src/leaf_probe.rs
+++ b/crates/router/src/leaf_probe.rs
@@ -33,8 +33,11 @@
         ticks.tick().await;
         let now = shared.now();
         shared.leafs.check_links(now);
-        // Few of the leafs need anything.
-        let concerned = shared.leafs.filter(|leaf| leaf.load().needs_check(now));
+        // Few of the leafs need anything. The silence of an evacuated one tells nothing: its VM may have been
+        // stopped.
+        let concerned = shared
+            .leafs
+            .filter(|leaf| !leaf.is_evacuated() && leaf.load().needs_check(now));
         for leaf in concerned {
             check_silence(&shared, &leaf);
             report_unanswered(&shared, &leaf);
@@ -79,7 +82,10 @@
     for leaf in withdrawn {
         shared.crash_memory.leaf_withdrawn(leaf);
         let runs = leaf.runs().take(now);
-        shared.crash_memory.record_unanswered(leaf, &runs, now);
+        // Leafs of an evacuated domain are stopped, whatever they run.
+        if !shared.leafs.is_evacuated(leaf) {
+            shared.crash_memory.record_unanswered(leaf, &runs, now);
+        }
     }
 }
 
@@ -93,7 +99,8 @@
         // They have probably fallen silent as well.
         leaf.close_idle();
         let now = shared.now();
-        for other in shared.leafs.for_service(&leaf.entry.service) {
+        let others = shared.leafs.for_service(&leaf.entry.service);
+        for other in others.iter().filter(|other| !other.is_evacuated()) {
             other.load().suspect(now);
         }
     }
@@ -112,7 +119,10 @@
     };
     let now = shared.now();
     let Some(connection) = connection else {
-        return leaf.load().probe_failed(now);
+        if !shared.leafs.is_evacuated(leaf) {
+            leaf.load().probe_failed(now);
+        }
+        return;
     };
     leaf.load().reached(now);
     Event::LeafReached {
@@ -131,7 +141,7 @@
     pub(crate) answered_by: Option<LeafId>,
 }
 
-/// Sends a health check; `None` if there is no answer.
+/// Sends a health check; `None` if there is no answer, or if the leaf's failure domain has been evacuated.
 pub(crate) async fn check_health(
     shared: &Shared,
     leaf: &Leaf,
@@ -144,6 +154,11 @@
         .header(HOST, leaf.entry.address.to_string())
         .body(Full::<Bytes>::default())
         .ok()?;
+    // The domain may have been evacuated while the connection was being opened.
+    if shared.leafs.is_evacuated(leaf) {
+        shared.metrics.evacuated_requests.inc();
+        return None;
+    }
     let answered = timeout(
         HEALTH_CHECK_TIMEOUT,
         connection.sender.send_request(request),
--- a/crates/router/src/leaf_table.rs
+++ b/crates/router/src/leaf_table.rs
@@ -2,8 +2,10 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
-use medlarpin_core::prelude::{LeafId, ServiceName};
-use medlarpin_core::routing::{LeafDirectory, LeafEntry, LinkSuspicion, StatedDepartures};
+use medlarpin_core::prelude::{FailureDomain, LeafId, ServiceName};
+use medlarpin_core::routing::{
+    EvacuatedDomains, LeafDirectory, LeafEntry, LinkSuspicion, StatedDepartures,
+};
 use parking_lot::Mutex;
 
 use crate::event::Event;
@@ -21,6 +23,8 @@
     unlisted: Mutex<UnlistedLeafs>,
     departures: Mutex<StatedDepartures>,
     links: Mutex<LinkSuspicion>,
+    /// Locked while the flags of the leafs are set from it.
+    evacuations: Mutex<EvacuatedDomains>,
     /// Time for which a leaf that says it is leaving is still used if its service has no other leaf.
     drain_grace: Duration,
 }
@@ -33,6 +37,7 @@
             unlisted: Mutex::default(),
             departures: Mutex::default(),
             links: Mutex::default(),
+            evacuations: Mutex::default(),
             drain_grace,
         }
     }
@@ -109,11 +114,71 @@
             }
         }
         drop(unlisted);
+        let evacuations = self.evacuations.lock();
+        set_evacuated(&leafs, &evacuations, now);
         self.store(leafs);
+        drop(evacuations);
         self.check_links(now);
         withdrawn
     }
 
+    /// Changes the evacuated failure domains, which takes effect on all leafs at once; returns the result
+    /// and the number of evacuated domains.
+    pub(crate) fn change_evacuations<T>(
+        &self,
+        now: Instant,
+        change: impl FnOnce(&mut EvacuatedDomains) -> T,
+    ) -> (T, usize) {
+        let mut evacuations = self.evacuations.lock();
+        let result = change(&mut evacuations);
+        set_evacuated(&self.all(), &evacuations, now);
+        (result, evacuations.evacuations().len())
+    }
+
+    /// Calls a function with the evacuated failure domains.
+    pub(crate) fn with_evacuations<T>(&self, read: impl FnOnce(&EvacuatedDomains) -> T) -> T {
+        read(&self.evacuations.lock())
+    }
+
+    /// Returns true if a leaf must get no request because its failure domain is evacuated. Unlike
+    /// [`Leaf::is_evacuated`], this also holds for a leaf that is no longer listed.
+    pub(crate) fn is_evacuated(&self, leaf: &Leaf) -> bool {
+        leaf.is_evacuated()
+            || self.with_evacuations(|domains| domains.is_evacuated(&leaf.entry.failure_domain))
+    }
+
+    /// Returns the time at which a failure domain was last returned to service; `None` if this process
+    /// has not seen that, or if the domain is evacuated.
+    #[allow(dead_code, reason = "the limits of cold leafs will use it")]
+    pub(crate) fn returned_at(&self, domain: &FailureDomain) -> Option<Instant> {
+        self.with_evacuations(|domains| domains.returned_at(domain))
+    }
+
+    /// Returns the domains of published leafs that stay evacuated only because their keys may have been
+    /// lost by a restore of the store, each with the time left; at most `max`.
+    pub(crate) fn kept_evacuations(
+        &self,
+        max: usize,
+        now: Instant,
+    ) -> Vec<(FailureDomain, Duration)> {
+        let mut kept: Vec<(FailureDomain, Duration)> = self.with_evacuations(|domains| {
+            let kept = domains.kept(now);
+            kept.map(|(domain, left)| (domain.clone(), left)).collect()
+        });
+        if kept.is_empty() {
+            return kept;
+        }
+        let mut named: Vec<FailureDomain> = self
+            .all()
+            .iter()
+            .map(|leaf| leaf.entry.failure_domain.clone())
+            .collect();
+        named.sort_unstable();
+        kept.retain(|(domain, _)| named.binary_search(domain).is_ok());
+        kept.truncate(max);
+        kept
+    }
+
     /// Lets the leafs that have not answered lately be probed before they get requests, if the links of
     /// this VM have probably failed.
     pub(crate) fn check_links(&self, now: Instant) {
@@ -200,3 +265,10 @@
         }
     }
 }
+
+fn set_evacuated(leafs: &[Arc<Leaf>], evacuations: &EvacuatedDomains, now: Instant) {
+    for leaf in leafs {
+        let is_evacuated = evacuations.is_evacuated(&leaf.entry.failure_domain);
+        leaf.set_evacuated(is_evacuated, now);
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -14,6 +14,7 @@
 mod delegation;
 mod discovery;
 mod error;
+mod evacuations;
 mod event;
 mod evidence_recorder;
 mod flooding;
--- a/crates/router/src/loss_check.rs
+++ b/crates/router/src/loss_check.rs
@@ -20,8 +20,11 @@
 /// Time limit of each check. Requests that are equal to the one that lost a leaf are refused meanwhile.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Asks a lost leaf for its health on a new connection.
+/// Asks a lost leaf for its health on a new connection, unless its failure domain is evacuated.
 pub(crate) async fn ask_lost_leaf(shared: &Shared, leaf: &Leaf) -> LostLeafSign {
+    if shared.leafs.is_evacuated(leaf) {
+        return LostLeafSign::Silent;
+    }
     timeout(CHECK_TIMEOUT, ask_health(shared, leaf))
         .await
         .unwrap_or(LostLeafSign::Silent)
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -36,6 +36,9 @@
     pub(crate) store_failures: IntCounter,
     pub(crate) config_version: IntGauge,
     pub(crate) leafs: IntGauge,
+    pub(crate) evacuated_domains: IntGauge,
+    pub(crate) evacuated_requests: IntCounter,
+    pub(crate) invalid_evacuations: IntCounter,
     gather_latency: Histogram,
 }
 
@@ -122,6 +125,15 @@
             )?,
             config_version: gauge("medlarpin_config_version", "Version in force")?,
             leafs: gauge("medlarpin_leafs", "Published leafs")?,
+            evacuated_domains: gauge("medlarpin_evacuated_domains", "Evacuated failure domains")?,
+            evacuated_requests: counter(
+                "medlarpin_evacuated_requests_total",
+                "Requests that were not sent, because the failure domain of their leaf had just been evacuated",
+            )?,
+            invalid_evacuations: counter(
+                "medlarpin_invalid_evacuations_total",
+                "Keys of evacuations that name no failure domain, counted at each read of the store",
+            )?,
             registry,
         };
         metrics
--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 
 use axum::extract::State;
 use axum::http::StatusCode;
@@ -10,6 +11,7 @@
 use medlarpin_core::routing::{RequestRate, Unreachable};
 use serde::Serialize;
 
+use crate::leaf::Leaf;
 use crate::shared::Shared;
 
 /// The JSON document of `/state`.
@@ -41,9 +43,26 @@
     /// Routes to many shards of which a part of the queries is refused because of overload, each
     /// with the share that is admitted, from 0 to 1.
     shed_routes: Vec<(String, f64)>,
+    evacuated_domains: Vec<EvacuationDump>,
     leafs: Vec<LeafDump>,
 }
 
+#[derive(Debug, Serialize)]
+struct EvacuationDump {
+    failure_domain: String,
+    /// Time since this daemon learned of the evacuation.
+    evacuated_ms: u128,
+    /// Revision of the store at which it learned of it.
+    revision: u64,
+    /// Published leafs of the domain.
+    leafs: usize,
+    /// Requests in progress there, including those that are about to be refused.
+    in_flight: usize,
+    /// Time left until the domain returns to service because a restored store lacks the key; `None`
+    /// while the store lists the key.
+    kept_ms: Option<u128>,
+}
+
 #[derive(Debug, Serialize)]
 struct LeafDump {
     leaf: String,
@@ -52,6 +71,7 @@
     failure_domain: String,
     slots: u32,
     is_leaving: bool,
+    is_evacuated: bool,
     /// True if another leaf answers at the address.
     is_replaced: bool,
     open_connections: u32,
@@ -91,6 +111,7 @@
             failure_domain: leaf.entry.failure_domain.to_string(),
             slots: leaf.entry.slots,
             is_leaving: leaf.is_leaving(),
+            is_evacuated: leaf.is_evacuated(),
             is_replaced: load.is_replaced(),
             open_connections: leaf.open_connections(),
             in_flight: load.in_flight(),
@@ -126,6 +147,33 @@
         config_version: config.as_ref().map(|config| config.version.0),
         routes: routes.unwrap_or_default(),
         shed_routes: shared.query_admission.lock().shed_routes(),
+        evacuated_domains: evacuations(&shared, now),
         leafs: leafs.collect(),
     })
 }
+
+/// Returns the evacuated domains, with what still runs there.
+fn evacuations(shared: &Shared, now: Instant) -> Vec<EvacuationDump> {
+    let evacuated_leafs = shared.leafs.filter(Leaf::is_evacuated);
+    shared.leafs.with_evacuations(|domains| {
+        let kept: Vec<_> = domains.kept(now).collect();
+        let evacuations = domains.evacuations().iter();
+        let dumps = evacuations.map(|evacuation| {
+            let leafs = evacuated_leafs
+                .iter()
+                .filter(|leaf| leaf.entry.failure_domain == evacuation.domain);
+            let left = kept
+                .binary_search_by(|(domain, _)| (*domain).cmp(&evacuation.domain))
+                .map(|index| kept[index].1.as_millis());
+            EvacuationDump {
+                failure_domain: evacuation.domain.to_string(),
+                evacuated_ms: now.saturating_duration_since(evacuation.since).as_millis(),
+                revision: evacuation.revision.number,
+                leafs: leafs.clone().count(),
+                in_flight: leafs.map(|leaf| leaf.load().in_flight()).sum(),
+                kept_ms: left.ok(),
+            }
+        });
+        dumps.collect()
+    })
+}
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -18,11 +18,12 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use tokio_util::compat::TokioAsyncReadCompatExt;
-use wire::peer_capnp::{known_daemon, published_item, quarantine, route_peer};
+use wire::peer_capnp::{kept_evacuation, known_daemon, published_item, quarantine, route_peer};
 
 use crate::config_sync;
 use crate::crash_reports;
 use crate::delegation;
+use crate::evacuations::{self, KEPT_MAX};
 use crate::event::Event;
 use crate::leaf_permits;
 use crate::leaf_rate_reports;
@@ -132,19 +133,30 @@
     }
 }
 
-/// Fetches all items that another daemon has; revision zero means that it has none yet.
-pub(crate) async fn fetch_items(peer: SocketAddr) -> Result<(Vec<Item>, StoreRevision), PeerError> {
+/// All items that another daemon has.
+#[derive(Debug)]
+pub(crate) struct FetchedItems {
+    pub(crate) items: Vec<Item>,
+    /// Revision of the items; zero if the daemon has none yet.
+    pub(crate) revision: StoreRevision,
+    /// True if the items include the keys of evacuated failure domains.
+    pub(crate) has_evacuations: bool,
+}
+
+/// Fetches all items that another daemon has.
+pub(crate) async fn fetch_items(peer: SocketAddr) -> Result<FetchedItems, PeerError> {
     let call = async {
         let client = connect(peer).await?;
         let response = client.published_items_request().send().promise.await?;
         let reply = response.get()?;
-        Ok((
-            read_items(reply.get_items()?)?,
-            StoreRevision {
+        Ok(FetchedItems {
+            items: read_items(reply.get_items()?)?,
+            revision: StoreRevision {
                 era: reply.get_era(),
                 number: reply.get_revision(),
             },
-        ))
+            has_evacuations: reply.get_passes_evacuations(),
+        })
     };
     with_timeout(RPC_TIMEOUT, call).await
 }
@@ -206,6 +218,7 @@
                 },
                 current_at,
                 is_snapshot: reply.get_is_whole(),
+                has_evacuations: reply.get_passes_evacuations(),
                 items: read_items(reply.get_items()?)?,
             })
         };
@@ -238,6 +251,9 @@
     let crashes = shared.crash_memory.latest_reports(shared.now());
     let list = request.get().init_crashes(len_u32(&crashes));
     crash_reports::write_reports(&crashes, shared.now(), list);
+    let kept = shared.leafs.kept_evacuations(KEPT_MAX, shared.now());
+    let list = request.get().init_kept_evacuations(len_u32(&kept));
+    evacuations::write_kept(&kept, list);
     let list = request.get().init_known(len_u32(&known));
     write_daemons(&known, shared.now(), list);
     let response = request.send().promise.await?;
@@ -250,6 +266,7 @@
     crash_memory.merge_quarantines(&quarantines, shared.now());
     let crashes = crash_reports::read_reports(reply.get_crashes()?, shared.now())?;
     crash_memory.merge_reports(&crashes, shared.now());
+    learn_kept_evacuations(shared, reply.get_kept_evacuations()?)?;
     Ok(ConfigVersion(reply.get_config_version()))
 }
 
@@ -335,6 +352,7 @@
         let (peer, _) = read_daemon(params.get_sender()?, now);
         let known = sample_daemons(&self.shared);
         record_daemons(&self.shared, peer, &others);
+        learn_kept_evacuations(&self.shared, params.get_kept_evacuations()?)?;
         let their_version = ConfigVersion(params.get_config_version());
         config_sync::compare_later(&self.shared, peer.address, their_version);
         let crash_memory = &self.shared.crash_memory;
@@ -345,6 +363,9 @@
         let quarantines = crash_memory.quarantines(now);
         let mut reply = results.get();
         reply.set_config_version(self.shared.config_version());
+        let kept = self.shared.leafs.kept_evacuations(KEPT_MAX, now);
+        let list = reply.reborrow().init_kept_evacuations(len_u32(&kept));
+        evacuations::write_kept(&kept, list);
         let list = reply.reborrow().init_crashes(len_u32(&crashes));
         crash_reports::write_reports(&crashes, now, list);
         let list = reply.reborrow().init_quarantines(len_u32(&quarantines));
@@ -362,8 +383,11 @@
         _params: route_peer::PublishedItemsParams,
         mut results: route_peer::PublishedItemsResults,
     ) -> Result<(), capnp::Error> {
-        self.shared.published_items.with_items(|revision, items| {
+        let published = &self.shared.published_items;
+        let has_evacuations = published.has_evacuations();
+        published.with_items(|revision, items| {
             let mut reply = results.get();
+            reply.set_passes_evacuations(has_evacuations);
             reply.set_era(revision.era);
             reply.set_revision(revision.number);
             write_items(items, reply.init_items(len_u32(items)));
@@ -436,6 +460,7 @@
         reply.set_revision(update.revision.number);
         reply.set_store_silent_ms(millis_u32(silence));
         reply.set_is_whole(update.is_snapshot);
+        reply.set_passes_evacuations(update.has_evacuations);
         write_items(&update.items, reply.init_items(len_u32(&update.items)));
         Ok(())
     }
@@ -497,6 +522,15 @@
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
 
+/// Learns of domains that stay evacuated elsewhere after a restore of the store.
+fn learn_kept_evacuations(
+    shared: &Shared,
+    kept: capnp::struct_list::Reader<'_, kept_evacuation::Owned>,
+) -> Result<(), capnp::Error> {
+    let revision = shared.published_items.revision();
+    evacuations::learn_kept(&shared.leafs, &shared.metrics, kept, revision, shared.now())
+}
+
 /// Records contact with a peer and the daemons that it knows, and evicts those silent for too long.
 fn record_daemons(shared: &Shared, peer: KnownDaemon, others: &[(KnownDaemon, Duration)]) {
     let Some(daemons) = &shared.daemons else {
--- a/crates/router/src/published_items.rs
+++ b/crates/router/src/published_items.rs
@@ -32,6 +32,8 @@
     /// The configuration in force, which the store may list in an older version after a restore.
     config: Option<Item>,
     change_log: ChangeLog<Item>,
+    /// True if the items include the keys of evacuated failure domains.
+    has_evacuations: bool,
     /// Latest time at which the items were known to be up to date with the store.
     current_at: Option<Instant>,
     /// Time at which a follower last asked for changes.
@@ -49,6 +51,8 @@
     pub(crate) current_at: Option<Instant>,
     /// True if `items` are all items instead of changes.
     pub(crate) is_snapshot: bool,
+    /// True if the sender's items include the keys of evacuated failure domains.
+    pub(crate) has_evacuations: bool,
     /// The changes, oldest first, or all items.
     pub(crate) items: Vec<Item>,
 }
@@ -61,6 +65,7 @@
                 items: Vec::new(),
                 config: None,
                 change_log: ChangeLog::new(CHANGE_LOG_CAPACITY),
+                has_evacuations: false,
                 current_at: None,
                 last_request_at: None,
                 followed_daemon: None,
@@ -86,29 +91,40 @@
         read(state.revision, &state.all_items())
     }
 
+    /// Returns true if the items include the keys of evacuated failure domains.
+    pub(crate) fn has_evacuations(&self) -> bool {
+        self.state.lock().has_evacuations
+    }
+
     /// Returns the changes after the revision `since`, or all items if the change log does not
-    /// reach back to it.
+    /// reach back to it, or if the store was restored meanwhile: a key that a restore has removed must
+    /// not look like one that the operator has deleted.
     pub(crate) fn changes_since(&self, since: StoreRevision) -> Update {
         let state = self.state.lock();
         let changes = if state.revision <= since {
             Some(Vec::new())
-        } else {
+        } else if state.revision.era == since.era {
             state.change_log.after(since)
+        } else {
+            None
         };
         Update {
             revision: state.revision,
             current_at: state.current_at,
             is_snapshot: changes.is_none(),
+            has_evacuations: state.has_evacuations,
             items: changes.unwrap_or_else(|| state.all_items()),
         }
     }
 
-    /// Replaces all items; `current_at` is the time at which they were up to date with the store.
+    /// Replaces all items; `current_at` is the time at which they were up to date with the store, and
+    /// `has_evacuations` tells whether they include the keys of evacuated failure domains.
     pub(crate) fn replace_all(
         &self,
         mut items: Vec<Item>,
         revision: StoreRevision,
         current_at: Option<Instant>,
+        has_evacuations: bool,
     ) {
         items.sort_by(|a, b| a.key.cmp(&b.key));
         items.dedup_by(|later, first| later.key == first.key);
@@ -119,6 +135,7 @@
             state.change_log.add_diff(before, revision, changes);
         }
         state.items = items;
+        state.has_evacuations = has_evacuations;
         state.advance(revision, current_at);
         drop(state);
         self.updated.notify_waiters();
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -52,8 +52,9 @@
 /// State that is shared by all requests and background tasks.
 ///
 /// A lock of this struct is held for a single call, never across an await and never together with
-/// another one. The exceptions are `routes`, which is locked while a route's state is created, and the
-/// unlisted leafs of `leafs`, which are locked before all others while the table is rebuilt.
+/// another one. The exceptions are `routes`, which is locked while a route's state is created, and in
+/// `leafs` the unlisted leafs, which are locked before all others while the table is rebuilt, and the
+/// evacuated domains, which are locked while the leafs' flags are set.
 #[derive(Debug)]
 pub(crate) struct Shared {
     /// Replaced when the settings file is read again.
@@ -204,6 +205,7 @@
             published: leafs.len(),
             leaving: count(&Leaf::is_leaving),
             blocked: count(&|leaf| leaf.load().blocked_until(now).is_some()),
+            evacuated: count(&Leaf::is_evacuated),
             rate_limited: count(&|leaf| rates.wait_until(leaf, now).is_some()),
         }
         .log();
@@ -226,13 +228,15 @@
     }
 
     /// Returns true if no daemon can use a leaf of the service, since none is published, or all have
-    /// left. Other daemons may know better if this one has not heard from the store for a while.
+    /// left or are evacuated. Other daemons may know better of leafs that have left if this one has not
+    /// heard from the store for a while. Evacuations are in force until they are known to have ended.
     pub(crate) fn has_no_leaf(&self, service: &ServiceName, now: Instant) -> bool {
         let current_at = self.published_items.current_at();
         let is_current =
             current_at.is_some_and(|at| now.saturating_duration_since(at) < CURRENT_ITEMS_AGE_MAX);
         let leafs = self.leafs.for_service(service);
-        is_current && !leafs.iter().any(|leaf| leaf.is_usable(now))
+        let is_any_evacuated = leafs.iter().any(|leaf| leaf.is_evacuated());
+        (is_current || is_any_evacuated) && !leafs.iter().any(|leaf| leaf.is_usable(now))
     }
 
     pub(crate) fn now(&self) -> Instant {
