--- a/crates/router/src/evacuations.rs
+++ b/crates/router/src/evacuations.rs
@@ -11,6 +11,9 @@
 use crate::leaf_table::LeafTable;
 use crate::metrics::Metrics;
 
+#[cfg(test)]
+mod tests;
+
 /// Maximum number of names in a log line.
 const NAMES_MAX: usize = 8;
 /// Maximum number of domains in an exchange with another daemon, many times those of a site.
--- /dev/null
+++ b/crates/router/src/evacuations/tests.rs
@@ -0,0 +1,210 @@
+//! Tests of the last check before a request is written: an evacuation may begin after the leaf was chosen,
+//! while its connection is being opened.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
+
+use bytes::Bytes;
+use hyper::Request;
+use hyper::header::HeaderValue;
+use medlarpin_core::prelude::{ServiceName, SystemClock};
+use medlarpin_core::routing::{LeafDirectory, ObservationTime};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+
+use super::*;
+use crate::attempt::run_attempt;
+use crate::attempt_result::LeafFailure;
+use crate::call_evidence::CallEvidence;
+use crate::caller_request::CallerRequest;
+use crate::crash_memory::{CrashMemory, ProofKey};
+use crate::delegation::Delegations;
+use crate::leaf::Leaf;
+use crate::leaf_permits::LeafPermits;
+use crate::leaf_probe::check_health;
+use crate::leaf_rate_reports::LeafRateReports;
+use crate::shared::Shared;
+
+const SETTINGS: &str = r#"{
+    "vm": "vm-1", "failure_domain": "z9", "region": "r1",
+    "query_address": "127.0.0.1:0", "readiness_address": "127.0.0.1:0",
+    "operator_address": "127.0.0.1:0", "store_address": "127.0.0.1:9", "seed_addresses": [],
+    "drain_s": 3, "shutdown_grace_s": 6, "repeat_ratio": 0.2, "repeat_window_s": 10,
+    "repeat_slack": 10, "cpu_share": 1.0,
+}"#;
+const CONFIG: &str = r#"{"version": 1, "limits": {"maxHeaderBytes": 1000, "maxBodyBytes": 1000,
+    "headerTimeoutMs": 1000, "idleTimeoutMs": 1000}}"#;
+
+/// A daemon without tasks, and a leaf that reads and never answers.
+struct Fixture {
+    shared: Arc<Shared>,
+    directory: LeafDirectory,
+    leaf: Arc<Leaf>,
+    bytes_read: Arc<AtomicUsize>,
+}
+
+impl Fixture {
+    async fn start() -> Self {
+        let settings = settings::parse_router(SETTINGS, "settings").unwrap();
+        let shared = Arc::new(Shared::new(
+            settings,
+            None,
+            Arc::new(SystemClock),
+            CrashMemory::new().0,
+            Delegations::new().0,
+            LeafRateReports::new().0,
+            LeafPermits::new().0,
+            Metrics::new().unwrap(),
+        ));
+        let config = platform::parse_config(CONFIG.as_bytes()).unwrap();
+        shared.config.store(Some(Arc::new(config)));
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let entry = format!(
+            r#"{{"service": "a", "address": "{}", "zone": "z1", "slots": 2, "state": "ready",
+            "warmupLeftMs": 0, "seq": 1, "born": 1}}"#,
+            listener.local_addr().unwrap()
+        );
+        let bytes_read = Arc::new(AtomicUsize::new(0));
+        let counter = Arc::clone(&bytes_read);
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let counter = Arc::clone(&counter);
+                tokio::spawn(async move {
+                    let mut buffer = [0; 1024];
+                    while let Ok(count @ 1..) = stream.read(&mut buffer).await {
+                        counter.fetch_add(count, Ordering::Relaxed);
+                    }
+                });
+            }
+        });
+        let mut directory = LeafDirectory::new(Duration::from_secs(1));
+        let observed = ObservationTime {
+            known_until: None,
+            now: shared.now(),
+            is_restored: false,
+        };
+        directory.publish(
+            platform::parse_leaf("a0", entry.as_bytes()).unwrap(),
+            observed,
+        );
+        shared.leafs.update(&directory, shared.now());
+        let leaf = shared.leafs.all().remove(0);
+        Self {
+            shared,
+            directory,
+            leaf,
+            bytes_read,
+        }
+    }
+
+    fn evacuate(&self) {
+        let keys = [KeyChange {
+            domain: "z1".into(),
+            is_evacuated: true,
+        }];
+        let shared = &self.shared;
+        let revision = StoreRevision::default();
+        apply_changes(
+            &shared.leafs,
+            &shared.metrics,
+            &keys,
+            revision,
+            shared.now(),
+        );
+    }
+
+    /// Takes the leaf out of the table, as after its entry has expired.
+    fn unlist(&mut self) {
+        self.directory = LeafDirectory::new(Duration::from_secs(1));
+        self.shared.leafs.update(&self.directory, self.shared.now());
+    }
+
+    /// Sends a request to the leaf; returns its failure, if it has one within 200 ms.
+    async fn attempt(&self) -> Option<LeafFailure> {
+        let now = self.shared.now();
+        let (head, ()) = Request::get("/x").body(()).unwrap().into_parts();
+        let request = Arc::new(CallerRequest {
+            id: HeaderValue::from_static("r1"),
+            head,
+            body: Bytes::new(),
+            _memory: self.shared.request_memory.hold(),
+            arrived_at: now,
+            deadline: now + Duration::from_secs(1),
+            answer_by: now + Duration::from_secs(1),
+            identity: OnceLock::new(),
+        });
+        let proof = ProofKey::new(&request, &[ServiceName::new("a")]);
+        let attempt = run_attempt(
+            Arc::clone(&self.shared),
+            Arc::clone(&self.leaf),
+            request,
+            Arc::new(CallEvidence::new(proof)),
+            false,
+            Duration::from_millis(10),
+        );
+        let ended = tokio::time::timeout(Duration::from_millis(200), attempt).await;
+        ended.ok().and_then(Result::err)
+    }
+
+    /// Returns the bytes that the leaf has got, after a time in which some could arrive.
+    async fn bytes_read(&self) -> usize {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        self.bytes_read.load(Ordering::Relaxed)
+    }
+}
+
+/// Guards against a request to a leaf that was chosen before the evacuation of its domain, whether it is still
+/// listed or not.
+#[tokio::test]
+async fn a_request_is_not_written_after_an_evacuation() {
+    let fixture = Fixture::start().await;
+    assert_eq!(fixture.attempt().await, None);
+    assert!(fixture.bytes_read().await > 0, "requests arrive before");
+
+    for is_listed in [true, false] {
+        let mut fixture = Fixture::start().await;
+        if !is_listed {
+            fixture.unlist();
+        }
+        fixture.evacuate();
+        assert_eq!(fixture.attempt().await, Some(LeafFailure::Evacuated));
+        assert_eq!(fixture.bytes_read().await, 0);
+        assert_eq!(fixture.shared.metrics.evacuated_requests.get(), 1);
+    }
+}
+
+/// Guards against a health check, of a probe or of a lost leaf, that is written after an evacuation.
+#[tokio::test]
+async fn a_health_check_is_not_written_after_an_evacuation() {
+    for is_evacuated in [false, true] {
+        let fixture = Fixture::start().await;
+        let connection = fixture.leaf.open_new(2).await.unwrap();
+        if is_evacuated {
+            fixture.evacuate();
+        }
+        let answer = check_health(&fixture.shared, &fixture.leaf, connection).await;
+        assert!(answer.is_none());
+        assert_eq!(fixture.bytes_read().await == 0, is_evacuated);
+    }
+}
+
+/// Guards against leafs that count as warm after their return: the limits of cold leafs start from its time.
+#[tokio::test]
+async fn the_time_of_a_return_is_known() {
+    let fixture = Fixture::start().await;
+    let shared = &fixture.shared;
+    let domain = FailureDomain::new("z1");
+    assert_eq!(shared.leafs.returned_at(&domain), None);
+    fixture.evacuate();
+    assert!(!fixture.leaf.is_usable(shared.now()));
+    assert_eq!(shared.leafs.returned_at(&domain), None);
+    let now = shared.now();
+    let keys = [KeyChange {
+        domain: domain.clone(),
+        is_evacuated: false,
+    }];
+    let revision = StoreRevision::default();
+    apply_changes(&shared.leafs, &shared.metrics, &keys, revision, now);
+    assert!(fixture.leaf.is_usable(now));
+    assert_eq!(shared.leafs.returned_at(&domain), Some(now));
+}
