Show evacuated failure domains in the command-line tool

`status` shows a daemon with published routes: readiness, configuration, store, and the evacuated domains with the requests in progress there; before, it said that such a daemon is not ready.

--- a/crates/cli/src/history.rs
+++ b/crates/cli/src/history.rs
@@ -9,13 +9,15 @@
 use crate::exit::Exit;
 use crate::report::{Report, Table};
 
-/// Events that describe the configuration and the connection to the store on which a daemon based
-/// its decisions about a request.
-const CONTEXT_EVENTS: [&str; 4] = [
+/// Events that describe the configuration, the evacuated failure domains and the connection to the store on
+/// which a daemon based its decisions about a request.
+const CONTEXT_EVENTS: [&str; 6] = [
     "config_in_force",
     "store_failed",
     "store_reached",
     "changes_missed",
+    "domains_evacuated",
+    "domains_returned",
 ];
 /// Fields left out of the FIELDS column: they have a column of their own or are the same on every
 /// line.
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -14,6 +14,7 @@
 mod query;
 mod reasons;
 mod report;
+mod router_status;
 mod state;
 mod status;
 mod teams;
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -4,10 +4,14 @@
 
 use crate::exit::Exit;
 use crate::report::{Report, Table};
+use crate::router_status::{is_router, router_status};
 use crate::state::{DaemonState, JsonView, duration_text};
 
 /// Reports a summary of the state; the exit code tells whether the daemon is ready.
 pub(crate) fn status(state: &DaemonState, json: bool) -> Report {
+    if is_router(state) {
+        return router_status(state, json);
+    }
     let view = state.view();
     let exit = if view.flag("ready") {
         Exit::Success
--- a/crates/cli/tests/daemon.rs
+++ b/crates/cli/tests/daemon.rs
@@ -124,6 +124,36 @@
     assert_output(&["team", "order-desks"], 8, expect![""]).await;
 }
 
+/// Guards against a status of a daemon with published routes that hides its evacuated failure domains, or that
+/// says it is not ready.
+#[tokio::test]
+async fn status_shows_the_evacuated_domains_of_a_router() {
+    const STATE: &str = r#"{"vm": "drying-01", "is_ready": true, "is_stopping": false, "config_version": 7,
+        "era": 2, "revision": 41, "store_silent_ms": 300, "leafs": [{"leaf": "a0"}, {"leaf": "a1"}],
+        "evacuated_domains": [
+            {"failure_domain": "z1", "evacuated_ms": 61000, "revision": 40, "leafs": 1, "in_flight": 3,
+            "kept_ms": null},
+            {"failure_domain": "z2", "evacuated_ms": 900, "revision": 39, "leafs": 1, "in_flight": 0,
+            "kept_ms": 4200}]}"#;
+    let address = start_fake_daemon(STATE).await;
+    let (text, code) = run_medlarpin(address, &["status"]).await;
+    expect![[r#"
+        vm         drying-01
+        ready      yes
+        config     version 7
+        store      era 2, revision 41, heard 300 ms ago
+        leafs      2 published
+        evacuated  z1 since 1 min 1 s; 1 leafs, 3 requests in progress
+        evacuated  z2 since 900 ms; 1 leafs, 0 requests in progress; the restored store lacks the key, 4.2 s left
+    "#]]
+    .assert_eq(&text);
+    assert_eq!(code, Some(0));
+    let (text, code) = run_medlarpin(address, &["status", "--json"]).await;
+    let summary: serde_json::Value = serde_json::from_str(&text).unwrap();
+    assert_eq!(summary["evacuated_domains"][0]["failure_domain"], "z1");
+    assert_eq!(code, Some(0));
+}
+
 #[tokio::test]
 async fn explain_shows_the_replicas_of_a_shard_and_the_outcome_of_a_request() {
     let tree = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/souss-coast");
