--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -24,6 +24,9 @@
 use crate::published_items::Update;
 use crate::shared::{Shared, drain_grace};
 
+#[cfg(test)]
+mod tests;
+
 /// Long-poll time of a watch on the store. A connection that has fallen silent is noticed only after
 /// this time and the time limit of a call, and a configuration has to be in force within 3 s. Each
 /// answer also shows the daemons that follow this one that the store can be reached.
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -61,7 +61,8 @@
 /// Delay before the next accept after one failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-type Rpc = RpcSystem<rpc_twoparty_capnp::Side>;
+/// The RPC system of one connection; it runs while it is polled.
+pub(crate) type Rpc = RpcSystem<rpc_twoparty_capnp::Side>;
 
 /// Why an RPC to another daemon failed.
 #[derive(Debug, Display, Error)]
@@ -319,7 +320,8 @@
     }
 }
 
-fn rpc_system(
+/// Returns the RPC system of one side of a connection.
+pub(crate) fn rpc_system(
     stream: TcpStream,
     side: rpc_twoparty_capnp::Side,
     bootstrap: Option<capnp::capability::Client>,
