--- a/crates/medlarpin-core/tests/routing_evacuations.rs
+++ b/crates/medlarpin-core/tests/routing_evacuations.rs
@@ -190,7 +190,7 @@
     known.replace_all(domains(&["b"]), at(2, 4), start);
     let later = start + Duration::from_secs(4);
     let kept: Vec<(&FailureDomain, Duration)> = known.kept(later).collect();
-    let left = RESTORED_ENTRY_LIFETIME - Duration::from_secs(4);
+    let left = RESTORED_ENTRY_LIFETIME.saturating_sub(Duration::from_secs(4));
     assert_eq!(kept, [(&"a".into(), left)]);
     assert!(!known.is_expiry_due(later));
     let expired = start + RESTORED_ENTRY_LIFETIME;
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -115,7 +115,7 @@
         }
         // So may the operator; the connection is of no use then.
         if shared.leafs.is_evacuated(leaf) {
-            shared.metrics.evacuated_requests.inc();
+            shared.metrics.evacuation.unsent_requests.inc();
             return Err(LeafFailure::Evacuated);
         }
         let leaf_request = request
--- a/crates/router/src/evacuations.rs
+++ b/crates/router/src/evacuations.rs
@@ -129,7 +129,7 @@
     if invalid.count == 0 {
         return;
     }
-    metrics.invalid_evacuations.inc_by(invalid.count as u64);
+    metrics.evacuation.invalid_keys.inc_by(invalid.count as u64);
     Event::EvacuationsInvalid {
         count: invalid.count,
         first: &invalid.first,
@@ -151,7 +151,7 @@
         return;
     }
     let gauge = i64::try_from(count).unwrap_or(i64::MAX);
-    metrics.evacuated_domains.set(gauge);
+    metrics.evacuation.domains.set(gauge);
     let revision = revision.number;
     if !changes.evacuated.is_empty() {
         Event::DomainsEvacuated {
--- a/crates/router/src/evacuations/tests.rs
+++ b/crates/router/src/evacuations/tests.rs
@@ -169,7 +169,7 @@
         fixture.evacuate();
         assert_eq!(fixture.attempt().await, Some(LeafFailure::Evacuated));
         assert_eq!(fixture.bytes_read().await, 0);
-        assert_eq!(fixture.shared.metrics.evacuated_requests.get(), 1);
+        assert_eq!(fixture.shared.metrics.evacuation.unsent_requests.get(), 1);
     }
 }
 
--- a/crates/router/src/leaf_probe.rs
+++ b/crates/router/src/leaf_probe.rs
@@ -156,7 +156,7 @@
         .ok()?;
     // The domain may have been evacuated while the connection was being opened.
     if shared.leafs.is_evacuated(leaf) {
-        shared.metrics.evacuated_requests.inc();
+        shared.metrics.evacuation.unsent_requests.inc();
         return None;
     }
     let answered = timeout(
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -14,6 +14,7 @@
 mod delegation;
 mod discovery;
 mod error;
+mod evacuation_metrics;
 mod evacuations;
 mod event;
 mod evidence_recorder;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -6,6 +6,7 @@
 };
 
 use crate::attempt_result::LeafFailure;
+use crate::evacuation_metrics::EvacuationMetrics;
 use crate::refusal::Refusal;
 
 /// Upper bounds of the latency buckets in seconds, densest around the target latencies of 60 ms to
@@ -36,9 +37,7 @@
     pub(crate) store_failures: IntCounter,
     pub(crate) config_version: IntGauge,
     pub(crate) leafs: IntGauge,
-    pub(crate) evacuated_domains: IntGauge,
-    pub(crate) evacuated_requests: IntCounter,
-    pub(crate) invalid_evacuations: IntCounter,
+    pub(crate) evacuation: EvacuationMetrics,
     gather_latency: Histogram,
 }
 
@@ -125,15 +124,7 @@
             )?,
             config_version: gauge("medlarpin_config_version", "Version in force")?,
             leafs: gauge("medlarpin_leafs", "Published leafs")?,
-            evacuated_domains: gauge("medlarpin_evacuated_domains", "Evacuated failure domains")?,
-            evacuated_requests: counter(
-                "medlarpin_evacuated_requests_total",
-                "Requests that were not sent, because the failure domain of their leaf had just been evacuated",
-            )?,
-            invalid_evacuations: counter(
-                "medlarpin_invalid_evacuations_total",
-                "Keys of evacuations that name no failure domain, counted at each read of the store",
-            )?,
+            evacuation: EvacuationMetrics::new(&registry)?,
             registry,
         };
         metrics
--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -64,6 +64,10 @@
 }
 
 #[derive(Debug, Serialize)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the facts are independent of each other"
+)]
 struct LeafDump {
     leaf: String,
     service: String,
