--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -18,13 +18,17 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::config_sync;
+use crate::evacuations::{self, KeyChange};
 use crate::event::Event;
 use crate::first_items::{self, ItemsOfDaemon};
 use crate::leaf_probe::report_withdrawn;
-use crate::peers::{FollowedDaemon, PeerError};
+use crate::peers::{FetchedItems, FollowedDaemon, PeerError};
 use crate::published_items::Update;
 use crate::shared::{Shared, drain_grace};
 
+#[cfg(test)]
+mod tests;
+
 /// Long-poll time of a watch on the store. A connection that has fallen silent is noticed only after
 /// this time and the time limit of a call, and a configuration has to be in force within 3 s. Each
 /// answer also shows the daemons that follow this one that the store can be reached.
@@ -109,7 +113,7 @@
             if self.shared.published_items.revision() != revision_before {
                 sleep(self.change_debounce(source)).await;
             }
-            self.remove_expired_leafs();
+            self.remove_expired();
         }
     }
 
@@ -229,6 +233,8 @@
                     }
                 };
                 log_unreadable(watched.unreadable, watched.revision);
+                let invalid = &watched.invalid_evacuations;
+                evacuations::record_invalid(&self.shared.metrics, invalid, watched.revision);
                 if self.cursor.advance(watched.total, watched.revision) {
                     let now = self.shared.now();
                     self.apply_changes(watched.changes, watched.revision, Some(now));
@@ -263,6 +269,11 @@
                 return selector.daemon_failed(daemon, now);
             }
         };
+        // Its changes would hide those of evacuations.
+        if update.revision > StoreRevision::default() && !update.has_evacuations {
+            Event::DaemonLacksEvacuations { daemon }.log();
+            return selector.daemon_failed(daemon, now);
+        }
         let known = self.shared.published_items.revision();
         match update.current_at {
             Some(_) if update.revision >= known => selector.daemon_answered(),
@@ -286,7 +297,7 @@
             self.cursor.snapshot_read(update.revision);
         }
         if update.is_snapshot {
-            self.apply_snapshot(update.items, update.revision, update.current_at);
+            self.apply_snapshot(update.items, update.revision, update.current_at, true);
         } else {
             self.apply_changes(update.items, update.revision, update.current_at);
         }
@@ -298,7 +309,13 @@
             Some(followed) if followed.can_serve(daemon, now) => followed,
             _ => FollowedDaemon::connect(daemon, now).await?,
         };
-        let known = self.shared.published_items.revision();
+        let published = &self.shared.published_items;
+        // Changes alone would leave out the evacuations that began before.
+        let known = if published.has_evacuations() {
+            published.revision()
+        } else {
+            StoreRevision::default()
+        };
         let update = followed.changes_since(known, &*self.shared.clock).await?;
         self.followed = Some(followed);
         Ok(update)
@@ -331,39 +348,45 @@
     }
 
     fn apply_items_of_daemon(&mut self, loaded: ItemsOfDaemon) {
-        let ItemsOfDaemon {
-            daemon,
+        let ItemsOfDaemon { daemon, fetched } = loaded;
+        let FetchedItems {
             items,
             revision,
-        } = loaded;
+            has_evacuations,
+        } = fetched;
         Event::ItemsFromDaemon {
             daemon,
             revision: revision.number,
             items: items.len(),
         }
         .log();
-        self.apply_snapshot(items, revision, None);
+        self.apply_snapshot(items, revision, None, has_evacuations);
     }
 
     /// Applies a snapshot of the store that was read from `started` on.
     fn apply_store_snapshot(&mut self, snapshot: Snapshot, started: Instant) {
         log_unreadable(snapshot.unreadable, snapshot.revision);
+        let invalid = &snapshot.invalid_evacuations;
+        evacuations::record_invalid(&self.shared.metrics, invalid, snapshot.revision);
         self.cursor.snapshot_read(snapshot.revision);
-        self.apply_snapshot(snapshot.items, snapshot.revision, Some(started));
+        self.apply_snapshot(snapshot.items, snapshot.revision, Some(started), true);
         self.shared
             .config_check
             .lock()
             .store_read(snapshot.revision);
     }
 
-    /// Replaces all items; leafs without an item are withdrawn.
+    /// Replaces all items; leafs without an item are withdrawn. `has_evacuations` tells whether the items
+    /// include the keys of evacuated failure domains.
     fn apply_snapshot(
         &mut self,
         items: Vec<Item>,
         revision: StoreRevision,
         current_at: Option<Instant>,
+        has_evacuations: bool,
     ) {
         let observed = self.observation_time(revision);
+        let mut keys = Vec::new();
         let mut entries = Vec::new();
         let mut usable = Vec::with_capacity(items.len());
         for item in items {
@@ -373,17 +396,22 @@
             let is_usable = !matches!(change, Change::Unusable { .. });
             match change {
                 Change::Leaf(entry) => entries.push(entry),
-                change => self.apply_change(&item, change, revision, observed),
+                change => self.apply_change(&item, change, revision, observed, &mut keys),
             }
             if is_usable {
                 usable.push(item);
             }
         }
+        // Before the leafs can be used.
+        if has_evacuations {
+            let shared = &self.shared;
+            evacuations::replace_all(&shared.leafs, &shared.metrics, keys, revision, observed.now);
+        }
         self.directory.replace_all(entries, observed);
         self.update_leaf_table();
         self.shared.leafs_loaded.store(true, Ordering::Relaxed);
         let published = &self.shared.published_items;
-        published.replace_all(usable, revision, current_at);
+        published.replace_all(usable, revision, current_at, has_evacuations);
     }
 
     /// Applies changes, oldest first.
@@ -395,6 +423,7 @@
     ) {
         if !items.is_empty() {
             let observed = self.observation_time(revision);
+            let mut keys = Vec::new();
             for item in &mut items {
                 let Some(change) = item.decode() else {
                     continue;
@@ -403,8 +432,16 @@
                 if matches!(change, Change::Unusable { .. }) {
                     item.value = None;
                 }
-                self.apply_change(item, change, revision, observed);
+                self.apply_change(item, change, revision, observed, &mut keys);
             }
+            let shared = &self.shared;
+            evacuations::apply_changes(
+                &shared.leafs,
+                &shared.metrics,
+                &keys,
+                revision,
+                observed.now,
+            );
             self.update_leaf_table();
         }
         self.shared
@@ -432,12 +469,14 @@
         }
     }
 
+    /// Applies a change; those of evacuations are collected in `keys`.
     fn apply_change(
         &mut self,
         item: &Item,
         change: Change,
         revision: StoreRevision,
         observed: ObservationTime,
+        keys: &mut Vec<KeyChange>,
     ) {
         match change {
             Change::Config(config) => config_sync::offer(&self.shared, *config, item),
@@ -455,6 +494,14 @@
                 }
             }
             Change::LeafWithdrawn(leaf) => self.withdraw_leaf(&leaf, revision, observed),
+            Change::Evacuated(domain) => keys.push(KeyChange {
+                domain,
+                is_evacuated: true,
+            }),
+            Change::ReturnedToService(domain) => keys.push(KeyChange {
+                domain,
+                is_evacuated: false,
+            }),
             Change::Unusable { key, leaf, error } => {
                 Event::EntryUnusable {
                     key: &key,
@@ -499,8 +546,12 @@
         back_off.mul_f64(0.5 + rand::random::<f64>() / 2.0)
     }
 
-    /// Removes the withdrawn leafs whose grace period has passed.
-    fn remove_expired_leafs(&mut self) {
+    /// Removes the withdrawn leafs whose grace period has passed, and ends the evacuations whose keys a
+    /// restore has removed.
+    fn remove_expired(&mut self) {
+        let shared = &self.shared;
+        let revision = shared.published_items.revision();
+        evacuations::expire(&shared.leafs, &shared.metrics, revision, shared.now());
         if !self.directory.expire(self.shared.now()).is_empty() {
             self.update_leaf_table();
         }
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -6,6 +6,7 @@
 };
 
 use crate::attempt_result::LeafFailure;
+use crate::evacuation_metrics::EvacuationMetrics;
 use crate::refusal::Refusal;
 
 /// Upper bounds of the latency buckets in seconds, densest around the target latencies of 60 ms to
@@ -36,6 +37,7 @@
     pub(crate) store_failures: IntCounter,
     pub(crate) config_version: IntGauge,
     pub(crate) leafs: IntGauge,
+    pub(crate) evacuation: EvacuationMetrics,
     gather_latency: Histogram,
 }
 
@@ -122,6 +124,7 @@
             )?,
             config_version: gauge("medlarpin_config_version", "Version in force")?,
             leafs: gauge("medlarpin_leafs", "Published leafs")?,
+            evacuation: EvacuationMetrics::new(&registry)?,
             registry,
         };
         metrics
