Review a configuration before it is published, as pure decisions

Operators learn of a hidden route, a coverage that no number of shards gives, or a service without leafs only from refused requests. The new module routing::config_review finds these in the decoded configuration: entries that never match, limits that contradict each other, services and shards without a usable leaf, differences from the version in force, and for each place whose requests go elsewhere an example request. Reports are bounded in lines and in the length of names. The minimum of the head size that daemons apply is now stated once, in CallerLimits.

--- a/crates/medlarpin-core/src/routing/gather_policy.rs
+++ b/crates/medlarpin-core/src/routing/gather_policy.rs
@@ -81,7 +81,8 @@
     }
 }
 
-fn shards_needed(shard_count: usize, coverage_min: f64) -> usize {
+/// Returns the number of shards that a successful answer covers.
+pub(super) fn shards_needed(shard_count: usize, coverage_min: f64) -> usize {
     // Floating-point rounding can put the product just above a whole number.
     const ROUNDING: f64 = 1e-9;
     let least = (coverage_min * shard_count as f64 - ROUNDING)
--- a/crates/medlarpin-core/src/routing/mod.rs
+++ b/crates/medlarpin-core/src/routing/mod.rs
@@ -4,6 +4,7 @@
 mod call_attempts;
 mod change_log;
 mod config_check;
+pub mod config_review;
 mod daemon_list;
 mod delegate_selector;
 mod gather_policy;
--- a/crates/medlarpin-core/src/routing/routing_config.rs
+++ b/crates/medlarpin-core/src/routing/routing_config.rs
@@ -32,6 +32,11 @@
     pub idle_timeout: Duration,
 }
 
+impl CallerLimits {
+    /// Least value of `header_bytes` that daemons apply; the HTTP library accepts no smaller buffer.
+    pub const HEADER_BYTES_MIN: usize = 8_192;
+}
+
 /// One version of the published configuration.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RoutingConfig {
--- a/crates/router/src/connections.rs
+++ b/crates/router/src/connections.rs
@@ -10,6 +10,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use medlarpin_core::routing::CallerLimits;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -26,7 +27,7 @@
 /// Delay before the next accept after one failed, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Minimum buffer size that hyper accepts.
-const BUFFER_BYTES_MIN: usize = 8_192;
+const BUFFER_BYTES_MIN: usize = CallerLimits::HEADER_BYTES_MIN;
 
 /// How connections are treated; a planned stop goes through the phases in order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
