Check a configuration from the command line before it is sent

medlarpin check-config reads a configuration from a file or standard input, compares it with the version in force (file or store), looks for services without leafs (store, evacuated failure domains) and reports as text or JSON lines.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -6,9 +6,13 @@
 use bpaf::{OptionParser, Parser, construct, long, positional};
 use settings::Format;
 
+use crate::check_config::{CheckConfigRequest, ConfigSource, PublishedLeafs};
 use crate::exit::Exit;
 use crate::query::QueryRequest;
 
+/// Ratio of retries and hedges that the platform's settings give today.
+const RETRY_RATIO_DEFAULT: f64 = 0.2;
+
 /// A parsed command line.
 #[derive(Debug)]
 pub(crate) struct Options {
@@ -23,6 +27,7 @@
         format: Option<Format>,
         files: Vec<PathBuf>,
     },
+    CheckConfig(CheckConfigRequest),
     Defaults {
         /// Prints the defaults of this format only.
         format: Option<Format>,
@@ -63,6 +68,15 @@
              medlarpin check --defaults --as team",
         )
         .command("check");
+    let check_config = check_config()
+        .to_options()
+        .descr("Checks a published configuration before it is sent, and shows what it changes")
+        .footer(
+            "Examples:\n   medlarpin check-config draft.json --in-force-from 192.0.2.7:8100\n   \
+             medlarpin check-config - --in-force now.json --warnings-fail < draft.json\n   \
+             medlarpin check-config draft.json --leafs-from 192.0.2.7:8100 --evacuated zone-2",
+        )
+        .command("check-config");
     let status = status()
         .to_options()
         .descr("Shows a summary of a daemon; exit code 1 if it is not ready")
@@ -105,11 +119,21 @@
         .descr("Shows the log lines about a request from the logs of daemons that serve published routes")
         .footer("Examples:\n   medlarpin history 9c41d07be2a35f68 vm-01.log vm-02.log")
         .command("history");
-    construct!([check, status, dump, teams, team, explain, history, query])
-        .to_options()
-        .version(env!("CARGO_PKG_VERSION"))
-        .descr("Command-line tool for operators of medlarpin; it does not write shared state")
-        .footer(Exit::HELP)
+    construct!([
+        check,
+        check_config,
+        status,
+        dump,
+        teams,
+        team,
+        explain,
+        history,
+        query
+    ])
+    .to_options()
+    .version(env!("CARGO_PKG_VERSION"))
+    .descr("Command-line tool for operators of medlarpin; it does not write shared state")
+    .footer(Exit::HELP)
 }
 
 fn check() -> impl Parser<Options> {
@@ -136,6 +160,54 @@
     construct!([defaults, files])
 }
 
+fn check_config() -> impl Parser<Options> {
+    let json = long("json").help("Print JSON lines").switch();
+    let in_force = {
+        let file = long("in-force")
+            .help("File with the version in force, to compare with")
+            .argument::<PathBuf>("FILE")
+            .map(ConfigSource::File);
+        let store = long("in-force-from")
+            .help("Address of the store, to compare with the version in force; it is only read")
+            .argument::<SocketAddr>("ADDR")
+            .map(ConfigSource::Store);
+        construct!([file, store]).optional()
+    };
+    let leafs = {
+        let address = long("leafs-from")
+            .help("Address of the store, to look for services without leafs; it is only read")
+            .argument::<SocketAddr>("ADDR");
+        let evacuated = long("evacuated")
+            .help("Failure domain that is to get no requests, or its key; may be repeated")
+            .argument::<String>("DOMAIN")
+            .parse(|text| platform::parse_evacuated_domain(&text))
+            .many();
+        construct!(PublishedLeafs { address, evacuated }).optional()
+    };
+    let retry_ratio = long("retry-ratio")
+        .help("Retries and hedges that the platform allows for each request")
+        .argument::<f64>("N")
+        .guard(|ratio| (0.0..=10.0).contains(ratio), "expected 0 to 10")
+        .fallback(RETRY_RATIO_DEFAULT)
+        .display_fallback();
+    let warnings_fail = long("warnings-fail")
+        .help("Exit with code 1 if there are warnings")
+        .switch();
+    let file = positional::<PathBuf>("FILE")
+        .help("File with the configuration to check; - for standard input");
+    let request = construct!(CheckConfigRequest {
+        in_force,
+        leafs,
+        retry_ratio,
+        warnings_fail,
+        file,
+    });
+    construct!(json, request).map(|(json, request)| Options {
+        json,
+        command: Command::CheckConfig(request),
+    })
+}
+
 fn status() -> impl Parser<Options> {
     let (operator_address, json) = (operator_address(), json());
     construct!(operator_address, json).map(|(operator_address, json)| Options {
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -48,6 +48,16 @@
         path: PathBuf,
         source: std::io::Error,
     },
+    /// cannot read the configuration {path:?}
+    ReadConfig {
+        path: PathBuf,
+        source: std::io::Error,
+    },
+    /// cannot read from the store at {address}
+    ReadStore {
+        address: SocketAddr,
+        source: platform::StoreError,
+    },
     /// {path:?} is not UTF-8 after byte {valid_bytes}; save it as UTF-8
     #[expect(
         clippy::doc_markdown,
@@ -94,6 +104,7 @@
             | Self::NotUtf8 { .. }
             | Self::NoSettingsFiles { .. }
             | Self::UnknownFormat { .. } => Exit::CheckFailed,
+            Self::ReadConfig { .. } => Exit::ConfigErrors,
             Self::UnknownTeam { .. }
             | Self::UnknownService { .. }
             | Self::UnknownShard { .. }
@@ -104,6 +115,7 @@
                 Exit::InvalidRequest
             }
             Self::Runtime { .. }
+            | Self::ReadStore { .. }
             | Self::Connect { .. }
             | Self::ConnectionLost { .. }
             | Self::Timeout { .. }
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -8,6 +8,10 @@
     /// `check` found errors, `status` found that the daemon is not ready, or a file could not be
     /// read.
     CheckFailed,
+    /// `check-config` found warnings, which were asked to fail.
+    ConfigWarnings,
+    /// `check-config` found errors, or could not read the configuration.
+    ConfigErrors,
     /// The command line is not valid.
     Usage,
     /// A query was answered partially.
@@ -30,8 +34,8 @@
     /// Exit codes for the help text. bpaf keeps a line break only if a space follows it.
     pub(crate) const HELP: &'static str = "Exit codes:
    0 success; a query was answered completely
-   1 check found errors, or status met a daemon that is not ready
-   2 the command line is not valid
+   1 check found errors, status met a daemon that is not ready, or check-config found warnings and was asked to fail on them
+   2 the command line is not valid, or check-config found errors
    3 a query was answered partially
    4 a query was not run
    5 it is unknown whether a query ran
@@ -46,8 +50,8 @@
     fn from(exit: Exit) -> Self {
         Self::from(match exit {
             Exit::Success => 0,
-            Exit::CheckFailed => 1,
-            Exit::Usage => 2,
+            Exit::CheckFailed | Exit::ConfigWarnings => 1,
+            Exit::Usage | Exit::ConfigErrors => 2,
             Exit::Partial => 3,
             Exit::NotRun => 4,
             Exit::OutcomeUnknown => 5,
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,11 +1,13 @@
 //! The command-line tool for operators.
 //!
-//! It reads settings files, logs and a daemon's operator endpoint, and sends queries to its query
-//! endpoint as a caller does. It does not write shared state.
+//! It reads settings files, published configurations, logs, the platform's store and a daemon's
+//! operator endpoint, and sends queries to a daemon's query endpoint as a caller does. It does not write shared state.
 
 mod args;
 mod check;
+mod check_config;
 mod check_files;
+mod config_report;
 mod error;
 mod exit;
 mod explain;
@@ -59,6 +61,9 @@
     let json = options.json;
     match options.command {
         Command::Check { format, files } => Ok(check::check(format, &files, json)),
+        Command::CheckConfig(request) => {
+            runtime.block_on(check_config::check_config(&request, json))
+        }
         Command::Defaults { format } => Ok(check::defaults(format, json)),
         Command::History { request, files } => history::history(&request, &files, json),
         Command::Query(request) => runtime.block_on(query::query(&request, json)),
