Show a refused configuration in the quick start

One step decodes a published configuration with a time of the wrong type and prints the place and reason, as medlarpin check-config does.

--- a/crates/quickstart/src/show.rs
+++ b/crates/quickstart/src/show.rs
@@ -54,6 +54,14 @@
     println!("  {text}");
 }
 
+/// Prints why a configuration was refused.
+pub(crate) fn refused_configuration(step: &str, errors: &[String]) {
+    println!("{step:<44} -     refused");
+    for error in errors {
+        note(error);
+    }
+}
+
 /// Prints commands to try while the fleet is running.
 pub(crate) fn commands(fleet: &Fleet) {
     let (Some(daemon), Some(last)) = (fleet.daemons().first(), fleet.daemons().last()) else {
--- a/crates/quickstart/src/steps.rs
+++ b/crates/quickstart/src/steps.rs
@@ -26,7 +26,8 @@
     steps.ticket_submitted_twice().await?;
     steps.leafs_lost().await?;
     steps.rate_limit_exceeded().await?;
-    steps.malformed_request().await
+    steps.malformed_request().await?;
+    faulty_configuration()
 }
 
 /// Expected outcome, HTTP status and number of covered shards of an answer.
@@ -206,6 +207,29 @@
     }
 }
 
+/// Decodes a published configuration with a mistake, as `medlarpin check-config` does.
+fn faulty_configuration() -> Result<(), QuickstartError> {
+    let step = "published configuration with a mistake";
+    let config = json!({
+        "version": 1,
+        "limits": {
+            "maxHeaderBytes": 16_384, "maxBodyBytes": 65_536,
+            "headerTimeoutMs": 5_000, "idleTimeoutMs": 30_000,
+        },
+        "routes": [{
+            "name": "orders", "host": "orders.example", "prefix": "/", "type": "idempotent",
+            "timeoutMs": "800", "service": SERVICE,
+        }],
+    });
+    let errors = platform::inspect_config(config.to_string().as_bytes()).err();
+    let errors = errors.iter().flat_map(|errors| errors.kept());
+    let errors: Vec<String> = errors
+        .map(|error| format!("{}: {error}", error.field.as_deref().unwrap_or("-")))
+        .collect();
+    show::refused_configuration(step, &errors);
+    expect_equal(step, "1", &errors.len().to_string())
+}
+
 fn query(team: &str, text: &str) -> Value {
     json!({ "team": team, "service": SERVICE, "query": text })
 }
--- a/crates/quickstart/tests/quickstart.rs
+++ b/crates/quickstart/tests/quickstart.rs
@@ -19,7 +19,13 @@
     let stdout = String::from_utf8(output.stdout).unwrap();
     let stderr = String::from_utf8(output.stderr).unwrap();
     assert!(output.status.success(), "{stdout}{stderr}");
-    for outcome in ["complete", "partial", "not_run", "invalid"] {
+    for outcome in [
+        "complete",
+        "partial",
+        "not_run",
+        "invalid",
+        "refused\n  timeoutMs: invalid type",
+    ] {
         assert!(stdout.contains(outcome), "{outcome} is missing: {stdout}");
     }
 }
