--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -22,7 +22,7 @@
     OutcomeUnknown,
     /// The daemon refused a request as invalid.
     InvalidRequest,
-    /// The daemon could not be reached, its response was unexpected, or the report could not be
+    /// The daemon or the store could not be reached, its response was unexpected, or the report could not be
     /// written.
     Unreachable,
     /// The daemon does not know the team, service, shard or request, or no log mentions the
@@ -40,7 +40,7 @@
    4 a query was not run
    5 it is unknown whether a query ran
    6 the daemon refused the request as invalid
-   7 the daemon is unreachable or its answer unreadable
+   7 the daemon or the store is unreachable or its answer unreadable
    8 the daemon does not know the team, shard or request
  Shell completion:
    medlarpin --bpaf-complete-style-bash (or -zsh, -fish, -elvish)";
--- a/crates/cli/tests/check_config.rs
+++ b/crates/cli/tests/check_config.rs
@@ -127,8 +127,26 @@
     check(odd.to_string().as_bytes()).await;
 }
 
+/// Guards against names in a configuration that send control sequences to the terminal.
+#[tokio::test]
+async fn names_are_escaped() {
+    let name = "\u{1b}[2J";
+    let (mut before, mut after) = (config(2, name), config(3, "a"));
+    before["services"][1]["name"] = json!(name);
+    after["routes"][1]["name"] = json!(name);
+    let in_force = write("in-force.json", before.to_string().as_bytes());
+    for arguments in [&["-"][..], &["--json", "-"]] {
+        let arguments = [&["--in-force", in_force.to_str().unwrap()], arguments].concat();
+        let output = run(&arguments, after.to_string().as_bytes()).await;
+        assert_eq!(output.status.code(), Some(0), "{output:?}");
+        let text = text(&output);
+        assert!(text.contains("service \\u{1b}[2J") || text.contains("service \\u001b[2J"));
+        assert!(!text.contains('\u{1b}'), "{text}");
+    }
+}
+
 /// Guards against a check that disagrees with the store: on the version in force, on the differences
-/// from it, on the leafs, or on the evacuated domains; and against a check that writes to the store.
+/// from it, on the leafs, or on the evacuated domains.
 #[tokio::test]
 async fn the_store_gives_the_version_in_force_and_the_leafs() {
     let store = FakeStore::start().unwrap();
