--- a/crates/medlarpin-core/src/routing/config_review/problem.rs
+++ b/crates/medlarpin-core/src/routing/config_review/problem.rs
@@ -32,7 +32,7 @@
         /// Maximum size of a request's head.
         bytes_max: usize,
     },
-    /// the service {service:?} gets no request, because its weight is 0
+    /// the service {service:?} gets no request, because its weight is 0 or rounds to 0
     WeightZero {
         /// The service.
         service: ShortName,
--- a/crates/quickstart/src/steps.rs
+++ b/crates/quickstart/src/steps.rs
@@ -222,7 +222,7 @@
         }],
     });
     let errors = platform::inspect_config(config.to_string().as_bytes()).err();
-    let errors = errors.iter().flat_map(|errors| errors.kept());
+    let errors = errors.iter().flat_map(platform::ConfigErrors::kept);
     let errors: Vec<String> = errors
         .map(|error| format!("{}: {error}", error.field.as_deref().unwrap_or("-")))
         .collect();
