Divide the rate of a cold leaf among few daemons

Cause: a leaf that has just started tolerates few requests (warmupPerS), summed over all daemons, and nothing decided who sends them. Change: DaemonList::cold_access lets the first daemons of a rendezvous order send, at a pace that ColdLeafBound::plan derives from the platform's bound; LeafRateLimit keeps each pace with the code that divides a stated rate, with a credit of at most one request. LeafWarmUp decides until when a leaf counts as cold.

--- a/crates/medlarpin-core/src/routing/daemon_list.rs
+++ b/crates/medlarpin-core/src/routing/daemon_list.rs
@@ -1,7 +1,10 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
-use super::{CAPACITY_RATIO_MIN, KnownDaemon, RateAccess, RequestRate, is_dense, reserve_parts};
+use super::{
+    CAPACITY_RATIO_MIN, ColdLeafBound, KnownDaemon, RateAccess, RequestRate, is_dense,
+    reserve_parts,
+};
 use crate::ids::{LeafId, stable_hash};
 
 /// Time without contact after which a daemon gets no queries or exchanges. Longer than a restart.
@@ -300,6 +303,48 @@
         }
     }
 
+    /// Returns how this daemon may send requests to a cold leaf that tolerates a rate of all daemons
+    /// together.
+    ///
+    /// The first daemons in an order that depends on the leaf send, as many as the bound has room for
+    /// ([`ColdLeafBound::plan`]); the others send nothing. At any time, no more daemons that know of
+    /// each other send than the plan allows, whatever other daemons they know: each counts those
+    /// before it. To this end
+    ///
+    /// - a daemon sends only once it has discovered the others, and these it,
+    /// - silent daemons keep their place for [`LIMIT_SILENCE_TIMEOUT`], which is longer than a
+    ///   partition, in which they still send, and
+    /// - the order depends on nothing but the addresses.
+    ///
+    /// Daemons that do not know of each other are in two parts of the fleet that have been apart
+    /// since one of them started, or for longer than [`LIMIT_SILENCE_TIMEOUT`]; the plan has room
+    /// for both.
+    #[must_use]
+    pub fn cold_access(
+        &self,
+        leaf: &LeafId,
+        tolerated: RequestRate,
+        bound: ColdLeafBound,
+        now: Instant,
+    ) -> RateAccess {
+        let is_settled = self.is_discovery_complete(now) && !self.is_isolated(now);
+        if self.has_other_seeds() && !is_settled {
+            return RateAccess::Nothing;
+        }
+        let Some(plan) = bound.plan(tolerated) else {
+            return RateAccess::Nothing;
+        };
+        let own = sender_rank(leaf, self.own.address);
+        let others = self.others.iter().map(|(daemon, _)| daemon.address);
+        // Most daemons find others before them among the first few, so this is cheap.
+        let before = others.filter(|address| sender_rank(leaf, *address) < own);
+        if before.take(plan.senders).count() < plan.senders {
+            RateAccess::Paced(plan.per_s)
+        } else {
+            RateAccess::Nothing
+        }
+    }
+
     /// Returns the retries of a service's `reserve` that this daemon may use in a window.
     ///
     /// The retries of all daemons sum to at most the reserve over any window, as long as gossip
@@ -380,11 +425,18 @@
 /// Returns the position of a daemon in the order in which daemons permit a leaf's requests. Daemons
 /// with more CPU capacity come first, because a small VM under load would answer late.
 fn issuer_rank(leaf: &LeafId, daemon: &KnownDaemon) -> (u32, u64, SocketAddr) {
-    let ip = match daemon.address.ip() {
+    let (hash, address) = sender_rank(leaf, daemon.address);
+    (u32::MAX - daemon.cpu_millicores, hash, address)
+}
+
+/// Returns the position of a daemon in the order in which daemons send to a cold leaf (rendezvous
+/// hashing).
+fn sender_rank(leaf: &LeafId, address: SocketAddr) -> (u64, SocketAddr) {
+    let ip = match address.ip() {
         IpAddr::V4(ip) => ip.to_ipv6_mapped(),
         IpAddr::V6(ip) => ip,
     };
-    let port = daemon.address.port().to_be_bytes();
+    let port = address.port().to_be_bytes();
     let hash = stable_hash(&[leaf.as_str().as_bytes(), &ip.octets(), &port]);
-    (u32::MAX - daemon.cpu_millicores, hash, daemon.address)
+    (hash, address)
 }
--- a/crates/medlarpin-core/src/routing/leaf_rate_limit.rs
+++ b/crates/medlarpin-core/src/routing/leaf_rate_limit.rs
@@ -6,14 +6,17 @@
 const CREDIT_TIME: Duration = Duration::from_millis(500);
 /// Upper bound of a wait, which keeps tiny rates within the range of [`Instant`].
 const WAIT_MAX: Duration = Duration::from_hours(24);
+/// Wait of a daemon that may send nothing, after which it may be told otherwise by its list of
+/// daemons.
+const NO_ACCESS_WAIT: Duration = Duration::from_secs(1);
 /// Upper bound of the wait after a denied permit: the time between two requests at the least rate
 /// that a daemon permits.
 const DENIAL_MAX: Duration = Duration::from_secs(4);
 /// Relative difference from which another stated rate is a change that other daemons are told of.
 const CHANGE_MIN: f64 = 0.1;
 
-/// The limit that a leaf states for the requests of all daemons together, and what this daemon may
-/// send within it.
+/// A limit on the requests of all daemons together to a leaf, and what this daemon may send within
+/// it: one that the leaf states in its answers, or that of a cold leaf.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct LeafRateLimit {
     /// `None` while the leaf states no limit.
@@ -26,6 +29,10 @@
 struct Limit {
     rate: RequestRate,
     /// Requests that may be sent, including a fraction, as of `credited_at`.
+    ///
+    /// With [`RateAccess::Paced`] it is at most 1 whenever it is used, however much time has passed,
+    /// and at most 0 after each request. So two requests are at least the inverse of the access's
+    /// rate apart, and a daemon sends at most one more than that rate in any second.
     credit: f64,
     credited_at: Instant,
     /// End of the wait after another daemon denied a permit.
@@ -81,19 +88,33 @@
     pub fn available_at(&self, access: RateAccess, now: Instant) -> Option<Instant> {
         let limit = self.limit?;
         match access {
-            RateAccess::Own(per_s) => {
-                let missing = (1.0 - limit.credit_at(per_s, now)).max(0.0);
+            RateAccess::Own(per_s) | RateAccess::Paced(per_s) => {
+                let missing = (1.0 - limit.credit_at(per_s, credit_max(access), now)).max(0.0);
                 let wait_s = (missing / per_s).min(WAIT_MAX.as_secs_f64());
                 Some(now + Duration::from_secs_f64(wait_s))
             }
             RateAccess::Permit(_) => Some(limit.denied_until.unwrap_or(now)),
+            RateAccess::Nothing => Some(now + NO_ACCESS_WAIT),
+        }
+    }
+
+    /// Records that a request is sent if one is available now; otherwise returns the time until one
+    /// is.
+    pub fn take(&mut self, access: RateAccess, now: Instant) -> Option<Duration> {
+        let available_at = self.available_at(access, now)?;
+        if now < available_at {
+            return Some(available_at - now);
         }
+        self.sent(access, now);
+        None
     }
 
     /// Records that a request is sent, or permitted to another daemon.
     pub fn sent(&mut self, access: RateAccess, now: Instant) {
-        if let (Some(limit), RateAccess::Own(per_s)) = (&mut self.limit, access) {
-            limit.credit = limit.credit_at(per_s, now) - 1.0;
+        if let (Some(limit), RateAccess::Own(per_s) | RateAccess::Paced(per_s)) =
+            (&mut self.limit, access)
+        {
+            limit.credit = limit.credit_at(per_s, credit_max(access), now) - 1.0;
             limit.credited_at = now;
         }
     }
@@ -109,13 +130,20 @@
 }
 
 impl Limit {
-    fn credit_at(&self, per_s: f64, now: Instant) -> f64 {
+    fn credit_at(&self, per_s: f64, credit_max: f64, now: Instant) -> f64 {
         let elapsed = now.saturating_duration_since(self.credited_at);
-        let credit_max = (per_s * CREDIT_TIME.as_secs_f64()).max(1.0);
         (self.credit + elapsed.as_secs_f64() * per_s).min(credit_max)
     }
 }
 
+/// Returns the most credit that accumulates.
+fn credit_max(access: RateAccess) -> f64 {
+    match access {
+        RateAccess::Own(per_s) => (per_s * CREDIT_TIME.as_secs_f64()).max(1.0),
+        RateAccess::Paced(_) | RateAccess::Permit(_) | RateAccess::Nothing => 1.0,
+    }
+}
+
 fn is_changed(previous: RequestRate, rate: RequestRate) -> bool {
     let difference = (rate.per_s() - previous.per_s()).abs();
     difference > previous.per_s() * CHANGE_MIN
--- a/crates/medlarpin-core/src/routing/mod.rs
+++ b/crates/medlarpin-core/src/routing/mod.rs
@@ -3,6 +3,7 @@
 
 mod call_attempts;
 mod change_log;
+mod cold_leaf_bound;
 mod config_check;
 mod daemon_list;
 mod delegate_selector;
@@ -13,6 +14,7 @@
 mod leaf_entry;
 mod leaf_load;
 mod leaf_rate_limit;
+mod leaf_warm_up;
 mod link_suspicion;
 mod memory_budget;
 mod observation_time;
@@ -38,6 +40,7 @@
 
 pub use call_attempts::CallAttempts;
 pub use change_log::ChangeLog;
+pub use cold_leaf_bound::{ColdLeafBound, ColdLeafPlan};
 pub use config_check::{CONFIG_CHECK_TIME_MAX, ConfigCheck};
 pub use daemon_list::{
     DEFAULT_DAEMON_COUNT, DISCOVERY_TIME, DaemonList, HERD_START_SPREAD, ISOLATED_AFTER,
@@ -61,6 +64,7 @@
     SHED_BACK_OFF, UNANSWERED_MIN, Unreachable,
 };
 pub use leaf_rate_limit::LeafRateLimit;
+pub use leaf_warm_up::LeafWarmUp;
 pub use link_suspicion::LinkSuspicion;
 pub use memory_budget::MemoryBudget;
 pub use observation_time::{OUTAGE_MIN, ObservationTime};
--- a/crates/medlarpin-core/src/routing/rate_access.rs
+++ b/crates/medlarpin-core/src/routing/rate_access.rs
@@ -24,8 +24,13 @@
 pub enum RateAccess {
     /// This many requests per second, above 0, without asking another daemon.
     Own(f64),
+    /// Like `Own`, and each request is sent at least the time after the previous one that the rate
+    /// requires.
+    Paced(f64),
     /// Each request needs a permit of this daemon.
     Permit(SocketAddr),
+    /// None; the requests of other daemons use up the rate.
+    Nothing,
 }
 
 impl RateAccess {
