Limit the requests to cold leafs

Cause: warmupLeftMs was decoded and decided nothing, and warmupS, warmupPerS and the header X-Medlarpin-Warmup-Ms were not read. Change: a cold leaf is available only within its limit for first attempts, retries, hedges, parts of queries, canaries, probes and health checks; the request is taken from the limit directly before it is written. A request that only cold leafs could serve is refused at once. New settings warmup_overage and warmup_slack, rendered only if the platform gives them.

--- a/crates/medlarpin-core/src/canary/loss_verdict.rs
+++ b/crates/medlarpin-core/src/canary/loss_verdict.rs
@@ -18,6 +18,8 @@
     Refuses,
     /// Nothing is heard of it.
     Silent,
+    /// It accepts a connection, and was not asked, as it takes no further requests for now.
+    NotAsked,
 }
 
 /// Whether this VM reaches the leafs beside a lost one, in the same failure domain.
@@ -60,7 +62,10 @@
         match leaf {
             LostLeafSign::Answers => Self::Lives,
             LostLeafSign::Replaced => Self::Ended,
-            LostLeafSign::Refuses | LostLeafSign::Silent if !is_listed => Self::Ended,
+            LostLeafSign::Refuses | LostLeafSign::Silent | LostLeafSign::NotAsked if !is_listed => {
+                Self::Ended
+            }
+            LostLeafSign::NotAsked => Self::Unknown,
             LostLeafSign::Refuses => match neighbours {
                 NeighbourSign::Reached | NeighbourSign::Silent | NeighbourSign::Nobody => {
                     Self::Ended
--- a/crates/medlarpin-core/src/routing/cold_leaf_bound.rs
+++ b/crates/medlarpin-core/src/routing/cold_leaf_bound.rs
@@ -41,7 +41,13 @@
     /// Creates a bound; a number that is not finite or below 0 counts as 0.
     #[must_use]
     pub fn new(overage: f64, slack: f64) -> Self {
-        let valid = |number: f64| if number.is_finite() { number.max(0.0) } else { 0.0 };
+        let valid = |number: f64| {
+            if number.is_finite() {
+                number.max(0.0)
+            } else {
+                0.0
+            }
+        };
         Self {
             overage: valid(overage),
             slack: valid(slack),
--- a/crates/medlarpin-core/src/routing/leaf_warm_up.rs
+++ b/crates/medlarpin-core/src/routing/leaf_warm_up.rs
@@ -33,7 +33,9 @@
         }
         self.sequence = Some(sequence);
         self.published_until = end_of(left, now);
-        self.assumed = self.assumed.filter(|assumed| sequence < assumed.sequence_min);
+        self.assumed = self
+            .assumed
+            .filter(|assumed| sequence < assumed.sequence_min);
     }
 
     /// Records what the answer to a health check states that was sent at `asked_at`.
--- a/crates/medlarpin-core/src/routing/rate_access.rs
+++ b/crates/medlarpin-core/src/routing/rate_access.rs
@@ -45,6 +45,17 @@
         Self::Own(part_per_s(stated, part) * share.max(f64::MIN_POSITIVE))
     }
 
+    /// Returns the requests per second that may be sent without asking another daemon; `None` if each
+    /// needs a permit.
+    #[must_use]
+    pub fn per_s(self) -> Option<f64> {
+        match self {
+            Self::Own(per_s) | Self::Paced(per_s) => Some(per_s),
+            Self::Permit(_) => None,
+            Self::Nothing => Some(0.0),
+        }
+    }
+
     /// Returns the access of the daemon that permits the requests of the others.
     #[must_use]
     pub fn issuer(stated: RequestRate) -> Self {
--- a/crates/medlarpin-core/src/routing/routing_config.rs
+++ b/crates/medlarpin-core/src/routing/routing_config.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{RouteTable, RouteTarget};
+use super::{RequestRate, RouteTable, RouteTarget};
 use crate::ids::ServiceName;
 
 /// Version of a published configuration; a higher one is newer.
@@ -9,7 +9,7 @@
 pub struct ConfigVersion(pub u64);
 
 /// Configuration of a service.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct RoutedService {
     /// Name of the service.
     pub name: ServiceName,
@@ -17,6 +17,11 @@
     pub connections_max: u32,
     /// Path of the health check that each leaf answers.
     pub health_path: Arc<str>,
+    /// Time for which a leaf is cold after its start.
+    pub warm_up: Duration,
+    /// Rate of requests that a cold leaf tolerates from all daemons together; `None` if it is not
+    /// limited.
+    pub cold_rate: Option<RequestRate>,
 }
 
 /// Limits on callers' requests and connections.
--- a/crates/medlarpin-core/tests/canary.rs
+++ b/crates/medlarpin-core/tests/canary.rs
@@ -178,7 +178,7 @@
 /// because nothing else of their failure domain answers.
 #[test]
 fn a_loss_counts_only_if_the_leaf_has_ended() {
-    use LostLeafSign::{Answers, Refuses, Replaced, Silent};
+    use LostLeafSign::{Answers, NotAsked, Refuses, Replaced, Silent};
     use NeighbourSign::{Nobody, Reached, Refusing};
     let check_kind = |kind, leaf, neighbours, is_listed, verdict| {
         let found = LossVerdict::of(kind, leaf, neighbours, is_listed);
@@ -199,6 +199,8 @@
         }
         check(Silent, neighbours, false, LossVerdict::Ended);
         check(Refuses, neighbours, false, LossVerdict::Ended);
+        check(NotAsked, neighbours, false, LossVerdict::Ended);
+        check(NotAsked, neighbours, true, LossVerdict::Unknown);
     }
     check(Refuses, Reached, true, LossVerdict::Ended);
     check(Refuses, NeighbourSign::Silent, true, LossVerdict::Ended);
--- a/crates/medlarpin-core/tests/cold_model/mod.rs
+++ b/crates/medlarpin-core/tests/cold_model/mod.rs
@@ -292,7 +292,10 @@
         }
         let sent = self.daemons[index].list.sample(self.random.random(), now);
         let reply = self.daemons[peer].list.sample(self.random.random(), now);
-        let (own, other) = (self.daemons[index].list.own(), self.daemons[peer].list.own());
+        let (own, other) = (
+            self.daemons[index].list.own(),
+            self.daemons[peer].list.own(),
+        );
         self.daemons[peer].list.record_exchange(own, &sent, now);
         self.daemons[index].list.record_exchange(other, &reply, now);
     }
--- a/crates/medlarpin-core/tests/routing_cold_leafs.rs
+++ b/crates/medlarpin-core/tests/routing_cold_leafs.rs
@@ -39,7 +39,10 @@
                 played.senders_max,
                 played.arrivals.len()
             );
-            assert!(most as f64 <= allowed, "{world:?}, seed {seed}: {most} of {allowed}");
+            assert!(
+                most as f64 <= allowed,
+                "{world:?}, seed {seed}: {most} of {allowed}"
+            );
         }
     };
     for tolerated_per_s in [0.5, 4.0, 20.0, 60.0] {
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -52,7 +52,12 @@
                 now,
             ),
             Err(LeafFailure::Shed) => load.shed(now),
-            Err(LeafFailure::ConnectionLimit | LeafFailure::Paused | LeafFailure::Encoding) => {}
+            Err(
+                LeafFailure::ConnectionLimit
+                | LeafFailure::Paused
+                | LeafFailure::Cold
+                | LeafFailure::Encoding,
+            ) => {}
             Err(LeafFailure::BrokenOff | LeafFailure::Foreign | LeafFailure::TooLarge) => {
                 load.answer_lost(now);
             }
@@ -85,9 +90,13 @@
     at_most_once: bool,
     typical_latency: Duration,
 ) -> AttemptResult {
+    let was_reachable = leaf.load().unreachable().is_none();
     let in_flight = InFlightGuard::start(&shared, &leaf, typical_latency);
     let result = send_request(&shared, &leaf, &request, &evidence, at_most_once).await;
     in_flight.finish(&result);
+    if was_reachable && matches!(result, Err(LeafFailure::Connect)) {
+        LeafRates::new(&shared).assume_restarted(&leaf, shared.now());
+    }
     result
 }
 
@@ -102,6 +111,7 @@
     let mut connection = leaf
         .acquire(connections_max, at_most_once, shared.now())
         .await?;
+    let mut is_counted = false;
     loop {
         // The leaf may have asked for no requests while the connection was being opened.
         if leaf.load().pause_until(shared.now()).is_some() {
@@ -112,6 +122,11 @@
             .for_leaf(leaf.entry.id.as_str(), shared.now())
             .ok_or(LeafFailure::Encoding)?;
         let sent_at = shared.now();
+        if !is_counted && !LeafRates::new(shared).take_cold_request(leaf, sent_at) {
+            leaf.release(connection, None, sent_at);
+            return Err(LeafFailure::Cold);
+        }
+        is_counted = true;
         connection.progress_limit.restart();
         let on_wire = evidence.writing();
         let run = leaf
--- a/crates/router/src/attempt_result.rs
+++ b/crates/router/src/attempt_result.rs
@@ -27,6 +27,8 @@
     ConnectionLimit,
     /// The leaf asked for no requests before this one was sent.
     Paused,
+    /// The leaf is cold and got another request of this daemon before this one was sent.
+    Cold,
     /// The leaf rejected the request without running it, because of its load.
     Shed,
     /// The address now belongs to another leaf, which did not run the request.
@@ -48,6 +50,7 @@
             Self::Connect => "connect",
             Self::ConnectionLimit => "connection_limit",
             Self::Paused => "paused",
+            Self::Cold => "cold",
             Self::Shed => "shed",
             Self::OtherLeaf => "other_leaf",
             Self::BrokenOff => "broken_off",
@@ -63,6 +66,7 @@
             Self::Connect
             | Self::ConnectionLimit
             | Self::Paused
+            | Self::Cold
             | Self::OtherLeaf
             | Self::Encoding => true,
             Self::Shed | Self::BrokenOff | Self::TooLarge | Self::Foreign => false,
@@ -76,6 +80,7 @@
             Self::Connect
             | Self::ConnectionLimit
             | Self::Paused
+            | Self::Cold
             | Self::Shed
             | Self::OtherLeaf
             | Self::Encoding => false,
--- a/crates/router/src/crash_reports.rs
+++ b/crates/router/src/crash_reports.rs
@@ -93,7 +93,7 @@
             LostLeafSign::Refuses => true,
             // Of a leaf that only fell silent, those beside it tell nothing.
             LostLeafSign::Silent => reports.iter().any(|report| report.kind == LossKind::Broken),
-            LostLeafSign::Answers | LostLeafSign::Replaced => false,
+            LostLeafSign::Answers | LostLeafSign::Replaced | LostLeafSign::NotAsked => false,
         })
         .map(|((_, reports), _)| reports[0].leaf.entry.failure_domain.clone())
         .collect();
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -175,6 +175,16 @@
         service: &'a str,
         heard_ms_ago: u128,
     },
+    /// A leaf is cold and gets few requests, from all daemons together at most this rate with the bounds of
+    /// the settings.
+    LeafCold {
+        leaf: &'a str,
+        service: &'a str,
+        requests_per_s: f64,
+        left_ms: u128,
+    },
+    /// A leaf is no longer cold, or its service no longer limits the requests to cold leafs.
+    LeafWarm { leaf: &'a str, service: &'a str },
     /// What a leaf stated about its request rate was not passed on to other daemons.
     LeafRateReportDropped { error: &'a str },
     /// A leaf states a limit of its request rate that is not a number of at least 0; what it stated
@@ -206,8 +216,10 @@
         leaving: usize,
         /// Leafs that get no requests for a back-off time after failures or rejections.
         blocked: usize,
-        /// Leafs of whose stated request rate this daemon has used its share.
+        /// Leafs of whose stated request rate, or limit while they are cold, this daemon has used its share.
         rate_limited: usize,
+        /// Leafs that are cold, so that this daemon may send them few requests or none.
+        cold: usize,
     },
     /// A hedge was sent to another leaf.
     Hedged {
@@ -359,6 +371,8 @@
             | Self::LeafWithdrawn { .. }
             | Self::LeafLimitStated { .. }
             | Self::LeafLimitEnded { .. }
+            | Self::LeafCold { .. }
+            | Self::LeafWarm { .. }
             | Self::LeafLimitUnreadable { .. }
             | Self::LeafRateReportDropped { .. }
             | Self::LeafFailed { .. }
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -117,6 +117,10 @@
             rate_wait: Some(wait),
             ..
         } => Refusal::rate_limited(*wait, rand::random()),
+        ServiceFailure {
+            last: Some(LeafFailure::Cold),
+            ..
+        } => Refusal::LeafsFull,
         failure if failure.may_have_arrived || failure.has_no_leaf => Refusal::NoLeaf,
         _ => Refusal::Unreachable,
     }
--- a/crates/router/src/leaf.rs
+++ b/crates/router/src/leaf.rs
@@ -10,8 +10,8 @@
 use hyper_util::rt::TokioIo;
 use leaf_stream::{LeafStream, ProgressLimit};
 use medlarpin_core::routing::{
-    LeafEntry, LeafLoad, LeafPhase, LeafRateLimit, RateAccess, RateStatement, RequestRate,
-    StatedRate,
+    LeafEntry, LeafLoad, LeafPhase, LeafRateLimit, LeafWarmUp, RateAccess, RateStatement,
+    RequestRate, StatedRate,
 };
 use parking_lot::{Mutex, MutexGuard};
 use socket2::{SockRef, TcpKeepalive};
@@ -95,6 +95,9 @@
 struct LeafLink {
     load: Mutex<LeafLoad>,
     rate_limit: Mutex<LeafRateLimit>,
+    warm_up: Mutex<LeafWarmUp>,
+    /// Limit of the request rate while the leaf is cold, if its service has one.
+    cold_limit: Mutex<LeafRateLimit>,
     /// Ordered by last use, the most recent one last.
     idle: Mutex<Vec<IdleConnection>>,
     /// Number of open connections, both idle and in use.
@@ -222,13 +225,7 @@
     /// Counts a request against the rate that the leaf states if it is available now; otherwise
     /// returns the time until one is.
     pub(crate) fn take_request(&self, access: RateAccess, now: Instant) -> Option<Duration> {
-        let mut rate_limit = self.link.rate_limit.lock();
-        let available_at = rate_limit.available_at(access, now)?;
-        if now < available_at {
-            return Some(available_at - now);
-        }
-        rate_limit.sent(access, now);
-        None
+        self.link.rate_limit.lock().take(access, now)
     }
 
     /// Records that another daemon permits no request for `wait`.
@@ -236,6 +233,58 @@
         self.link.rate_limit.lock().denied(wait, now);
     }
 
+    /// Records what the leaf's entry states about its warm-up.
+    pub(crate) fn record_published_warm_up(&self, now: Instant) {
+        let entry = &self.entry;
+        let mut warm_up = self.link.warm_up.lock();
+        warm_up.published(entry.warm_up_left, entry.sequence, now);
+    }
+
+    /// Records what the answer to a health check states that was sent at `asked_at`.
+    pub(crate) fn record_checked_warm_up(&self, left: Duration, asked_at: Instant, now: Instant) {
+        self.link.warm_up.lock().checked(left, asked_at, now);
+    }
+
+    /// Lets the leaf count as cold until then, unless an entry that was written later or a health check
+    /// that was sent later shows otherwise. At most `entries_in_transit` entries that this daemon does not
+    /// know may have been written already.
+    pub(crate) fn assume_cold(&self, until: Instant, entries_in_transit: u64, now: Instant) {
+        let mut warm_up = self.link.warm_up.lock();
+        warm_up.assume_cold(until, entries_in_transit, now);
+    }
+
+    /// Returns the time until which the leaf counts as cold; `None` if it is warm.
+    pub(crate) fn cold_until(&self, now: Instant) -> Option<Instant> {
+        self.link.warm_up.lock().cold_until(now)
+    }
+
+    /// Starts the limit of a cold leaf, or ends that of one which is warm; returns true if that is a
+    /// change.
+    pub(crate) fn set_cold_limit(&self, rate: Option<RequestRate>, now: Instant) -> bool {
+        let mut limit = self.link.cold_limit.lock();
+        if limit.stated() == rate {
+            return false;
+        }
+        let statement = RateStatement {
+            stated: rate.map_or(StatedRate::Unlimited, StatedRate::Limited),
+            asked_at: now,
+            heard_at: now,
+        };
+        limit.record(statement, rand::random(), now)
+    }
+
+    /// Returns the time from which the limit of a cold leaf allows the next request; `None` if there is
+    /// no such limit.
+    pub(crate) fn cold_available_at(&self, access: RateAccess, now: Instant) -> Option<Instant> {
+        self.link.cold_limit.lock().available_at(access, now)
+    }
+
+    /// Counts a request against the limit of a cold leaf if it is available now; otherwise returns the
+    /// time until one is.
+    pub(crate) fn take_cold_request(&self, access: RateAccess, now: Instant) -> Option<Duration> {
+        self.link.cold_limit.lock().take(access, now)
+    }
+
     /// Returns the time until which the leaf gets new requests; `None` unless it is leaving.
     pub(crate) fn usable_until(&self) -> Option<Instant> {
         self.usable_until
--- a/crates/router/src/leaf_probe.rs
+++ b/crates/router/src/leaf_probe.rs
@@ -14,6 +14,7 @@
 
 use crate::event::Event;
 use crate::leaf::{Leaf, LeafConnection};
+use crate::leaf_rates::LeafRates;
 use crate::shared::Shared;
 
 /// Interval at which all leafs are checked.
@@ -42,6 +43,13 @@
             let Some(how) = due.filter(|_| leaf.is_usable(now)) else {
                 continue;
             };
+            // A health check counts as a request; opening a connection does not.
+            let is_held_back = LeafRates::new(&shared)
+                .cold_wait_until(&leaf, now)
+                .is_some();
+            if how == Unreachable::Silent && is_held_back {
+                continue;
+            }
             let Some(guard) = leaf.start_probe() else {
                 continue;
             };
@@ -131,7 +139,8 @@
     pub(crate) answered_by: Option<LeafId>,
 }
 
-/// Sends a health check; `None` if there is no answer.
+/// Sends a health check; `None` if there is no answer, or if the leaf is cold and takes no further requests
+/// of this daemon for now.
 pub(crate) async fn check_health(
     shared: &Shared,
     leaf: &Leaf,
@@ -144,12 +153,21 @@
         .header(HOST, leaf.entry.address.to_string())
         .body(Full::<Bytes>::default())
         .ok()?;
+    let asked_at = shared.now();
+    if !LeafRates::new(shared).take_cold_request(leaf, asked_at) {
+        return None;
+    }
     let answered = timeout(
         HEALTH_CHECK_TIMEOUT,
         connection.sender.send_request(request),
     );
     let response = answered.await.ok()?.ok()?;
     let answered_by = platform::health_check_leaf(response.headers());
+    if answered_by.as_ref().is_none_or(|id| *id == leaf.entry.id)
+        && let Some(left) = platform::health_check_warm_up(response.headers())
+    {
+        leaf.record_checked_warm_up(left, asked_at, shared.now());
+    }
     // An answer with a body would be taken for that of the next request.
     let body = shared
         .answer_memory
--- a/crates/router/src/leaf_rates.rs
+++ b/crates/router/src/leaf_rates.rs
@@ -2,14 +2,19 @@
 use std::time::{Duration, Instant};
 
 use medlarpin_core::prelude::ServiceName;
-use medlarpin_core::routing::{RateAccess, RateStatement, StatedRate};
+use medlarpin_core::routing::{ColdLeafBound, RateAccess, RateStatement, RequestRate, StatedRate};
 
 use crate::event::Event;
 use crate::leaf::Leaf;
 use crate::leaf_rate_reports::LeafRateReport;
 use crate::shared::{Shared, UNLISTED_SHARE};
 
-/// What this daemon may send to leafs that state a request rate, and what it tells the others of it.
+/// Entries of a leaf that may have been written and are not known here yet: they are written every
+/// 1.2 s, and a daemon that follows another one knows them within 3 s.
+const ENTRIES_IN_TRANSIT: u64 = 3;
+
+/// What this daemon may send to leafs that state a request rate or are cold, and what it tells the others of
+/// stated rates.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct LeafRates<'a> {
     shared: &'a Shared,
@@ -40,7 +45,7 @@
     pub(crate) fn permit_issuer(self, leaf: &Leaf, now: Instant) -> Option<SocketAddr> {
         match self.access(leaf, now)? {
             RateAccess::Permit(issuer) => Some(issuer),
-            RateAccess::Own(_) => None,
+            RateAccess::Own(_) | RateAccess::Paced(_) | RateAccess::Nothing => None,
         }
     }
 
@@ -88,13 +93,106 @@
         }
     }
 
-    /// Returns the end of the wait that the request rate stated by a leaf requires, if there is one.
+    /// Returns the end of the wait that the request rate stated by a leaf, or the limit of a cold one,
+    /// requires, if there is one.
     pub(crate) fn wait_until(self, leaf: &Leaf, now: Instant) -> Option<Instant> {
-        let access = self.access(leaf, now)?;
-        let available_at = leaf.rate_available_at(access, now);
+        let access = self.access(leaf, now);
+        let available_at = access.and_then(|access| leaf.rate_available_at(access, now));
+        let stated_wait = available_at.filter(|at| now < *at);
+        stated_wait.max(self.cold_wait_until(leaf, now))
+    }
+
+    /// Returns how this daemon may send requests to a cold leaf; `None` if the leaf is warm or its service
+    /// has no limit.
+    pub(crate) fn cold_access(self, leaf: &Leaf, now: Instant) -> Option<RateAccess> {
+        let rate = leaf
+            .cold_until(now)
+            .and_then(|_| self.cold_rate(&leaf.entry.service));
+        if leaf.set_cold_limit(rate, now) {
+            self.log_cold_limit(leaf, rate, now);
+        }
+        let (rate, bound) = (rate?, self.cold_leaf_bound()?);
+        Some(match &self.shared.daemons {
+            Some(daemons) => daemons.lock().cold_access(&leaf.entry.id, rate, bound, now),
+            // The others do not know of this daemon, so it can have no share.
+            None if self.shared.has_other_seeds() => RateAccess::Nothing,
+            None => bound
+                .plan(rate)
+                .map_or(RateAccess::Nothing, |plan| RateAccess::Paced(plan.per_s)),
+        })
+    }
+
+    /// Returns the rate of requests that a cold leaf of the service tolerates, if it is limited.
+    fn cold_rate(self, service: &ServiceName) -> Option<RequestRate> {
+        self.cold_leaf_bound()?;
+        let config = self.shared.config.load();
+        config.as_ref()?.service(service)?.cold_rate
+    }
+
+    /// Returns the bound of the requests to cold leafs; `None` if the settings give none. If they give only
+    /// one of its numbers, the other one allows no more than the rate itself.
+    fn cold_leaf_bound(self) -> Option<ColdLeafBound> {
+        let settings = self.shared.settings.load();
+        match (settings.warm_up_overage, settings.warm_up_slack) {
+            (None, None) => None,
+            (overage, slack) => Some(ColdLeafBound::new(
+                overage.unwrap_or(1.0),
+                slack.unwrap_or(0.0),
+            )),
+        }
+    }
+
+    fn log_cold_limit(self, leaf: &Leaf, rate: Option<RequestRate>, now: Instant) {
+        let (id, service) = (leaf.entry.id.as_str(), leaf.entry.service.as_str());
+        match (rate, leaf.cold_until(now)) {
+            (Some(rate), Some(until)) => Event::LeafCold {
+                leaf: id,
+                service,
+                requests_per_s: rate.per_s(),
+                left_ms: until.saturating_duration_since(now).as_millis(),
+            }
+            .log(),
+            _ => Event::LeafWarm { leaf: id, service }.log(),
+        }
+    }
+
+    /// Returns the end of the wait that the limit of a cold leaf requires, if there is one.
+    pub(crate) fn cold_wait_until(self, leaf: &Leaf, now: Instant) -> Option<Instant> {
+        let access = self.cold_access(leaf, now)?;
+        let available_at = leaf.cold_available_at(access, now);
         available_at.filter(|at| now < *at)
     }
 
+    /// Takes a request from the limit of a cold leaf, directly before it is written to the connection, so
+    /// that requests whose connections open late do not arrive together. Returns false if it must not be
+    /// sent.
+    pub(crate) fn take_cold_request(self, leaf: &Leaf, now: Instant) -> bool {
+        let Some(access) = self.cold_access(leaf, now) else {
+            return true;
+        };
+        let is_allowed = leaf.take_cold_request(access, now).is_none();
+        self.shared.metrics.record_cold_request(is_allowed);
+        is_allowed
+    }
+
+    /// Lets a leaf that may have started again without an entry of it count as cold for the warm-up time of
+    /// its service, if cold leafs of the service are limited.
+    pub(crate) fn assume_restarted(self, leaf: &Leaf, now: Instant) {
+        self.assume_cold(leaf, ENTRIES_IN_TRANSIT, now);
+    }
+
+    /// Lets a leaf count as cold for the warm-up time of its service, unless an entry that was written later
+    /// or a health check shows otherwise, if cold leafs of the service are limited.
+    pub(crate) fn assume_cold(self, leaf: &Leaf, entries_in_transit: u64, now: Instant) {
+        let config = self.shared.config.load();
+        let service = config
+            .as_ref()
+            .and_then(|config| config.service(&leaf.entry.service));
+        if let Some(service) = service.filter(|service| service.cold_rate.is_some()) {
+            leaf.assume_cold(now + service.warm_up, entries_in_transit, now);
+        }
+    }
+
     /// Counts a request against the rate that the leaf states, if it states one.
     pub(crate) fn record_request(self, leaf: &Leaf, now: Instant) {
         if let Some(access) = self.access(leaf, now) {
@@ -103,7 +201,7 @@
     }
 
     /// Returns the time until a leaf of the service takes a request, if only the request rates that
-    /// its leafs state prevent one now.
+    /// its leafs state, or the limits of cold ones, prevent one now.
     pub(crate) fn wait(self, service: &ServiceName, now: Instant) -> Option<Duration> {
         let leafs = self.shared.leafs.for_service(service);
         let usable = leafs.iter().filter(|leaf| leaf.is_usable(now));
--- a/crates/router/src/leaf_table.rs
+++ b/crates/router/src/leaf_table.rs
@@ -95,6 +95,9 @@
                 }),
             });
         }
+        for leaf in &leafs {
+            leaf.record_published_warm_up(now);
+        }
         let mut withdrawn = Vec::new();
         for leaf in previous {
             let index = leafs.binary_search_by(|listed| listed.entry.id.cmp(&leaf.entry.id));
--- a/crates/router/src/loss_check.rs
+++ b/crates/router/src/loss_check.rs
@@ -13,6 +13,7 @@
 use crate::event::Event;
 use crate::leaf::{Leaf, OpenError};
 use crate::leaf_probe::check_health;
+use crate::leaf_rates::LeafRates;
 use crate::shared::Shared;
 
 /// Number of leafs beside a lost one that are asked; some may be full, or have ended as well.
@@ -29,11 +30,19 @@
 
 async fn ask_health(shared: &Shared, leaf: &Leaf) -> LostLeafSign {
     let connections_max = shared.connections_max(&leaf.entry.service);
+    let is_held_back = || {
+        let rates = LeafRates::new(shared);
+        rates.cold_wait_until(leaf, shared.now()).is_some()
+    };
     let connection = match leaf.open_for_check(connections_max).await {
         Ok(connection) => connection,
         Err(OpenError::Refused) => return LostLeafSign::Refuses,
         Err(OpenError::Limit | OpenError::Unreachable) => return LostLeafSign::Silent,
     };
+    if is_held_back() {
+        leaf.release(connection, None, shared.now());
+        return LostLeafSign::NotAsked;
+    }
     let Some(healthy) = check_health(shared, leaf, connection).await else {
         return LostLeafSign::Silent;
     };
@@ -68,7 +77,9 @@
             Some(Unreachable::Silent) => signs.push(LostLeafSign::Silent),
             None if load.pause_until(now).is_none() => {
                 drop(load);
-                asked.push(leaf);
+                if LeafRates::new(shared).cold_wait_until(&leaf, now).is_none() {
+                    asked.push(leaf);
+                }
             }
             None => {}
         }
--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -7,9 +7,11 @@
 use axum::http::StatusCode;
 use axum::routing::get;
 use axum::{Json, Router};
-use medlarpin_core::routing::{RequestRate, Unreachable};
+use medlarpin_core::routing::{RateAccess, RequestRate, Unreachable};
 use serde::Serialize;
 
+use crate::leaf::Leaf;
+use crate::leaf_rates::LeafRates;
 use crate::shared::Shared;
 
 /// The JSON document of `/state`.
@@ -62,6 +64,10 @@
     unreachable: Option<&'static str>,
     /// Requests per second that the leaf takes from all daemons together, if it states a limit.
     stated_rate_per_s: Option<f64>,
+    /// Time for which the leaf stays cold; `None` if it is warm or its service does not limit cold leafs.
+    cold_left_ms: Option<u128>,
+    /// Requests per second that this daemon may send while the leaf is cold.
+    cold_rate_per_s: Option<f64>,
 }
 
 /// Returns the operators' endpoints.
@@ -73,6 +79,11 @@
 }
 
 async fn metrics(State(shared): State<Arc<Shared>>) -> Result<String, (StatusCode, String)> {
+    let (rates, now) = (LeafRates::new(&shared), shared.now());
+    let is_cold = |leaf: &Leaf| rates.cold_access(leaf, now).is_some();
+    let cold_leafs = shared.leafs.filter(is_cold).len();
+    let cold_leafs = i64::try_from(cold_leafs).unwrap_or(i64::MAX);
+    shared.metrics.cold_leafs.set(cold_leafs);
     shared
         .metrics
         .encode()
@@ -83,6 +94,8 @@
     let now = shared.now();
     let config = shared.config.load();
     let leafs = shared.leafs.all().into_iter().map(|leaf| {
+        let cold_access = LeafRates::new(&shared).cold_access(&leaf, now);
+        let cold_until = cold_access.and_then(|_| leaf.cold_until(now));
         let load = leaf.load();
         LeafDump {
             leaf: leaf.entry.id.to_string(),
@@ -98,6 +111,8 @@
             is_blocked: load.blocked_until(now).is_some(),
             unreachable: load.unreachable().map(Unreachable::as_str),
             stated_rate_per_s: leaf.stated_rate().map(RequestRate::per_s),
+            cold_left_ms: cold_until.map(|until| until.saturating_duration_since(now).as_millis()),
+            cold_rate_per_s: cold_access.and_then(RateAccess::per_s),
         }
     });
     let routes = config.as_ref().map(|config| {
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -308,9 +308,11 @@
         let wait = self.route.target_latency.mul_f64(SHED_WAIT_FRACTION);
         let latest = self.request.arrived_at + wait;
         let leafs = self.shared.leafs.for_service(&self.service);
+        let rates = LeafRates::new(&self.shared);
+        // A request is refused at once rather than held back for the limit of a cold leaf.
         let available_at = leafs
             .iter()
-            .filter(|leaf| leaf.is_usable(now))
+            .filter(|leaf| leaf.is_usable(now) && rates.cold_wait_until(leaf, now).is_none())
             .filter_map(|leaf| self.shared.leaf_available_at(leaf, now))
             .min();
         match available_at {
@@ -392,13 +394,16 @@
             {
                 continue;
             }
+            let is_cold = LeafRates::new(&self.shared)
+                .cold_access(&leaf, now)
+                .is_some();
             let load = leaf.load();
             let is_local = leaf.entry.failure_domain == *self.shared.failure_domain();
             let domain_factor = if is_local { 1.0 } else { REMOTE_DOMAIN_FACTOR };
             candidates.push(Candidate {
                 expected_ratio: load.expected_ratio(leaf.entry.slots, typical_latency, now)
                     * domain_factor,
-                is_preferred: !is_tried && !is_avoided && !leaf.is_leaving(),
+                is_preferred: !is_tried && !is_avoided && !is_cold && !leaf.is_leaving(),
             });
             drop(load);
             usable.push(leaf);
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -168,6 +168,13 @@
         daemons.map_or(1, |daemons| daemons.lock().daemon_count())
     }
 
+    /// Returns true if the settings name another daemon.
+    pub(crate) fn has_other_seeds(&self) -> bool {
+        let settings = self.settings.load();
+        let mut seeds = settings.seed_addresses.iter();
+        seeds.any(|seed| Some(*seed) != settings.peer_address)
+    }
+
     /// Returns true if this daemon is cut off from all others.
     pub(crate) fn is_isolated(&self) -> bool {
         let daemons = self.daemons.as_ref();
@@ -205,6 +212,7 @@
             leaving: count(&Leaf::is_leaving),
             blocked: count(&|leaf| leaf.load().blocked_until(now).is_some()),
             rate_limited: count(&|leaf| rates.wait_until(leaf, now).is_some()),
+            cold: count(&|leaf| rates.cold_access(leaf, now).is_some()),
         }
         .log();
     }
@@ -212,9 +220,12 @@
     /// Returns true if a leaf of the service is available now or after a short back-off.
     pub(crate) fn has_available_leaf(&self, service: &ServiceName, now: Instant) -> bool {
         let soon = now + SHED_BACK_OFF;
+        let rates = LeafRates::new(self);
         self.leafs.for_service(service).iter().any(|leaf| {
             let available_at = self.leaf_available_at(leaf, now);
-            leaf.is_usable(now) && available_at.is_none_or(|at| at <= soon)
+            leaf.is_usable(now)
+                && available_at.is_none_or(|at| at <= soon)
+                && rates.cold_wait_until(leaf, now).is_none()
         })
     }
 
@@ -353,7 +364,7 @@
 
     /// Returns the time from which this daemon may send the next request to a leaf, if that is not
     /// now: the end of a back-off, the next probe of a leaf that is out of reach, or the end of the wait
-    /// that a stated request rate requires.
+    /// that a stated request rate or the limit of a cold leaf requires.
     pub(crate) fn leaf_available_at(&self, leaf: &Leaf, now: Instant) -> Option<Instant> {
         let load = leaf.load();
         let blocked_until = load.blocked_until(now);
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -24,6 +24,8 @@
     "repeat_ratio",
     "repeat_window_s",
     "repeat_slack",
+    "warmup_overage",
+    "warmup_slack",
     "cpu_share",
     "cpu_speed",
     "memory_mb",
@@ -71,6 +73,11 @@
     pub retry_window: Duration,
     /// Retries per window allowed in addition to `retry_ratio`, over all daemons together.
     pub retry_reserve: f64,
+    /// Bound of the requests to a cold leaf in a second, from all daemons together, as a multiple of
+    /// the rate that its service's configuration states; `None` if there is no such bound.
+    pub warm_up_overage: Option<f64>,
+    /// Requests to a cold leaf in a second that the bound allows in addition.
+    pub warm_up_slack: Option<f64>,
     /// CPU time that the daemon may use, in cores.
     pub cpu_share: f64,
     /// Speed of a core, as a multiple of a standard core's.
@@ -126,6 +133,8 @@
         retry_reserve: fields
             .required("repeat_slack", "100")?
             .decimal(0.0, 1_000_000.0)?,
+        warm_up_overage: read_bound(&fields, "warmup_overage")?,
+        warm_up_slack: read_bound(&fields, "warmup_slack")?,
         cpu_share: read_capacity_factor(&fields, "cpu_share")?,
         cpu_speed: read_capacity_factor(&fields, "cpu_speed")?,
         memory_mb: fields.integer_u32_or("memory_mb", 32..=1_048_576, DEFAULT_MEMORY_MB)?,
@@ -144,6 +153,14 @@
     field.items()?.map(|item| item.remote_address()).collect()
 }
 
+/// Reads a number of the bound of the requests to cold leafs.
+fn read_bound(fields: &Fields<'_>, key: &'static str) -> Result<Option<f64>, SettingsError> {
+    let field = fields.optional(key);
+    field
+        .map(|field| field.decimal(0.0, 1_000_000.0))
+        .transpose()
+}
+
 /// Reads a factor of the CPU capacity; 1 if the key is absent.
 fn read_capacity_factor(fields: &Fields<'_>, key: &'static str) -> Result<f64, SettingsError> {
     fields
