Drop the connection to a lost leaf that may not be asked

Kept idle, two of them used up the connections of a daemon with a small share, so that no probe could open one: a cold leaf that lost its answers was probed once in 4 s instead of every 1.6 s.

--- a/crates/router/src/loss_check.rs
+++ b/crates/router/src/loss_check.rs
@@ -40,7 +40,8 @@
         Err(OpenError::Limit | OpenError::Unreachable) => return LostLeafSign::Silent,
     };
     if is_held_back() {
-        leaf.release(connection, None, shared.now());
+        // An idle connection could keep a probe from opening one.
+        drop(connection);
         return LostLeafSign::NotAsked;
     }
     let Some(healthy) = check_health(shared, leaf, connection).await else {
