--- a/crates/router/src/leaf_rates.rs
+++ b/crates/router/src/leaf_rates.rs
@@ -109,7 +109,7 @@
             .cold_until(now)
             .and_then(|_| self.cold_rate(&leaf.entry.service));
         if leaf.set_cold_limit(rate, now) {
-            self.log_cold_limit(leaf, rate, now);
+            log_cold_limit(leaf, rate, now);
         }
         let (rate, bound) = (rate?, self.cold_leaf_bound()?);
         Some(match &self.shared.daemons {
@@ -142,20 +142,6 @@
         }
     }
 
-    fn log_cold_limit(self, leaf: &Leaf, rate: Option<RequestRate>, now: Instant) {
-        let (id, service) = (leaf.entry.id.as_str(), leaf.entry.service.as_str());
-        match (rate, leaf.cold_until(now)) {
-            (Some(rate), Some(until)) => Event::LeafCold {
-                leaf: id,
-                service,
-                requests_per_s: rate.per_s(),
-                left_ms: until.saturating_duration_since(now).as_millis(),
-            }
-            .log(),
-            _ => Event::LeafWarm { leaf: id, service }.log(),
-        }
-    }
-
     /// Returns the end of the wait that the limit of a cold leaf requires, if there is one.
     pub(crate) fn cold_wait_until(self, leaf: &Leaf, now: Instant) -> Option<Instant> {
         let access = self.cold_access(leaf, now)?;
@@ -171,7 +157,7 @@
             return true;
         };
         let is_allowed = leaf.take_cold_request(access, now).is_none();
-        self.shared.metrics.record_cold_request(is_allowed);
+        self.shared.metrics.cold_leafs.record_request(is_allowed);
         is_allowed
     }
 
@@ -209,3 +195,18 @@
         Some(until.saturating_duration_since(now))
     }
 }
+
+/// Logs the start, change or end of the limit of a cold leaf.
+fn log_cold_limit(leaf: &Leaf, rate: Option<RequestRate>, now: Instant) {
+    let (id, service) = (leaf.entry.id.as_str(), leaf.entry.service.as_str());
+    match (rate, leaf.cold_until(now)) {
+        (Some(rate), Some(until)) => Event::LeafCold {
+            leaf: id,
+            service,
+            requests_per_s: rate.per_s(),
+            left_ms: until.saturating_duration_since(now).as_millis(),
+        }
+        .log(),
+        _ => Event::LeafWarm { leaf: id, service }.log(),
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -7,6 +7,7 @@
 mod caller_request;
 mod callers;
 mod canary_slots;
+mod cold_leaf_metrics;
 mod config_sync;
 mod connections;
 mod crash_memory;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -6,6 +6,7 @@
 };
 
 use crate::attempt_result::LeafFailure;
+use crate::cold_leaf_metrics::ColdLeafMetrics;
 use crate::refusal::Refusal;
 
 /// Upper bounds of the latency buckets in seconds, densest around the target latencies of 60 ms to
@@ -29,9 +30,7 @@
     pub(crate) hedges_denied: IntCounter,
     pub(crate) retries_denied: IntCounter,
     leaf_permits: IntCounter,
-    cold_leaf_requests: IntCounter,
-    cold_leaf_requests_denied: IntCounter,
-    pub(crate) cold_leafs: IntGauge,
+    pub(crate) cold_leafs: ColdLeafMetrics,
     leaf_permits_denied: IntCounter,
     pub(crate) lost_leafs_counted: IntCounter,
     pub(crate) lost_leafs_dismissed: IntCounter,
@@ -106,18 +105,7 @@
                 "medlarpin_leaf_permits_denied_total",
                 "Requests of other daemons that this daemon did not permit",
             )?,
-            cold_leaf_requests: counter(
-                "medlarpin_cold_leaf_requests_total",
-                "Requests and health checks sent to cold leafs",
-            )?,
-            cold_leaf_requests_denied: counter(
-                "medlarpin_cold_leaf_requests_denied_total",
-                "Requests to cold leafs that were held back when they were about to be sent",
-            )?,
-            cold_leafs: gauge(
-                "medlarpin_cold_leafs",
-                "Leafs that are cold and get few requests",
-            )?,
+            cold_leafs: ColdLeafMetrics::new(&registry)?,
             retries_denied: counter(
                 "medlarpin_retries_denied_total",
                 "Retries that the repeat limit prevented",
@@ -177,15 +165,6 @@
         }
     }
 
-    /// Counts a request to a cold leaf that was about to be sent.
-    pub(crate) fn record_cold_request(&self, is_sent: bool) {
-        if is_sent {
-            self.cold_leaf_requests.inc();
-        } else {
-            self.cold_leaf_requests_denied.inc();
-        }
-    }
-
     pub(crate) fn record_leaf_failure(&self, failure: LeafFailure) {
         self.leaf_failures
             .with_label_values(&[failure.as_str()])
--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -83,7 +83,7 @@
     let is_cold = |leaf: &Leaf| rates.cold_access(leaf, now).is_some();
     let cold_leafs = shared.leafs.filter(is_cold).len();
     let cold_leafs = i64::try_from(cold_leafs).unwrap_or(i64::MAX);
-    shared.metrics.cold_leafs.set(cold_leafs);
+    shared.metrics.cold_leafs.leafs.set(cold_leafs);
     shared
         .metrics
         .encode()
