--- a/crates/medlarpin-core/tests/routing_rate_limits.rs
+++ b/crates/medlarpin-core/tests/routing_rate_limits.rs
@@ -114,7 +114,7 @@
             now,
         );
         let sender = match access {
-            RateAccess::Own(_) => daemon,
+            RateAccess::Own(_) | RateAccess::Paced(_) | RateAccess::Nothing => daemon,
             RateAccess::Permit(issuer) => {
                 let found = self
                     .daemons
@@ -126,7 +126,7 @@
             }
         };
         let own_access = match access {
-            RateAccess::Own(_) => access,
+            RateAccess::Own(_) | RateAccess::Paced(_) | RateAccess::Nothing => access,
             RateAccess::Permit(_) => RateAccess::issuer(self.rate),
         };
         let limit = &mut self.daemons[sender].limit;
@@ -148,7 +148,7 @@
         });
         let issuers = accesses.filter_map(|access| match access {
             RateAccess::Permit(issuer) => Some(issuer),
-            RateAccess::Own(_) => None,
+            RateAccess::Own(_) | RateAccess::Paced(_) | RateAccess::Nothing => None,
         });
         issuers.take(1).collect()
     }
