Merge the limits of cold leafs

Wired to evacuations: leafs of a domain that returns to service count as cold from the return on, until an entry that was written later or a health check shows that they are warm.

--- a/crates/router/src/attempt_result.rs
+++ b/crates/router/src/attempt_result.rs
@@ -29,6 +29,8 @@
     Paused,
     /// The leaf's failure domain was evacuated before the request was sent.
     Evacuated,
+    /// The leaf is cold and got another request of this daemon before this one was sent.
+    Cold,
     /// The leaf rejected the request without running it, because of its load.
     Shed,
     /// The address now belongs to another leaf, which did not run the request.
@@ -51,6 +53,7 @@
             Self::ConnectionLimit => "connection_limit",
             Self::Paused => "paused",
             Self::Evacuated => "evacuated",
+            Self::Cold => "cold",
             Self::Shed => "shed",
             Self::OtherLeaf => "other_leaf",
             Self::BrokenOff => "broken_off",
@@ -67,6 +70,7 @@
             | Self::ConnectionLimit
             | Self::Paused
             | Self::Evacuated
+            | Self::Cold
             | Self::OtherLeaf
             | Self::Encoding => true,
             Self::Shed | Self::BrokenOff | Self::TooLarge | Self::Foreign => false,
@@ -81,6 +85,7 @@
             | Self::ConnectionLimit
             | Self::Paused
             | Self::Evacuated
+            | Self::Cold
             | Self::Shed
             | Self::OtherLeaf
             | Self::Encoding => false,
--- a/crates/router/src/leaf_probe.rs
+++ b/crates/router/src/leaf_probe.rs
@@ -14,6 +14,7 @@
 
 use crate::event::Event;
 use crate::leaf::{Leaf, LeafConnection};
+use crate::leaf_rates::LeafRates;
 use crate::shared::Shared;
 
 /// Interval at which all leafs are checked.
@@ -45,9 +46,14 @@
             check_silence(&shared, &leaf);
             report_unanswered(&shared, &leaf);
             let probe_due = leaf.load().probe_due(now);
-            if let Some(probe_due) = probe_due
-                && leaf.is_usable(now)
-            {
+            let Some(probe_due) = probe_due.filter(|_| leaf.is_usable(now)) else {
+                continue;
+            };
+            // A health check counts as a request; opening a connection does not.
+            let is_held_back = LeafRates::new(&shared)
+                .cold_wait_until(&leaf, now)
+                .is_some();
+            if probe_due.how() != Unreachable::Silent || !is_held_back {
                 due.push((probe_due, leaf));
             }
         }
@@ -165,7 +171,8 @@
     pub(crate) answered_by: Option<LeafId>,
 }
 
-/// Sends a health check; `None` if there is no answer, or if the leaf's failure domain has been evacuated.
+/// Sends a health check; `None` if there is no answer, if the leaf's failure domain has been evacuated, or if
+/// the leaf is cold and takes no further requests of this daemon for now.
 pub(crate) async fn check_health(
     shared: &Shared,
     leaf: &Leaf,
@@ -183,6 +190,10 @@
         shared.metrics.evacuation.unsent_requests.inc();
         return None;
     }
+    let asked_at = shared.now();
+    if !LeafRates::new(shared).take_cold_request(leaf, asked_at) {
+        return None;
+    }
     let answered = timeout(
         HEALTH_CHECK_TIMEOUT,
         connection.sender.send_request(request),
@@ -191,6 +202,9 @@
     let answered_by = platform::health_check_leaf(response.headers());
     if answered_by.as_ref().is_none_or(|id| *id == leaf.entry.id) {
         leaf.record_stated_load(platform::stated_load(response.headers()), shared.now());
+        if let Some(left) = platform::health_check_warm_up(response.headers()) {
+            leaf.record_checked_warm_up(left, asked_at, shared.now());
+        }
     }
     // An answer with a body would be taken for that of the next request.
     let body = shared
--- a/crates/router/src/leaf_table.rs
+++ b/crates/router/src/leaf_table.rs
@@ -100,6 +100,9 @@
                 }),
             });
         }
+        for leaf in &leafs {
+            leaf.record_published_warm_up(now);
+        }
         let mut withdrawn = Vec::new();
         for leaf in previous {
             let index = leafs.binary_search_by(|listed| listed.entry.id.cmp(&leaf.entry.id));
@@ -149,7 +152,6 @@
 
     /// Returns the time at which a failure domain was last returned to service; `None` if this process
     /// has not seen that, or if the domain is evacuated.
-    #[allow(dead_code, reason = "the limits of cold leafs will use it")]
     pub(crate) fn returned_at(&self, domain: &FailureDomain) -> Option<Instant> {
         self.with_evacuations(|domains| domains.returned_at(domain))
     }
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -6,6 +6,7 @@
 };
 
 use crate::attempt_result::LeafFailure;
+use crate::cold_leaf_metrics::ColdLeafMetrics;
 use crate::evacuation_metrics::EvacuationMetrics;
 use crate::refusal::Refusal;
 
@@ -30,6 +31,7 @@
     pub(crate) hedges_denied: IntCounter,
     pub(crate) retries_denied: IntCounter,
     leaf_permits: IntCounter,
+    pub(crate) cold_leafs: ColdLeafMetrics,
     leaf_permits_denied: IntCounter,
     pub(crate) lost_leafs_counted: IntCounter,
     pub(crate) lost_leafs_dismissed: IntCounter,
@@ -105,6 +107,7 @@
                 "medlarpin_leaf_permits_denied_total",
                 "Requests of other daemons that this daemon did not permit",
             )?,
+            cold_leafs: ColdLeafMetrics::new(&registry)?,
             retries_denied: counter(
                 "medlarpin_retries_denied_total",
                 "Retries that the repeat limit prevented",
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -312,9 +312,11 @@
         let wait = self.route.target_latency.mul_f64(SHED_WAIT_FRACTION);
         let latest = self.request.arrived_at + wait;
         let leafs = self.shared.leafs.for_service(&self.service);
+        let rates = LeafRates::new(&self.shared);
+        // A request is refused at once rather than held back for the limit of a cold leaf.
         let available_at = leafs
             .iter()
-            .filter(|leaf| leaf.is_usable(now))
+            .filter(|leaf| leaf.is_usable(now) && rates.cold_wait_until(leaf, now).is_none())
             .filter_map(|leaf| self.shared.leaf_available_at(leaf, now))
             .min();
         match available_at {
@@ -398,16 +400,19 @@
             {
                 continue;
             }
+            let is_cold = LeafRates::new(&self.shared)
+                .cold_access(&leaf, now)
+                .is_some();
             let load = leaf.load();
             let is_local = leaf.entry.failure_domain == *self.shared.failure_domain();
             let domain_factor = if is_local { 1.0 } else { REMOTE_DOMAIN_FACTOR };
             let slots = leaf.entry.slots;
             let ratio = load.choice_ratio(service_evidence, slots, typical_latency, now);
-            let is_cold = !leaf.entry.warm_up_left.is_zero();
-            let ratio_min = if is_cold { COLD_RATIO_MIN } else { 0.0 };
+            let is_slow = !leaf.entry.warm_up_left.is_zero();
+            let ratio_min = if is_slow { COLD_RATIO_MIN } else { 0.0 };
             candidates.push(Candidate {
                 expected_ratio: ratio.max(ratio_min) * domain_factor,
-                is_preferred: !is_tried && !is_avoided && !leaf.is_leaving(),
+                is_preferred: !is_tried && !is_avoided && !is_cold && !leaf.is_leaving(),
             });
             drop(load);
             usable.push(leaf);
