--- a/crates/medlarpin-core/src/routing/handover_selector.rs
+++ b/crates/medlarpin-core/src/routing/handover_selector.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::KnownDaemon;
+use crate::ids::stable_hash;
 
 /// Time for which a daemon is not asked again to serve a route after it could not. It bounds the
 /// messages while no daemon reaches the leafs, and the time until one that reaches them again is
@@ -71,6 +72,48 @@
         random: u64,
         now: Instant,
     ) -> Option<SocketAddr> {
+        let eligible = self.eligible(route, others, cpu_millicores_min, now);
+        if eligible.is_empty() {
+            return self.longest_declined(route, others, now);
+        }
+        let count = u64::try_from(eligible.len()).unwrap_or(1).max(1);
+        let index = usize::try_from(random % count).unwrap_or(0);
+        eligible.get(index).map(|daemon| daemon.address)
+    }
+
+    /// Chooses one of the other daemons by the content of a request, as a hash; `None` if none of them
+    /// can be asked now.
+    ///
+    /// Equal requests go to the same daemon as long as it can be asked, and different ones spread over
+    /// all (rendezvous hashing). A request that ends its leafs comes again within milliseconds, before a
+    /// report of its losses reaches other daemons, and would end the leafs of each daemon that it meets.
+    #[must_use]
+    pub fn choose_by_content(
+        &self,
+        route: &str,
+        others: &[KnownDaemon],
+        content_hash: u64,
+        now: Instant,
+    ) -> Option<SocketAddr> {
+        let eligible = self.eligible(route, others, 0, now);
+        let rank = |daemon: &&KnownDaemon| {
+            let address = daemon.address.to_string();
+            stable_hash(&[&content_hash.to_le_bytes(), address.as_bytes()])
+        };
+        match eligible.into_iter().max_by_key(rank) {
+            Some(daemon) => Some(daemon.address),
+            None => self.longest_declined(route, others, now),
+        }
+    }
+
+    /// Returns the daemons that suit best of those that have not declined the route.
+    fn eligible<'a>(
+        &self,
+        route: &str,
+        others: &'a [KnownDaemon],
+        cpu_millicores_min: u32,
+        now: Instant,
+    ) -> Vec<&'a KnownDaemon> {
         let is_trouble = self.has_declines(route, now);
         let open = others
             .iter()
@@ -80,13 +123,8 @@
             let is_proven = is_trouble && self.has_served(daemon.address, now);
             (is_fit, is_proven)
         };
-        let Some(best) = open.clone().map(rank).max() else {
-            return self.longest_declined(route, others, now);
-        };
-        let eligible: Vec<&KnownDaemon> = open.filter(|daemon| rank(daemon) == best).collect();
-        let count = u64::try_from(eligible.len()).unwrap_or(1).max(1);
-        let index = usize::try_from(random % count).unwrap_or(0);
-        eligible.get(index).map(|daemon| daemon.address)
+        let best = open.clone().map(rank).max();
+        open.filter(|daemon| Some(rank(daemon)) == best).collect()
     }
 
     /// Returns how many daemons may be asked to serve one request of a route.
--- a/crates/medlarpin-core/tests/routing_handover.rs
+++ b/crates/medlarpin-core/tests/routing_handover.rs
@@ -145,3 +145,36 @@
     assert_eq!(selector.latest_served(now)[0], daemon(8, 170).address);
     assert!(selector.latest_served(now + SERVED_MEMORY * 2).is_empty());
 }
+
+/// Load pattern: callers repeat a query at once that ends the leafs which run it, through other VMs. Guards
+/// against copies that meet daemons which know nothing of the losses, against different queries that all
+/// meet the same daemon, and against a query that is not served because its daemon is gone.
+#[test]
+fn equal_queries_meet_the_same_daemon_and_others_spread() {
+    let now = Instant::now();
+    let others: Vec<KnownDaemon> = (1..=8).map(|number| daemon(number, 500)).collect();
+    let route: Arc<str> = Arc::from("searches");
+    let mut selector = HandoverSelector::default();
+    let choose = |selector: &HandoverSelector, others: &[KnownDaemon], content_hash: u64| {
+        selector
+            .choose_by_content(&route, others, content_hash, now)
+            .expect("a daemon can be asked")
+    };
+    let mut reversed = others.clone();
+    reversed.reverse();
+    let mut counts = vec![0; others.len()];
+    for content_hash in 0..4_000_u64 {
+        let chosen = choose(&selector, &others, content_hash);
+        assert_eq!(choose(&selector, &reversed, content_hash), chosen);
+        let index = others.iter().position(|known| known.address == chosen);
+        counts[index.expect("a known daemon")] += 1;
+    }
+    // An even share is 500.
+    assert!(
+        counts.iter().all(|count| (400..=600).contains(count)),
+        "{counts:?}"
+    );
+    let gone = choose(&selector, &others, 7);
+    selector.declined(gone, &route, now);
+    assert_ne!(choose(&selector, &others, 7), gone);
+}
--- a/crates/router/src/handover.rs
+++ b/crates/router/src/handover.rs
@@ -107,17 +107,22 @@
     let asks_max = selector.lock().asks_max(&route.name, shared.now());
     for _ in 0..asks_max {
         let now = shared.now();
-        let (others, cpu_millicores_min) = match reason {
+        let name = &route.name;
+        let chosen = match reason {
             HandoverReason::TooLarge(scatter) => {
                 let shards = scatter.shards.len();
-                (shared.delegates_for(shards, route.target_latency, now), 0)
+                let delegates = shared.delegates_for(shards, route.target_latency, now);
+                let content_hash = request.identity().content_hash;
+                let selector = selector.lock();
+                selector.choose_by_content(name, &delegates, content_hash, now)
+            }
+            HandoverReason::OutOfReach => {
+                let others = shared.other_daemons(now);
+                let needed = cpu_millicores_needed(route);
+                let selector = selector.lock();
+                selector.choose(name, &others, needed, rand::random(), now)
             }
-            HandoverReason::OutOfReach => (shared.other_daemons(now), cpu_millicores_needed(route)),
         };
-        let random = rand::random();
-        let chosen = selector
-            .lock()
-            .choose(&route.name, &others, cpu_millicores_min, random, now);
         let Some(daemon) = chosen else {
             break;
         };
