--- a/crates/medlarpin-core/src/routing/replica_choice.rs
+++ b/crates/medlarpin-core/src/routing/replica_choice.rs
@@ -9,8 +9,9 @@
 }
 
 /// Exponent that sets how strongly faster leafs are preferred. If the fastest leaf always won, all
-/// daemons would send to it at once, and its queue would grow before their estimates caught up. In the
-/// model of `tests/routing_balance.rs`, 5 and more sent too much to the fastest leaf of three.
+/// daemons would send to it at once, and its queue would grow before their estimates caught up. A
+/// leaf that takes twice as long still gets a 17th of the requests beside a single other one, so that its
+/// recovery is noticed.
 const PREFERENCE_EXPONENT: i32 = 4;
 
 /// Returns the index of the leaf for the next request; `random` is uniform in [0, 1).
--- a/crates/medlarpin-core/src/routing/usual_ratio.rs
+++ b/crates/medlarpin-core/src/routing/usual_ratio.rs
@@ -9,7 +9,7 @@
 /// one. Many observations of a short slow phase count little.
 const FULL_WEIGHT_INTERVAL: Duration = Duration::from_secs(1);
 const WEIGHT_MAX: f64 = 3.0;
-/// Maximum distance of the logarithm of an observation from the average, a factor of 2. Phases in which
+/// Maximum distance of the logarithm of an observation from the estimate, a factor of 2. Phases in which
 /// a leaf is many times slower pass within seconds, and the recent average takes account of them.
 const STEP_MAX: f64 = std::f64::consts::LN_2;
 
@@ -27,8 +27,11 @@
         let elapsed_s = now.saturating_duration_since(before).as_secs_f64();
         let decay = 0.5_f64.powf(elapsed_s / HALF_LIFE.as_secs_f64());
         let weight = (elapsed_s / FULL_WEIGHT_INTERVAL.as_secs_f64()).min(WEIGHT_MAX);
-        let mean = self.evidence.log_mean();
-        let log = ratio.max(0.01).ln().clamp(mean - STEP_MAX, mean + STEP_MAX);
+        let known = self.evidence.ratio_among(RatioEvidence::default()).ln();
+        let log = ratio
+            .max(0.01)
+            .ln()
+            .clamp(known - STEP_MAX, known + STEP_MAX);
         self.evidence = RatioEvidence {
             weight: self.evidence.weight * decay + weight,
             log_sum: self.evidence.log_sum * decay + weight * log,
--- a/crates/medlarpin-core/tests/balance_model/leaf.rs
+++ b/crates/medlarpin-core/tests/balance_model/leaf.rs
@@ -8,27 +8,9 @@
 
 /// Resolution of a leaf's speed over time.
 const TICK_US: u64 = 10_000;
-const QUEUE_MAX: usize = 12;
 /// Time after the run in which the last requests end.
 const OVERRUN: usize = 4;
 
-impl Kind {
-    /// Draws the processing time of a request on a leaf of ordinary speed.
-    pub fn work_us(self, random: &mut StdRng) -> f64 {
-        match self {
-            Self::Shards => 4_000.0 - 6_000.0 * (1.0 - random.random::<f64>()).ln(),
-            Self::LongWork => random.random_range(60_000.0..220_000.0),
-        }
-    }
-
-    fn mean_work_us(self) -> f64 {
-        match self {
-            Self::Shards => 10_000.0,
-            Self::LongWork => 140_000.0,
-        }
-    }
-}
-
 /// A leaf, with its speed over the whole run drawn in advance.
 pub struct Leaf {
     pub slots: u32,
@@ -38,16 +20,17 @@
     speeds: Vec<f64>,
     /// Time that work takes, as a multiple of the ordinary time, for each tick, without pauses.
     paces: Vec<f64>,
-    capacity_per_s: f64,
+    /// Requests per second without a slow phase.
+    pub capacity_per_s: f64,
 }
 
 impl Leaf {
     pub fn new(kind: Kind, has_slow_phase: bool, random: &mut StdRng) -> Self {
         let ticks = usize::try_from(RUN_US / TICK_US).unwrap() * OVERRUN;
         let slowness = [0.8, 1.0, 1.3][random.random_range(0..3)];
-        let slots = match kind {
-            Kind::Shards => 2,
-            Kind::LongWork => random.random_range(3..=6),
+        let (slots, mean_work_us) = match kind {
+            Kind::Shards => (2, 10_000.0),
+            Kind::LongWork => (random.random_range(3..=6), 140_000.0),
         };
         // The pace of a VM changes many times a second.
         let mut paces = vec![];
@@ -64,7 +47,7 @@
             tick += random.random_range(240..=600);
         }
         let mean_speed = speeds.iter().sum::<f64>() / speeds.len() as f64;
-        let capacity_per_s = f64::from(slots) * mean_speed * 1e6 / kind.mean_work_us();
+        let capacity_per_s = f64::from(slots) * mean_speed * 1e6 / mean_work_us;
         if has_slow_phase {
             let factor = random.random_range(8.0..12.0);
             let from = random.random_range(500..1_500);
@@ -83,23 +66,10 @@
         }
     }
 
-    /// Requests per second without a slow phase.
-    pub fn capacity_per_s(&self) -> f64 {
-        self.capacity_per_s
-    }
-
-    pub fn is_full(&self) -> bool {
-        self.waiting.len() >= QUEUE_MAX
-    }
-
     pub fn has_free_slot(&self, now_us: u64) -> bool {
         self.running < self.slots && self.speeds[tick_of(now_us)] > 0.0
     }
 
-    pub fn queue_per_slot(&self) -> f64 {
-        (self.running as usize + self.waiting.len()) as f64 / f64::from(self.slots)
-    }
-
     pub fn state_load(&self, now_us: u64) -> StatedLoad {
         let pace = self.paces[tick_of(now_us)];
         let waiting = u32::try_from(self.waiting.len()).unwrap();
