--- a/crates/medlarpin-core/tests/config_review.rs
+++ b/crates/medlarpin-core/tests/config_review.rs
@@ -83,6 +83,8 @@
         name: name.into(),
         connections_max: 32,
         health_path: "/health".into(),
+        warm_up: Duration::ZERO,
+        cold_rate: None,
     }
 }
 
