--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -158,23 +158,26 @@
 
 /// Returns the evacuated domains, with what still runs there.
 fn evacuations(shared: &Shared, now: Instant) -> Vec<EvacuationDump> {
-    let evacuated_leafs = shared.leafs.filter(Leaf::is_evacuated);
+    let mut leafs = shared.leafs.filter(Leaf::is_evacuated);
+    leafs.sort_by(|a, b| a.entry.failure_domain.cmp(&b.entry.failure_domain));
     shared.leafs.with_evacuations(|domains| {
         let kept: Vec<_> = domains.kept(now).collect();
         let evacuations = domains.evacuations().iter();
         let dumps = evacuations.map(|evacuation| {
-            let leafs = evacuated_leafs
+            let domain = &evacuation.domain;
+            let first = leafs.partition_point(|leaf| leaf.entry.failure_domain < *domain);
+            let of_domain = leafs[first..]
                 .iter()
-                .filter(|leaf| leaf.entry.failure_domain == evacuation.domain);
+                .take_while(|leaf| leaf.entry.failure_domain == *domain);
             let left = kept
-                .binary_search_by(|(domain, _)| (*domain).cmp(&evacuation.domain))
+                .binary_search_by(|(known, _)| (*known).cmp(domain))
                 .map(|index| kept[index].1.as_millis());
             EvacuationDump {
-                failure_domain: evacuation.domain.to_string(),
+                failure_domain: domain.to_string(),
                 evacuated_ms: now.saturating_duration_since(evacuation.since).as_millis(),
                 revision: evacuation.revision.number,
-                leafs: leafs.clone().count(),
-                in_flight: leafs.map(|leaf| leaf.load().in_flight()).sum(),
+                leafs: of_domain.clone().count(),
+                in_flight: of_domain.map(|leaf| leaf.load().in_flight()).sum(),
                 kept_ms: left.ok(),
             }
         });
