Add tests of slow clients, and the design of their bounds

Each test starts medlarpind, connects a crowd of slow clients and checks that the process is alive, that its resident memory and descriptors stay under a bound, and that an ordinary request is answered while the crowd is connected and after it has left.

--- a/crates/daemon/tests/fleet/config.rs
+++ b/crates/daemon/tests/fleet/config.rs
@@ -20,6 +20,8 @@
     pub relays: bool,
     /// Additional keys of the daemons' settings files.
     pub settings: Map<String, Value>,
+    /// Descriptor limit of each daemon's process; `None` for that of the test.
+    pub descriptors: Option<usize>,
 }
 
 impl FleetConfig {
@@ -43,6 +45,7 @@
             },
             relays: false,
             settings: Map::new(),
+            descriptors: None,
         }
     }
 
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -92,8 +92,10 @@
         let domains = deployment.failure_domains();
         let daemons: Vec<Daemon> = (0..config.daemons)
             .map(|position| {
-                Daemon::new(position, &domains[position % domains.len()], &directory)
-                    .expect("free ports")
+                let domain = &domains[position % domains.len()];
+                let mut daemon = Daemon::new(position, domain, &directory).expect("free ports");
+                daemon.descriptors = config.descriptors;
+                daemon
             })
             .collect();
         let links = if config.relays {
@@ -171,6 +173,11 @@
         self.daemons[daemon].lock().signal(signal);
     }
 
+    /// Returns the identifier of a daemon's process.
+    pub fn process_id(&self, daemon: usize) -> u32 {
+        self.daemons[daemon].lock().process_id()
+    }
+
     /// Returns what a daemon has logged.
     pub fn log(&self, daemon: usize) -> String {
         self.daemons[daemon].lock().log().expect("a log file")
--- a/crates/daemon/tests/fleet/process.rs
+++ b/crates/daemon/tests/fleet/process.rs
@@ -62,6 +62,8 @@
     pub ports: Ports,
     settings_path: PathBuf,
     log_path: PathBuf,
+    /// Descriptor limit of the process; `None` for that of the test.
+    pub descriptors: Option<usize>,
     child: Option<Child>,
 }
 
@@ -74,6 +76,7 @@
             ports: Ports::reserve()?,
             settings_path: directory.join(format!("{name}.jsonc")),
             log_path: directory.join(format!("{name}.log")),
+            descriptors: None,
             child: None,
             name,
         })
@@ -114,7 +117,17 @@
             .create(true)
             .append(true)
             .open(&self.log_path)?;
-        let child = Command::new(env!("CARGO_BIN_EXE_medlarpind"))
+        let program = env!("CARGO_BIN_EXE_medlarpind");
+        let mut command = match self.descriptors {
+            None => Command::new(program),
+            Some(limit) => {
+                let mut shell = Command::new("sh");
+                shell.args(["-c", "ulimit -n $0 && exec \"$@\""]);
+                shell.args([&limit.to_string(), program]);
+                shell
+            }
+        };
+        let child = command
             .arg("--settings")
             .arg(&self.settings_path)
             .stdin(Stdio::null())
@@ -125,6 +138,11 @@
         Ok(())
     }
 
+    /// Returns the identifier of the running process.
+    pub fn process_id(&self) -> u32 {
+        self.child.as_ref().expect("a running daemon").id()
+    }
+
     /// Returns the exit status if the process has exited since the last call.
     pub fn exit_status(&mut self) -> Option<ExitStatus> {
         let status = self
--- /dev/null
+++ b/crates/daemon/tests/slow_readers_routes.rs
@@ -0,0 +1,339 @@
+//! Slow clients of a daemon that serves published routes: the process lives within its memory and its
+//! descriptors and serves ordinary callers. One test at a time.
+
+mod slow_readers;
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::pin::Pin;
+use std::process::{Child, Command, Stdio};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use platform_stand_in::{FakeLeaf, FakeStore, RawServer, RawStep};
+use serde_json::{Value, json};
+use stand_ins::server::reserve_port;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+use tokio_util::compat::TokioAsyncWriteCompatExt;
+use wire::peer_capnp::route_peer;
+
+use crate::slow_readers::{Bounds, Crowd, ONE_AT_A_TIME, Reading, Script, check_served, watch};
+
+/// Memory of the VM in MiB, as in the daemon's settings.
+const MEMORY_MB: u64 = 48;
+/// Descriptor limit of the process.
+const DESCRIPTORS: usize = 1_024;
+/// Resident memory must stay within the VM's, and a part of the descriptors must stay free.
+const BOUNDS: Bounds = Bounds {
+    resident_mb: MEMORY_MB,
+    descriptors: DESCRIPTORS - 100,
+};
+/// Length of a long answer.
+const LONG_BYTES: usize = 256 << 10;
+/// Length of the bodies that callers send, which is the published limit.
+const BODY_BYTES: usize = 262_144;
+
+/// A daemon with its store and leafs; dropping it ends the process.
+struct Fixture {
+    process: Child,
+    query: SocketAddr,
+    peer: SocketAddr,
+    _store: FakeStore,
+    _leafs: (FakeLeaf, RawServer),
+    /// Accepts connections and reads nothing from them.
+    _deaf: TcpListener,
+}
+
+impl Drop for Fixture {
+    fn drop(&mut self) {
+        // Fails if the process has already exited.
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+impl Fixture {
+    async fn start(name: &str) -> Self {
+        let store = FakeStore::start().unwrap();
+        let good = FakeLeaf::start("g0", [7; 16]).unwrap();
+        store.put("servers/g0", &good.entry("good", "ready", 1));
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nx-medlarpin-request-id: {{id}}\r\nx-medlarpin-server-stamp: s\r\ncontent-length: {LONG_BYTES}\r\n\r\n"
+        );
+        let steps = vec![RawStep::Send(head), RawStep::Send("x".repeat(LONG_BYTES))];
+        let long = RawServer::start(steps).unwrap();
+        store.put("servers/l0", &long.entry("long"));
+        let deaf = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut entry = long.entry("deaf");
+        entry["address"] = deaf.local_addr().unwrap().to_string().into();
+        store.put("servers/d0", &entry);
+        // Items that other daemons fetch; their service has no route.
+        for number in 0..400 {
+            let mut entry = long.entry("unused");
+            entry["address"] = format!("127.0.0.1:{}", 20_000 + number).into();
+            store.put(&format!("servers/unused-{number}"), &entry);
+        }
+        store.put("op/config", &config());
+        let (reserved_query, query) = reserve_port().unwrap();
+        let (reserved_readiness, readiness) = reserve_port().unwrap();
+        let (reserved_peer, peer) = reserve_port().unwrap();
+        let text = json!({
+            "vm": "vm-1", "failure_domain": "z1", "region": "r1",
+            "query_address": query, "readiness_address": readiness, "peer_address": peer,
+            "operator_address": "127.0.0.1:0", "store_address": store.address(),
+            "drain_s": 3, "shutdown_grace_s": 6,
+            "repeat_ratio": 0.2, "repeat_window_s": 10, "repeat_slack": 129,
+            "memory_mb": MEMORY_MB, "first_start": true,
+        });
+        let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.jsonc"));
+        std::fs::write(&file, text.to_string()).expect("the settings are written");
+        let process = Command::new("sh")
+            .args(["-c", "ulimit -n $0 && exec \"$@\""])
+            .arg(DESCRIPTORS.to_string())
+            .arg(env!("CARGO_BIN_EXE_medlarpind"))
+            .arg("--platform")
+            .arg(&file)
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the daemon starts");
+        let fixture = Self {
+            process,
+            query,
+            peer,
+            _store: store,
+            _leafs: (good, long),
+            _deaf: deaf,
+        };
+        check_served(name, async || {
+            fixture.get("/one/1").await == Some(StatusCode::OK)
+        })
+        .await;
+        drop((reserved_query, reserved_readiness, reserved_peer));
+        fixture
+    }
+
+    /// Sends an ordinary request on a connection of its own.
+    async fn get(&self, path: &str) -> Option<StatusCode> {
+        let exchange = async {
+            let stream = TcpStream::connect(self.query).await.ok()?;
+            let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream));
+            let (mut sender, connection) = handshake.await.ok()?;
+            let connection = tokio::spawn(connection);
+            let request = Request::get(path)
+                .header("host", "a.example")
+                .header("x-medlarpin-request-id", "ordinary")
+                .header("x-medlarpin-deadline-ms", "800")
+                .body(Full::new(Bytes::new()))
+                .expect("a valid request");
+            let response = sender.send_request(request).await.ok()?;
+            let status = response.status();
+            response.into_body().collect().await.ok()?;
+            connection.abort();
+            Some(status)
+        };
+        timeout(Duration::from_secs(5), exchange).await.ok()?
+    }
+}
+
+/// Publishes the services `good`, `long` and `deaf`, each with a route.
+fn config() -> Value {
+    let route = |name: &str, service: &str| {
+        json!({
+            "name": name, "host": "a.example", "prefix": format!("/{name}/"), "type": "idempotent",
+            "timeoutMs": 3_000, "targetLatencyMs": 2_000, "priority": 1, "attempts": 1,
+            "service": service,
+        })
+    };
+    let service = |name: &str| json!({"name": name, "healthPath": "/health", "maxConns": 6_000});
+    json!({
+        "version": 1,
+        "routes": [route("one", "good"), route("long", "long"), route("deaf", "deaf")],
+        "services": [service("good"), service("long"), service("deaf")],
+        "limits": {
+            "maxHeaderBytes": 16_384, "maxBodyBytes": BODY_BYTES,
+            "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000,
+        },
+    })
+}
+
+/// Returns the head of a request up to the last line.
+fn head(method: &str, path: &str, more: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: a.example\r\nx-medlarpin-request-id: r1\r\nx-medlarpin-deadline-ms: 3000\r\n{more}\r\n"
+    )
+}
+
+/// Connects a crowd, watches the process, and checks that it serves an ordinary caller while the crowd is
+/// connected and after it has left.
+async fn check(name: &str, clients: usize, script: &Script) {
+    let _guard = ONE_AT_A_TIME.lock().await;
+    let fixture = Fixture::start(name).await;
+    let crowd = Crowd::start(fixture.query, clients, script);
+    watch(name, fixture.process.id(), &crowd, BOUNDS).await;
+    let is_answered = async || fixture.get("/one/1").await == Some(StatusCode::OK);
+    check_served(name, is_answered).await;
+    drop(crowd);
+    check_served(name, is_answered).await;
+}
+
+/// Guards against answers that wait for callers and are not counted as used memory.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "fails until the memory held for clients is bounded"]
+async fn long_answers_that_are_not_read() {
+    check(
+        "long-unread",
+        700,
+        &Script::once(&head("GET", "/long/1", "")),
+    )
+    .await;
+}
+
+/// Guards against the same with callers that read, but hardly anything.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "fails until the memory held for clients is bounded"]
+async fn long_answers_that_are_read_byte_by_byte() {
+    let script = Script {
+        reading: Reading::ByteEachSecond,
+        ..Script::once(&head("GET", "/long/1", ""))
+    };
+    check("long-trickled", 700, &script).await;
+}
+
+/// Guards against answers to callers that have closed their sending direction.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_answers_after_a_half_close() {
+    let script = Script {
+        reading: Reading::HalfClosed,
+        ..Script::once(&head("GET", "/long/1", ""))
+    };
+    check("long-half-closed", 700, &script).await;
+}
+
+/// Guards against answers to pipelined requests that accumulate because nobody reads them.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "fails until the memory held for clients is bounded"]
+async fn pipelined_requests_whose_answers_are_not_read() {
+    let script = Script::pipelined(&head("GET", "/one/1", ""));
+    check("pipelined-answers", 300, &script).await;
+}
+
+/// Guards against heads of refusals without a body, which accumulate in another buffer.
+#[tokio::test(flavor = "multi_thread")]
+async fn pipelined_requests_whose_refusals_are_not_read() {
+    let script = Script::pipelined(&head("GET", "/no-such-route/1", ""));
+    check("pipelined-refusals", 300, &script).await;
+}
+
+/// Guards against connections without requests that take all descriptors.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "fails until the memory held for clients is bounded"]
+async fn abandoned_connections() {
+    check("abandoned", 1_300, &Script::once("")).await;
+}
+
+/// Guards against heads that are broken off, whose bytes stay in the read buffers.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "fails until the memory held for clients is bounded"]
+async fn abandoned_heads() {
+    let filler = format!("x-filler: {}", "x".repeat(15_000));
+    let start = format!("GET /one/1 HTTP/1.1\r\nhost: a.example\r\n{filler}");
+    check("abandoned-heads", 1_300, &Script::once(&start)).await;
+}
+
+/// Guards against bodies that arrive byte by byte and take the memory of all others.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_that_are_sent_byte_by_byte() {
+    let more = format!("content-length: {BODY_BYTES}\r\n");
+    let start = head("POST", "/one/1", &more) + &"x".repeat(BODY_BYTES - 1_000);
+    let script = Script {
+        trickles: true,
+        ..Script::once(&start)
+    };
+    check("slow-bodies", 400, &script).await;
+}
+
+/// Guards against bodies that wait for a leaf that does not read them.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_for_a_leaf_that_does_not_read() {
+    let more = format!("content-length: {BODY_BYTES}\r\n");
+    let request = head("POST", "/deaf/1", &more) + &"x".repeat(BODY_BYTES);
+    check("deaf-leaf", 400, &Script::once(&request)).await;
+}
+
+/// A stream that never yields a byte.
+struct Unread;
+
+impl futures::AsyncRead for Unread {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+        _buf: &mut [u8],
+    ) -> Poll<std::io::Result<usize>> {
+        Poll::Pending
+    }
+}
+
+/// Sends calls to another daemon without reading a result.
+async fn call_without_reading(peer: SocketAddr) {
+    /// Calls of each connection; the results of one take about 100 KB.
+    const CALLS: usize = 100;
+    let Ok(stream) = TcpStream::connect(peer).await else {
+        return;
+    };
+    let (_reader, writer) = stream.into_split();
+    let network = twoparty::VatNetwork::new(
+        Unread,
+        writer.compat_write(),
+        rpc_twoparty_capnp::Side::Client,
+        capnp::message::ReaderOptions::default(),
+    );
+    let mut rpc = RpcSystem::new(Box::new(network), None);
+    let client: route_peer::Client = rpc.bootstrap(rpc_twoparty_capnp::Side::Server);
+    let calls: Vec<_> = (0..CALLS)
+        .map(|_| client.published_items_request().send().promise)
+        .collect();
+    // The server may close the connection.
+    let _ = rpc.await;
+    drop(calls);
+    std::future::pending::<()>().await;
+}
+
+/// Guards against results of RPCs that wait for a daemon that does not read them.
+#[test]
+#[ignore = "fails until the memory held for clients is bounded"]
+fn a_daemon_that_does_not_read_its_results() {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, async {
+        let name = "unread-results";
+        let _guard = ONE_AT_A_TIME.lock().await;
+        let fixture = Fixture::start(name).await;
+        let mut peers = JoinSet::new();
+        for _ in 0..20 {
+            peers.spawn_local(call_without_reading(fixture.peer));
+        }
+        let nobody = Crowd::start(fixture.query, 0, &Script::once(""));
+        watch(name, fixture.process.id(), &nobody, BOUNDS).await;
+        let is_answered = async || fixture.get("/one/1").await == Some(StatusCode::OK);
+        check_served(name, is_answered).await;
+    });
+}
+
+/// Guards against limits that refuse a request within the published ones while there is no crowd.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_single_long_answer_is_served() {
+    let _guard = ONE_AT_A_TIME.lock().await;
+    let fixture = Fixture::start("single-long").await;
+    assert_eq!(fixture.get("/long/1").await, Some(StatusCode::OK));
+    assert_eq!(fixture.get("/one/1").await, Some(StatusCode::OK));
+}
