--- a/crates/medlarpin-core/src/lib.rs
+++ b/crates/medlarpin-core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod answer;
 pub mod canary;
 pub mod catalog;
+pub mod client_pressure;
 pub mod clock;
 pub mod concurrency_limiter;
 pub mod coverage;
--- a/crates/medlarpin-core/src/routing/memory_budget.rs
+++ b/crates/medlarpin-core/src/routing/memory_budget.rs
@@ -9,7 +9,7 @@
 #[derive(Debug, Clone)]
 pub struct MemoryBudget {
     limit_bytes: usize,
-    /// At most `limit_bytes`.
+    /// At most `limit_bytes`, unless memory was taken that was in use already.
     used_bytes: usize,
 }
 
@@ -25,7 +25,7 @@
 
     /// Takes `more_bytes` for a holder that has `held_bytes`; returns false if it may not have them.
     pub fn try_grow(&mut self, held_bytes: usize, more_bytes: usize) -> bool {
-        let free_bytes = self.limit_bytes - self.used_bytes;
+        let free_bytes = self.limit_bytes.saturating_sub(self.used_bytes);
         let is_granted = held_bytes.saturating_add(more_bytes) <= free_bytes / FREE_PART_DIVISOR;
         if is_granted {
             self.used_bytes += more_bytes;
@@ -33,6 +33,11 @@
         is_granted
     }
 
+    /// Counts memory that is in use already, such as a message that has arrived, also beyond the limit.
+    pub fn take(&mut self, bytes: usize) {
+        self.used_bytes = self.used_bytes.saturating_add(bytes);
+    }
+
     /// Returns the memory of a holder.
     pub fn release(&mut self, held_bytes: usize) {
         self.used_bytes = self.used_bytes.saturating_sub(held_bytes);
