--- /dev/null
+++ b/crates/client-connections/src/clients.rs
@@ -0,0 +1,335 @@
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::{Buf, Bytes};
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use medlarpin_core::client_pressure::{
+    ClientLimits, ClientProgress, ClientUse, clients_to_disconnect,
+};
+use medlarpin_core::prelude::Clock;
+use medlarpin_core::routing::MemoryBudget;
+use parking_lot::Mutex;
+use rustix::process::{Resource, getrlimit};
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+use crate::client::{ClientState, OpenClient};
+use crate::held_memory::{BodyError, HeldMemory, Room};
+
+/// Minimum interval between two searches for slow clients, which look at every connection.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(20);
+/// Time for which a denied part waits for the memory of clients that have just been disconnected. Their tasks
+/// return it when they run next.
+const RELIEF_TIME: Duration = Duration::from_millis(100);
+
+/// What has been done to clients since the start of the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ClientCounts {
+    /// Clients disconnected under pressure.
+    pub disconnected: u64,
+    /// Connections closed at once because too many were open.
+    pub connections_refused: u64,
+    /// Parts of the memory that were denied.
+    pub denied: u64,
+}
+
+/// The clients of a process, and the memory that is held for them.
+#[derive(Debug, Clone)]
+pub struct Clients(Arc<Inner>);
+
+pub(crate) struct Inner {
+    clock: Arc<dyn Clock>,
+    started_at: Instant,
+    limits: ClientLimits,
+    memory: Mutex<MemoryBudget>,
+    /// Notified when a part of the memory returns while `waiting` is not 0.
+    returned: Notify,
+    /// Number of tasks that wait for `returned`.
+    waiting: AtomicUsize,
+    /// Open connections of callers, sorted by number.
+    open: Mutex<Vec<Arc<ClientState>>>,
+    /// Number of the next connection.
+    next_number: AtomicU64,
+    /// Time of the last search for slow clients, in milliseconds since the start.
+    searched_ms: AtomicU64,
+    disconnected: AtomicU64,
+    connections_refused: AtomicU64,
+    denied: AtomicU64,
+}
+
+impl fmt::Debug for Inner {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Clients")
+            .field("limits", &self.limits)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Clients {
+    /// Creates the account of a process with this memory; reads the descriptor limit of the process.
+    #[must_use]
+    pub fn new(memory_bytes: usize, clock: Arc<dyn Clock>) -> Self {
+        let descriptors = getrlimit(Resource::Nofile).current;
+        let descriptors = descriptors.and_then(|limit| usize::try_from(limit).ok());
+        Self::with_limits(ClientLimits::new(memory_bytes, descriptors), clock)
+    }
+
+    /// Creates an account with these limits.
+    #[must_use]
+    pub fn with_limits(limits: ClientLimits, clock: Arc<dyn Clock>) -> Self {
+        Self(Arc::new(Inner {
+            started_at: clock.now(),
+            clock,
+            limits,
+            memory: Mutex::new(MemoryBudget::new(limits.held_bytes_max)),
+            returned: Notify::new(),
+            waiting: AtomicUsize::new(0),
+            open: Mutex::default(),
+            next_number: AtomicU64::new(0),
+            searched_ms: AtomicU64::new(0),
+            disconnected: AtomicU64::new(0),
+            connections_refused: AtomicU64::new(0),
+            denied: AtomicU64::new(0),
+        }))
+    }
+
+    /// Returns the limits in force.
+    #[must_use]
+    pub fn limits(&self) -> ClientLimits {
+        self.0.limits
+    }
+
+    /// Returns the bytes that are held for others.
+    #[must_use]
+    pub fn used_bytes(&self) -> usize {
+        self.0.memory.lock().used_bytes()
+    }
+
+    /// Returns the number of open connections of callers.
+    #[must_use]
+    pub fn open_count(&self) -> usize {
+        self.0.open.lock().len()
+    }
+
+    /// Returns what has been done to clients so far.
+    #[must_use]
+    pub fn counts(&self) -> ClientCounts {
+        ClientCounts {
+            disconnected: self.0.disconnected.load(Ordering::Relaxed),
+            connections_refused: self.0.connections_refused.load(Ordering::Relaxed),
+            denied: self.0.denied.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Counts a new connection until the result is dropped; `None` if too many are open, in which case the
+    /// connection must be closed at once.
+    #[must_use]
+    pub fn open(&self) -> Option<OpenClient> {
+        let mut open = self.0.open.lock();
+        if open.len() >= self.0.limits.connections_max {
+            drop(open);
+            self.0.connections_refused.fetch_add(1, Ordering::Relaxed);
+            return None;
+        }
+        let number = self.0.next_number.fetch_add(1, Ordering::Relaxed);
+        let state = Arc::new(ClientState::new(number, self.now_ms()));
+        open.push(Arc::clone(&state));
+        drop(open);
+        Some(OpenClient::new(self.clone(), state))
+    }
+
+    /// Returns a part of the memory without any bytes so far.
+    #[must_use]
+    pub fn hold(&self) -> HeldMemory {
+        HeldMemory::new(self.clone())
+    }
+
+    /// Takes a part of the memory for an answer that is still to be fetched; `None` if there is no room.
+    pub async fn reserve(&self, bytes: usize) -> Option<Room> {
+        let mut memory = self.hold();
+        self.grow(&mut memory, bytes).await.then(|| memory.into())
+    }
+
+    /// Takes more memory; under pressure slow clients are disconnected and their memory is waited for.
+    ///
+    /// Returns false if there is no room.
+    pub async fn grow(&self, memory: &mut HeldMemory, more_bytes: usize) -> bool {
+        if memory.try_grow(more_bytes) {
+            return true;
+        }
+        let is_granted = self.disconnect_slow() > 0 && {
+            let _waiting = WaitGuard::new(&self.0.waiting);
+            let wait = async {
+                loop {
+                    let returned = self.0.returned.notified();
+                    tokio::pin!(returned);
+                    returned.as_mut().enable();
+                    if memory.try_grow(more_bytes) {
+                        return;
+                    }
+                    returned.await;
+                }
+            };
+            timeout(RELIEF_TIME, wait).await.is_ok()
+        };
+        if !is_granted {
+            self.0.denied.fetch_add(1, Ordering::Relaxed);
+        }
+        is_granted
+    }
+
+    /// Reads a whole body of at most `bytes_max`; calls `on_progress` for each chunk. The memory comes from
+    /// the room, if there is one, before more is taken.
+    ///
+    /// A body for which room was reserved takes memory for its stated length at once. A caller's body takes it
+    /// as it arrives, so that heads that announce long bodies take nothing.
+    ///
+    /// The chunks are copied into one buffer: a peer that sends tiny ones would otherwise take many times
+    /// their size.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks, or the body exceeds the limit or the memory.
+    pub async fn read<B>(
+        &self,
+        mut body: B,
+        bytes_max: usize,
+        room: Option<&Room>,
+        on_progress: impl Fn(),
+    ) -> Result<Bytes, BodyError>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
+        let mut memory = self.hold();
+        let mut bytes = Vec::new();
+        let stated_bytes = room.and_then(|_| body.size_hint().exact());
+        let stated_bytes = stated_bytes.and_then(|length| usize::try_from(length).ok());
+        let stated_bytes = stated_bytes.unwrap_or_default();
+        if stated_bytes > bytes_max {
+            return Err(BodyError::TooLarge);
+        }
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_error| BodyError::BrokenOff)?;
+            let Ok(chunk) = frame.into_data() else {
+                continue;
+            };
+            if chunk.remaining() > bytes_max - bytes.len() {
+                return Err(BodyError::TooLarge);
+            }
+            let needed = bytes.len() + chunk.remaining();
+            if needed > bytes.capacity() {
+                let doubled = (bytes.capacity() * 2).min(bytes_max);
+                let capacity = needed.max(doubled).max(stated_bytes);
+                let mut more_bytes = capacity - bytes.capacity();
+                if let Some(room) = room {
+                    more_bytes -= room.move_to(&mut memory, more_bytes);
+                }
+                if !self.grow(&mut memory, more_bytes).await {
+                    return Err(BodyError::OutOfMemory);
+                }
+                bytes.reserve_exact(capacity - bytes.len());
+            }
+            bytes.extend_from_slice(&chunk);
+            on_progress();
+        }
+        Ok(memory.into_bytes(bytes))
+    }
+
+    /// Disconnects slow clients if there is pressure; returns their number.
+    #[must_use]
+    pub fn disconnect_slow(&self) -> usize {
+        let now_ms = self.now_ms();
+        let searched_ms = self.0.searched_ms.load(Ordering::Relaxed);
+        let is_due = u128::from(now_ms.saturating_sub(searched_ms)) >= SEARCH_INTERVAL.as_millis();
+        if !is_due {
+            return 0;
+        }
+        self.0.searched_ms.store(now_ms, Ordering::Relaxed);
+        let held_bytes = self.used_bytes();
+        let open = self.0.open.lock();
+        // The memory of clients that are being disconnected is about to return.
+        let leaving = open.iter().filter(|client| client.is_disconnected());
+        let (leaving_count, leaving_bytes) = leaving.fold((0, 0), |(count, bytes), client| {
+            (count + 1, bytes + client.held_bytes())
+        });
+        let used = ClientUse {
+            held_bytes: held_bytes.saturating_sub(leaving_bytes),
+            connections: open.len() - leaving_count,
+        };
+        if !self.0.limits.is_exceeded_in_part(used) {
+            return 0;
+        }
+        let staying: Vec<&Arc<ClientState>> = open
+            .iter()
+            .filter(|client| !client.is_disconnected())
+            .collect();
+        let progress: Vec<ClientProgress> = staying
+            .iter()
+            .map(|client| client.progress(now_ms))
+            .collect();
+        let chosen = clients_to_disconnect(self.0.limits, used, &progress);
+        for position in &chosen {
+            staying[*position].disconnect();
+        }
+        drop(open);
+        let count = chosen.len();
+        self.0
+            .disconnected
+            .fetch_add(count as u64, Ordering::Relaxed);
+        count
+    }
+
+    /// Returns the time since the start in milliseconds.
+    pub(crate) fn now_ms(&self) -> u64 {
+        let elapsed = self
+            .0
+            .clock
+            .now()
+            .saturating_duration_since(self.0.started_at);
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    pub(crate) fn close(&self, number: u64) {
+        let mut open = self.0.open.lock();
+        if let Ok(position) = open.binary_search_by_key(&number, |client| client.number()) {
+            open.remove(position);
+        }
+    }
+
+    pub(crate) fn try_grow(&self, held_bytes: usize, more_bytes: usize) -> bool {
+        self.0.memory.lock().try_grow(held_bytes, more_bytes)
+    }
+
+    pub(crate) fn take(&self, bytes: usize) {
+        self.0.memory.lock().take(bytes);
+    }
+
+    pub(crate) fn release(&self, bytes: usize) {
+        if bytes == 0 {
+            return;
+        }
+        self.0.memory.lock().release(bytes);
+        if self.0.waiting.load(Ordering::Relaxed) > 0 {
+            self.0.returned.notify_waiters();
+        }
+    }
+}
+
+/// Counts a task as waiting for memory until it is dropped.
+struct WaitGuard<'a>(&'a AtomicUsize);
+
+impl<'a> WaitGuard<'a> {
+    fn new(waiting: &'a AtomicUsize) -> Self {
+        waiting.fetch_add(1, Ordering::Relaxed);
+        Self(waiting)
+    }
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -44,6 +44,7 @@
     query_address: SocketAddr,
     operator_address: SocketAddr,
     peer_listener: JoinHandle<()>,
+    slow_callers: JoinHandle<()>,
     /// Cancelled to shut the HTTP servers down after their requests in flight.
     close_servers: CancellationToken,
     servers: Vec<JoinHandle<()>>,
@@ -79,13 +80,20 @@
         start_background_tasks(&state);
         let close_servers = CancellationToken::new();
         let servers = vec![
-            serve(query, entry::router(Arc::clone(&state)), &close_servers),
+            tokio::spawn(entry::serve_callers(
+                query,
+                entry::router(Arc::clone(&state)),
+                shared.clients.clone(),
+                close_servers.clone(),
+            )),
             serve(
                 operator,
                 operators::router(Arc::clone(&shared)),
                 &close_servers,
             ),
         ];
+        let slow_callers = entry::disconnect_slow_callers(shared.clients.clone());
+        let slow_callers = tokio::spawn(slow_callers);
         let peer_listener = tokio::spawn(accept_peers(Arc::clone(&state), rpc));
         log::info!(target: ENTRY, "Listening for callers on {query_address}.");
         Ok(Self {
@@ -93,6 +101,7 @@
             query_address,
             operator_address,
             peer_listener,
+            slow_callers,
             close_servers,
             servers,
         })
@@ -147,6 +156,7 @@
         // The connections may still be writing the last replies.
         tokio::time::sleep(FINAL_FLUSH_DELAY).await;
         self.peer_listener.abort();
+        self.slow_callers.abort();
         let state = Arc::clone(&self.state);
         // Joining the worker threads blocks, so it runs on the blocking pool.
         if tokio::task::spawn_blocking(move || state.workers.stop())
--- a/crates/daemon/src/entry/body.rs
+++ b/crates/daemon/src/entry/body.rs
@@ -1,7 +1,8 @@
 //! Reads request bodies up to a size limit.
 
 use axum::body::Body;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use client_connections::{BodyError, Clients};
 use http_body_util::BodyExt;
 use medlarpin_core::prelude::*;
 
@@ -28,27 +29,31 @@
 ///
 /// # Errors
 ///
-/// Fails if the body exceeds the limit, the transfer breaks off or it takes too long.
-pub async fn read_body(body: Body, limit_bytes: usize) -> Result<Bytes, RequestError> {
-    tokio::time::timeout(BODY_TIMEOUT, read_all(body, limit_bytes))
+/// Fails if the body exceeds the limit, the transfer breaks off, it takes too long, or no memory is left.
+pub async fn read_body(
+    clients: &Clients,
+    body: Body,
+    limit_bytes: usize,
+) -> Result<Bytes, RequestError> {
+    tokio::time::timeout(BODY_TIMEOUT, read_all(clients, body, limit_bytes))
         .await
         .unwrap_or(Err(RequestError::BodyTimedOut))
 }
 
-async fn read_all(mut body: Body, limit_bytes: usize) -> Result<Bytes, RequestError> {
-    let mut read = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|_error| RequestError::BodyLost)?.into_data() else {
-            continue;
-        };
-        if read.len() + data.len() > limit_bytes {
-            // The request is refused whether or not the rest arrives before the time-out.
-            let _ = tokio::time::timeout(DISCARD_TIMEOUT, discard(body)).await;
-            return Err(RequestError::BodyTooLarge { limit_bytes });
-        }
-        read.extend_from_slice(&data);
-    }
-    Ok(read.freeze())
+async fn read_all(
+    clients: &Clients,
+    mut body: Body,
+    limit_bytes: usize,
+) -> Result<Bytes, RequestError> {
+    let error = match clients.read(&mut body, limit_bytes, None, || {}).await {
+        Ok(bytes) => return Ok(bytes),
+        Err(BodyError::BrokenOff) => return Err(RequestError::BodyLost),
+        Err(BodyError::TooLarge) => RequestError::BodyTooLarge { limit_bytes },
+        Err(BodyError::OutOfMemory) => RequestError::OutOfMemory,
+    };
+    // The request is refused whether or not the rest arrives before the time-out.
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, discard(body)).await;
+    Err(error)
 }
 
 async fn discard(mut body: Body) {
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -4,11 +4,12 @@
 
 use axum::Router;
 use axum::body::Body;
-use axum::extract::State;
+use axum::extract::{Extension, State};
 use axum::http::{HeaderMap, HeaderValue, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::post;
 use bytes::Bytes;
+use client_connections::{Client, Room};
 use medlarpin_core::prelude::*;
 use serde::Serialize;
 use tokio::sync::oneshot;
@@ -19,7 +20,11 @@
 use crate::entry::{run, ticketed};
 use crate::shared::{AppState, Shared};
 
-/// Builds the router of the callers' endpoints.
+/// Time after which a query that found no room may be tried again: slow callers are disconnected after a second
+/// under pressure.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Builds the router of the callers' endpoints; a request has its connection, a [`Client`], as an extension.
 pub fn router(state: Arc<AppState>) -> Router {
     Router::new()
         .route("/v1/query", post(post_query).fallback(refuse_method))
@@ -30,12 +35,14 @@
 
 async fn post_query(
     State(state): State<Arc<AppState>>,
+    Extension(client): Extension<Client>,
     headers: HeaderMap,
     body: Body,
 ) -> Response {
     let shared = &state.shared;
     let arrived_at = shared.clock.now();
-    let body = read_body(body, shared.settings.body_limit_bytes).await;
+    let body = read_body(&shared.clients, body, shared.settings.body_limit_bytes).await;
+    client.is_served();
     match parse_query(shared, &headers, body, arrived_at) {
         Ok((query, ticket)) => answer_query(&state, query, ticket, arrived_at).await,
         Err(QueryRejection::Invalid(error)) => error_response(shared, &error),
@@ -52,7 +59,7 @@
     body: Body,
 ) -> Response {
     let shared = &state.shared;
-    let body = read_body(body, shared.settings.body_limit_bytes).await;
+    let body = read_body(&shared.clients, body, shared.settings.body_limit_bytes).await;
     let parsed = check_body(&headers, body)
         .and_then(|body| parse_body::<TicketBody>(&body))
         .and_then(|body| {
@@ -151,6 +158,13 @@
     arrived_at: Instant,
 ) -> Response {
     let shared = &state.shared;
+    // Without room for the answer, no leaf gets the query.
+    let expected_bytes = shared.answer_size.expected_bytes();
+    let Some(room) = shared.clients.reserve(expected_bytes).await else {
+        let body = no_room_answer(&query);
+        shared.record_recent_answer(&body);
+        return answer_response(shared, &body);
+    };
     let _in_flight = shared.lifecycle.track_request();
     let no_answer = AnswerBody::without_rows(
         query.request,
@@ -176,13 +190,33 @@
                 body.elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
             }
             shared.record_answer(&body, elapsed);
-            answer_response(shared, &body)
+            held_answer_response(shared, &body, &room)
         }
         Err(error) => error_response(shared, &error),
     }
 }
 
+/// Returns the answer to a query that is not run because there is no memory for its answer.
+fn no_room_answer(query: &Query) -> AnswerBody {
+    let outcome = Outcome::NotRun {
+        reason: NotRunReason::Overloaded,
+        retry_after: NO_ROOM_RETRY_AFTER,
+    };
+    AnswerBody::without_rows(query.request, &query.team, &query.service, outcome)
+}
+
+/// Returns an answer that holds its part of the memory until the caller has read it.
+fn held_answer_response(shared: &Shared, body: &AnswerBody, room: &Room) -> Response {
+    let bytes = room.attach(body.to_json());
+    shared.answer_size.record(bytes.len());
+    encoded_answer_response(shared, body, bytes)
+}
+
 pub(super) fn answer_response(shared: &Shared, body: &AnswerBody) -> Response {
+    encoded_answer_response(shared, body, body.to_json().into())
+}
+
+fn encoded_answer_response(shared: &Shared, body: &AnswerBody, bytes: Bytes) -> Response {
     if let (Some(reason), Some(_)) = (&body.reason, body.retry_after_ms) {
         // While the daemon starts, queries are refused before the team is checked. An unknown team
         // must not become a label value, since the number of label values must stay bounded.
@@ -191,7 +225,7 @@
         let labels = [team, reason.as_str()];
         shared.metrics.refusals.with_label_values(&labels).inc();
     }
-    let mut response = json_response(body.outcome.status(), body.to_json());
+    let mut response = json_response(body.outcome.status(), bytes);
     if let Some(retry_after_ms) = body.retry_after_ms {
         // The header has whole seconds, so the wait is rounded up, to at least one second.
         let seconds = retry_after_ms.div_ceil(1000).max(1);
@@ -222,10 +256,10 @@
     // The body holds only strings, which always serialise.
     json_response(
         error.status(),
-        serde_json::to_vec(&body).unwrap_or_default(),
+        serde_json::to_vec(&body).unwrap_or_default().into(),
     )
 }
 
-pub(super) fn json_response(status: StatusCode, body: Vec<u8>) -> Response {
+pub(super) fn json_response(status: StatusCode, body: Bytes) -> Response {
     (status, [(header::CONTENT_TYPE, "application/json")], body).into_response()
 }
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod permit;
 mod request;
 mod run;
+mod server;
 mod team_admission;
 mod ticketed;
 
@@ -18,4 +19,5 @@
 pub use answer::{AnswerBody, OutcomeName};
 pub use http::router;
 pub use leaf_reports::LeafReports;
+pub use server::{disconnect_slow_callers, serve_callers};
 pub use ticketed::run_forwarded;
--- a/crates/daemon/src/entry/request.rs
+++ b/crates/daemon/src/entry/request.rs
@@ -28,6 +28,8 @@
     BodyLost,
     /// body did not arrive in time
     BodyTimedOut,
+    /// no memory is left for the body; no leaf has run the request
+    OutOfMemory,
     /// unknown team {0}
     UnknownTeam(String),
     /// unknown service {0}
@@ -67,6 +69,7 @@
                 StatusCode::BAD_REQUEST
             }
             Self::BodyTimedOut => StatusCode::REQUEST_TIMEOUT,
+            Self::OutOfMemory => StatusCode::SERVICE_UNAVAILABLE,
             Self::ContentType => StatusCode::UNSUPPORTED_MEDIA_TYPE,
             Self::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::UnknownTeam(_) | Self::UnknownService(_) | Self::UnknownPath => {
@@ -90,6 +93,7 @@
             Self::BodyTooLarge { .. } => "body_too_large",
             Self::BodyLost => "body_lost",
             Self::BodyTimedOut => "body_timed_out",
+            Self::OutOfMemory => "out_of_memory",
             Self::UnknownTeam(_) => "unknown_team",
             Self::UnknownService(_) => "unknown_service",
             Self::UnknownPath => "unknown_path",
--- a/crates/daemon/src/entry/ticketed.rs
+++ b/crates/daemon/src/entry/ticketed.rs
@@ -45,7 +45,7 @@
             // The body holds only a string and a number, which always serialise.
             json_response(
                 StatusCode::OK,
-                serde_json::to_vec(&body).unwrap_or_default(),
+                serde_json::to_vec(&body).unwrap_or_default().into(),
             )
         }
         Err(refusal) => {
--- a/crates/daemon/src/operators/dump.rs
+++ b/crates/daemon/src/operators/dump.rs
@@ -22,6 +22,7 @@
     ready: bool,
     uptime_ms: u64,
     requests_in_flight: usize,
+    clients: ClientsDump,
     pauses: u64,
     settings: SettingsDump,
     vm_list: VmListDump,
@@ -35,6 +36,20 @@
     recent: Vec<RecentAnswer>,
 }
 
+#[derive(Debug, Serialize)]
+struct ClientsDump {
+    /// Bytes held for callers and other daemons, and their limit.
+    held_bytes: usize,
+    held_bytes_max: usize,
+    connections: usize,
+    connections_max: usize,
+    /// Since the start: slow callers disconnected for lack of room, connections closed at once, and requests
+    /// and results that found no room.
+    disconnected: u64,
+    connections_refused: u64,
+    room_denied: u64,
+}
+
 #[derive(Debug, Serialize)]
 struct SettingsDump {
     revision: u64,
@@ -154,6 +169,7 @@
         ready: shared.is_ready(),
         uptime_ms: millis(now.saturating_duration_since(shared.started_at)),
         requests_in_flight: shared.lifecycle.in_flight(),
+        clients: dump_clients(shared),
         pauses,
         settings,
         vm_list,
@@ -193,6 +209,19 @@
         gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
     drop(fleet);
+    let as_i64 = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+    let clients = dump_clients(shared);
+    metrics.held_bytes.set(as_i64(clients.held_bytes as u64));
+    metrics
+        .caller_connections
+        .set(as_i64(clients.connections as u64));
+    metrics
+        .clients_disconnected
+        .set(as_i64(clients.disconnected));
+    metrics
+        .connections_refused
+        .set(as_i64(clients.connections_refused));
+    metrics.room_denied.set(as_i64(clients.room_denied));
     for report in shared.admission.lock().report(now) {
         let gauge = metrics
             .extra_budget_milli
@@ -201,6 +230,20 @@
     }
 }
 
+fn dump_clients(shared: &Shared) -> ClientsDump {
+    let clients = &shared.clients;
+    let (limits, counts) = (clients.limits(), clients.counts());
+    ClientsDump {
+        held_bytes: clients.used_bytes(),
+        held_bytes_max: limits.held_bytes_max,
+        connections: clients.open_count(),
+        connections_max: limits.connections_max,
+        disconnected: counts.disconnected,
+        connections_refused: counts.connections_refused,
+        room_denied: counts.denied,
+    }
+}
+
 fn dump_fleet(shared: &Shared, now: Instant) -> (SettingsDump, VmListDump, Vec<MemberDump>, u64) {
     let fleet = shared.fleet.lock();
     let rejected = fleet.tree.entries().iter().filter_map(|entry| {
--- a/crates/daemon/src/operators/metrics.rs
+++ b/crates/daemon/src/operators/metrics.rs
@@ -49,6 +49,16 @@
     pub members: IntGaugeVec,
     /// Open connections to leafs, and the sum of this daemon's connection shares, by kind.
     pub leaf_connections: IntGaugeVec,
+    /// Bytes held for callers and other daemons.
+    pub held_bytes: IntGauge,
+    /// Open connections of callers.
+    pub caller_connections: IntGauge,
+    /// Slow callers disconnected since the start.
+    pub clients_disconnected: IntGauge,
+    /// Connections closed at once since the start.
+    pub connections_refused: IntGauge,
+    /// Requests and results since the start that found no room.
+    pub room_denied: IntGauge,
     /// Number of quarantined fingerprints.
     pub quarantined: IntGauge,
     /// Canary requests sent.
@@ -118,6 +128,11 @@
                 "Connections to held leafs.",
                 &["kind"],
             )?,
+            held_bytes: gauge(r, "held_bytes", "Bytes held for callers and daemons.")?,
+            caller_connections: gauge(r, "caller_connections", "Callers' connections.")?,
+            clients_disconnected: gauge(r, "clients_disconnected", "Slow callers disconnected.")?,
+            connections_refused: gauge(r, "connections_refused", "Connections closed at once.")?,
+            room_denied: gauge(r, "room_denied", "Requests and results without room.")?,
             quarantined: gauge(r, "quarantined_fingerprints", "Quarantined fingerprints.")?,
             canaries: counter(r, "canaries_total", "Canary requests sent.")?,
             tickets: counters(r, "tickets_total", "Ticket events.", &["event"])?,
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use client_connections::PeerStream;
 use futures::AsyncReadExt;
 use medlarpin_core::prelude::*;
 use tokio_util::compat::TokioAsyncReadCompatExt;
@@ -26,6 +27,7 @@
             return;
         }
     };
+    let stream = PeerStream::new(stream, &worker.shared.clients);
     let (reader, writer) = stream.compat().split();
     let network = twoparty::VatNetwork::new(
         futures::io::BufReader::new(reader),
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwap;
+use client_connections::{AnswerSize, Clients};
 use medlarpin_core::outlier::EJECTION_TIME;
 use medlarpin_core::pause::{PauseDetector, Paused};
 use medlarpin_core::prelude::*;
@@ -42,6 +43,11 @@
     pub settings: DaemonSettings,
     /// The clock that every decision uses.
     pub clock: Arc<dyn Clock>,
+    /// The connections of callers, and the memory for bytes that are held for others. It has locks of its
+    /// own, held for one call and never with another table.
+    pub clients: Clients,
+    /// The expected size of an answer.
+    pub answer_size: AnswerSize,
     /// When the daemon started.
     pub started_at: Instant,
     /// Incarnation number of this process, higher than those of earlier processes on the VM.
@@ -117,7 +123,10 @@
             lifetime: Duration::from_millis(settings.ticket_lifetime_ms),
             ..TicketLimits::default()
         };
+        let memory_bytes = usize::try_from(settings.memory_mb).unwrap_or(usize::MAX) << 20;
         Self {
+            clients: Clients::new(memory_bytes, Arc::clone(&clock)),
+            answer_size: AnswerSize::default(),
             started_at: now,
             incarnation,
             rpc_address,
--- a/crates/daemon/tests/slow_readers/mod.rs
+++ b/crates/daemon/tests/slow_readers/mod.rs
@@ -121,9 +121,11 @@
         if script.reading == Reading::HalfClosed {
             writer.shutdown().await?;
         }
-        while script.trickles {
-            sleep(Duration::from_secs(1)).await;
-            writer.write_all(b"x").await?;
+        if script.trickles {
+            loop {
+                sleep(Duration::from_secs(1)).await;
+                writer.write_all(b"x").await?;
+            }
         }
         std::io::Result::Ok(())
     };
--- a/crates/daemon/tests/slow_readers_routes.rs
+++ b/crates/daemon/tests/slow_readers_routes.rs
@@ -185,7 +185,6 @@
 
 /// Guards against answers that wait for callers and are not counted as used memory.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "fails until the memory held for clients is bounded"]
 async fn long_answers_that_are_not_read() {
     check(
         "long-unread",
@@ -197,7 +196,6 @@
 
 /// Guards against the same with callers that read, but hardly anything.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "fails until the memory held for clients is bounded"]
 async fn long_answers_that_are_read_byte_by_byte() {
     let script = Script {
         reading: Reading::ByteEachSecond,
@@ -218,7 +216,6 @@
 
 /// Guards against answers to pipelined requests that accumulate because nobody reads them.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "fails until the memory held for clients is bounded"]
 async fn pipelined_requests_whose_answers_are_not_read() {
     let script = Script::pipelined(&head("GET", "/one/1", ""));
     check("pipelined-answers", 300, &script).await;
@@ -233,14 +230,12 @@
 
 /// Guards against connections without requests that take all descriptors.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "fails until the memory held for clients is bounded"]
 async fn abandoned_connections() {
     check("abandoned", 1_300, &Script::once("")).await;
 }
 
 /// Guards against heads that are broken off, whose bytes stay in the read buffers.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "fails until the memory held for clients is bounded"]
 async fn abandoned_heads() {
     let filler = format!("x-filler: {}", "x".repeat(15_000));
     let start = format!("GET /one/1 HTTP/1.1\r\nhost: a.example\r\n{filler}");
@@ -307,7 +302,6 @@
 
 /// Guards against results of RPCs that wait for a daemon that does not read them.
 #[test]
-#[ignore = "fails until the memory held for clients is bounded"]
 fn a_daemon_that_does_not_read_its_results() {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
--- a/crates/daemon/tests/slow_readers_teams.rs
+++ b/crates/daemon/tests/slow_readers_teams.rs
@@ -48,6 +48,7 @@
     config.daemons = 1;
     config.descriptors = Some(DESCRIPTORS);
     config.set("body_limit_bytes", BODY_BYTES.into());
+    config.set("memory_mb", MEMORY_MB.into());
     config.team().rate_limit_per_s = 1_000_000;
     let fleet = Fleet::start(config).await;
     let crowd = Crowd::start(fleet.query_address(0), clients, script);
@@ -63,7 +64,6 @@
 
 /// Guards against requests that accumulate in read buffers, and against answers that nobody reads.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "fails until the memory held for clients is bounded"]
 async fn pipelined_queries_whose_answers_are_not_read() {
     let request = post_with_long_head(&query("pipelined", 2_000).to_string());
     check("pipelined-queries", 400, &Script::pipelined(&request)).await;
@@ -71,7 +71,6 @@
 
 /// Guards against the same with answers to requests that are refused, which are cheaper to cause.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "fails until the memory held for clients is bounded"]
 async fn pipelined_requests_whose_refusals_are_not_read() {
     let request = post_with_long_head("{}");
     check("pipelined-refusals", 400, &Script::pipelined(&request)).await;
@@ -79,7 +78,6 @@
 
 /// Guards against callers that read, but hardly anything.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "fails until the memory held for clients is bounded"]
 async fn answers_that_are_read_byte_by_byte() {
     let request = post_with_long_head(&query("trickled", 2_000).to_string());
     let script = Script {
@@ -102,14 +100,12 @@
 
 /// Guards against connections without requests that take all descriptors.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "fails until the memory held for clients is bounded"]
 async fn abandoned_connections() {
     check("abandoned", 1_300, &Script::once("")).await;
 }
 
 /// Guards against heads that are broken off, whose bytes stay in the read buffers.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "fails until the memory held for clients is bounded"]
 async fn abandoned_heads() {
     let start = format!(
         "POST /v1/query HTTP/1.1\r\nx-filler: {}",
@@ -120,7 +116,6 @@
 
 /// Guards against bodies that arrive byte by byte.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "fails until the memory held for clients is bounded"]
 async fn bodies_that_are_sent_byte_by_byte() {
     let start = post_of_length(&"x".repeat(BODY_BYTES - 1_000), BODY_BYTES);
     let script = Script {
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use client_connections::BodyError;
 use hyper::Response;
 use hyper::body::Incoming;
 use medlarpin_core::prelude::Clock;
@@ -10,7 +11,6 @@
 use crate::call_evidence::CallEvidence;
 use crate::caller_request::CallerRequest;
 use crate::event::Event;
-use crate::held_memory::BodyError;
 use crate::leaf::{Leaf, LeafConnection};
 use crate::leaf_rates::LeafRates;
 use crate::shared::Shared;
@@ -169,7 +169,9 @@
         return Err(LeafFailure::Foreign);
     }
     let progress = || connection.progress_limit.restart();
-    let body = shared.answer_memory.read(body, ANSWER_BYTES_MAX, progress);
+    let body = shared
+        .clients
+        .read(body, ANSWER_BYTES_MAX, Some(&request.room), progress);
     let body = body.await.map_err(|error| match error {
         BodyError::BrokenOff => LeafFailure::BrokenOff,
         BodyError::TooLarge | BodyError::OutOfMemory => LeafFailure::TooLarge,
@@ -200,7 +202,6 @@
         status: parts.status,
         headers: parts.headers,
         stamp: head.stamp.ok_or(LeafFailure::Foreign)?,
-        body: body.bytes,
-        _memory: body.memory,
+        body,
     })
 }
--- a/crates/router/src/attempt_result.rs
+++ b/crates/router/src/attempt_result.rs
@@ -3,8 +3,6 @@
 use hyper::header::{HeaderMap, HeaderValue};
 use serde::Serialize;
 
-use crate::held_memory::HeldMemory;
-
 /// A complete answer of a leaf that ran the request.
 #[derive(Debug)]
 pub(crate) struct LeafAnswer {
@@ -12,9 +10,8 @@
     pub(crate) headers: HeaderMap,
     /// Signature of the answer by the leaf.
     pub(crate) stamp: HeaderValue,
+    /// Holds its part of the memory for clients.
     pub(crate) body: Bytes,
-    /// Part of the memory for answers that the body takes.
-    pub(crate) _memory: HeldMemory,
 }
 
 /// Why a leaf request gave no answer; the variants' names appear in log lines.
--- a/crates/router/src/caller_request.rs
+++ b/crates/router/src/caller_request.rs
@@ -2,23 +2,23 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use client_connections::Room;
 use http_body_util::Full;
 use hyper::header::{HOST, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Uri};
 use medlarpin_core::ids::stable_hash;
 
-use crate::held_memory::HeldMemory;
-
 /// A caller's request with its complete body.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
     /// Identifier of the request, which is one attempt of the caller.
     pub(crate) id: HeaderValue,
     pub(crate) head: Parts,
+    /// Holds its part of the memory for clients, also while a connection to a leaf refers to it.
     pub(crate) body: Bytes,
-    /// Part of the memory for callers' bodies that the body takes.
-    pub(crate) _memory: HeldMemory,
+    /// Memory that is reserved for the answers.
+    pub(crate) room: Room,
     pub(crate) arrived_at: Instant,
     /// The earlier of the caller's deadline and the end of the route's timeout.
     pub(crate) deadline: Instant,
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -5,8 +5,9 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use client_connections::{BodyError, Client};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
 use medlarpin_core::routing::{Route, RouteTarget, RoutingConfig};
@@ -16,7 +17,6 @@
 use crate::caller_request::CallerRequest;
 use crate::event::Event;
 use crate::handover::serve;
-use crate::held_memory::BodyError;
 use crate::refusal::Refusal;
 use crate::shared::Shared;
 
@@ -26,8 +26,23 @@
 /// Handles one request of a caller; failures become refusals.
 pub(crate) async fn handle_request(
     shared: Arc<Shared>,
+    client: Client,
     request: Request<Incoming>,
 ) -> Result<Answer, Infallible> {
+    // An answer that is not read must not be followed by others that wait as well.
+    client.has_read().await;
+    client.sends();
+    let answer = answer_request(&shared, &client, request).await;
+    let length = answer.body().size_hint().exact().unwrap_or_default();
+    client.receives(usize::try_from(length).unwrap_or(usize::MAX));
+    Ok(answer)
+}
+
+async fn answer_request(
+    shared: &Arc<Shared>,
+    client: &Client,
+    request: Request<Incoming>,
+) -> Answer {
     let arrived_at = shared.now();
     let (head, body) = request.into_parts();
     let caller = match platform::parse_caller_head(&head) {
@@ -35,41 +50,30 @@
         Err(error) => {
             Event::BadRequest { error: &error }.log();
             let refused = Err(Refusal::BadRequest);
-            return Ok(complete_request(&shared, refused, None, None, arrived_at));
+            return complete_request(shared, refused, None, None, arrived_at);
         }
     };
     let id = caller.request_id.clone();
-    let (config, route) = match find_route(&shared, &caller, head.uri.path()) {
+    let (config, route) = match find_route(shared, &caller, head.uri.path()) {
         Ok(found) => found,
         Err(refusal) => {
-            return Ok(complete_request(
-                &shared,
-                Err(refusal),
-                Some(&id),
-                None,
-                arrived_at,
-            ));
+            return complete_request(shared, Err(refusal), Some(&id), None, arrived_at);
         }
     };
-    let result = match read_request(&shared, &config, &route, caller, head, body, arrived_at).await
-    {
+    let read = read_request(shared, &config, &route, caller, head, body, arrived_at).await;
+    client.is_served();
+    let result = match read {
         Ok(request) => {
             let stop = &shared.planned_stop;
             match stop.admit(&route, &request, shared.now()) {
-                Ok(()) => stop.limit(serve(&shared, &route, request)).await,
+                Ok(()) => stop.limit(serve(shared, &route, request)).await,
                 Err(refusal) => Err(refusal),
             }
         }
         Err(refusal) => Err(refusal),
     };
     let name = Some(&*route.name);
-    Ok(complete_request(
-        &shared,
-        result,
-        Some(&id),
-        name,
-        arrived_at,
-    ))
+    complete_request(shared, result, Some(&id), name, arrived_at)
 }
 
 /// Returns the configuration in force and the route of a request.
@@ -91,7 +95,7 @@
     Ok((config, route))
 }
 
-/// Reads the body of a request and works out its deadlines.
+/// Reads the body of a request, reserves memory for its answers and works out its deadlines.
 async fn read_request(
     shared: &Shared,
     config: &RoutingConfig,
@@ -102,8 +106,8 @@
     arrived_at: Instant,
 ) -> Result<CallerRequest, Refusal> {
     let time_left = caller.time_left.unwrap_or(route.timeout).min(route.timeout);
-    let memory = &shared.request_memory;
-    let read = memory.read(body, config.limits.body_bytes, || {});
+    let clients = &shared.clients;
+    let read = clients.read(body, config.limits.body_bytes, None, || {});
     let body = match timeout(time_left, read).await {
         Ok(read) => read.map_err(|error| match error {
             BodyError::BrokenOff => Refusal::BodyBrokenOff,
@@ -112,11 +116,13 @@
         })?,
         Err(_elapsed) => return Err(Refusal::BodyTimedOut),
     };
+    let room = clients.reserve(shared.route_state(route).answer_size.expected_bytes());
+    let room = room.await.ok_or(Refusal::OutOfMemory)?;
     Ok(CallerRequest {
         id: caller.request_id,
         head,
-        body: body.bytes,
-        _memory: body.memory,
+        body,
+        room,
         arrived_at,
         deadline: arrived_at + time_left,
         answer_by: answer_by(route, arrived_at),
--- a/crates/router/src/connections.rs
+++ b/crates/router/src/connections.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use client_connections::{ClientStream, OpenClient};
 use futures::FutureExt;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
@@ -27,6 +28,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Minimum buffer size that hyper accepts.
 const BUFFER_BYTES_MIN: usize = 8_192;
+/// Maximum size of a head while no configuration is in force; later the published limit applies.
+const HEADER_BYTES_DEFAULT: usize = 16 << 10;
 
 /// How connections are treated; a planned stop goes through the phases in order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -109,18 +112,24 @@
         }
     }
 
-    /// Serves a connection in a task of its own, and counts it until it is closed.
+    /// Serves a connection in a task of its own, and counts it until it is closed. If too many are open, it
+    /// closes at once.
     fn serve(self: Arc<Self>, stream: TcpStream, shared: Arc<Shared>) {
+        let Some(client) = shared.clients.open() else {
+            return;
+        };
         let open = OpenGuard::new(Arc::clone(&self));
         tokio::spawn(async move {
-            self.serve_connection(stream, shared).await;
-            drop(open);
+            self.serve_connection(stream, shared, &client).await;
+            drop((open, client));
         });
     }
 
-    async fn serve_connection(&self, stream: TcpStream, shared: Arc<Shared>) {
+    async fn serve_connection(&self, stream: TcpStream, shared: Arc<Shared>, open: &OpenClient) {
         // If this fails, answers are merely sent with a delay.
         let _ = stream.set_nodelay(true);
+        let client = open.client().clone();
+        let stream = ClientStream::new(stream, client.clone());
         let limits = shared.config.load().as_ref().map(|config| config.limits);
         let idle = limits.map_or(IDLE_DEFAULT, |limits| {
             limits.idle_timeout.max(limits.header_timeout)
@@ -133,8 +142,9 @@
         let service = service_fn(move |request| {
             served.store(true, Ordering::Relaxed);
             let (shared, current_phase) = (Arc::clone(&shared), current_phase.clone());
+            let client = client.clone();
             async move {
-                let mut answer = handle_request(shared, request).await?;
+                let mut answer = handle_request(shared, client, request).await?;
                 if *current_phase.borrow() != Phase::Open {
                     let close = HeaderValue::from_static("close");
                     answer.headers_mut().insert(CONNECTION, close);
@@ -147,20 +157,23 @@
             .timer(TokioTimer::new())
             // hyper's time-out for reading a head includes the idle time before it.
             .header_read_timeout(idle + IDLE_MARGIN);
-        if let Some(limits) = limits {
-            builder.max_buf_size(limits.header_bytes.max(BUFFER_BYTES_MIN));
-        }
+        let header_bytes = limits.map_or(HEADER_BYTES_DEFAULT, |limits| limits.header_bytes);
+        builder.max_buf_size(header_bytes.max(BUFFER_BYTES_MIN));
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
         tokio::select! {
             // A failed connection affects only its caller. Its request has a log line of its own.
             _ = connection.as_mut() => return,
+            () = open.client().disconnected() => return,
             _ = phase.wait_for(|phase| *phase != Phase::Open) => {}
         }
         if has_served.load(Ordering::Relaxed) {
             connection.as_mut().graceful_shutdown();
         }
-        let _ = connection.await;
+        tokio::select! {
+            _ = connection => {}
+            () = open.client().disconnected() => {}
+        }
     }
 }
 
--- a/crates/router/src/delegation.rs
+++ b/crates/router/src/delegation.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use bytes::Bytes;
+use client_connections::PeerResults;
 use displaydoc::Display;
 use http_body_util::{BodyExt, Full};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -230,7 +230,7 @@
     for run in reply.get_leaving()?.iter().take(DEPARTURES_MAX) {
         shared.record_departure(&LeafId::new(run?.to_str()?));
     }
-    let body = Bytes::copy_from_slice(reply.get_body()?);
+    let body = request.room.attach(reply.get_body()?.to_vec());
     let mut answer = Response::builder().status(reply.get_status());
     if let Some(headers) = answer.headers_mut() {
         *headers = read_headers(reply.get_headers()?)?;
@@ -240,8 +240,12 @@
 }
 
 /// Serves the RPC with which another daemon delegates a query to this one.
+///
+/// The results take memory of the connection until they are written; if there is none, the request is not
+/// served, and no leaf gets it.
 pub(crate) async fn answer_serve_request(
     shared: &Arc<Shared>,
+    connection: &PeerResults,
     params: route_peer::serve_request_params::Reader<'_>,
     mut results: route_peer::ServeRequestResults,
 ) -> Result<(), capnp::Error> {
@@ -251,6 +255,10 @@
         Ok(None) => return Ok(()),
         Err(error) => return Err(capnp::Error::failed(error.to_string())),
     };
+    let expected_bytes = shared.route_state(&route).answer_size.expected_bytes();
+    let Some(room) = connection.reserve(expected_bytes) else {
+        return Ok(());
+    };
     let _in_progress = shared.start_delegated();
     // A request is handed over once, so that it cannot go round between daemons.
     let served = serve_on_own_leafs(shared, &route, &request);
@@ -276,13 +284,15 @@
     };
     let (head, body) = answer.into_parts();
     let Ok(body) = body.collect().await;
+    let body = body.to_bytes();
+    room.fill(body.len());
     let mut reply = results.get();
     let since = shared.now().checked_sub(DEPARTURES_AGE_MAX);
     let leaving = since.map(|since| shared.leafs.departures_since(since, DEPARTURES_MAX));
     write_runs(&leaving.unwrap_or_default(), reply.reborrow());
     reply.set_is_served(true);
     reply.set_status(head.status.as_u16());
-    reply.set_body(&body.to_bytes());
+    reply.set_body(&body);
     let list = reply.init_headers(u32::try_from(head.headers.len()).unwrap_or(u32::MAX));
     write_headers(&head.headers, list);
     Ok(())
@@ -319,15 +329,17 @@
     let time_left = Duration::from_millis(params.get_time_left_ms().into());
     let arrived_at = now.checked_sub(age).unwrap_or(now);
     let body = params.get_body()?;
-    let mut memory = shared.request_memory.hold();
-    if !memory.try_grow(body.len()) {
+    let mut memory = shared.clients.hold();
+    let mut room = shared.clients.hold();
+    let answer_bytes = shared.route_state(&route).answer_size.expected_bytes();
+    if !memory.try_grow(body.len()) || !room.try_grow(answer_bytes) {
         return Ok(None);
     }
     let request = CallerRequest {
         id: caller.request_id,
         head,
-        body: Bytes::copy_from_slice(body),
-        _memory: memory,
+        body: memory.into_bytes(body.to_vec()),
+        room: room.into(),
         arrived_at,
         deadline: (now + time_left).min(arrived_at + route.timeout),
         answer_by: answer_by(&route, arrived_at),
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -322,6 +322,15 @@
     },
     /// A connection could not be accepted.
     AcceptFailed { error: &'a str },
+    /// Callers were disconnected or refused within the last second because of memory or connections.
+    CallersLimited {
+        disconnected: u64,
+        connections_refused: u64,
+        /// Parts of the memory that were denied.
+        denied: u64,
+        held_bytes: usize,
+        connections: usize,
+    },
 }
 
 impl Event<'_> {
@@ -391,7 +400,8 @@
             Self::Answered { .. }
             | Self::Refused { .. }
             | Self::BadRequest { .. }
-            | Self::AcceptFailed { .. } => "entry",
+            | Self::AcceptFailed { .. }
+            | Self::CallersLimited { .. } => "entry",
         }
     }
 }
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -39,7 +39,7 @@
         Arc::clone(&shared),
         service,
         Arc::clone(&route),
-        state,
+        Arc::clone(&state),
         Arc::clone(&request),
         Arc::clone(&evidence),
     );
@@ -57,7 +57,10 @@
         | Err(ServiceFailure {
             leaf_answer: Some(answer),
             ..
-        }) => Ok(caller_answer(answer)),
+        }) => {
+            state.answer_size.record(answer.body.len());
+            Ok(caller_answer(answer))
+        }
         Err(failure) => Err(refusal_for(&failure)),
     };
     release_slot(slot, &result);
--- a/crates/router/src/handover.rs
+++ b/crates/router/src/handover.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use hyper::body::Body;
 use medlarpin_core::prelude::ServiceName;
 use medlarpin_core::routing::{DelegateSelector, Route, RouteTarget, Scatter};
 use tokio::time::timeout_at;
@@ -188,6 +189,9 @@
     };
     match outcome {
         DelegationOutcome::Answered(answer) => {
+            let length = answer.body().size_hint().exact().unwrap_or_default();
+            let length = usize::try_from(length).unwrap_or(usize::MAX);
+            shared.route_state(route).answer_size.record(length);
             if let Some(selector) = &shared.handover_selector {
                 selector.lock().served(daemon, shared.now());
             }
--- a/crates/router/src/leaf.rs
+++ b/crates/router/src/leaf.rs
@@ -37,9 +37,9 @@
 /// Idle time before the first TCP keepalive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Maximum size of the read buffer of a connection, and thus of the head of an answer. A daemon may
-/// have a connection to each of hundreds of leafs.
-const READ_BUFFER_BYTES_MAX: usize = 64 << 10;
+/// Maximum size of the read buffer of a connection, and thus of the head of an answer; twice the published
+/// limit of a head. A daemon may have a connection to each of hundreds of leafs.
+const READ_BUFFER_BYTES_MAX: usize = 32 << 10;
 
 type Sender = SendRequest<Full<Bytes>>;
 
--- a/crates/router/src/leaf_probe.rs
+++ b/crates/router/src/leaf_probe.rs
@@ -152,8 +152,8 @@
     let answered_by = platform::health_check_leaf(response.headers());
     // An answer with a body would be taken for that of the next request.
     let body = shared
-        .answer_memory
-        .read(response.into_body(), HEALTH_BODY_BYTES_MAX, || {});
+        .clients
+        .read(response.into_body(), HEALTH_BODY_BYTES_MAX, None, || {});
     let read = timeout(HEALTH_CHECK_TIMEOUT, body).await;
     matches!(read, Ok(Ok(_))).then_some(HealthAnswer {
         connection,
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -1,11 +1,13 @@
 use std::time::Duration;
 
+use client_connections::Clients;
 use prometheus::{
     Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
 };
 
 use crate::attempt_result::LeafFailure;
+use crate::client_metrics::ClientMetrics;
 use crate::refusal::Refusal;
 
 /// Upper bounds of the latency buckets in seconds, densest around the target latencies of 60 ms to
@@ -36,6 +38,7 @@
     pub(crate) store_failures: IntCounter,
     pub(crate) config_version: IntGauge,
     pub(crate) leafs: IntGauge,
+    clients: ClientMetrics,
     gather_latency: Histogram,
 }
 
@@ -122,6 +125,7 @@
             )?,
             config_version: gauge("medlarpin_config_version", "Version in force")?,
             leafs: gauge("medlarpin_leafs", "Published leafs")?,
+            clients: ClientMetrics::new(&registry)?,
             registry,
         };
         metrics
@@ -169,7 +173,8 @@
     }
 
     /// Encodes all metrics in the Prometheus text format.
-    pub(crate) fn encode(&self) -> Result<String, prometheus::Error> {
+    pub(crate) fn encode(&self, clients: &Clients) -> Result<String, prometheus::Error> {
+        self.clients.update(clients);
         TextEncoder::new().encode_to_string(&self.registry.gather())
     }
 }
--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -34,9 +34,17 @@
     quarantined_requests: usize,
     /// Requests that were sent to another daemon because this VM does not reach their leafs.
     handed_over_requests: u64,
-    /// Memory in use by leafs' answers and by callers' bodies.
-    answer_memory_bytes: usize,
-    request_memory_bytes: usize,
+    /// Bytes held for callers, leafs and other daemons, and their limit.
+    held_bytes: usize,
+    held_bytes_max: usize,
+    /// Open connections of callers, and their limit.
+    caller_connections: usize,
+    caller_connections_max: usize,
+    /// Since the start: slow callers disconnected for lack of room, connections closed at once, and requests,
+    /// answers and results that found no room.
+    clients_disconnected: u64,
+    connections_refused: u64,
+    room_denied: u64,
     routes: Vec<String>,
     /// Routes to many shards of which a part of the queries is refused because of overload, each
     /// with the share that is admitted, from 0 to 1.
@@ -75,7 +83,7 @@
 async fn metrics(State(shared): State<Arc<Shared>>) -> Result<String, (StatusCode, String)> {
     shared
         .metrics
-        .encode()
+        .encode(&shared.clients)
         .map_err(|error| (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()))
 }
 
@@ -107,6 +115,7 @@
             .collect()
     });
     let published = &shared.published_items;
+    let (limits, counts) = (shared.clients.limits(), shared.clients.counts());
     Json(StateDump {
         vm: shared.settings.load().vm.to_string(),
         is_ready: shared.is_ready(),
@@ -115,8 +124,13 @@
         retry_reserve: shared.retry_reserve(now),
         quarantined_requests: shared.crash_memory.quarantines(now).len(),
         handed_over_requests: shared.metrics.handed_over.get(),
-        answer_memory_bytes: shared.answer_memory.used_bytes(),
-        request_memory_bytes: shared.request_memory.used_bytes(),
+        held_bytes: shared.clients.used_bytes(),
+        held_bytes_max: limits.held_bytes_max,
+        caller_connections: shared.clients.open_count(),
+        caller_connections_max: limits.connections_max,
+        clients_disconnected: counts.disconnected,
+        connections_refused: counts.connections_refused,
+        room_denied: counts.denied,
         era: published.revision().era,
         revision: published.revision().number,
         store_silent_ms: published
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use client_connections::{PeerResults, PeerStream};
 use displaydoc::Display;
 use futures::AsyncReadExt;
 use medlarpin_core::canary::QUARANTINE_DURATION;
@@ -14,6 +15,7 @@
 use medlarpin_core::routing::{ConfigVersion, KnownDaemon, StoreRevision};
 use platform::Item;
 use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
@@ -87,8 +89,10 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                let stream = PeerStream::new(stream, &shared.clients);
                 let service = DaemonService {
                     shared: Arc::clone(&shared),
+                    results: stream.results(),
                 };
                 let client: route_peer::Client = capnp_rpc::new_client(service);
                 let side = rpc_twoparty_capnp::Side::Server;
@@ -303,7 +307,7 @@
 }
 
 fn rpc_system(
-    stream: TcpStream,
+    stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
     side: rpc_twoparty_capnp::Side,
     bootstrap: Option<capnp::capability::Client>,
 ) -> Rpc {
@@ -321,6 +325,19 @@
 /// The RPC service that a daemon offers to the others.
 struct DaemonService {
     shared: Arc<Shared>,
+    /// Memory for the results on this connection.
+    results: PeerResults,
+}
+
+impl DaemonService {
+    /// Takes memory for results of this size; fails if there is no room.
+    fn hold_results(&self, bytes: usize) -> Result<(), capnp::Error> {
+        if self.results.try_hold(bytes) {
+            return Ok(());
+        }
+        let error = "no memory is left for the results of this connection";
+        Err(capnp::Error::overloaded(error.to_owned()))
+    }
 }
 
 impl route_peer::Server for DaemonService {
@@ -363,12 +380,13 @@
         mut results: route_peer::PublishedItemsResults,
     ) -> Result<(), capnp::Error> {
         self.shared.published_items.with_items(|revision, items| {
+            self.hold_results(items_bytes(items))?;
             let mut reply = results.get();
             reply.set_era(revision.era);
             reply.set_revision(revision.number);
             write_items(items, reply.init_items(len_u32(items)));
-        });
-        Ok(())
+            Ok(())
+        })
     }
 
     async fn serve_request(
@@ -376,7 +394,7 @@
         params: route_peer::ServeRequestParams,
         results: route_peer::ServeRequestResults,
     ) -> Result<(), capnp::Error> {
-        delegation::answer_serve_request(&self.shared, params.get()?, results).await
+        delegation::answer_serve_request(&self.shared, &self.results, params.get()?, results).await
     }
 
     async fn report_crashes(
@@ -410,6 +428,7 @@
     ) -> Result<(), capnp::Error> {
         let config = self.shared.published_items.config();
         let value = config.and_then(|item| item.value);
+        self.hold_results(value.as_ref().map_or(0, |value| value.len()))?;
         results
             .get()
             .set_value(value.as_deref().unwrap_or_default());
@@ -431,6 +450,7 @@
         let silence = update.current_at.map_or(Duration::MAX, |at| {
             self.shared.now().saturating_duration_since(at)
         });
+        self.hold_results(items_bytes(&update.items))?;
         let mut reply = results.get();
         reply.set_era(update.revision.era);
         reply.set_revision(update.revision.number);
@@ -481,6 +501,13 @@
         .collect()
 }
 
+/// Returns the memory that items take in a message, apart from padding.
+fn items_bytes(items: &[Item]) -> usize {
+    let item_bytes =
+        |item: &Item| item.key.len() + item.value.as_ref().map_or(0, |value| value.len());
+    items.iter().map(item_bytes).sum()
+}
+
 fn write_items(items: &[Item], mut list: capnp::struct_list::Builder<'_, published_item::Owned>) {
     for (index, item) in (0..).zip(items) {
         let mut entry = list.reborrow().get(index);
--- a/crates/router/src/route_state.rs
+++ b/crates/router/src/route_state.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use client_connections::AnswerSize;
 use medlarpin_core::routing::{Route, RouteLatency, WeightedRoundRobin};
 use parking_lot::Mutex;
 
@@ -10,6 +11,8 @@
     pub(crate) name: Arc<str>,
     pub(crate) latency: Mutex<RouteLatency>,
     pub(crate) traffic_split: Mutex<WeightedRoundRobin>,
+    /// Memory that the answers to one request take.
+    pub(crate) answer_size: AnswerSize,
 }
 
 impl RouteState {
@@ -18,6 +21,7 @@
             name: Arc::clone(&route.name),
             latency: Mutex::new(RouteLatency::new(route.target_latency, now)),
             traffic_split: Mutex::default(),
+            answer_size: AnswerSize::default(),
         }
     }
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -8,6 +8,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::client_checks::disconnect_slow_callers;
 use crate::connections::Connections;
 use crate::crash_memory::CrashMemory;
 use crate::delegation::Delegations;
@@ -123,6 +124,10 @@
         spawn_local(run_supervised("discovery", move || {
             Discovery::new(Arc::clone(&discovering)).run()
         }));
+        let limited = Arc::clone(&shared);
+        spawn_local(run_supervised("slow callers", move || {
+            disconnect_slow_callers(Arc::clone(&limited))
+        }));
         let checking = Arc::clone(&shared);
         spawn_local(run_supervised("leaf checks", move || {
             check_leafs(Arc::clone(&checking))
--- a/crates/router/src/scatter.rs
+++ b/crates/router/src/scatter.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures::stream::{FuturesUnordered, StreamExt};
 use http_body_util::Full;
 use hyper::Response;
@@ -159,7 +158,9 @@
             drop(recorder);
         });
     }
-    Ok(merge(scatter, policy.shard_count, &answers, &request.id))
+    let answer_bytes = answers.iter().map(|(_, answer)| answer.body.len()).sum();
+    state.answer_size.record(answer_bytes);
+    Ok(merge(scatter, policy.shard_count, answers, request))
 }
 
 /// Returns the shards without an answer.
@@ -295,8 +296,8 @@
 fn merge(
     scatter: &Scatter,
     shard_count: usize,
-    answers: &[(ServiceName, LeafAnswer)],
-    request_id: &HeaderValue,
+    answers: Vec<(ServiceName, LeafAnswer)>,
+    request: &CallerRequest,
 ) -> Answer {
     let records = top_records(
         answers.iter().map(|(_, answer)| &*answer.body),
@@ -306,11 +307,15 @@
         .iter()
         .map(|(_, answer)| answer.stamp.clone())
         .collect();
-    let mut response = Response::new(Full::new(Bytes::from(records)));
+    let missing = shard_count - answers.len();
+    // The records take at most the memory that the answers return.
+    drop(answers);
+    let body = request.room.attach(records);
+    let mut response = Response::new(Full::new(body));
     *response.headers_mut() = platform::merged_headers(MergedHead {
         stamps: &stamps,
-        missing: shard_count - answers.len(),
-        request_id,
+        missing,
+        request_id: &request.id,
     });
     response
 }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use client_connections::Clients;
 use medlarpin_core::prelude::{Clock, FailureDomain, LeafId, ServiceName};
 use medlarpin_core::routing::{
     ConfigCheck, DaemonList, DelegateSelector, HandoverSelector, KnownDaemon, ProcessStart,
@@ -16,7 +17,6 @@
 use crate::crash_memory::CrashMemory;
 use crate::delegation::Delegations;
 use crate::event::Event;
-use crate::held_memory::BodyMemory;
 use crate::leaf::Leaf;
 use crate::leaf_permits::LeafPermits;
 use crate::leaf_rate_reports::LeafRateReports;
@@ -41,10 +41,6 @@
 /// Maximum age of the last answer of the store with which this daemon knows all published leafs. A
 /// follower's is up to 1.4 s older than that of the daemon that it follows.
 const CURRENT_ITEMS_AGE_MAX: Duration = Duration::from_secs(3);
-/// Divisor of the process's memory; the quotient is for leafs' answers.
-const ANSWER_MEMORY_DIVISOR: usize = 4;
-/// Divisor of the process's memory; the quotient is for the bodies of callers' requests.
-const REQUEST_MEMORY_DIVISOR: usize = 8;
 /// Share of a service's limits that a daemon uses if no other daemon can reach it and tell it how
 /// many there are.
 pub(crate) const UNLISTED_SHARE: f64 = 1.0 / 32.0;
@@ -65,10 +61,9 @@
     /// Whether the configuration was compared with that of another daemon since the start.
     pub(crate) config_check: Mutex<ConfigCheck>,
     pub(crate) leafs: LeafTable,
-    /// Memory for the answers of leafs that are being read or merged.
-    pub(crate) answer_memory: BodyMemory,
-    /// Memory for the bodies of callers' requests.
-    pub(crate) request_memory: BodyMemory,
+    /// The connections of callers, and the memory for all bodies that are held for callers, leafs and other
+    /// daemons.
+    pub(crate) clients: Clients,
     /// True once the complete list of leafs has been read.
     pub(crate) leafs_loaded: AtomicBool,
     /// The planned stop, once the daemon has been asked to stop.
@@ -135,11 +130,10 @@
             daemons: own.map(|own| Mutex::new(DaemonList::new(own, start))),
             failure_domain: settings.failure_domain.clone(),
             settings: ArcSwap::from_pointee(settings),
-            clock,
             config: ArcSwapOption::empty(),
             leafs,
-            answer_memory: BodyMemory::new(memory_bytes / ANSWER_MEMORY_DIVISOR),
-            request_memory: BodyMemory::new(memory_bytes / REQUEST_MEMORY_DIVISOR),
+            clients: Clients::new(memory_bytes, Arc::clone(&clock)),
+            clock,
             leafs_loaded: AtomicBool::new(false),
             planned_stop: PlannedStop::new(),
             delegated: AtomicUsize::new(0),
--- a/crates/settings/src/daemon.rs
+++ b/crates/settings/src/daemon.rs
@@ -24,6 +24,7 @@
     "canary",
     "workers",
     "body_limit_bytes",
+    "memory_mb",
     "shutdown_grace_ms",
     "drain_limit_ms",
     "probe_interval_ms",
@@ -34,6 +35,9 @@
     "logs",
 ];
 
+/// Default of `memory_mb`, in MiB: the memory of a small VM.
+const DEFAULT_MEMORY_MB: u32 = 128;
+
 /// Settings of one daemon, read at startup.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DaemonSettings {
@@ -65,6 +69,8 @@
     pub workers: usize,
     /// Maximum size of a request body from a caller.
     pub body_limit_bytes: usize,
+    /// Memory that the process may use, in MiB.
+    pub memory_mb: u32,
     /// Time for which the listeners stay open after readiness turned false.
     pub shutdown_grace_ms: u64,
     /// Maximum wait for requests in flight during a shutdown.
@@ -111,6 +117,7 @@
         canary: fields.boolean_or("canary", true)?,
         workers: read_usize(&fields, "workers", 1, 64, 2)?,
         body_limit_bytes: read_usize(&fields, "body_limit_bytes", 1024, 64 << 20, 1 << 20)?,
+        memory_mb: fields.integer_u32_or("memory_mb", 32..=1_048_576, DEFAULT_MEMORY_MB)?,
         shutdown_grace_ms: fields.integer_or("shutdown_grace_ms", 0..=60_000, 2_000)?,
         drain_limit_ms: fields.integer_or("drain_limit_ms", 0..=600_000, 10_000)?,
         probe_interval_ms,
