Bound the connections of other daemons, and halve the unsent bytes in the kernel

Connections to the address for other daemons had no bound: 1,300 abandoned ones took 1,024 of 1,024 descriptors (the binary before the change).

Beside 4 busy loops, no ordinary request was answered within 30 s in 1 of 1 runs of the crowd that pipelines requests and reads nothing: each caller was served until 32 KiB were unsent.

--- a/crates/client-connections/src/client_stream.rs
+++ b/crates/client-connections/src/client_stream.rs
@@ -10,7 +10,7 @@
 
 /// Unsent bytes that the kernel takes for a connection at most. More would hide from this process that the
 /// client does not read, and be memory of the same VM.
-pub(crate) const UNSENT_BYTES_MAX: u32 = 32 << 10;
+pub(crate) const UNSENT_BYTES_MAX: u32 = 16 << 10;
 
 /// A connection of a caller that records the caller's progress.
 ///
--- a/crates/client-connections/src/clients.rs
+++ b/crates/client-connections/src/clients.rs
@@ -18,6 +18,7 @@
 
 use crate::client::{ClientState, OpenClient};
 use crate::held_memory::{BodyError, HeldMemory, Room};
+use crate::peer_stream::PeerPlace;
 
 /// Minimum interval between two searches for slow clients, which look at every connection.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(20);
@@ -51,6 +52,8 @@
     waiting: AtomicUsize,
     /// Open connections of callers, sorted by number.
     open: Mutex<Vec<Arc<ClientState>>>,
+    /// Number of open connections that other daemons have opened.
+    peers: AtomicUsize,
     /// Number of the next connection.
     next_number: AtomicU64,
     /// Time of the last search for slow clients, in milliseconds since the start.
@@ -88,6 +91,7 @@
             returned: Notify::new(),
             waiting: AtomicUsize::new(0),
             open: Mutex::default(),
+            peers: AtomicUsize::new(0),
             next_number: AtomicU64::new(0),
             searched_ms: AtomicU64::new(0),
             disconnected: AtomicU64::new(0),
@@ -141,6 +145,23 @@
         Some(OpenClient::new(self.clone(), state))
     }
 
+    /// Counts a connection that another daemon has opened until the result is dropped; `None` if too many are
+    /// open, in which case the connection must be closed at once.
+    #[must_use]
+    pub fn open_peer(&self) -> Option<PeerPlace> {
+        let place = PeerPlace::new(self.clone());
+        let before = self.0.peers.fetch_add(1, Ordering::Relaxed);
+        if before >= self.0.limits.peers_max {
+            self.0.connections_refused.fetch_add(1, Ordering::Relaxed);
+            return None;
+        }
+        Some(place)
+    }
+
+    pub(crate) fn close_peer(&self) {
+        self.0.peers.fetch_sub(1, Ordering::Relaxed);
+    }
+
     /// Returns a part of the memory without any bytes so far.
     #[must_use]
     pub fn hold(&self) -> HeldMemory {
--- a/crates/client-connections/src/lib.rs
+++ b/crates/client-connections/src/lib.rs
@@ -16,4 +16,4 @@
 pub use client_stream::ClientStream;
 pub use clients::{ClientCounts, Clients};
 pub use held_memory::{BodyError, HeldMemory, Room};
-pub use peer_stream::{PeerResults, PeerRoom, PeerStream};
+pub use peer_stream::{PeerPlace, PeerResults, PeerRoom, PeerStream};
--- a/crates/client-connections/src/peer_stream.rs
+++ b/crates/client-connections/src/peer_stream.rs
@@ -18,6 +18,23 @@
 /// time out earlier, so that it would not use the results.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Counts a connection of another daemon as open until it is dropped.
+#[derive(Debug)]
+pub struct PeerPlace(Clients);
+
+impl PeerPlace {
+    /// The caller counts the connection.
+    pub(crate) fn new(clients: Clients) -> Self {
+        Self(clients)
+    }
+}
+
+impl Drop for PeerPlace {
+    fn drop(&mut self) {
+        self.0.close_peer();
+    }
+}
+
 /// Memory for the results that wait to be written to one daemon.
 #[derive(Debug, Clone)]
 pub struct PeerResults(Arc<Mutex<HeldMemory>>);
@@ -79,19 +96,21 @@
     unread: Option<Pin<Box<Sleep>>>,
     /// The reader that waits until no write is blocked.
     reader: Option<Waker>,
+    _place: PeerPlace,
 }
 
 impl PeerStream {
     /// Wraps a connection and limits its unsent bytes.
     #[must_use]
-    pub fn new(stream: TcpStream, clients: &Clients) -> Self {
+    pub fn new(stream: TcpStream, place: PeerPlace) -> Self {
         // If this fails, the kernel takes more bytes.
         let _ = SockRef::from(&stream).set_tcp_notsent_lowat(UNSENT_BYTES_MAX);
         Self {
             stream,
-            results: PeerResults(Arc::new(Mutex::new(clients.hold()))),
+            results: PeerResults(Arc::new(Mutex::new(place.0.hold()))),
             unread: None,
             reader: None,
+            _place: place,
         }
     }
 
--- a/crates/client-connections/tests/clients.rs
+++ b/crates/client-connections/tests/clients.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use client_connections::{BodyError, Clients, OpenClient};
+use client_connections::{BodyError, Clients, OpenClient, PeerPlace};
 use http_body_util::Full;
 use medlarpin_core::client_pressure::ClientLimits;
 use medlarpin_core::prelude::ManualClock;
@@ -12,6 +12,7 @@
 const LIMITS: ClientLimits = ClientLimits {
     held_bytes_max: 8_000,
     connections_max: 8,
+    peers_max: 2,
 };
 
 fn clients() -> (Clients, Arc<ManualClock>) {
@@ -89,6 +90,18 @@
     assert_eq!(clients.open_count(), 7);
 }
 
+/// Guards against other daemons that take all descriptors.
+#[test]
+fn connections_of_daemons_have_a_bound_of_their_own() {
+    let (clients, _) = clients();
+    let mut open: Vec<PeerPlace> = (0..3).filter_map(|_| clients.open_peer()).collect();
+    assert_eq!(open.len(), 2);
+    assert_eq!(clients.counts().connections_refused, 1);
+    assert!(clients.open().is_some());
+    open.pop();
+    assert!(clients.open_peer().is_some());
+}
+
 /// Guards against a request that finds no room although slow clients hold the memory, and against clients that
 /// are disconnected twice.
 #[tokio::test]
--- a/crates/client-connections/tests/streams.rs
+++ b/crates/client-connections/tests/streams.rs
@@ -65,7 +65,7 @@
 async fn a_daemon_that_reads_nothing_is_disconnected() {
     let clients = clients();
     let (near, far) = connection().await;
-    let mut stream = PeerStream::new(near, &clients);
+    let mut stream = PeerStream::new(near, clients.open_peer().unwrap());
     let results = stream.results();
     assert!(results.try_hold(1 << 20));
     let written = timeout(WAIT_LIMIT, stream.write_all(&vec![7; 32 << 20])).await;
@@ -81,7 +81,7 @@
 async fn memory_of_results_returns_as_they_are_written() {
     let clients = clients();
     let (near, mut far) = connection().await;
-    let mut stream = PeerStream::new(near, &clients);
+    let mut stream = PeerStream::new(near, clients.open_peer().unwrap());
     let results = stream.results();
     let room = results.reserve(1_000).unwrap();
     room.fill(600);
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -210,9 +210,13 @@
     loop {
         match listener.accept().await {
             Ok((stream, _peer)) => {
+                // A connection beyond the bound closes at once.
+                let Some(place) = state.shared.clients.open_peer() else {
+                    continue;
+                };
                 let prepared = stream.set_nodelay(true).and_then(|()| stream.into_std());
                 match prepared {
-                    Ok(stream) => state.workers.accept(stream),
+                    Ok(stream) => state.workers.accept(stream, place),
                     Err(error) => {
                         log::debug!(
                             target: GOSSIP, "Failed to set up an accepted peer connection: {error}."
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
-use client_connections::PeerStream;
+use client_connections::{PeerPlace, PeerStream};
 use futures::AsyncReadExt;
 use medlarpin_core::prelude::*;
 use tokio_util::compat::TokioAsyncReadCompatExt;
@@ -19,7 +19,7 @@
 use crate::workers::Worker;
 
 /// Serves one accepted connection until it is closed.
-pub async fn serve_peer(worker: Rc<Worker>, stream: TcpStream) {
+pub async fn serve_peer(worker: Rc<Worker>, stream: TcpStream, place: PeerPlace) {
     let stream = match tokio::net::TcpStream::from_std(stream) {
         Ok(stream) => stream,
         Err(error) => {
@@ -27,7 +27,7 @@
             return;
         }
     };
-    let stream = PeerStream::new(stream, &worker.shared.clients);
+    let stream = PeerStream::new(stream, place);
     let (reader, writer) = stream.compat().split();
     let network = twoparty::VatNetwork::new(
         futures::io::BufReader::new(reader),
--- a/crates/daemon/src/workers.rs
+++ b/crates/daemon/src/workers.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::JoinHandle;
 
+use client_connections::PeerPlace;
 use displaydoc::Display;
 use parking_lot::Mutex;
 use thiserror::Error;
@@ -39,7 +40,7 @@
 
 enum Job {
     Run(LocalTask),
-    Accept(TcpStream),
+    Accept(TcpStream, PeerPlace),
     Stop,
 }
 
@@ -99,8 +100,8 @@
     }
 
     /// Passes an accepted RPC connection to the next worker, round robin.
-    pub fn accept(&self, stream: TcpStream) {
-        self.send(Job::Accept(stream));
+    pub fn accept(&self, stream: TcpStream, place: PeerPlace) {
+        self.send(Job::Accept(stream, place));
     }
 
     /// Stops all workers and waits for their threads.
@@ -149,8 +150,8 @@
                 Job::Run(task) => {
                     tokio::task::spawn_local(task(Rc::clone(&worker)));
                 }
-                Job::Accept(stream) => {
-                    tokio::task::spawn_local(serve_peer(Rc::clone(&worker), stream));
+                Job::Accept(stream, place) => {
+                    tokio::task::spawn_local(serve_peer(Rc::clone(&worker), stream, place));
                 }
                 Job::Stop => break,
             }
--- a/crates/daemon/tests/slow_readers_routes.rs
+++ b/crates/daemon/tests/slow_readers_routes.rs
@@ -323,6 +323,18 @@
     });
 }
 
+/// Guards against connections of other daemons that take all descriptors.
+#[tokio::test(flavor = "multi_thread")]
+async fn abandoned_connections_of_daemons() {
+    let name = "abandoned-daemons";
+    let _guard = ONE_AT_A_TIME.lock().await;
+    let fixture = Fixture::start(name).await;
+    let crowd = Crowd::start(fixture.peer, 1_300, &Script::once(""));
+    watch(name, fixture.process.id(), &crowd, BOUNDS).await;
+    let is_answered = async || fixture.get("/one/1").await == Some(StatusCode::OK);
+    check_served(name, is_answered).await;
+}
+
 /// Guards against limits that refuse a request within the published ones while there is no crowd.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_single_long_answer_is_served() {
--- a/crates/medlarpin-core/src/client_pressure.rs
+++ b/crates/medlarpin-core/src/client_pressure.rs
@@ -11,8 +11,11 @@
 /// Memory of a caller's connection in the worst case: a read buffer of 16 KiB that the head in use refers
 /// to, and one with bytes read ahead.
 const CONNECTION_BYTES: usize = 32 << 10;
-/// Divisor of the descriptor limit; the quotient is for callers. The others are for leafs, daemons and files.
+/// Divisor of the descriptor limit; the quotient is for callers.
 const DESCRIPTOR_DIVISOR: usize = 2;
+/// Divisor of the descriptor limit; the quotient is for the connections of other daemons. The rest is for leafs,
+/// connections to other daemons, and files.
+const PEER_DESCRIPTOR_DIVISOR: usize = 4;
 /// Connections that are accepted in any case.
 const CONNECTIONS_MIN: usize = 16;
 /// Time for which the daemon waits for a client before the client can be disconnected. A round trip and the
@@ -26,6 +29,8 @@
     pub held_bytes_max: usize,
     /// Number of open connections of callers.
     pub connections_max: usize,
+    /// Number of open connections that other daemons have opened.
+    pub peers_max: usize,
 }
 
 impl ClientLimits {
@@ -38,6 +43,9 @@
         Self {
             held_bytes_max: memory_bytes / HELD_MEMORY_DIVISOR,
             connections_max: by_memory.min(by_descriptors).max(CONNECTIONS_MIN),
+            peers_max: descriptors.map_or(usize::MAX, |limit| {
+                (limit / PEER_DESCRIPTOR_DIVISOR).max(CONNECTIONS_MIN)
+            }),
         }
     }
 }
--- a/crates/medlarpin-core/tests/client_pressure.rs
+++ b/crates/medlarpin-core/tests/client_pressure.rs
@@ -10,6 +10,7 @@
 const LIMITS: ClientLimits = ClientLimits {
     held_bytes_max: 8_000,
     connections_max: 80,
+    peers_max: 40,
 };
 
 /// A client by phase, wait in milliseconds, moved and held bytes.
@@ -97,17 +98,18 @@
 /// Guards against limits that leave nothing to the rest of the process, or no connection to callers.
 #[test]
 fn limits_follow_memory_and_descriptors() {
-    let check = |memory_mb: usize, descriptors, held_mb: usize, connections_max| {
+    let check = |memory_mb: usize, descriptors, held_mb: usize, connections_max, peers_max| {
         let limits = ClientLimits::new(memory_mb << 20, descriptors);
         let expected = ClientLimits {
             held_bytes_max: held_mb << 20,
             connections_max,
+            peers_max,
         };
         assert_eq!(limits, expected, "{memory_mb} MiB, {descriptors:?}");
     };
-    check(112, Some(2_870), 28, 896);
-    check(128, None, 32, 1_024);
-    check(512, Some(8_192), 128, 4_096);
-    check(512, Some(2_870), 128, 1_435);
-    check(48, Some(1_024), 12, 384);
+    check(112, Some(2_870), 28, 896, 717);
+    check(128, None, 32, 1_024, usize::MAX);
+    check(512, Some(8_192), 128, 4_096, 2_048);
+    check(512, Some(2_870), 128, 1_435, 717);
+    check(48, Some(1_024), 12, 384, 256);
 }
--- a/crates/medlarpin-core/tests/memory_budget.rs
+++ b/crates/medlarpin-core/tests/memory_budget.rs
@@ -50,3 +50,15 @@
     check(LIMIT / 8, LIMIT / 16, true);
     check(LIMIT / 8, LIMIT / 8, false);
 }
+
+/// Guards against memory in use beyond the limit that lets others in, or that never returns.
+#[test]
+fn memory_in_use_already_counts_beyond_the_limit() {
+    let mut budget = MemoryBudget::new(1_000);
+    budget.take(1_500);
+    assert_eq!(budget.used_bytes(), 1_500);
+    assert!(!budget.try_grow(0, 1));
+    budget.release(1_100);
+    assert!(budget.try_grow(0, 150));
+    assert!(!budget.try_grow(0, 150));
+}
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -89,7 +89,11 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let stream = PeerStream::new(stream, &shared.clients);
+                // A connection beyond the bound closes at once.
+                let Some(place) = shared.clients.open_peer() else {
+                    continue;
+                };
+                let stream = PeerStream::new(stream, place);
                 let service = DaemonService {
                     shared: Arc::clone(&shared),
                     results: stream.results(),
