--- a/crates/router/src/evacuations/tests.rs
+++ b/crates/router/src/evacuations/tests.rs
@@ -127,7 +127,7 @@
             id: HeaderValue::from_static("r1"),
             head,
             body: Bytes::new(),
-            _memory: self.shared.request_memory.hold(),
+            room: self.shared.clients.hold().into(),
             arrived_at: now,
             deadline: now + Duration::from_secs(1),
             answer_by: now + Duration::from_secs(1),
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -1,11 +1,13 @@
 use std::time::Duration;
 
+use client_connections::Clients;
 use prometheus::{
     Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
 };
 
 use crate::attempt_result::LeafFailure;
+use crate::client_metrics::ClientMetrics;
 use crate::cold_leaf_metrics::ColdLeafMetrics;
 use crate::evacuation_metrics::EvacuationMetrics;
 use crate::refusal::Refusal;
@@ -40,6 +42,7 @@
     pub(crate) config_version: IntGauge,
     pub(crate) leafs: IntGauge,
     pub(crate) evacuation: EvacuationMetrics,
+    clients: ClientMetrics,
     gather_latency: Histogram,
 }
 
@@ -128,6 +131,7 @@
             config_version: gauge("medlarpin_config_version", "Version in force")?,
             leafs: gauge("medlarpin_leafs", "Published leafs")?,
             evacuation: EvacuationMetrics::new(&registry)?,
+            clients: ClientMetrics::new(&registry)?,
             registry,
         };
         metrics
@@ -175,7 +179,8 @@
     }
 
     /// Encodes all metrics in the Prometheus text format.
-    pub(crate) fn encode(&self) -> Result<String, prometheus::Error> {
+    pub(crate) fn encode(&self, clients: &Clients) -> Result<String, prometheus::Error> {
+        self.clients.update(clients);
         TextEncoder::new().encode_to_string(&self.registry.gather())
     }
 }
