--- a/crates/router/src/leaf_rates.rs
+++ b/crates/router/src/leaf_rates.rs
@@ -105,11 +105,11 @@
     /// Returns how this daemon may send requests to a cold leaf; `None` if the leaf is warm or its service
     /// has no limit.
     pub(crate) fn cold_access(self, leaf: &Leaf, now: Instant) -> Option<RateAccess> {
-        let limit = self.cold_rate(&leaf.entry.service);
-        if limit.is_some() {
-            self.record_return_of_domain(leaf);
-        }
-        let rate = leaf.cold_until(now).and(limit);
+        self.record_return_of_domain(leaf);
+        // Nearly all leafs are warm, so that their limit need not be looked up.
+        let rate = leaf
+            .cold_until(now)
+            .and_then(|_| self.cold_rate(&leaf.entry.service));
         if leaf.set_cold_limit(rate, now) {
             log_cold_limit(leaf, rate, now);
         }
@@ -173,7 +173,7 @@
         let service = config
             .as_ref()
             .and_then(|config| config.service(&leaf.entry.service));
-        if let Some(service) = service {
+        if let Some(service) = service.filter(|service| service.cold_rate.is_some()) {
             let until = returned_at + service.warm_up;
             leaf.record_return_of_domain(returned_at, until, ENTRIES_IN_TRANSIT);
         }
