--- a/crates/router/src/leaf_rates.rs
+++ b/crates/router/src/leaf_rates.rs
@@ -117,7 +117,7 @@
         Some(match &self.shared.daemons {
             Some(daemons) => daemons.lock().cold_access(&leaf.entry.id, rate, bound, now),
             // The others do not know of this daemon, so it can have no share.
-            None if self.shared.has_other_seeds() => RateAccess::Nothing,
+            None if !self.shared.settings.load().seed_addresses.is_empty() => RateAccess::Nothing,
             None => bound
                 .plan(rate)
                 .map_or(RateAccess::Nothing, |plan| RateAccess::Paced(plan.per_s)),
@@ -166,35 +166,28 @@
     /// Lets a leaf count as cold for the warm-up time of its service from the time at which its failure
     /// domain was returned to service.
     fn record_return_of_domain(self, leaf: &Leaf) {
-        let Some(returned_at) = self.shared.leafs.returned_at(&leaf.entry.failure_domain) else {
-            return;
-        };
-        let config = self.shared.config.load();
-        let service = config
-            .as_ref()
-            .and_then(|config| config.service(&leaf.entry.service));
-        if let Some(service) = service.filter(|service| service.cold_rate.is_some()) {
-            let until = returned_at + service.warm_up;
+        let domain = &leaf.entry.failure_domain;
+        if let Some(returned_at) = self.shared.leafs.returned_at(domain)
+            && let Some(warm_up) = self.limited_warm_up(&leaf.entry.service)
+        {
+            let until = returned_at + warm_up;
             leaf.record_return_of_domain(returned_at, until, ENTRIES_IN_TRANSIT);
         }
     }
 
     /// Lets a leaf that may have started again without an entry of it count as cold for the warm-up time of
-    /// its service, if cold leafs of the service are limited.
+    /// its service, unless an entry that was written later or a health check shows otherwise.
     pub(crate) fn assume_restarted(self, leaf: &Leaf, now: Instant) {
-        self.assume_cold(leaf, ENTRIES_IN_TRANSIT, now);
+        if let Some(warm_up) = self.limited_warm_up(&leaf.entry.service) {
+            leaf.assume_cold(now + warm_up, ENTRIES_IN_TRANSIT, now);
+        }
     }
 
-    /// Lets a leaf count as cold for the warm-up time of its service, unless an entry that was written later
-    /// or a health check shows otherwise, if cold leafs of the service are limited.
-    pub(crate) fn assume_cold(self, leaf: &Leaf, entries_in_transit: u64, now: Instant) {
+    /// Returns the warm-up time of a service; `None` unless the configuration limits its cold leafs.
+    fn limited_warm_up(self, service: &ServiceName) -> Option<Duration> {
         let config = self.shared.config.load();
-        let service = config
-            .as_ref()
-            .and_then(|config| config.service(&leaf.entry.service));
-        if let Some(service) = service.filter(|service| service.cold_rate.is_some()) {
-            leaf.assume_cold(now + service.warm_up, entries_in_transit, now);
-        }
+        let service = config.as_ref()?.service(service)?;
+        service.cold_rate.map(|_| service.warm_up)
     }
 
     /// Counts a request against the rate that the leaf states, if it states one.
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -163,13 +163,6 @@
         daemons.map_or(1, |daemons| daemons.lock().daemon_count())
     }
 
-    /// Returns true if the settings name another daemon.
-    pub(crate) fn has_other_seeds(&self) -> bool {
-        let settings = self.settings.load();
-        let mut seeds = settings.seed_addresses.iter();
-        seeds.any(|seed| Some(*seed) != settings.peer_address)
-    }
-
     /// Returns true if this daemon is cut off from all others.
     pub(crate) fn is_isolated(&self) -> bool {
         let daemons = self.daemons.as_ref();
