--- a/review/cases-2/src/daemon.rs
+++ b/review/cases-2/src/daemon.rs
@@ -21,6 +21,7 @@
     pub query: SocketAddr,
     readiness: SocketAddr,
     child: Option<Child>,
+    descriptors: Option<u32>,
     /// Keep the ports while the process is down.
     _reserved: Vec<TcpSocket>,
 }
@@ -41,6 +42,16 @@
 impl Fleet {
     /// Starts daemons with the settings of the deployment; `folder` holds their files.
     pub async fn start(count: usize, store: SocketAddr, folder: &Path) -> io::Result<Self> {
+        Self::start_with(count, store, folder, None).await
+    }
+
+    /// Like [`Fleet::start`], with a limit of the descriptors of each process.
+    pub async fn start_with(
+        count: usize,
+        store: SocketAddr,
+        folder: &Path,
+        descriptors: Option<u32>,
+    ) -> io::Result<Self> {
         let root = std::env::current_dir()?;
         let mut ports = Vec::new();
         for _ in 0..count * 4 {
@@ -84,6 +95,7 @@
                 query: own[1],
                 readiness: own[2],
                 child: None,
+                descriptors,
                 _reserved: ports.by_ref().take(4).collect(),
                 settings,
             };
@@ -119,7 +131,18 @@
             .append(true)
             .open(&self.log)?;
         let errors = log.try_clone()?;
-        let child = Command::new(self.root.join("target/release/medlarpind"))
+        let program = self.root.join("target/release/medlarpind");
+        let mut command = match self.descriptors {
+            // The shell only sets the limit of its own process, which becomes the daemon.
+            Some(descriptors) => {
+                let mut command = Command::new("sh");
+                let script = format!("ulimit -n {descriptors} && exec \"$0\" \"$@\"");
+                command.arg("-c").arg(script).arg(program);
+                command
+            }
+            None => Command::new(program),
+        };
+        let child = command
             .arg("--platform")
             .arg(&self.settings)
             .current_dir(&self.root)
@@ -160,6 +183,11 @@
         }
     }
 
+    /// Returns the number of the process, if it is running.
+    pub fn process(&self) -> Option<u32> {
+        self.child.as_ref().and_then(Child::id)
+    }
+
     /// Returns true if the process has ended.
     pub fn has_ended(&mut self) -> bool {
         self.child
