Review: drop two cases and number the others 6 to 8

What is left, the gravest first: 6 memory of a machine (Fault), 7 a sound leaf out of use (CONFIG), 8 crashing requests (BUDGET). Only names and claims changed.

--- a/review/cases-2/src/bin/case-6.rs
+++ b/review/cases-2/src/bin/case-6.rs
@@ -1,47 +1,45 @@
-//! Case 6: a faulty leaf sends some of its answers a second time, late: at the point where the next answer on the
-//! connection is expected. Some of them are rejections, and the next request on the connection is the same one.
+//! Case 6: a crowd of callers whose requests are inside the published limits, while the platform kills processes that
+//! exceed the memory of their machine.
 
-use std::collections::BTreeMap;
 use std::path::Path;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
 
 use review_cases_2::caller::head;
 use review_cases_2::daemon::temporary_folder;
 use review_cases_2::{
     BROKEN, CallerConnection, Fleet, HELD, Leaf, LeafAnswer, NOT_RUN, Record, Store, has_trouble,
 };
-use serde_json::json;
-use tokio::time::sleep;
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
 
-/// The leafs are full for the first part of each period, through other callers.
-const PERIOD: Duration = Duration::from_millis(400);
-const FULL: Duration = Duration::from_millis(60);
-/// Work of a request.
-const WORK: Duration = Duration::from_millis(60);
 /// Number of daemons.
-const DAEMONS: usize = 12;
-/// Requests of the callers, and the time between them.
-const REQUESTS: usize = 3_600;
-const INTERVAL: Duration = Duration::from_millis(25);
-/// One in so many answers of the faulty leaf is sent a second time, for the first part of each period.
-const COPIED_ONE_IN: u64 = 25;
-const FAULT_PERIOD: Duration = Duration::from_millis(6_000);
-const FAULT: Duration = Duration::from_millis(5_000);
-/// The leafs with their services. The first one sends extra answers.
-const LEAFS: [(&str, &str); 3] = [("i-1", "invoices"), ("i-2", "sheets"), ("i-3", "sheets")];
-/// One in so many requests is a single fetch of a sheet, the others submit an invoice.
-const FETCHES_ONE_IN: usize = 8;
+const DAEMONS: usize = 3;
+/// `memoryMb` of a machine, and the descriptors that it has.
+const MEMORY_MB: u64 = 182;
+const DESCRIPTORS: u32 = 2_870;
+/// Shards of the two indexes, each with two leafs, and connections of a leaf, as on the site.
+const INDEXES: [(&str, usize); 2] = [("trace", 20), ("dispute", 30)];
+const CONNECTIONS: u32 = 58;
+/// Least work of a leaf for its part and the spread above it, and the size of the part.
+const WORK_MIN_MS: u64 = 100;
+const WORK_SPREAD_MS: u64 = 1_000;
+const PART_BYTES: usize = 20_000;
+/// Callers of each daemon, and the length of their heads; `maxHeaderBytes` is 16,384.
+const CROWD: usize = 200;
+const CROWD_HEAD_BYTES: usize = 15_000;
+/// Callers of each daemon in ordinary times, with heads of some hundred bytes.
+const ORDINARY: usize = 2;
+/// Time for which the requests are sent at most.
+const TRAFFIC: Duration = Duration::from_secs(90);
+/// Time after which a killed process is started again.
+const RESTART: Duration = Duration::from_millis(500);
+/// Ends of a process with which the rule is broken, and machines on which they must come about.
+const ENDS: usize = 3;
+const MACHINES: usize = 2;
 const TIME_LIMIT_MS: u64 = 4_000;
 
-/// Chooses one in [`COPIED_ONE_IN`] answers, the same ones in each run.
-fn is_chosen(count: u64) -> bool {
-    let mixed = (count + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15);
-    let mixed = (mixed ^ (mixed >> 29)).wrapping_mul(0xBF58_476D_1CE4_E5B9) >> 33;
-    mixed.is_multiple_of(COPIED_ONE_IN)
-}
-
 #[tokio::main]
 async fn main() {
     std::process::exit(run().await.unwrap_or_else(|error| {
@@ -50,149 +48,190 @@
     }));
 }
 
-async fn run() -> std::io::Result<i32> {
-    let record = Record::create(Path::new("review/6/record.txt"))?;
-    let folder = temporary_folder("case-6")?;
-    let store = Store::start().await?;
-    let started = Instant::now();
-    let mut leafs = Vec::new();
-    for (id, service) in LEAFS {
-        let runs = record.clone();
-        // The answer on each connection of which a copy is still to be sent.
-        let copies: Arc<Mutex<BTreeMap<u64, Vec<u8>>>> = Arc::default();
-        let answered = Arc::new(AtomicU64::new(0));
-        let leaf = Leaf::start(id, service, &record, move |leaf, connection, request| {
-            let (record, copies) = (runs.clone(), Arc::clone(&copies));
-            let count = answered.fetch_add(1, Ordering::Relaxed);
-            let is_faulty =
-                started.elapsed().as_millis() % FAULT_PERIOD.as_millis() < FAULT.as_millis();
-            let is_copied = has_trouble() && leaf.id == LEAFS[0].0 && is_faulty && is_chosen(count);
-            Box::pin(async move {
-                let early = copies
-                    .lock()
-                    .unwrap()
-                    .remove(&connection)
-                    .unwrap_or_default();
-                let copy = move |answer: &[u8]| {
-                    if is_copied {
-                        copies.lock().unwrap().insert(connection, answer.to_vec());
-                    }
-                };
-                let elapsed_ms = started.elapsed().as_millis() % PERIOD.as_millis();
-                if elapsed_ms < FULL.as_millis() {
-                    let rejection = Leaf::rejection(&request.id);
-                    copy(&rejection);
-                    return LeafAnswer::Bytes([early, rejection].concat());
-                }
-                leaf.runs(&record, &request.id);
-                let work = async move {
-                    sleep(WORK).await;
-                    let answer = leaf.answer(
-                        &request.id,
-                        "200 OK",
-                        "Keep-Alive: timeout=10\r\n",
-                        b"invoice",
-                    );
-                    copy(&answer);
-                    answer
-                };
-                if early.is_empty() {
-                    return LeafAnswer::Bytes(work.await);
-                }
-                LeafAnswer::Early(early, Box::pin(work))
-            })
+fn shards(index: &str, count: usize) -> Vec<String> {
+    (0..count)
+        .map(|number| format!("{index}-{number:02}"))
+        .collect()
+}
+
+fn config() -> Value {
+    let route = |(index, count): &(&str, usize)| {
+        json!({
+            "name": format!("r-{index}"), "host": "search.example", "prefix": format!("/{index}/"),
+            "type": "idempotent", "timeoutMs": TIME_LIMIT_MS, "targetLatencyMs": 3000, "priority": 1,
+            "fanout": shards(index, *count), "attempts": 2, "topK": 10, "minCoverage": 0.75,
         })
-        .await?;
-        store.put(
-            &format!("servers/{}", leaf.id),
-            leaf.entry(1).to_string().as_bytes(),
-        );
-        leafs.push(leaf);
-    }
-    let config = json!({
+    };
+    let names = INDEXES
+        .iter()
+        .flat_map(|(index, count)| shards(index, *count));
+    let service = |name| json!({"name": name, "healthPath": "/health", "maxConns": CONNECTIONS});
+    json!({
         "version": 7,
-        "routes": [{
-            "name": "r-invoice", "host": "search.example", "prefix": "/invoice/",
-            "type": "non_idempotent", "timeoutMs": TIME_LIMIT_MS, "targetLatencyMs": 600,
-            "priority": 1, "service": "invoices", "attempts": 2,
-        }, {
-            "name": "r-sheet", "host": "search.example", "prefix": "/sheet/",
-            "type": "idempotent", "timeoutMs": TIME_LIMIT_MS, "targetLatencyMs": 600,
-            "priority": 1, "service": "sheets", "attempts": 2,
-        }],
-        "services": [
-            {"name": "invoices", "healthPath": "/health", "maxConns": 58},
-            {"name": "sheets", "healthPath": "/health", "maxConns": 58},
-        ],
+        "routes": INDEXES.iter().map(route).collect::<Vec<_>>(),
+        "services": names.map(service).collect::<Vec<_>>(),
         "limits": {
             "maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
             "idleTimeoutMs": 15000,
         },
+    })
+}
+
+/// Returns the work of a leaf for a request, the same one in each run.
+fn work(leaf: &Leaf, id: &str) -> Duration {
+    let text = [leaf.id.as_bytes(), id.as_bytes()].concat();
+    let hash = text.iter().fold(0xCBF2_9CE4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(0x100_0000_01B3)
     });
-    store.put("op/config", config.to_string().as_bytes());
-    let fleet = Fleet::start(DAEMONS, store.address, &folder).await?;
+    Duration::from_millis(WORK_MIN_MS + (hash >> 16) % WORK_SPREAD_MS)
+}
+
+/// Returns the memory of a process in use, in KiB; 0 if it has ended.
+fn resident_kib(process: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+    number.unwrap_or_default()
+}
+
+/// Sends one request after another on a kept connection until the traffic ends.
+async fn call(query: std::net::SocketAddr, name: String, has_long_head: bool, counts: Arc<Counts>) {
+    let mut connection = None;
+    let mut number = 0;
+    while !counts.is_over.load(Ordering::Relaxed) {
+        if connection.is_none() {
+            connection = CallerConnection::open(query).await.ok();
+        }
+        let Some(open) = &mut connection else {
+            sleep(Duration::from_millis(250)).await;
+            continue;
+        };
+        number += 1;
+        let (index, _) = INDEXES[number % INDEXES.len()];
+        let more = if has_long_head {
+            let cookie = "v".repeat(CROWD_HEAD_BYTES / 5);
+            (0..5)
+                .map(|part| format!("X-Session-{part}: {cookie}\r\n"))
+                .collect()
+        } else {
+            String::new()
+        };
+        let path = format!("/{index}/{name}");
+        let head = head(
+            "GET",
+            &path,
+            &format!("{name}-{number}"),
+            TIME_LIMIT_MS,
+            0,
+            &more,
+        );
+        counts.sent.fetch_add(1, Ordering::Relaxed);
+        match open
+            .ask(&head, b"", Duration::from_millis(TIME_LIMIT_MS))
+            .await
+        {
+            Ok(answer) if answer.status == 200 => {
+                counts.served.fetch_add(1, Ordering::Relaxed);
+            }
+            // Callers honour Retry-After.
+            Ok(answer) => {
+                let pause = answer.message.header("retry-after").parse().unwrap_or(0.2);
+                sleep(Duration::from_secs_f64(pause)).await;
+            }
+            Err(_) => {
+                connection = None;
+                sleep(Duration::from_millis(250)).await;
+            }
+        }
+    }
+}
+
+#[derive(Default)]
+struct Counts {
+    sent: AtomicUsize,
+    served: AtomicUsize,
+    is_over: AtomicBool,
+}
+
+async fn run() -> std::io::Result<i32> {
+    let record = Record::create(Path::new("review/6/record.txt"))?;
+    let folder = temporary_folder("case-6")?;
+    let store = Store::start().await?;
+    let silent = Record::create(&folder.join("leafs.txt"))?;
+    for (index, count) in INDEXES {
+        for service in shards(index, count) {
+            for number in 1..=2 {
+                let id = format!("i-{service}-{number}");
+                let leaf = Leaf::start(&id, &service, &silent, move |leaf, _, request| {
+                    Box::pin(async move {
+                        sleep(work(&leaf, &request.id)).await;
+                        let part = vec![b'p'; PART_BYTES];
+                        let more = "Keep-Alive: timeout=30\r\n";
+                        LeafAnswer::Bytes(leaf.answer(&request.id, "200 OK", more, &part))
+                    })
+                })
+                .await?;
+                store.put(
+                    &format!("servers/{}", leaf.id),
+                    leaf.entry(1).to_string().as_bytes(),
+                );
+            }
+        }
+    }
+    store.put("op/config", config().to_string().as_bytes());
+    let mut fleet = Fleet::start_with(DAEMONS, store.address, &folder, Some(DESCRIPTORS)).await?;
     if !fleet.wait_until_ready(Duration::from_secs(15)).await {
         record.result("the daemons did not get ready");
         return Ok(NOT_RUN);
     }
-    // The daemons divide the service's retry budget once they know each other.
     sleep(Duration::from_secs(7)).await;
-    let mut callers = Vec::new();
-    for number in 0..REQUESTS {
-        let query = fleet.daemons[number % DAEMONS].query;
-        let record = record.clone();
-        callers.push(tokio::spawn(async move {
-            let is_fetch = number.is_multiple_of(FETCHES_ONE_IN);
-            let id = format!("{}{number:04}", if is_fetch { "fetch" } else { "submit" });
-            record.line(&format!("caller sends {id}"));
-            let (method, path, body): (_, _, &[u8]) = if is_fetch {
-                ("GET", "/sheet/1", b"")
-            } else {
-                ("POST", "/invoice/1", b"lot7")
-            };
-            let head = head(method, path, &id, TIME_LIMIT_MS, body.len(), "");
-            let answer = async {
-                let mut connection = CallerConnection::open(query).await?;
-                connection
-                    .ask(&head, body, Duration::from_millis(TIME_LIMIT_MS))
-                    .await
-            };
-            let status = match answer.await {
-                Ok(answer) => answer.status,
-                Err(error) => {
-                    record.line(&format!("caller of {id}: {error}"));
-                    0
-                }
-            };
-            record.line(&format!("caller of {id} gets {status}"));
-            (id, status)
-        }));
-        sleep(INTERVAL).await;
-    }
-    let mut answers = Vec::new();
-    for caller in callers {
-        answers.extend(caller.await);
+    let counts = Arc::new(Counts::default());
+    let callers = if has_trouble() { CROWD } else { ORDINARY };
+    for (number, daemon) in fleet.daemons.iter().enumerate() {
+        for caller in 0..callers {
+            let name = format!("c{number}-{caller}");
+            tokio::spawn(call(daemon.query, name, has_trouble(), Arc::clone(&counts)));
+        }
     }
-    sleep(Duration::from_secs(1)).await;
-    drop(fleet);
-    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
-    for leaf in &leafs {
-        for id in leaf.ran.lock().unwrap().iter() {
-            *runs.entry(id.clone()).or_default() += 1;
+    record.line(&format!("{callers} callers begin to send to each daemon"));
+    let started = Instant::now();
+    let mut ends = [0; DAEMONS];
+    let mut peaks_kib = [0; DAEMONS];
+    let mut restart_at: [Option<Instant>; DAEMONS] = [None; DAEMONS];
+    let is_broken =
+        |ends: &[usize]| ends.iter().filter(|count| **count >= ENDS).count() >= MACHINES;
+    while started.elapsed() < TRAFFIC && !is_broken(&ends) {
+        for (number, daemon) in fleet.daemons.iter_mut().enumerate() {
+            if let Some(at) = restart_at[number] {
+                if Instant::now() >= at {
+                    daemon.spawn()?;
+                    record.line(&format!("daemon {number} is started again"));
+                    restart_at[number] = None;
+                }
+                continue;
+            }
+            let resident_kib = daemon.process().map_or(0, resident_kib);
+            peaks_kib[number] = resident_kib.max(peaks_kib[number]);
+            let has_ended = daemon.has_ended();
+            if has_ended || resident_kib > MEMORY_MB << 10 {
+                record.line(&format!(
+                    "daemon {number} has {resident_kib} KiB, ended by itself: {has_ended}; it is killed"
+                ));
+                daemon.kill().await;
+                ends[number] += 1;
+                restart_at[number] = Some(Instant::now() + RESTART);
+            }
         }
+        sleep(Duration::from_millis(20)).await;
     }
-    // Fetches may run more than once.
-    runs.retain(|id, _| id.starts_with("submit"));
-    let twice = runs.values().filter(|count| **count > 1).count();
-    let refused = answers
-        .iter()
-        .filter(|(id, status)| matches!(status, 408 | 421 | 429 | 503) && runs.contains_key(id));
-    let refused = refused.count();
-    let served = answers.iter().filter(|(_, status)| *status == 200).count();
+    counts.is_over.store(true, Ordering::Relaxed);
+    drop(fleet);
+    let _ = std::fs::remove_dir_all(&folder);
     record.result(&format!(
-        "requests: {REQUESTS}, served: {served}; requests that may run once at most: \
-         run more than once: {twice}, refused and run: {refused}"
+        "requests: {}, served: {}; most memory of the daemons: {} MiB of {MEMORY_MB}; ends for memory: {ends:?}",
+        counts.sent.load(Ordering::Relaxed),
+        counts.served.load(Ordering::Relaxed),
+        peaks_kib.iter().max().unwrap_or(&0) >> 10,
     ));
-    let _ = std::fs::remove_dir_all(&folder);
-    Ok(if twice + refused > 0 { BROKEN } else { HELD })
+    Ok(if is_broken(&ends) { BROKEN } else { HELD })
 }
--- a/review/cases-2/src/bin/case-7.rs
+++ b/review/cases-2/src/bin/case-7.rs
@@ -1,4 +1,4 @@
-//! Case 7: another writer leaves entries in the store that name no leaf; then all daemons are killed.
+//! Case 7: one of the two leafs of a service is lost for good, silently; the other one is sound.
 
 use std::path::Path;
 use std::sync::Arc;
@@ -9,16 +9,19 @@
 use review_cases_2::{
     BROKEN, Fleet, HELD, Leaf, LeafAnswer, NOT_RUN, Record, Store, ask, has_trouble,
 };
-use serde_json::json;
-use tokio::time::{Instant, sleep};
+use serde_json::{Value, json};
+use tokio::time::sleep;
 
-/// Entries of the other writer, each within `valueBytes` of the settings (1,048,576).
-const ODD_ENTRIES: usize = 48;
-const ODD_ENTRY_BYTES: usize = 700_000;
-/// Time that the killed processes are down.
-const DOWN: Duration = Duration::from_secs(1);
-/// `recoverS` of the deployment.
-const RECOVER: Duration = Duration::from_secs(12);
+/// Number of daemons.
+const DAEMONS: usize = 3;
+/// Connections that a leaf takes: about as many for each daemon as on the small sites (58 for 20).
+const CONNECTIONS: u32 = 8;
+/// Time after which the store removes the entry of a silent leaf: three check-ins of 1.2 s.
+const ENTRY_LIFETIME: Duration = Duration::from_millis(3_600);
+/// Calm after the removal, above `stabilityWindowMs` and `drainMs`.
+const CALM: Duration = Duration::from_secs(8);
+/// Requests on the later route that are judged, and on the first route.
+const JUDGED: usize = 60;
 const TIME_LIMIT_MS: u64 = 4_000;
 
 #[tokio::main]
@@ -29,130 +32,154 @@
     }));
 }
 
-/// Sends requests to all daemons in turn; returns how many were sent and served.
-async fn send_for(fleet: &Fleet, record: &Record, name: &str, time: Duration) -> (usize, usize) {
-    let until = Instant::now() + time;
-    let served = Arc::new(AtomicUsize::new(0));
+fn config(version: u64, services: &[&str]) -> Value {
+    let route = |service: &&str| {
+        json!({
+            "name": format!("r-{service}"), "host": "search.example", "prefix": format!("/{service}/"),
+            "type": "idempotent", "timeoutMs": TIME_LIMIT_MS, "targetLatencyMs": 600, "priority": 1,
+            "service": service, "attempts": 1,
+        })
+    };
+    let service =
+        |name: &&str| json!({"name": name, "healthPath": "/health", "maxConns": CONNECTIONS});
+    json!({
+        "version": version,
+        "routes": services.iter().map(route).collect::<Vec<_>>(),
+        "services": services.iter().map(service).collect::<Vec<_>>(),
+        "limits": {
+            "maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+    })
+}
+
+/// Sends some requests to each daemon at the same time and waits for their answers.
+async fn burst(fleet: &Fleet, record: &Record, name: &str, path: &'static str, count: usize) {
     let mut callers = Vec::new();
-    while Instant::now() < until {
-        let number = callers.len();
-        let query = fleet.daemons[number % fleet.daemons.len()].query;
-        let (record, served, id) = (
-            record.clone(),
-            Arc::clone(&served),
-            format!("{name}{number:04}"),
-        );
-        callers.push(tokio::spawn(async move {
-            let result = match ask(query, "GET", "/sheet/1", &id, TIME_LIMIT_MS).await {
-                Ok(answer) => answer.status.to_string(),
-                Err(error) => error.to_string(),
-            };
-            record.line(&format!("caller of {id} gets {result}"));
-            if result == "200" {
-                served.fetch_add(1, Ordering::Relaxed);
-            }
-        }));
-        sleep(Duration::from_millis(50)).await;
+    for (number, daemon) in fleet.daemons.iter().enumerate() {
+        for request in 0..count {
+            let (record, query) = (record.clone(), daemon.query);
+            let id = format!("{name}-{number}-{request}");
+            callers.push(tokio::spawn(async move {
+                let answer = ask(query, "GET", path, &id, TIME_LIMIT_MS).await;
+                let result =
+                    answer.map_or_else(|error| error.to_string(), |got| got.status.to_string());
+                record.line(&format!("caller of {id} gets {result}"));
+            }));
+        }
     }
-    let sent = callers.len();
     for caller in callers {
         let _ = caller.await;
     }
-    (sent, served.load(Ordering::Relaxed))
 }
 
 async fn run() -> std::io::Result<i32> {
     let record = Record::create(Path::new("review/7/record.txt"))?;
     let folder = temporary_folder("case-7")?;
     let store = Store::start().await?;
-    for number in 1..=2 {
+    let mut leafs = Vec::new();
+    for (id, service) in [
+        ("i-1", "sheets"),
+        ("i-2", "sheets"),
+        ("i-3", "orders"),
+        ("i-4", "orders"),
+    ] {
         let runs = record.clone();
-        let leaf = Leaf::start(
-            &format!("i-{number}"),
-            "sheets",
-            &record,
-            move |leaf, _, request| {
-                let record = runs.clone();
-                Box::pin(async move {
-                    leaf.runs(&record, &request.id);
-                    sleep(Duration::from_millis(20)).await;
-                    let answer = leaf.answer(
-                        &request.id,
-                        "200 OK",
-                        "Keep-Alive: timeout=10\r\n",
-                        b"sheet",
-                    );
-                    LeafAnswer::Bytes(answer)
-                })
-            },
-        )
+        let leaf = Leaf::start(id, service, &record, move |leaf, _, request| {
+            let record = runs.clone();
+            Box::pin(async move {
+                leaf.runs(&record, &request.id);
+                // A burst keeps both connections of a daemon busy.
+                let work_ms = if request.id.starts_with("warm") {
+                    100
+                } else {
+                    2
+                };
+                sleep(Duration::from_millis(work_ms)).await;
+                let answer = leaf.answer(
+                    &request.id,
+                    "200 OK",
+                    "Keep-Alive: timeout=60\r\n",
+                    b"answer",
+                );
+                LeafAnswer::Bytes(answer)
+            })
+        })
         .await?;
         store.put(
             &format!("servers/{}", leaf.id),
             leaf.entry(1).to_string().as_bytes(),
         );
+        leafs.push(leaf);
     }
-    let config = json!({
-        "version": 7,
-        "routes": [{
-            "name": "r-sheet", "host": "search.example", "prefix": "/sheet/", "type": "idempotent",
-            "timeoutMs": TIME_LIMIT_MS, "targetLatencyMs": 600, "priority": 1, "service": "sheets",
-            "attempts": 2,
-        }],
-        "services": [{"name": "sheets", "healthPath": "/health", "maxConns": 58}],
-        "limits": {
-            "maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15000,
-        },
-    });
-    store.put("op/config", config.to_string().as_bytes());
-    let mut fleet = Fleet::start(3, store.address, &folder).await?;
+    store.put("op/config", config(7, &["sheets"]).to_string().as_bytes());
+    let fleet = Fleet::start(DAEMONS, store.address, &folder).await?;
     if !fleet.wait_until_ready(Duration::from_secs(15)).await {
         record.result("the daemons did not get ready");
         return Ok(NOT_RUN);
     }
+    // The daemons get to know each other and divide the leafs' connections.
+    sleep(Duration::from_secs(7)).await;
+    store.put(
+        "op/config",
+        config(9, &["sheets", "orders"]).to_string().as_bytes(),
+    );
+    record.line("the operator adds the route of the service orders");
+    sleep(Duration::from_secs(4)).await;
+    for round in 0..3 {
+        burst(&fleet, &record, &format!("warm{round}"), "/orders/1", 4).await;
+    }
+    sleep(Duration::from_millis(500)).await;
     if has_trouble() {
-        let odd_store = store.clone();
+        leafs[2].go_dark();
+        record.line("leaf i-3 is lost for good and silent");
+    }
+    sleep(Duration::from_millis(100)).await;
+    let lost = tokio::spawn({
+        let store = store.clone();
         let record = record.clone();
-        tokio::spawn(async move {
-            for number in 0..ODD_ENTRIES {
-                // Bytes that cannot be read as an entry.
-                let value: Vec<u8> = (0..ODD_ENTRY_BYTES)
-                    .map(|index| (index % 251) as u8)
-                    .collect();
-                odd_store.put(&format!("servers/odd-{number:02}"), &value);
-                record.line(&format!("another writer puts servers/odd-{number:02}"));
-                sleep(Duration::from_millis(250)).await;
+        async move {
+            sleep(ENTRY_LIFETIME).await;
+            if has_trouble() {
+                store.delete("servers/i-3");
+                record.line("the store removes the entry of leaf i-3");
             }
-        });
-    }
-    let (sent, served) = send_for(&fleet, &record, "before", Duration::from_secs(16)).await;
-    record.result(&format!(
-        "before the final fault: {served} of {sent} requests served"
-    ));
-    for daemon in &mut fleet.daemons {
-        daemon.kill().await;
+        }
+    });
+    // Few callers ask for orders at this time.
+    burst(&fleet, &record, "few", "/orders/1", 2).await;
+    let _ = lost.await;
+    sleep(CALM).await;
+    record.line("steady state");
+    let mut served = Vec::new();
+    for (name, path) in [("later", "/orders/1"), ("first", "/sheets/1")] {
+        let count = Arc::new(AtomicUsize::new(0));
+        served.push((name, path, count));
     }
-    record.line("all daemons are killed");
-    sleep(DOWN).await;
-    for daemon in &mut fleet.daemons {
-        daemon.spawn()?;
+    for number in 0..JUDGED {
+        let query = fleet.daemons[number % DAEMONS].query;
+        for (name, path, count) in &served {
+            let id = format!("{name}{number:03}");
+            let answer = ask(query, "GET", path, &id, TIME_LIMIT_MS).await;
+            let status = answer.map(|answer| answer.status);
+            record.line(&format!("caller of {id} gets {status:?}"));
+            if matches!(status, Ok(200)) {
+                count.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+        sleep(Duration::from_millis(150)).await;
     }
-    record.line("all daemons are started again");
-    sleep(RECOVER).await;
-    let (sent_after, served_after) =
-        send_for(&fleet, &record, "after", Duration::from_secs(12)).await;
-    let ready = fleet.wait_until_ready(Duration::from_secs(1)).await;
+    drop(fleet);
+    let counts: Vec<usize> = served
+        .iter()
+        .map(|(_, _, count)| count.load(Ordering::Relaxed))
+        .collect();
     record.result(&format!(
-        "later than 12 s after the machines are back: {served_after} of {sent_after} requests served; \
-         all daemons ready: {ready}"
+        "steady state: {} of {JUDGED} requests on the later route served, {} of {JUDGED} on the first route",
+        counts[0], counts[1]
     ));
-    drop(fleet);
     let _ = std::fs::remove_dir_all(&folder);
-    if served * 4 < sent {
-        return Ok(NOT_RUN);
-    }
-    Ok(if served_after * 4 < sent_after {
+    Ok(if counts[0] * 4 < counts[1] {
         BROKEN
     } else {
         HELD
