--- a/review/cases-2/src/bin/case-6.rs
+++ b/review/cases-2/src/bin/case-6.rs
@@ -22,6 +22,8 @@
 /// Shards of the two indexes, each with two leafs, and connections of a leaf, as on the site.
 const INDEXES: [(&str, usize); 2] = [("trace", 20), ("dispute", 30)];
 const CONNECTIONS: u32 = 58;
+/// Requests that a leaf runs at the same time; it has fewer connections, so that none waits or is rejected.
+const SLOTS: u32 = 64;
 /// Least work of a leaf for its part and the spread above it, and the size of the part.
 const WORK_MIN_MS: u64 = 100;
 const WORK_SPREAD_MS: u64 = 1_000;
@@ -162,7 +164,7 @@
         for service in shards(index, count) {
             for number in 1..=2 {
                 let id = format!("i-{service}-{number}");
-                let leaf = Leaf::start(&id, &service, &silent, move |leaf, _, request| {
+                let mut leaf = Leaf::start(&id, &service, &silent, move |leaf, _, request| {
                     Box::pin(async move {
                         sleep(work(&leaf, &request.id)).await;
                         let part = vec![b'p'; PART_BYTES];
@@ -171,6 +173,7 @@
                     })
                 })
                 .await?;
+                leaf.slots = SLOTS;
                 store.put(
                     &format!("servers/{}", leaf.id),
                     leaf.entry(1).to_string().as_bytes(),
--- a/review/cases-2/src/leaf.rs
+++ b/review/cases-2/src/leaf.rs
@@ -43,6 +43,8 @@
     pub id: String,
     pub service: String,
     pub address: SocketAddr,
+    /// Requests that it runs at the same time, as its entry states.
+    pub slots: u32,
     /// Identifiers of the requests that it began to run, in order.
     pub ran: Arc<Mutex<Vec<String>>>,
     is_dark: Arc<AtomicBool>,
@@ -61,6 +63,7 @@
             id: id.to_owned(),
             service: service.to_owned(),
             address: listener.local_addr()?,
+            slots: 6,
             ran: Arc::default(),
             is_dark: Arc::default(),
         };
@@ -98,7 +101,7 @@
     pub fn entry(&self, sequence: u64) -> Value {
         json!({
             "service": self.service, "address": self.address.to_string(), "zone": "agadir-drying",
-            "version": "v1", "slots": 6, "state": "ready", "warmupLeftMs": 0, "seq": sequence,
+            "version": "v1", "slots": self.slots, "state": "ready", "warmupLeftMs": 0, "seq": sequence,
             "born": 1_780_000_000_000_u64,
         })
     }
