Carry a request at most once on each connection to a leaf

A request that may run at most once was refused with 503 as not executed, and had run.

Cause: all attempts of a request have its identifier, and a rejected attempt returns its connection to the pool. When the request was sent to the leaf again on that connection, a late copy of the rejection was accepted as the answer of the new attempt, as the identifier was all that was compared.

Ruled out: two daemons with the same request, as each reads its own connections; health checks, which only use new connections; the program's own leaf protocol, whose identifiers name the attempt.

Change: each connection remembers the identifiers of the last requests that it carried and is not taken for one of them again, whether the earlier attempt was rejected, failed or cancelled, and for gathered parts as well. If the daemon may open no further connection to the leaf, one that is idle closes in favour of a new one. The order of answers on a connection makes this enough: a late copy comes before the answer to a later request of the same connection.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -109,8 +109,9 @@
     at_most_once: bool,
 ) -> AttemptResult {
     let connections_max = shared.connections_max(&leaf.entry.service);
+    let request_hash = request.identity().id_hash;
     let mut connection = leaf
-        .acquire(connections_max, at_most_once, shared.now())
+        .acquire(request_hash, connections_max, at_most_once, shared.now())
         .await?;
     let mut is_counted = false;
     loop {
@@ -134,6 +135,7 @@
         }
         is_counted = true;
         connection.progress_limit.restart();
+        connection.carried.record(request_hash);
         let on_wire = evidence.writing();
         let run = leaf
             .runs()
--- a/crates/router/src/leaf.rs
+++ b/crates/router/src/leaf.rs
@@ -19,6 +19,7 @@
 use tokio::time::timeout;
 
 use crate::attempt_result::LeafFailure;
+use crate::carried_requests::CarriedRequests;
 use crate::event::Event;
 use crate::leaf_runs::LeafRuns;
 
@@ -68,6 +69,7 @@
 struct IdleConnection {
     sender: Sender,
     progress_limit: ProgressLimit,
+    carried: CarriedRequests,
     idle_since: Instant,
     use_until: Instant,
 }
@@ -77,6 +79,9 @@
 pub(crate) struct LeafConnection {
     pub(crate) sender: Sender,
     pub(crate) progress_limit: ProgressLimit,
+    /// The requests that the connection has carried. It must not carry one of them again: a late copy of the
+    /// earlier answer would be accepted as the new one, as both have the request's identifier.
+    pub(crate) carried: CarriedRequests,
     /// True if the connection has carried earlier requests.
     pub(crate) is_reused: bool,
 }
@@ -311,17 +316,24 @@
         self.usable_until
     }
 
-    /// Takes an idle connection from the pool, or opens one unless `connections_max` are open.
+    /// Takes an idle connection from the pool that has not carried the request, or opens one unless
+    /// `connections_max` are open.
+    ///
+    /// `request` is the hash of the request's identifier.
     pub(crate) async fn acquire(
         &self,
+        request: u64,
         connections_max: u32,
         at_most_once: bool,
         now: Instant,
     ) -> Result<LeafConnection, LeafFailure> {
-        if let Some(connection) = self.take_idle(at_most_once, now) {
+        if let Some(connection) = self.take_idle(request, at_most_once, now) {
             return Ok(connection);
         }
-        self.open_new(connections_max).await
+        // Idle connections that are left have carried the request.
+        let is_replaced = self.close_idle_at_limit(connections_max);
+        self.open_new(connections_max.saturating_add(is_replaced.into()))
+            .await
     }
 
     /// Like [`Self::open`], for a request.
@@ -338,15 +350,24 @@
         &self,
         connections_max: u32,
     ) -> Result<LeafConnection, OpenError> {
-        if self.open_connections() >= connections_max {
-            let mut idle = self.link.idle.lock();
-            if !idle.is_empty() {
-                idle.remove(0);
-            }
-        }
+        self.close_idle_at_limit(connections_max);
         self.open(connections_max.saturating_add(1)).await
     }
 
+    /// Closes the connection that has been idle for the longest time if `connections_max` are open; returns
+    /// true if there was one. It counts as open for a moment longer.
+    fn close_idle_at_limit(&self, connections_max: u32) -> bool {
+        if self.open_connections() < connections_max {
+            return false;
+        }
+        let mut idle = self.link.idle.lock();
+        if idle.is_empty() {
+            return false;
+        }
+        idle.remove(0);
+        true
+    }
+
     /// Opens a connection unless `connections_max` are open.
     pub(crate) async fn open(&self, connections_max: u32) -> Result<LeafConnection, OpenError> {
         if self.link.open.fetch_add(1, Ordering::Relaxed) >= connections_max {
@@ -370,6 +391,7 @@
         Ok(LeafConnection {
             sender,
             progress_limit,
+            carried: CarriedRequests::default(),
             is_reused: false,
         })
     }
@@ -385,6 +407,7 @@
         let LeafConnection {
             sender,
             progress_limit,
+            carried,
             ..
         } = connection;
         let use_for = idle_timeout.map_or(IDLE_USE_DEFAULT, |idle| idle.mul_f64(IDLE_USE_FRACTION));
@@ -394,6 +417,7 @@
         self.link.idle.lock().push(IdleConnection {
             sender,
             progress_limit,
+            carried,
             idle_since: now,
             use_until: now + use_for,
         });
@@ -463,16 +487,22 @@
         self.is_leaving() && self.entry.phase == LeafPhase::Ready
     }
 
-    /// Takes the most recently used connection that may be reused, and closes those that may not.
-    fn take_idle(&self, at_most_once: bool, now: Instant) -> Option<LeafConnection> {
+    /// Takes the most recently used connection that may be reused and has not carried the request, and closes
+    /// those that may not be reused.
+    fn take_idle(&self, request: u64, at_most_once: bool, now: Instant) -> Option<LeafConnection> {
         let mut idle = self.link.idle.lock();
-        while let Some(connection) = idle.pop() {
+        while let Some(index) = idle
+            .iter()
+            .rposition(|connection| !connection.carried.contains(request))
+        {
+            let connection = idle.remove(index);
             let idle_time = now.saturating_duration_since(connection.idle_since);
             let is_fresh = !at_most_once || idle_time < IDLE_USE_AT_MOST_ONCE;
             if now < connection.use_until && !connection.sender.is_closed() && is_fresh {
                 return Some(LeafConnection {
                     sender: connection.sender,
                     progress_limit: connection.progress_limit,
+                    carried: connection.carried,
                     is_reused: true,
                 });
             }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -7,6 +7,7 @@
 mod caller_request;
 mod callers;
 mod canary_slots;
+mod carried_requests;
 mod client_checks;
 mod client_metrics;
 mod cold_leaf_metrics;
