Withhold a request while leafs that fell silent under it stay silent

A request under which three leafs had ended was sent to further leafs, and work of other callers was lost with them.

Cause: a silent leaf counted against a request only once the store no longer listed it. Until then each daemon kept the loss to itself as "unknown", sent the request to two more leafs, and forgot the loss after 30 s. A daemon that learns of the withdrawal late, or not at all, sends the request on.

Change: a leaf that does not answer on a new connection, while the daemon reaches those beside it, is a silent loss, which is told to the daemons that collect the reports of the request and renewed while the leaf stays silent. Two independent losses of which one is silent withhold equal requests on all daemons (503, Retry-After the time left). A loss lapses 4 s after it was last renewed, so that a hang withholds nothing for longer. Silence starts no quarantine. The types of crash_memory.rs have files of their own now.

The expectation of a silent, listed leaf beside one that answers changed in a_loss_counts_only_if_the_leaf_has_ended from Unknown to Silent; neither is a strike.

--- a/crates/medlarpin-core/src/canary.rs
+++ b/crates/medlarpin-core/src/canary.rs
@@ -4,15 +4,20 @@
 //! loss of a connection during a canary is a strike against the query's fingerprint. Two strikes on
 //! distinct leafs and for distinct requests quarantine the fingerprint, if one leaf lived on after the other was
 //! lost.
+//!
+//! A leaf that falls silent may hang as well as have ended. Such a loss is no strike, but two that are independent
+//! withhold equal requests for as long as the leafs stay silent.
 
 mod loss_verdict;
 mod proven;
 mod quarantines;
+mod silent_losses;
 mod strikes;
 mod table;
 
 pub use loss_verdict::{LossKind, LossVerdict, LostLeafSign, NeighbourSign};
 pub use quarantines::Quarantine;
+pub use silent_losses::{SILENCE_RENEWAL, SILENCE_TTL, SilentLoss, SilentLossTable};
 pub use strikes::Strike;
 pub use table::{Clearance, FingerprintTable};
 
--- a/crates/medlarpin-core/src/canary/loss_verdict.rs
+++ b/crates/medlarpin-core/src/canary/loss_verdict.rs
@@ -42,6 +42,8 @@
     Lives,
     /// The leaf has ended.
     Ended,
+    /// The leaf is silent on new connections as well, while this VM reaches those beside it: it has ended or hangs.
+    Silent,
     /// The leaf may have ended, or the links to it may have failed.
     Unknown,
 }
@@ -50,7 +52,7 @@
     /// Judges a loss by what was seen of the leaf and of those beside it.
     ///
     /// A leaf that does not answer has ended if the store lists it no longer, as leafs that live renew their
-    /// entries there, or if it behaves otherwise than those beside it. Silence alone shows nothing as long
+    /// entries there, or if it behaves otherwise than those beside it. Silence alone does not show that as long
     /// as the leaf is listed: it may be slow, or hang for some seconds.
     #[must_use]
     pub fn of(
@@ -74,8 +76,8 @@
             },
             LostLeafSign::Silent => match (kind, neighbours) {
                 (LossKind::Broken, NeighbourSign::Reached) => Self::Ended,
-                (LossKind::Unanswered, _)
-                | (_, NeighbourSign::Refusing | NeighbourSign::Silent | NeighbourSign::Nobody) => {
+                (LossKind::Unanswered, NeighbourSign::Reached) => Self::Silent,
+                (_, NeighbourSign::Refusing | NeighbourSign::Silent | NeighbourSign::Nobody) => {
                     Self::Unknown
                 }
             },
--- a/crates/medlarpin-core/tests/canary.rs
+++ b/crates/medlarpin-core/tests/canary.rs
@@ -214,7 +214,7 @@
         Silent,
         Reached,
         true,
-        LossVerdict::Unknown,
+        LossVerdict::Silent,
     );
     check(Silent, Refusing, true, LossVerdict::Unknown);
     check(Silent, NeighbourSign::Silent, true, LossVerdict::Unknown);
--- a/crates/router/src/call_evidence.rs
+++ b/crates/router/src/call_evidence.rs
@@ -6,8 +6,8 @@
 use medlarpin_core::prelude::ServiceName;
 use parking_lot::Mutex;
 
-use crate::crash_memory::ProofKey;
 use crate::leaf::Leaf;
+use crate::proof_key::ProofKey;
 
 /// Number of lost leafs from which a request that none of them answered may be the cause.
 const SUSPICIOUS_LOSSES: usize = 2;
--- a/crates/router/src/crash_memory.rs
+++ b/crates/router/src/crash_memory.rs
@@ -1,11 +1,9 @@
 //! Memory of requests that crash the leafs which run them, shared with the other daemons.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use medlarpin_core::canary::{Clearance, FingerprintTable, LossKind, Quarantine, Strike};
-use medlarpin_core::ids::stable_hash;
+use medlarpin_core::canary::{LossKind, QUARANTINE_DURATION, Quarantine};
 use medlarpin_core::prelude::{Clock, Fingerprint, LeafId, RequestId, ServiceName};
 use medlarpin_core::routing::RouteTarget;
 use parking_lot::Mutex;
@@ -15,9 +13,15 @@
 use crate::call_evidence::{CallEvidence, LostLeaf};
 use crate::caller_request::{CallerRequest, RequestIdentity};
 use crate::canary_slots::{CanarySlot, CanarySlots, SlotHolder};
+use crate::crash_report::CrashReport;
+use crate::crash_state::{CrashState, fingerprint_of};
 use crate::event::Event;
 use crate::leaf::Leaf;
 use crate::leaf_runs::LeafRun;
+use crate::pending_report::PendingReport;
+use crate::proof_key::ProofKey;
+use crate::request_clearance::RequestClearance;
+use crate::unverified_report::UnverifiedReport;
 
 /// Reports of one request: enough for a second request to show that the first one was at fault.
 const REPORTS_PER_REQUEST: usize = 2;
@@ -27,88 +31,13 @@
 /// with those that could not be judged, and reach other daemons only with the next exchange.
 const QUEUE_MAX: usize = 64;
 
-/// Time after which a request no longer waits for the verification of a report. It takes half a second,
-/// and a second if another one is in progress.
-const VERIFICATION_TIME_MAX: Duration = Duration::from_secs(2);
-
-/// Reports that wait for a sign of whether their leafs have ended. Of further ones the oldest is dropped.
-const UNRESOLVED_MAX: usize = 256;
-/// Time after which a report is dropped if nothing has shown that its leaf has ended. The store no longer
-/// lists a leaf after three missed heartbeats, if this daemon reaches the store.
+/// Time after which a report is dropped if nothing has shown that its leaf has ended, unless the leaf is silent.
+/// The store no longer lists a leaf after three missed heartbeats, if this daemon reaches the store.
 const RESOLUTION_TIME_MAX: Duration = Duration::from_secs(30);
 
 /// Reports in an exchange, which has to fit into the bytes that control may take.
 const EXCHANGED_REPORTS_MAX: usize = 16;
 
-/// A request that a leaf was running when its connection broke, while no leaf of the service
-/// answered it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct CrashReport {
-    /// Identifies the request and the service of the leaf.
-    pub(crate) fingerprint: Fingerprint,
-    /// Identifies the request alone; `None` from a daemon of an older release.
-    pub(crate) request: Option<Fingerprint>,
-    /// Run of the leaf.
-    pub(crate) leaf: LeafId,
-    /// Hash of the request's identifier.
-    pub(crate) request_hash: u64,
-    /// Latest time at which the leaf is known to have lived before the request could end it.
-    pub(crate) intact_at: Instant,
-    /// Time at which the loss was noticed.
-    pub(crate) lost_at: Instant,
-}
-
-impl CrashReport {
-    /// Returns the fingerprint under which the report counts: that of the request, whatever the service, as a
-    /// route may move to another one.
-    fn account(&self) -> Fingerprint {
-        self.request.unwrap_or(self.fingerprint)
-    }
-
-    /// Returns a hash that tells the report from others.
-    fn key(&self) -> u64 {
-        stable_hash(&[
-            &self.fingerprint.0.to_le_bytes(),
-            self.leaf.as_str().as_bytes(),
-            &self.request_hash.to_le_bytes(),
-        ])
-    }
-}
-
-/// A report of this daemon that does not count yet: the connection may have broken because a link
-/// failed or the leaf lost an answer, and not because the leaf ended.
-#[derive(Debug)]
-pub(crate) struct UnverifiedReport {
-    pub(crate) report: CrashReport,
-    pub(crate) leaf: Arc<Leaf>,
-    pub(crate) kind: LossKind,
-    /// True once the loss was judged without a result.
-    pub(crate) is_unresolved: bool,
-    /// True if the daemons that collect such reports are to be told.
-    is_passed_on: bool,
-}
-
-/// Identifies a request and the services that answer it, to record that they have.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct ProofKey {
-    content_hash: u64,
-    fingerprint: Fingerprint,
-}
-
-impl ProofKey {
-    /// Returns the key of a request that goes to all these services.
-    pub(crate) fn new(request: &CallerRequest, services: &[ServiceName]) -> Self {
-        let content_hash = request.identity().content_hash;
-        let content = content_hash.to_le_bytes();
-        let names = services.iter().map(|service| service.as_str().as_bytes());
-        let parts: Vec<&[u8]> = std::iter::once(&content[..]).chain(names).collect();
-        Self {
-            content_hash,
-            fingerprint: Fingerprint(stable_hash(&parts)),
-        }
-    }
-}
-
 /// How a daemon came to know a crash report; the variants' names appear in log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -127,119 +56,14 @@
     Nothing,
     /// The report is new.
     Report,
-    /// The report has started a quarantine, together with the others of its fingerprint.
-    Quarantine(Vec<CrashReport>),
-}
-
-/// A service of which equal requests have lost leafs.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Suspicion {
-    pub(crate) service: ServiceName,
-    /// Runs of the lost leafs.
-    pub(crate) lost: Vec<LeafId>,
-    /// True if one of them has certainly ended.
-    pub(crate) is_confirmed: bool,
-}
-
-/// What is known of a request before it runs.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum RequestClearance {
-    /// It may run.
-    Clear,
-    /// Equal requests lost leafs of these services, so that this one is sent to a single leaf of each.
-    Suspect(Vec<Suspicion>),
-    /// An equal request has just lost a leaf, and it is not known yet whether that leaf crashed.
-    Unverified,
-    /// It must not run.
-    Quarantined {
-        /// Time left of the quarantine.
-        left: Duration,
-    },
-}
-
-/// A report that is being verified.
-#[derive(Debug)]
-struct PendingReport {
-    /// The report's [`CrashReport::key`].
-    key: u64,
-    fingerprint: Fingerprint,
-    /// Run of the lost leaf.
-    leaf: LeafId,
-    /// Time until which equal requests are refused. Those that come later, or if there is none, are sent to a
-    /// single leaf.
-    refused_until: Option<Instant>,
-}
-
-impl PendingReport {
-    fn new(unverified: &UnverifiedReport) -> Self {
-        let report = &unverified.report;
-        let is_refused = match unverified.kind {
-            LossKind::Broken => !unverified.is_unresolved,
-            // It shows little.
-            LossKind::Unanswered => false,
-        };
-        Self {
-            key: report.key(),
-            fingerprint: report.fingerprint,
-            leaf: report.leaf.clone(),
-            refused_until: is_refused.then(|| report.lost_at + VERIFICATION_TIME_MAX),
-        }
-    }
-
-    /// Returns true if requests of the fingerprint are refused for now.
-    fn refuses(&self, fingerprint: Fingerprint, now: Instant) -> bool {
-        self.fingerprint == fingerprint && self.refused_until.is_some_and(|until| now < until)
-    }
-}
-
-#[derive(Debug, Default)]
-struct State {
-    table: FingerprintTable,
-    /// The reports that are being verified.
-    unverified: Vec<PendingReport>,
-    /// Reports of leafs of which it is not known whether they have ended; at most [`UNRESOLVED_MAX`].
-    unresolved: Vec<UnverifiedReport>,
-    /// The latest reports, each with its key, oldest first.
-    known_reports: VecDeque<(u64, CrashReport)>,
-}
-
-impl State {
-    /// Returns the time left of a quarantine.
-    fn quarantine_left(&self, fingerprint: Fingerprint, now: Instant) -> Option<Duration> {
-        match self.table.check(fingerprint, now) {
-            Clearance::Quarantined { until } => Some(until.saturating_duration_since(now)),
-            Clearance::Proven | Clearance::NeedsCanary | Clearance::CanaryRunning => None,
-        }
-    }
-
-    /// Returns true if a leaf of the service has answered an equal request lately.
-    fn is_proven(&self, proof: ProofKey, service: &ServiceName, now: Instant) -> bool {
-        let part = fingerprint_of(proof.content_hash, service);
-        self.table.is_part_proven(proof.fingerprint, part, now)
-    }
-
-    /// Returns true if no request is suspected of anything.
-    fn is_free_of_suspects(&self) -> bool {
-        self.table.is_free_of_suspects() && self.unverified.is_empty() && self.unresolved.is_empty()
-    }
-
-    /// Returns the runs of leafs that may have ended under a request.
-    fn unresolved_leafs(&self, fingerprint: Fingerprint) -> impl Iterator<Item = LeafId> {
-        let unresolved = self.unresolved.iter().map(|unverified| &unverified.report);
-        let unresolved = unresolved.map(|report| (report.fingerprint, &report.leaf));
-        let pending = self.unverified.iter();
-        let pending = pending.map(|pending| (pending.fingerprint, &pending.leaf));
-        unresolved
-            .chain(pending)
-            .filter(move |(known, _)| *known == fingerprint)
-            .map(|(_, leaf)| leaf.clone())
-    }
+    /// Together with the others of its account, the report is why equal requests are refused.
+    Decisive(Vec<CrashReport>),
 }
 
 /// The crash reports and quarantines that this daemon knows.
 #[derive(Debug)]
 pub(crate) struct CrashMemory {
-    state: Mutex<State>,
+    state: Mutex<CrashState>,
     canaries: CanarySlots,
     /// Wakes up the verification when a leaf is no longer listed of which a report waits for a decision.
     recheck: Notify,
@@ -288,61 +112,13 @@
         services: &[ServiceName],
         now: Instant,
     ) -> RequestClearance {
-        let state = self.state.lock();
+        let mut state = self.state.lock();
+        state.silent.expire(now);
         // Nearly always true, so that no request needs to be hashed.
         if state.is_free_of_suspects() {
             return RequestClearance::Clear;
         }
-        let proof = ProofKey::new(request, services);
-        let request = request.identity().content_hash;
-        let account = Fingerprint(request);
-        if let Some(left) = state.quarantine_left(account, now) {
-            return RequestClearance::Quarantined { left };
-        }
-        let mut is_unverified = false;
-        let mut suspicions = Vec::new();
-        for service in services {
-            let fingerprint = fingerprint_of(request, service);
-            if let Some(left) = state.quarantine_left(fingerprint, now) {
-                return RequestClearance::Quarantined { left };
-            }
-            let mut unverified = state.unverified.iter();
-            is_unverified |= unverified.any(|pending| pending.refuses(fingerprint, now));
-            // Those under the request's account, and those that daemons of an older release reported.
-            let strikes = state.table.strikes(account, now);
-            let strikes = strikes.chain(state.table.strikes(fingerprint, now));
-            let of_service = strikes.filter(|strike| strike.origin == fingerprint);
-            let mut lost: Vec<LeafId> = of_service.map(|strike| strike.leaf.clone()).collect();
-            let is_confirmed = !lost.is_empty();
-            lost.extend(state.unresolved_leafs(fingerprint));
-            if !lost.is_empty() {
-                suspicions.push(Suspicion {
-                    service: service.clone(),
-                    lost,
-                    is_confirmed,
-                });
-            }
-        }
-        if suspicions.is_empty()
-            && let Some(service) = services.first()
-        {
-            // A route that moves takes the suspicion with it.
-            let lost = state.table.leafs_with_strikes(account, now);
-            if !lost.is_empty() && !state.is_proven(proof, service, now) {
-                suspicions.push(Suspicion {
-                    service: service.clone(),
-                    lost,
-                    is_confirmed: true,
-                });
-            }
-        }
-        if is_unverified {
-            RequestClearance::Unverified
-        } else if suspicions.is_empty() {
-            RequestClearance::Clear
-        } else {
-            RequestClearance::Suspect(suspicions)
-        }
+        state.clearance(ProofKey::new(request, services), services, now)
     }
 
     /// Takes the slot in which a suspicious request is tried.
@@ -364,6 +140,7 @@
             state.table.clear_strikes(fingerprint);
             let account = Fingerprint(request);
             state.table.clear_strikes_of(account, fingerprint);
+            state.silent.clear_origin(account, fingerprint);
             let is_other =
                 |unverified: &UnverifiedReport| unverified.report.fingerprint != fingerprint;
             state.unresolved.retain(is_other);
@@ -475,6 +252,7 @@
             request_hash: request.id_hash,
             intact_at: *intact_at,
             lost_at: now,
+            silent_at: None,
         };
         if self.is_known(&report) {
             return;
@@ -526,24 +304,38 @@
                 send_report(&self.to_owners, verified.report);
             }
             Added::Report | Added::Nothing => {}
-            Added::Quarantine(reports) => self.tell_all(reports),
+            Added::Decisive(reports) => self.tell_all(reports),
         }
     }
 
     /// Keeps a report of a leaf of which it is not known whether it has ended. Until it is, equal requests
     /// are sent to a single leaf first.
-    pub(crate) fn suspend(&self, mut unverified: UnverifiedReport, now: Instant) {
+    pub(crate) fn suspend(&self, unverified: UnverifiedReport, now: Instant) {
         self.end_verification(&unverified.report);
         let age = now.saturating_duration_since(unverified.report.lost_at);
         if age >= RESOLUTION_TIME_MAX {
             return self.dismiss(&unverified);
         }
-        let unresolved = &mut self.state.lock().unresolved;
-        if unresolved.len() >= UNRESOLVED_MAX {
-            unresolved.remove(0);
+        self.state.lock().keep_unresolved(unverified);
+    }
+
+    /// Keeps a report of a leaf that was found to be silent just now, and tells other daemons. Equal requests are
+    /// withheld while an independent loss is known as well.
+    pub(crate) fn suspend_silent(&self, unverified: UnverifiedReport, now: Instant) {
+        self.end_verification(&unverified.report);
+        let age = now.saturating_duration_since(unverified.report.lost_at);
+        if age >= QUARANTINE_DURATION {
+            return self.dismiss(&unverified);
+        }
+        let mut report = unverified.report.clone();
+        report.silent_at = Some(now);
+        let is_passed_on = unverified.is_passed_on;
+        self.state.lock().keep_unresolved(unverified);
+        match self.add_silent_report(&report, ReportSource::Own, now) {
+            Added::Report if is_passed_on => send_report(&self.to_owners, report),
+            Added::Report | Added::Nothing => {}
+            Added::Decisive(reports) => self.tell_all(reports),
         }
-        unverified.is_unresolved = true;
-        unresolved.push(unverified);
     }
 
     /// Records that the store no longer lists a leaf, which may decide whether it has ended.
@@ -584,6 +376,7 @@
     /// Drops a report, since the leaf lives or nothing has shown that it has ended.
     pub(crate) fn dismiss(&self, unverified: &UnverifiedReport) {
         self.end_verification(&unverified.report);
+        self.state.lock().remove_silent(&unverified.report);
         if let Some(request) = unverified.report.request {
             self.canaries.free(request.0);
         }
@@ -602,9 +395,13 @@
             .retain(|pending| pending.key != key);
     }
 
-    /// Adds a report of another daemon, and tells all daemons if it starts a quarantine.
+    /// Adds a report of another daemon, and tells all daemons if equal requests are refused because of it.
     pub(crate) fn receive(&self, report: &CrashReport, now: Instant) {
-        if let Added::Quarantine(reports) = self.add_report(report, ReportSource::Report, now) {
+        let added = match report.silent_at {
+            Some(_) => self.add_silent_report(report, ReportSource::Report, now),
+            None => self.add_report(report, ReportSource::Report, now),
+        };
+        if let Added::Decisive(reports) = added {
             self.tell_all(reports);
         }
     }
@@ -648,23 +445,45 @@
             age_ms: now.saturating_duration_since(report.lost_at).as_millis(),
         }
         .log();
-        let strike = Strike {
-            leaf: report.leaf.clone(),
-            request: RequestId(report.request_hash.into()),
-            origin: report.fingerprint,
-            intact_at: report.intact_at,
-            lost_at: report.lost_at,
-        };
-        let quarantine = state.table.add_strike(report.account(), strike, now);
+        let account = report.account();
+        let request = RequestId(report.request_hash.into());
+        state.silent.remove(account, &report.leaf, request);
+        let quarantine = state.table.add_strike(account, report.strike(), now);
         let Some(quarantine) = quarantine else {
             return Added::Report;
         };
-        let known = state.known_reports.iter().map(|(_, known)| known);
-        let reports = known.filter(|known| known.account() == report.account());
-        let reports = reports.cloned().collect();
+        let reports = state.ended_reports(account);
         drop(state);
         log_quarantine(&quarantine, now);
-        Added::Quarantine(reports)
+        Added::Decisive(reports)
+    }
+
+    /// Adds a report of a silent leaf of this daemon or of another one, or renews it.
+    fn add_silent_report(&self, report: &CrashReport, source: ReportSource, now: Instant) -> Added {
+        let Some(loss) = report.silent_loss() else {
+            return Added::Nothing;
+        };
+        let account = report.account();
+        let mut state = self.state.lock();
+        // Another daemon may not know yet that the leaf has ended, or that it lives.
+        if state.is_counted(report.key()) || !state.silent.record(account, loss, now) {
+            return Added::Nothing;
+        }
+        let withheld_left = state.withheld_left(account, now);
+        Event::SilentLeafReported {
+            fingerprint: report.fingerprint,
+            leaf: report.leaf.as_str(),
+            source,
+            age_ms: now.saturating_duration_since(report.lost_at).as_millis(),
+            withheld_ms: withheld_left.map(|left| left.as_millis()),
+        }
+        .log();
+        if withheld_left.is_none() {
+            return Added::Report;
+        }
+        let mut reports = state.ended_reports(account);
+        reports.extend(state.silent_reports(account, now));
+        Added::Decisive(reports)
     }
 
     fn tell_all(&self, reports: Vec<CrashReport>) {
@@ -687,6 +506,13 @@
             .collect()
     }
 
+    /// Returns the number of losses of silent leafs that count against requests.
+    pub(crate) fn silent_losses(&self, now: Instant) -> usize {
+        let mut state = self.state.lock();
+        state.silent.expire(now);
+        state.silent.len()
+    }
+
     /// Adds the quarantines that another daemon knows.
     pub(crate) fn merge_quarantines(&self, known: &[(Fingerprint, Duration)], now: Instant) {
         if known.is_empty() {
@@ -720,11 +546,3 @@
     }
     .log();
 }
-
-/// Returns the fingerprint of a request to a service; `request` is the request's hash.
-fn fingerprint_of(request: u64, service: &ServiceName) -> Fingerprint {
-    Fingerprint(stable_hash(&[
-        &request.to_le_bytes(),
-        service.as_str().as_bytes(),
-    ]))
-}
--- a/crates/router/src/crash_reports.rs
+++ b/crates/router/src/crash_reports.rs
@@ -16,12 +16,13 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use wire::peer_capnp::{crash_report, route_peer};
 
-use crate::crash_memory::{CrashReport, UnverifiedReport};
+use crate::crash_report::CrashReport;
 use crate::event::Event;
 use crate::flooding::{self, COLLECT_TIME, REPORTS_MAX};
 use crate::loss_check::{ask_lost_leaf, ask_neighbours, judge};
 use crate::peers::{self, PeerError, len_u32, millis_u32};
 use crate::shared::Shared;
+use crate::unverified_report::UnverifiedReport;
 
 /// Maximum number of leafs that are asked together whether they have ended.
 const LEAFS_MAX: usize = 16;
@@ -85,27 +86,15 @@
         .iter()
         .map(|(_, reports)| ask_lost_leaf(shared, &reports[0].leaf));
     let signs: Vec<LostLeafSign> = join_all(asked).await;
-    let mut domains: Vec<FailureDomain> = batch
-        .leafs
-        .iter()
-        .zip(&signs)
-        .filter(|((_, reports), sign)| match sign {
-            LostLeafSign::Refuses => true,
-            // Of a leaf that only fell silent, those beside it tell nothing.
-            LostLeafSign::Silent => reports.iter().any(|report| report.kind == LossKind::Broken),
-            LostLeafSign::Answers | LostLeafSign::Replaced | LostLeafSign::NotAsked => false,
-        })
-        .map(|((_, reports), _)| reports[0].leaf.entry.failure_domain.clone())
-        .collect();
-    domains.sort();
-    domains.dedup();
+    let domains = domains_to_check(&batch, &signs);
     let asked = domains
         .iter()
-        .map(|domain| ask_neighbours(shared, domain, &runs));
+        .map(|(domain, kind)| ask_neighbours(shared, domain, *kind, &runs));
     let neighbours: Vec<NeighbourSign> = join_all(asked).await;
     for ((_, reports), sign) in batch.leafs.into_iter().zip(signs) {
         for report in reports {
-            let domain = domains.binary_search(&report.leaf.entry.failure_domain);
+            let lost_in = &report.leaf.entry.failure_domain;
+            let domain = domains.binary_search_by(|(domain, _)| domain.cmp(lost_in));
             let neighbours = domain.map_or(NeighbourSign::Nobody, |index| neighbours[index]);
             // Leafs of an evacuated domain are not asked, and may have been stopped.
             if shared.leafs.is_evacuated(&report.leaf) {
@@ -122,12 +111,38 @@
                     shared.metrics.lost_leafs_dismissed.inc();
                     shared.crash_memory.dismiss(&report);
                 }
+                LossVerdict::Silent => {
+                    shared.crash_memory.suspend_silent(report, shared.now());
+                }
                 LossVerdict::Unknown => shared.crash_memory.suspend(report, shared.now()),
             }
         }
     }
 }
 
+/// Returns the failure domains whose other leafs show whether this VM reaches the lost ones, sorted, without
+/// duplicates. The kind is that of the losses: if all leafs of a domain only fell silent, those that answered lately
+/// need not be asked.
+fn domains_to_check(batch: &ReportBatch, signs: &[LostLeafSign]) -> Vec<(FailureDomain, LossKind)> {
+    let mut domains: Vec<(FailureDomain, LossKind)> = Vec::new();
+    for ((_, reports), sign) in batch.leafs.iter().zip(signs) {
+        let is_broken = reports.iter().any(|report| report.kind == LossKind::Broken);
+        let kind = match sign {
+            LostLeafSign::Refuses => LossKind::Broken,
+            LostLeafSign::Silent if is_broken => LossKind::Broken,
+            LostLeafSign::Silent => LossKind::Unanswered,
+            LostLeafSign::Answers | LostLeafSign::Replaced | LostLeafSign::NotAsked => continue,
+        };
+        let domain = &reports[0].leaf.entry.failure_domain;
+        match domains.binary_search_by(|(known, _)| known.cmp(domain)) {
+            Ok(index) if kind == LossKind::Broken => domains[index].1 = kind,
+            Ok(_) => {}
+            Err(index) => domains.insert(index, (domain.clone(), kind)),
+        }
+    }
+    domains
+}
+
 /// Tells the daemons that collect the reports of a request, until the process ends.
 pub(crate) async fn tell_owners(shared: Arc<Shared>, mut reports: mpsc::Receiver<CrashReport>) {
     while let Some(first) = reports.recv().await {
@@ -226,6 +241,32 @@
     Ok(())
 }
 
+/// Adds the reports of another daemon about leafs that are silent, except those that this daemon has heard since.
+pub(crate) fn receive_silent(
+    shared: &Shared,
+    params: route_peer::report_silent_leafs_params::Reader<'_>,
+) -> Result<(), capnp::Error> {
+    let now = shared.now();
+    let list = params.get_reports()?;
+    for (entry, mut report) in list.iter().zip(read_reports(list, now)?) {
+        let age = Duration::from_millis(entry.get_silent_age_ms().into());
+        let silent_at = now.checked_sub(age).unwrap_or(now).max(report.lost_at);
+        if !has_heard_since(shared, &report.leaf, silent_at) {
+            report.silent_at = Some(silent_at);
+            shared.crash_memory.receive(&report, now);
+        }
+    }
+    Ok(())
+}
+
+/// Returns true if the run of a leaf has answered this daemon since then.
+fn has_heard_since(shared: &Shared, run: &LeafId, at: Instant) -> bool {
+    let leafs = shared.leafs.filter(|leaf| {
+        run.as_str().starts_with(leaf.entry.id.as_str()) && leaf.entry.run_id() == *run
+    });
+    leafs.iter().any(|leaf| leaf.load().has_heard_since(at))
+}
+
 /// Decodes the reports of a message.
 pub(crate) fn read_reports(
     list: capnp::struct_list::Reader<'_, crash_report::Owned>,
@@ -251,6 +292,7 @@
             request_hash: report.get_request_hash(),
             intact_at,
             lost_at,
+            silent_at: None,
         })
     });
     reports.collect()
@@ -271,19 +313,35 @@
         entry.set_age_ms(millis_u32(now.saturating_duration_since(report.lost_at)));
         let intact_age = millis_u32(now.saturating_duration_since(report.intact_at));
         entry.set_intact_age_ms(intact_age.max(1));
+        let silent_age = report.silent_at.map(|at| now.saturating_duration_since(at));
+        entry.set_silent_age_ms(silent_age.map_or(0, millis_u32));
     }
 }
 
+/// Sends reports of leafs that have ended and of silent ones, which a daemon of an older release must not take for
+/// the former.
 async fn send(
     daemon: SocketAddr,
     reports: &[CrashReport],
     clock: &dyn Clock,
 ) -> Result<(), PeerError> {
+    let (silent, ended): (Vec<_>, Vec<_>) = reports
+        .iter()
+        .cloned()
+        .partition(|report| report.silent_at.is_some());
     peers::call(daemon, async |client| {
-        let mut request = client.report_crashes_request();
-        let list = request.get().init_reports(len_u32(reports));
-        write_reports(reports, clock.now(), list);
-        request.send().promise.await?;
+        if !ended.is_empty() {
+            let mut request = client.report_crashes_request();
+            let list = request.get().init_reports(len_u32(&ended));
+            write_reports(&ended, clock.now(), list);
+            request.send().promise.await?;
+        }
+        if !silent.is_empty() {
+            let mut request = client.report_silent_leafs_request();
+            let list = request.get().init_reports(len_u32(&silent));
+            write_reports(&silent, clock.now(), list);
+            request.send().promise.await?;
+        }
         Ok(())
     })
     .await
--- a/crates/router/src/evacuations/tests.rs
+++ b/crates/router/src/evacuations/tests.rs
@@ -17,12 +17,13 @@
 use crate::attempt_result::LeafFailure;
 use crate::call_evidence::CallEvidence;
 use crate::caller_request::CallerRequest;
-use crate::crash_memory::{CrashMemory, ProofKey};
+use crate::crash_memory::CrashMemory;
 use crate::delegation::Delegations;
 use crate::leaf::Leaf;
 use crate::leaf_permits::LeafPermits;
 use crate::leaf_probe::check_health;
 use crate::leaf_rate_reports::LeafRateReports;
+use crate::proof_key::ProofKey;
 use crate::shared::Shared;
 
 const SETTINGS: &str = r#"{
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -316,6 +316,17 @@
         /// Time since the loss.
         age_ms: u128,
     },
+    /// A leaf that fell silent under a request is still silent, and may have ended.
+    SilentLeafReported {
+        #[serde(serialize_with = "as_text")]
+        fingerprint: Fingerprint,
+        leaf: &'a str,
+        source: ReportSource,
+        /// Time since the loss.
+        age_ms: u128,
+        /// Time for which equal requests are refused, if they are.
+        withheld_ms: Option<u128>,
+    },
     /// A request is sent to one leaf only, because equal ones have lost leafs.
     SentOnSuspicion {
         request: &'a str,
@@ -427,6 +438,7 @@
             | Self::FailureDomainChecked { .. }
             | Self::LossJudged { .. }
             | Self::CrashReportLearned { .. }
+            | Self::SilentLeafReported { .. }
             | Self::SentOnSuspicion { .. }
             | Self::CrashReportDismissed { .. }
             | Self::Quarantined { .. }
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -12,9 +12,10 @@
 use crate::caller_request::CallerRequest;
 use crate::callers::Answer;
 use crate::canary_slots::{CanarySlot, SlotHolder};
-use crate::crash_memory::{ProofKey, RequestClearance, Suspicion};
 use crate::evidence_recorder::EvidenceRecorder;
+use crate::proof_key::ProofKey;
 use crate::refusal::Refusal;
+use crate::request_clearance::{RequestClearance, Suspicion};
 use crate::route_state::RouteState;
 use crate::service_call::{ServiceCall, ServiceFailure};
 use crate::shared::Shared;
@@ -77,6 +78,7 @@
     match clearance {
         RequestClearance::Clear => Ok((Vec::new(), None)),
         RequestClearance::Quarantined { left } => Err(Refusal::quarantined(left)),
+        RequestClearance::Withheld { left } => Err(Refusal::withheld(left)),
         RequestClearance::Unverified => Err(Refusal::NoLeaf),
         // A daemon that is cut off does not know what equal requests did elsewhere.
         RequestClearance::Suspect(_) if shared.is_isolated() => Err(Refusal::NoLeaf),
--- a/crates/router/src/loss_check.rs
+++ b/crates/router/src/loss_check.rs
@@ -4,17 +4,17 @@
 use std::time::Duration;
 
 use futures::stream::{FuturesUnordered, StreamExt};
-use medlarpin_core::canary::{LossVerdict, LostLeafSign, NeighbourSign};
+use medlarpin_core::canary::{LossKind, LossVerdict, LostLeafSign, NeighbourSign};
 use medlarpin_core::prelude::{FailureDomain, LeafId};
-use medlarpin_core::routing::Unreachable;
+use medlarpin_core::routing::{LEAF_SILENCE_TIMEOUT, Unreachable};
 use tokio::time::timeout;
 
-use crate::crash_memory::UnverifiedReport;
 use crate::event::Event;
 use crate::leaf::{Leaf, OpenError};
 use crate::leaf_probe::check_health;
 use crate::leaf_rates::LeafRates;
 use crate::shared::Shared;
+use crate::unverified_report::UnverifiedReport;
 
 /// Number of leafs beside a lost one that are asked; some may be full, or have ended as well.
 const NEIGHBOURS_ASKED: usize = 3;
@@ -59,19 +59,31 @@
     }
 }
 
-/// Asks leafs of a failure domain other than the lost ones for their health.
+/// Asks leafs of a failure domain other than the lost ones for their health, unless the lost ones only fell silent
+/// and one of the others has answered lately. Leafs of other domains stand in for those beside a silent one that
+/// is alone in its domain.
 pub(crate) async fn ask_neighbours(
     shared: &Shared,
     domain: &FailureDomain,
+    kind: LossKind,
     lost: &[LeafId],
 ) -> NeighbourSign {
     let now = shared.now();
-    let others = shared.leafs.filter(|leaf| {
-        leaf.entry.failure_domain == *domain
-            && leaf.is_usable(now)
-            && !lost.contains(&leaf.entry.run_id())
-    });
+    let is_other = |leaf: &Leaf| leaf.is_usable(now) && !lost.contains(&leaf.entry.run_id());
+    let is_in_domain = |leaf: &Leaf| leaf.entry.failure_domain == *domain;
+    let mut others = shared
+        .leafs
+        .filter(|leaf| is_in_domain(leaf) && is_other(leaf));
+    if others.is_empty() && kind == LossKind::Unanswered {
+        others = shared.leafs.filter(is_other);
+    }
     let others_count = others.len();
+    // A leaf counts as silent only a while after it got the request. Broken connections may have broken just now.
+    let lately = now.checked_sub(LEAF_SILENCE_TIMEOUT);
+    let has_answered = |leaf: &Arc<Leaf>| lately.is_some_and(|at| leaf.load().has_heard_since(at));
+    if kind == LossKind::Unanswered && others.iter().any(has_answered) {
+        return NeighbourSign::Reached;
+    }
     let mut signs: Vec<LostLeafSign> = Vec::new();
     let mut asked: Vec<Arc<Leaf>> = Vec::new();
     for leaf in others {
@@ -126,7 +138,7 @@
 }
 
 /// Judges a loss by what was seen of the leaf and of those beside it. Logs the verdict, but only once that it
-/// is unknown.
+/// is open.
 pub(crate) fn judge(
     shared: &Shared,
     report: &UnverifiedReport,
@@ -135,7 +147,8 @@
 ) -> LossVerdict {
     let is_listed = is_listed(shared, &report.leaf);
     let verdict = LossVerdict::of(report.kind, sign, neighbours, is_listed);
-    if verdict != LossVerdict::Unknown || !report.is_unresolved {
+    let is_open = matches!(verdict, LossVerdict::Silent | LossVerdict::Unknown);
+    if !is_open || !report.is_unresolved {
         Event::LossJudged {
             leaf: report.leaf.entry.id.as_str(),
             kind: report.kind,
--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -35,6 +35,8 @@
     retry_reserve: f64,
     /// Number of requests that are refused because they crashed leafs.
     quarantined_requests: usize,
+    /// Number of silent leafs that count against requests under which they fell silent, by request.
+    silent_losses: usize,
     /// Requests that were sent to another daemon because this VM does not reach their leafs.
     handed_over_requests: u64,
     /// Bytes held for callers, leafs and other daemons, and their limit.
@@ -194,6 +196,7 @@
         daemons_sharing: shared.daemon_count(),
         retry_reserve: shared.retry_reserve(now),
         quarantined_requests: shared.crash_memory.quarantines(now).len(),
+        silent_losses: shared.crash_memory.silent_losses(now),
         handed_over_requests: shared.metrics.handed_over.get(),
         held_bytes: shared.clients.used_bytes(),
         held_bytes_max: limits.held_bytes_max,
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -435,6 +435,14 @@
         crash_reports::receive(&self.shared, params.get()?)
     }
 
+    async fn report_silent_leafs(
+        self: Rc<Self>,
+        params: route_peer::ReportSilentLeafsParams,
+        _results: route_peer::ReportSilentLeafsResults,
+    ) -> Result<(), capnp::Error> {
+        crash_reports::receive_silent(&self.shared, params.get()?)
+    }
+
     async fn report_leaf_rates(
         self: Rc<Self>,
         params: route_peer::ReportLeafRatesParams,
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -25,6 +25,11 @@
         /// Seconds until the quarantine ends.
         left_s: u64,
     },
+    /// Equal requests have probably crashed leafs, which are silent; no leaf has run this one.
+    Withheld {
+        /// Milliseconds until the caller may try again.
+        retry_after_ms: u64,
+    },
     /// No route matches.
     NoRoute,
     /// The body exceeds the limit.
@@ -97,6 +102,13 @@
         }
     }
 
+    /// Returns the refusal of a request that is withheld for the given time unless leafs stay silent.
+    pub(crate) fn withheld(left: Duration) -> Self {
+        Self::Withheld {
+            retry_after_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
     /// Returns the reason as it stands in metrics and log lines.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
@@ -104,6 +116,7 @@
             Self::BodyTimedOut => "body_timed_out",
             Self::OutOfMemory => "out_of_memory",
             Self::Quarantined { .. } => "quarantined",
+            Self::Withheld { .. } => "withheld",
             Self::NoRoute => "no_route",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyBrokenOff => "body_broken_off",
@@ -134,6 +147,7 @@
             | Self::LeafsFull
             | Self::OutOfMemory
             | Self::Quarantined { .. }
+            | Self::Withheld { .. }
             | Self::Overloaded { .. }
             | Self::RateLimited { .. }
             | Self::Stopping
@@ -148,9 +162,9 @@
             Self::NoConfig | Self::NoLeaf | Self::Unreachable => Some(RETRY_AFTER_UNAVAILABLE),
             // Another daemon may serve the request at once.
             Self::LeafsFull | Self::OutOfMemory | Self::Stopping => Some(RETRY_AFTER_FULL),
-            Self::Overloaded { retry_after_ms } | Self::RateLimited { retry_after_ms } => {
-                Some(Duration::from_millis(retry_after_ms))
-            }
+            Self::Overloaded { retry_after_ms }
+            | Self::RateLimited { retry_after_ms }
+            | Self::Withheld { retry_after_ms } => Some(Duration::from_millis(retry_after_ms)),
             Self::Quarantined { left_s } => Some(Duration::from_secs(left_s)),
             Self::BadRequest
             | Self::NoRoute
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -204,7 +204,7 @@
   upMs @4 :UInt32;
 }
 
-# A request that a leaf was running when its connection broke, with no answer from any leaf.
+# A request that a leaf was running when its connection broke or it fell silent, with no answer from any leaf.
 struct CrashReport {
   fingerprint @0 :UInt64;
   leaf @1 :Text;
@@ -217,6 +217,8 @@
   # Time since the leaf is last known to have lived before the request could end it; at least ageMs. 0 from a
   # daemon of an older release.
   intactAgeMs @5 :UInt32;
+  # Only of a silent leaf: time since the leaf was last found to be silent.
+  silentAgeMs @6 :UInt32;
 }
 
 # What a leaf states about the rate of requests that it takes from all daemons together.
@@ -289,4 +291,7 @@
   permitLeafRequest @6 (rate :LeafRate) -> (isPermitted :Bool, waitMs :UInt32, knownRate :LeafRate);
   # Returns the published text of the configuration in force; empty if there is none.
   publishedConfig @7 () -> (value :Data);
+  # Tells of leafs that have been silent since requests were sent to them, and may have ended. The receiver passes
+  # on those because of which it refuses equal requests.
+  reportSilentLeafs @8 (reports :List(CrashReport)) -> ();
 }
