Count a silent leaf that starts again under its identifier

What callers saw: a request under which leafs fall silent is sent on if the leafs are back under their identifiers before the store withdraws them.

Cause: a leaf that answers a check counted as alive, whichever run of it answered, and its report was dropped.

Change: an answer at the address of a lost run is that of another leaf if the store lists a later run under the identifier. As its entry comes a while after the answer, the report of a leaf that was silent is kept for 2 s more.

--- a/crates/router/src/crash_memory.rs
+++ b/crates/router/src/crash_memory.rs
@@ -35,6 +35,10 @@
 /// The store no longer lists a leaf after three missed heartbeats, if this daemon reaches the store.
 const RESOLUTION_TIME_MAX: Duration = Duration::from_secs(30);
 
+/// Time after the start of a leaf within which daemons learn its entry. They follow the store, or another daemon that
+/// does, with pauses of a second altogether.
+const RELISTING_TIME: Duration = Duration::from_secs(2);
+
 /// Reports in an exchange, which has to fit into the bytes that control may take.
 const EXCHANGED_REPORTS_MAX: usize = 16;
 
@@ -272,6 +276,7 @@
             leaf: Arc::clone(leaf),
             kind: *kind,
             is_unresolved: false,
+            answered_at: None,
             is_passed_on,
         });
     }
@@ -321,8 +326,9 @@
 
     /// Keeps a report of a leaf that was found to be silent just now, and tells other daemons. Equal requests are
     /// withheld while an independent loss is known as well.
-    pub(crate) fn suspend_silent(&self, unverified: UnverifiedReport, now: Instant) {
+    pub(crate) fn suspend_silent(&self, mut unverified: UnverifiedReport, now: Instant) {
         self.end_verification(&unverified.report);
+        unverified.answered_at = None;
         let age = now.saturating_duration_since(unverified.report.lost_at);
         if age >= QUARANTINE_DURATION {
             return self.dismiss(&unverified);
@@ -338,6 +344,23 @@
         }
     }
 
+    /// Drops the report of a leaf that answers; returns false if it is kept for now.
+    ///
+    /// A leaf that was silent may have started again under its identifier, which its entry shows a while later.
+    pub(crate) fn dismiss_answering(&self, mut unverified: UnverifiedReport, now: Instant) -> bool {
+        let was_silent = unverified.is_unresolved && unverified.kind == LossKind::Unanswered;
+        let answered_at = *unverified.answered_at.get_or_insert(now);
+        if !was_silent || now.saturating_duration_since(answered_at) >= RELISTING_TIME {
+            self.dismiss(&unverified);
+            return true;
+        }
+        self.end_verification(&unverified.report);
+        let mut state = self.state.lock();
+        state.remove_silent(&unverified.report);
+        state.keep_unresolved(unverified);
+        false
+    }
+
     /// Records that the store no longer lists a leaf, which may decide whether it has ended.
     pub(crate) fn leaf_withdrawn(&self, leaf: &Leaf) {
         let run = leaf.entry.run_id();
--- a/crates/router/src/crash_reports.rs
+++ b/crates/router/src/crash_reports.rs
@@ -108,8 +108,10 @@
                     shared.crash_memory.confirm(report, shared.now());
                 }
                 LossVerdict::Lives => {
-                    shared.metrics.lost_leafs_dismissed.inc();
-                    shared.crash_memory.dismiss(&report);
+                    let memory = &shared.crash_memory;
+                    if memory.dismiss_answering(report, shared.now()) {
+                        shared.metrics.lost_leafs_dismissed.inc();
+                    }
                 }
                 LossVerdict::Silent => {
                     shared.crash_memory.suspend_silent(report, shared.now());
--- a/crates/router/src/loss_check.rs
+++ b/crates/router/src/loss_check.rs
@@ -50,7 +50,8 @@
     let Some(healthy) = check_health(shared, leaf, connection).await else {
         return LostLeafSign::Silent;
     };
-    let is_other = healthy.answered_by.is_some_and(|id| id != leaf.entry.id);
+    let is_other =
+        healthy.answered_by.is_some_and(|id| id != leaf.entry.id) || is_started_again(shared, leaf);
     leaf.release(healthy.connection, None, shared.now());
     if is_other {
         LostLeafSign::Replaced
@@ -137,6 +138,12 @@
     known.is_some_and(|known| known.entry.is_of_same_process(&leaf.entry) && !known.is_withdrawn())
 }
 
+/// Returns true if the store lists another run of a leaf under its identifier.
+fn is_started_again(shared: &Shared, leaf: &Leaf) -> bool {
+    let known = shared.leafs.find(&leaf.entry.id);
+    known.is_some_and(|known| known.entry.run_id() != leaf.entry.run_id())
+}
+
 /// Judges a loss by what was seen of the leaf and of those beside it. Logs the verdict, but only once that it
 /// is open.
 pub(crate) fn judge(
--- a/crates/router/src/unverified_report.rs
+++ b/crates/router/src/unverified_report.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Instant;
 
 use medlarpin_core::canary::LossKind;
 
@@ -14,6 +15,9 @@
     pub(crate) kind: LossKind,
     /// True once the loss was judged without a result.
     pub(crate) is_unresolved: bool,
+    /// Time at which the leaf was found to answer again; `None` unless it was silent before and has answered
+    /// since.
+    pub(crate) answered_at: Option<Instant>,
     /// True if the daemons that collect such reports are to be told.
     pub(crate) is_passed_on: bool,
 }
