Tell all daemons of a silent loss once it is renewed, not of all others again

While a request is withheld, each renewal told all losses of the request anew: up to 256 reports in two seconds, where 64 may wait. The others are told by their own renewals. silent_leafs.rs passes.

--- a/crates/router/src/crash_memory.rs
+++ b/crates/router/src/crash_memory.rs
@@ -488,6 +488,7 @@
         };
         let account = report.account();
         let mut state = self.state.lock();
+        let was_withheld = state.withheld_left(account, now).is_some();
         // Another daemon may not know yet that the leaf has ended, or that it lives.
         if state.is_counted(report.key()) || !state.silent.record(account, loss, now) {
             return Added::Nothing;
@@ -504,6 +505,10 @@
         if withheld_left.is_none() {
             return Added::Report;
         }
+        // The others are told again when they are renewed.
+        if was_withheld {
+            return Added::Decisive(vec![report.clone()]);
+        }
         let mut reports = state.ended_reports(account);
         reports.extend(state.silent_reports(account, now));
         Added::Decisive(reports)
