Promise that a request has not run only with evidence for each dispatch

A request that may run at most once was answered 503 (or 429, 408) although a leaf had run it.

Cause: a request counted as not run by default, and each path that ended a leaf request had to remember to say otherwise. An answer of a leaf was passed on whatever its status promised. Only X-Medlarpin-Not-Executed states that a leaf did not run a request (PROTOCOL.md, Leafs: "No other response states this").

Change: a RunLedger with each request turns the default round. A request can get to a leaf or to another daemon only through a dispatch of its ledger, and counts as run unless each dispatch was disproved: no byte was written, the leaf rejected it, or the other daemon answered with the same promise. A dispatch that is dropped, cancelled or forgotten stays. The ledger allows no second dispatch of a request that may run at most once while one is open, and none after its caller was told that it never runs. BackedReply is the only way to an answer for a caller or another daemon; it needs the proof of the ledger for a status that promises anything, and otherwise answers 502 and logs promise_unproven.

--- a/crates/medlarpin-core/src/routing/mod.rs
+++ b/crates/medlarpin-core/src/routing/mod.rs
@@ -8,6 +8,7 @@
 pub mod config_review;
 mod daemon_list;
 mod delegate_selector;
+mod dispatch;
 mod evacuated_domains;
 mod gather_policy;
 mod handover_selector;
@@ -20,6 +21,7 @@
 mod link_suspicion;
 mod load_statement;
 mod memory_budget;
+mod not_run;
 mod observation_time;
 mod probe_due;
 mod query_admission;
@@ -35,6 +37,7 @@
 mod route_latency;
 mod route_table;
 mod routing_config;
+mod run_ledger;
 mod source_selector;
 mod stated_departures;
 mod stated_load;
@@ -57,6 +60,7 @@
 pub use delegate_selector::{
     CAPACITY_RATIO_MIN, DELEGATE_BACK_OFF, DelegateSelector, LEAF_REQUEST_CPU, OWN_CPU_SHARE_MAX,
 };
+pub use dispatch::{Dispatch, NoRunReason};
 pub use evacuated_domains::{EvacuatedDomains, Evacuation, EvacuationChanges, RETURNS_MAX};
 pub use gather_policy::{GatherPolicy, GatherStep};
 pub use handover_selector::{
@@ -77,6 +81,7 @@
 pub use link_suspicion::LinkSuspicion;
 pub use load_statement::LoadStatement;
 pub use memory_budget::MemoryBudget;
+pub use not_run::NotRun;
 pub use observation_time::{OUTAGE_MIN, ObservationTime};
 pub use probe_due::ProbeDue;
 pub use query_admission::{QueryAdmission, SHARD_ALIVE_TIME};
@@ -94,6 +99,7 @@
 pub use route_latency::RouteLatency;
 pub use route_table::RouteTable;
 pub use routing_config::{CallerLimits, ConfigVersion, RoutedService, RoutingConfig};
+pub use run_ledger::RunLedger;
 pub use source_selector::{
     FOLLOWER_RETRY_INTERVAL, FOLLOWERS_MAX, SOURCE_BACK_OFF_MAX, SOURCE_BACK_OFF_MIN, Source,
     SourceSelector, WATCHER_RETRY_INTERVAL, WATCHERS_MIN,
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -5,7 +5,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use medlarpin_core::prelude::Clock;
-use medlarpin_core::routing::{LeafPhase, RateStatement, StatedRate};
+use medlarpin_core::routing::{LeafPhase, NoRunReason, RateStatement, StatedRate};
 
 use crate::attempt_result::{AttemptResult, LeafAnswer, LeafFailure};
 use crate::call_evidence::CallEvidence;
@@ -57,7 +57,8 @@
                 | LeafFailure::Paused
                 | LeafFailure::Evacuated
                 | LeafFailure::Cold
-                | LeafFailure::Encoding,
+                | LeafFailure::Encoding
+                | LeafFailure::NotAllowed,
             ) => {}
             Err(LeafFailure::BrokenOff | LeafFailure::Foreign | LeafFailure::TooLarge) => {
                 load.answer_lost(now);
@@ -125,15 +126,13 @@
             shared.metrics.evacuation.unsent_requests.inc();
             return Err(LeafFailure::Evacuated);
         }
-        let leaf_request = request
-            .for_leaf(leaf.entry.id.as_str(), shared.now())
-            .ok_or(LeafFailure::Encoding)?;
         let sent_at = shared.now();
         if !is_counted && !LeafRates::new(shared).take_cold_request(leaf, sent_at) {
             leaf.release(connection, None, sent_at);
             return Err(LeafFailure::Cold);
         }
         is_counted = true;
+        let (leaf_request, dispatch) = request.dispatch_to_leaf(leaf.entry.id.as_str(), sent_at)?;
         connection.progress_limit.restart();
         connection.carried.record(request_hash);
         let on_wire = evidence.writing();
@@ -145,6 +144,9 @@
                 connection.progress_limit.restart();
                 let answer = read_answer(shared, leaf, request, sent_at, response, connection);
                 let result = answer.await;
+                if let Err(LeafFailure::Shed | LeafFailure::OtherLeaf) = result {
+                    dispatch.disproved(NoRunReason::Rejected);
+                }
                 if !matches!(result, Err(LeafFailure::BrokenOff)) {
                     run.answered();
                 }
@@ -156,6 +158,7 @@
                 if !is_unsent {
                     return Err(LeafFailure::BrokenOff);
                 }
+                dispatch.disproved(NoRunReason::Unsent);
                 run.not_sent();
                 if !connection.is_reused {
                     return Err(LeafFailure::Connect);
--- a/crates/router/src/attempt_result.rs
+++ b/crates/router/src/attempt_result.rs
@@ -40,6 +40,8 @@
     Foreign,
     /// The request cannot be encoded as an HTTP request to a leaf.
     Encoding,
+    /// The request may run at most once and may be running already, or its caller was told that it never runs.
+    NotAllowed,
 }
 
 impl LeafFailure {
@@ -57,6 +59,7 @@
             Self::TooLarge => "too_large",
             Self::Foreign => "foreign",
             Self::Encoding => "encoding",
+            Self::NotAllowed => "not_allowed",
         }
     }
 
@@ -69,7 +72,8 @@
             | Self::Evacuated
             | Self::Cold
             | Self::OtherLeaf
-            | Self::Encoding => true,
+            | Self::Encoding
+            | Self::NotAllowed => true,
             Self::Shed | Self::BrokenOff | Self::TooLarge | Self::Foreign => false,
         }
     }
@@ -77,7 +81,7 @@
     /// Returns true if the leaf may have run the request.
     pub(crate) fn may_have_run(self) -> bool {
         match self {
-            Self::BrokenOff | Self::TooLarge | Self::Foreign => true,
+            Self::BrokenOff | Self::TooLarge | Self::Foreign | Self::NotAllowed => true,
             Self::Connect
             | Self::ConnectionLimit
             | Self::Paused
--- a/crates/router/src/caller_request.rs
+++ b/crates/router/src/caller_request.rs
@@ -8,6 +8,9 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Uri};
 use medlarpin_core::ids::stable_hash;
+use medlarpin_core::routing::{Dispatch, RunLedger};
+
+use crate::attempt_result::LeafFailure;
 
 /// A caller's request with its complete body.
 #[derive(Debug)]
@@ -25,6 +28,8 @@
     /// Deadline that leafs get while it lies ahead; after it they get `deadline`. A leaf that
     /// cannot answer by its deadline drops the request from its queue.
     pub(crate) answer_by: Instant,
+    /// Every way of the request to a leaf or to another daemon is recorded here before it is taken.
+    pub(crate) ledger: RunLedger,
     /// Set when a leaf gets the request.
     pub(crate) identity: OnceLock<Arc<RequestIdentity>>,
 }
@@ -75,8 +80,22 @@
         self.deadline.saturating_duration_since(now)
     }
 
-    /// Returns the request for a leaf; `None` if its head cannot be encoded.
-    pub(crate) fn for_leaf(&self, leaf: &str, now: Instant) -> Option<Request<Full<Bytes>>> {
+    /// Returns the request for a leaf, with its record in the ledger.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the head cannot be encoded, or if the ledger allows no further dispatch.
+    pub(crate) fn dispatch_to_leaf(
+        &self,
+        leaf: &str,
+        now: Instant,
+    ) -> Result<(Request<Full<Bytes>>, Dispatch<'_>), LeafFailure> {
+        let request = self.for_leaf(leaf, now).ok_or(LeafFailure::Encoding)?;
+        let dispatch = self.ledger.dispatch().ok_or(LeafFailure::NotAllowed)?;
+        Ok((request, dispatch))
+    }
+
+    fn for_leaf(&self, leaf: &str, now: Instant) -> Option<Request<Full<Bytes>>> {
         let leaf_deadline = if now < self.answer_by {
             self.answer_by.min(self.deadline)
         } else {
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -10,10 +10,11 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
-use medlarpin_core::routing::{Route, RouteTarget, RoutingConfig};
+use medlarpin_core::routing::{NotRun, Route, RouteTarget, RoutingConfig, RunLedger};
 use platform::CallerHead;
 use tokio::time::timeout;
 
+use crate::backed_reply::{BackedReply, id_text};
 use crate::caller_request::CallerRequest;
 use crate::event::Event;
 use crate::handover::serve;
@@ -49,31 +50,40 @@
         Ok(caller) => caller,
         Err(error) => {
             Event::BadRequest { error: &error }.log();
-            let refused = Err(Refusal::BadRequest);
-            return complete_request(shared, refused, None, None, arrived_at);
+            let reply = refuse_unread(Refusal::BadRequest, None);
+            return complete_request(shared, reply, None, None, arrived_at);
         }
     };
     let id = caller.request_id.clone();
     let (config, route) = match find_route(shared, &caller, head.uri.path()) {
         Ok(found) => found,
         Err(refusal) => {
-            return complete_request(shared, Err(refusal), Some(&id), None, arrived_at);
+            let reply = refuse_unread(refusal, Some(&id));
+            return complete_request(shared, reply, Some(&id), None, arrived_at);
         }
     };
     let read = read_request(shared, &config, &route, caller, head, body, arrived_at).await;
     client.is_served();
-    let result = match read {
+    let (result, not_run) = match read {
         Ok(request) => {
+            let request = Arc::new(request);
             let stop = &shared.planned_stop;
-            match stop.admit(&route, &request, shared.now()) {
-                Ok(()) => stop.limit(serve(shared, &route, request)).await,
+            let result = match stop.admit(&route, &request, shared.now()) {
+                Ok(()) => stop.limit(serve(shared, &route, &request)).await,
                 Err(refusal) => Err(refusal),
-            }
+            };
+            (result, request.ledger.seal())
         }
-        Err(refusal) => Err(refusal),
+        Err(refusal) => (Err(refusal), Some(NotRun::unread())),
     };
+    let reply = BackedReply::new(result, not_run, Some(&id));
     let name = Some(&*route.name);
-    complete_request(shared, result, Some(&id), name, arrived_at)
+    complete_request(shared, reply, Some(&id), name, arrived_at)
+}
+
+/// Returns the reply to a request that was refused before all of it was read.
+fn refuse_unread(refusal: Refusal, request_id: Option<&HeaderValue>) -> BackedReply {
+    BackedReply::new(Err(refusal), Some(NotRun::unread()), request_id)
 }
 
 /// Returns the configuration in force and the route of a request.
@@ -126,6 +136,7 @@
         arrived_at,
         deadline: arrived_at + time_left,
         answer_by: answer_by(route, arrived_at),
+        ledger: RunLedger::new(route.repeatability),
         identity: OnceLock::new(),
     })
 }
@@ -138,29 +149,28 @@
     }
 }
 
-/// Logs and counts the result of a request, and turns a refusal into an answer.
+/// Logs and counts the reply to a request, and returns the answer to send.
 fn complete_request(
     shared: &Shared,
-    result: Result<Answer, Refusal>,
+    reply: BackedReply,
     request_id: Option<&HeaderValue>,
     route: Option<&str>,
     arrived_at: Instant,
 ) -> Answer {
     let elapsed = shared.now().saturating_duration_since(arrived_at);
-    let request = request_id.and_then(|id| id.to_str().ok()).unwrap_or("none");
-    match result {
-        Ok(answer) => {
+    let request = id_text(request_id);
+    match reply.outcome() {
+        Ok(status) => {
             shared
                 .metrics
                 .record_answer(route.unwrap_or("none"), elapsed);
             Event::Answered {
                 request,
                 route: route.unwrap_or("none"),
-                status: answer.status().as_u16(),
+                status: status.as_u16(),
                 after_ms: elapsed.as_millis(),
             }
             .log();
-            answer
         }
         Err(refusal) => {
             shared.metrics.record_refusal(refusal);
@@ -172,15 +182,7 @@
                 after_ms: elapsed.as_millis(),
             }
             .log();
-            refusal_answer(refusal, request_id)
         }
     }
-}
-
-/// Returns the answer that tells a caller of a refusal.
-pub(crate) fn refusal_answer(refusal: Refusal, request_id: Option<&HeaderValue>) -> Answer {
-    let mut response = Response::new(Full::new(Bytes::new()));
-    *response.status_mut() = refusal.status();
-    *response.headers_mut() = platform::refusal_headers(request_id, refusal.retry_after());
-    response
+    reply.into_answer(request_id)
 }
--- a/crates/router/src/delegation.rs
+++ b/crates/router/src/delegation.rs
@@ -11,14 +11,15 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response};
 use medlarpin_core::ids::LeafId;
-use medlarpin_core::routing::{ConfigVersion, HINTS_MAX, Route};
+use medlarpin_core::routing::{ConfigVersion, HINTS_MAX, Route, RunLedger};
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 use wire::peer_capnp::{daemon_address, header, route_peer};
 
+use crate::backed_reply::BackedReply;
 use crate::caller_request::CallerRequest;
-use crate::callers::{Answer, answer_by, find_route, refusal_answer};
+use crate::callers::{Answer, answer_by, find_route};
 use crate::config_sync::{self, ConfigFetch};
 use crate::event::Event;
 use crate::handover::serve_on_own_leafs;
@@ -269,19 +270,18 @@
         after_ms: (shared.now() - request.arrived_at).as_millis(),
     }
     .log();
-    let answer = match served {
-        Ok(answer) => answer,
-        // No leaf got the request, and the sender or a third daemon may reach one.
-        Err(Refusal::Unreachable) => {
-            let selector = shared.handover_selector.as_ref();
-            let reaching = selector.map(|selector| selector.lock().latest_served(shared.now()));
-            let reaching = reaching.unwrap_or_default();
-            let list = results.get().init_reaching(len_u32(&reaching));
-            write_addresses(&reaching, list);
-            return Ok(());
-        }
-        Err(refusal) => refusal_answer(refusal, Some(&request.id)),
-    };
+    let not_run = request.ledger.seal();
+    // No leaf got the request, and the sender or a third daemon may reach one.
+    if matches!(served, Err(Refusal::Unreachable)) && not_run.is_some() {
+        let selector = shared.handover_selector.as_ref();
+        let reaching = selector.map(|selector| selector.lock().latest_served(shared.now()));
+        let reaching = reaching.unwrap_or_default();
+        let list = results.get().init_reaching(len_u32(&reaching));
+        write_addresses(&reaching, list);
+        return Ok(());
+    }
+    let id = Some(&request.id);
+    let answer = BackedReply::new(served, not_run, id).into_answer(id);
     let (head, body) = answer.into_parts();
     let Ok(body) = body.collect().await;
     let body = body.to_bytes();
@@ -343,6 +343,7 @@
         arrived_at,
         deadline: (now + time_left).min(arrived_at + route.timeout),
         answer_by: answer_by(&route, arrived_at),
+        ledger: RunLedger::new(route.repeatability),
         identity: OnceLock::new(),
     };
     if params.get_is_proven() {
--- a/crates/router/src/evacuations/tests.rs
+++ b/crates/router/src/evacuations/tests.rs
@@ -8,7 +8,7 @@
 use hyper::Request;
 use hyper::header::HeaderValue;
 use medlarpin_core::prelude::{ServiceName, SystemClock};
-use medlarpin_core::routing::{LeafDirectory, ObservationTime};
+use medlarpin_core::routing::{LeafDirectory, ObservationTime, Repeatability, RunLedger};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 
@@ -132,6 +132,7 @@
             arrived_at: now,
             deadline: now + Duration::from_secs(1),
             answer_by: now + Duration::from_secs(1),
+            ledger: RunLedger::new(Repeatability::Idempotent),
             identity: OnceLock::new(),
         });
         let proof = ProofKey::new(&request, &[ServiceName::new("a")]);
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -363,6 +363,13 @@
         config_version: u64,
         after_ms: u128,
     },
+    /// An answer or refusal would have promised that a request has not run, which is not known.
+    PromiseUnproven {
+        request: &'a str,
+        status: u16,
+        /// The refusal; `None` if a leaf or another daemon gave the status.
+        reason: Option<Refusal>,
+    },
     /// The head of a request is malformed.
     BadRequest {
         #[serde(serialize_with = "as_text")]
@@ -454,6 +461,7 @@
             | Self::GatheredForDaemon { .. } => "gather",
             Self::Answered { .. }
             | Self::Refused { .. }
+            | Self::PromiseUnproven { .. }
             | Self::BadRequest { .. }
             | Self::AcceptFailed { .. }
             | Self::CallersLimited { .. } => "entry",
--- a/crates/router/src/handover.rs
+++ b/crates/router/src/handover.rs
@@ -7,7 +7,7 @@
 
 use hyper::body::Body;
 use medlarpin_core::prelude::ServiceName;
-use medlarpin_core::routing::{DelegateSelector, Route, RouteTarget, Scatter};
+use medlarpin_core::routing::{DelegateSelector, NoRunReason, Route, RouteTarget, Scatter};
 use tokio::time::timeout_at;
 
 use crate::caller_request::CallerRequest;
@@ -24,15 +24,14 @@
 pub(crate) async fn serve(
     shared: &Arc<Shared>,
     route: &Arc<Route>,
-    request: CallerRequest,
+    request: &Arc<CallerRequest>,
 ) -> Result<Answer, Refusal> {
-    let request = Arc::new(request);
     if let RouteTarget::Scatter(scatter) = &route.target {
-        match hand_over(shared, route, &request, HandoverReason::TooLarge(scatter)).await {
+        match hand_over(shared, route, request, HandoverReason::TooLarge(scatter)).await {
             Handover::Served(result) => return result,
             // This VM could gather the query only late, and may not reach the leafs either.
             Handover::Declined => {
-                let asked = hand_over(shared, route, &request, HandoverReason::OutOfReach).await;
+                let asked = hand_over(shared, route, request, HandoverReason::OutOfReach).await;
                 if let Handover::Served(result) = asked {
                     return result;
                 }
@@ -40,9 +39,9 @@
             Handover::NotPossible => {}
         }
     }
-    match serve_on_own_leafs(shared, route, &request).await {
+    match serve_on_own_leafs(shared, route, request).await {
         Err(Refusal::Unreachable) => {
-            match hand_over(shared, route, &request, HandoverReason::OutOfReach).await {
+            match hand_over(shared, route, request, HandoverReason::OutOfReach).await {
                 Handover::Served(result) => result,
                 Handover::Declined | Handover::NotPossible => Err(Refusal::Unreachable),
             }
@@ -177,6 +176,9 @@
         shared.back_off_delegate(daemon, shared.now());
         declined();
     };
+    let Some(dispatch) = request.ledger.dispatch() else {
+        return Some(Err(Refusal::LeafsFailed));
+    };
     let memory = &shared.crash_memory;
     let is_proven = memory.is_proven_for_route(request, &route.target, shared.now());
     let sent = shared
@@ -203,9 +205,13 @@
             if answer.status().is_success() {
                 record_answer_elsewhere(shared, route, request);
             }
+            if platform::promises_not_run(answer.status()) {
+                dispatch.disproved(NoRunReason::Declined);
+            }
             Some(Ok(answer))
         }
         DelegationOutcome::NotServed { reaching } => {
+            dispatch.disproved(NoRunReason::Declined);
             declined();
             record_hints(shared, &reaching);
             Event::HandoverDeclined {
@@ -216,7 +222,10 @@
             None
         }
         // The daemon serves the request if it is asked again.
-        DelegationOutcome::ConfigFetched => None,
+        DelegationOutcome::ConfigFetched => {
+            dispatch.disproved(NoRunReason::Declined);
+            None
+        }
         DelegationOutcome::Failed(error) => {
             back_off();
             Event::DelegationFailed {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod attempt_result;
+mod backed_reply;
 mod call_evidence;
 mod caller_request;
 mod callers;
