--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -22,7 +22,7 @@
 
 /// Searches many shards on behalf of teams.
 #[derive(Debug, Clone, Bpaf)]
-#[bpaf(options, version)]
+#[bpaf(options, version(router::BUILD))]
 enum Options {
     /// Serve the teams of the configuration service
     Teams {
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -20,6 +20,8 @@
 pub(crate) enum Event<'a> {
     /// The daemon listens on its addresses and starts its tasks.
     Started {
+        /// Commit that the program was built from.
+        commit: &'a str,
         vm: &'a str,
         failure_domain: &'a str,
         query_address: SocketAddr,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod attempt_result;
 mod backed_reply;
+mod build_info;
 mod call_evidence;
 mod caller_request;
 mod callers;
@@ -58,6 +59,7 @@
 mod unlisted_leafs;
 mod unverified_report;
 
+pub use crate::build_info::{BUILD, COMMIT};
 pub use crate::error::RouterError;
 pub use crate::router::Router;
 pub use crate::stdout_log::{LogError, install as install_log};
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -7,6 +7,7 @@
 };
 
 use crate::attempt_result::LeafFailure;
+use crate::build_info::COMMIT;
 use crate::client_metrics::ClientMetrics;
 use crate::cold_leaf_metrics::ColdLeafMetrics;
 use crate::evacuation_metrics::EvacuationMetrics;
@@ -70,6 +71,7 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok(gauge)
         };
+        register_build(&registry)?;
         let metrics = Self {
             answer_latency: HistogramVec::new(latency, &["route"])?,
             gather_latency: Histogram::with_opts(gather)?,
@@ -184,3 +186,14 @@
         TextEncoder::new().encode_to_string(&self.registry.gather())
     }
 }
+
+/// Registers the metric that names the build.
+fn register_build(registry: &Registry) -> Result<(), prometheus::Error> {
+    let options = Opts::new(
+        "medlarpin_build_info",
+        "Always 1; the label has the commit of the build",
+    );
+    let build = IntGauge::with_opts(options.const_label("commit", COMMIT))?;
+    build.set(1);
+    registry.register(Box::new(build))
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -8,6 +8,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::build_info::COMMIT;
 use crate::client_checks::disconnect_slow_callers;
 use crate::connections::Connections;
 use crate::crash_memory::CrashMemory;
@@ -70,6 +71,7 @@
             .as_ref()
             .map(|(listener, requested)| bound_address(listener, *requested));
         Event::Started {
+            commit: COMMIT,
             vm: settings.vm.as_str(),
             failure_domain: settings.failure_domain.as_str(),
             query_address,
