Send a request that may run once to no leaf that has rejected it

Cause: a rejection names the request and not the attempt, and a second attempt on the same leaf makes it ambiguous. Whether a copy can arrive there depended on how leafs queue their extra answers.

Change: a request that may run at most once goes to a leaf once, unless it was not written there, and is refused at once if only leafs are left that rejected it. Requests that may be repeated return to a leaf after its back-off as before.

--- a/crates/medlarpin-core/src/routing/call_attempts.rs
+++ b/crates/medlarpin-core/src/routing/call_attempts.rs
@@ -15,6 +15,8 @@
     tried: Vec<LeafId>,
     /// Leafs that may have run the request, without duplicates.
     may_have_run_on: Vec<LeafId>,
+    /// Leafs that rejected the request, without duplicates.
+    rejected_by: Vec<LeafId>,
     /// Leaf requests that certainly reached no leaf of the service; at most `tried.len()`.
     not_arrived: usize,
 }
@@ -28,6 +30,7 @@
             leafs_max: usize::try_from(leafs_max).unwrap_or(usize::MAX),
             tried: Vec::new(),
             may_have_run_on: Vec::new(),
+            rejected_by: Vec::new(),
             not_arrived: 0,
         }
     }
@@ -49,6 +52,13 @@
         self.not_arrived += 1;
     }
 
+    /// Records that a leaf rejected the request without running it.
+    pub fn rejected(&mut self, leaf: &LeafId) {
+        if !self.rejected_by.contains(leaf) {
+            self.rejected_by.push(leaf.clone());
+        }
+    }
+
     /// Records that a leaf may have run the request.
     pub fn may_have_run(&mut self, leaf: &LeafId) {
         if !self.may_have_run_on.contains(leaf) {
@@ -70,11 +80,16 @@
         self.is_idempotent() && self.may_have_run_on.len() + in_flight < self.leafs_max
     }
 
-    /// Returns true if the limit of leafs that run the request includes this leaf.
+    /// Returns true if the request may be sent to this leaf.
     ///
-    /// The limit counts distinct leafs, so one that ran the request may run it again.
+    /// The limit of leafs that run the request counts distinct ones, so that one that ran it may run it again. A
+    /// request that may run at most once does not return to a leaf that rejected it: a late copy of the rejection
+    /// could not be told from the answer of the run.
     #[must_use]
-    pub fn is_within_limit(&self, leaf: &LeafId) -> bool {
+    pub fn may_send_to(&self, leaf: &LeafId) -> bool {
+        if !self.is_idempotent() && self.rejected_by.contains(leaf) {
+            return false;
+        }
         self.may_have_run_on.len() < self.leafs_max || self.may_have_run_on.contains(leaf)
     }
 
--- a/crates/medlarpin-core/tests/routing_attempts.rs
+++ b/crates/medlarpin-core/tests/routing_attempts.rs
@@ -24,7 +24,8 @@
         let leaf = LeafId::new(&format!("leaf-{number}"));
         attempts.sent(&leaf);
         match step {
-            InFlight | Rejected => {}
+            InFlight => {}
+            Rejected => attempts.rejected(&leaf),
             NotArrived => attempts.not_arrived(),
             MayHaveRun => attempts.may_have_run(&leaf),
         }
@@ -87,6 +88,26 @@
     check(Idempotent, &[Rejected, InFlight], 1, true);
     check(AtMostOnce, &[InFlight], 1, false);
     let attempts = after(Idempotent, &[MayHaveRun, MayHaveRun]);
-    assert!(attempts.is_within_limit(&LeafId::new("leaf-0")));
-    assert!(!attempts.is_within_limit(&LeafId::new("leaf-9")));
+    assert!(attempts.may_send_to(&LeafId::new("leaf-0")));
+    assert!(!attempts.may_send_to(&LeafId::new("leaf-9")));
+}
+
+/// Guards against a request that may run at most once and returns to a leaf that rejected it: a late copy of the
+/// rejection would be taken for the answer to the run.
+#[test]
+fn a_request_that_runs_once_does_not_return_to_a_leaf_that_rejected_it() {
+    use Repeatability::{AtMostOnce, Idempotent};
+    let check = |repeatability: Repeatability, steps: &[Step], may_send: &[bool]| {
+        let attempts = after(repeatability, steps);
+        for (number, may_send) in may_send.iter().enumerate() {
+            let leaf = LeafId::new(&format!("leaf-{number}"));
+            let case = format!("{repeatability:?} {steps:?} {leaf}");
+            assert_eq!(attempts.may_send_to(&leaf), *may_send, "{case}");
+        }
+    };
+    check(AtMostOnce, &[], &[true, true]);
+    check(AtMostOnce, &[Rejected], &[false, true]);
+    check(AtMostOnce, &[NotArrived, Rejected], &[true, false, true]);
+    check(AtMostOnce, &[Rejected, Rejected], &[false, false, true]);
+    check(Idempotent, &[Rejected, Rejected], &[true, true, true]);
 }
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -269,6 +269,9 @@
                         intact_at: sent_at,
                     });
                 }
+                if failure == LeafFailure::Shed {
+                    self.attempts.rejected(&leaf.entry.id);
+                }
                 if failure.is_not_arrived() {
                     self.attempts.not_arrived();
                 } else {
@@ -316,6 +319,7 @@
         // A request is refused at once rather than held back for the limit of a cold leaf.
         let available_at = leafs
             .iter()
+            .filter(|leaf| self.attempts.may_send_to(&leaf.entry.id))
             .filter(|leaf| leaf.is_usable(now) && rates.cold_wait_until(leaf, now).is_none())
             .filter_map(|leaf| self.shared.leaf_available_at(leaf, now))
             .min();
@@ -383,8 +387,8 @@
             let is_tried = self.attempts.tried().contains(&leaf.entry.id);
             let is_avoided =
                 !self.avoided.is_empty() && self.avoided.contains(&leaf.entry.run_id());
-            let is_within_limit = self.attempts.is_within_limit(&leaf.entry.id);
-            if !leaf.is_usable(now) || !is_within_limit || (is_hedge && is_tried) {
+            let may_send = self.attempts.may_send_to(&leaf.entry.id);
+            if !leaf.is_usable(now) || !may_send || (is_hedge && is_tried) {
                 continue;
             }
             if !leaf.has_connection_capacity(connections_max) {
