--- a/crates/medlarpin-core/src/routing/dispatch.rs
+++ b/crates/medlarpin-core/src/routing/dispatch.rs
@@ -25,7 +25,7 @@
         Self { ledger }
     }
 
-    /// Records that this dispatch has not led to a run and will not.
+    /// Records that this dispatch has not led to a run and will not; the caller names the evidence.
     pub fn disproved(self, _reason: NoRunReason) {
         self.ledger.disproved();
     }
--- a/crates/medlarpin-core/src/routing/not_run.rs
+++ b/crates/medlarpin-core/src/routing/not_run.rs
@@ -1,7 +1,7 @@
 /// Proof that no leaf has run a request and that none will.
 ///
-/// Only a request that was never complete, and [`RunLedger::seal`](super::RunLedger::seal), give one. An answer
-/// that promises as much to a caller needs it.
+/// It comes from [`RunLedger::seal`](super::RunLedger::seal), or from [`Self::unread`] for a request that was never
+/// complete. An answer whose status promises as much to a caller needs it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[must_use]
 pub struct NotRun(());
--- a/crates/router/src/caller_request.rs
+++ b/crates/router/src/caller_request.rs
@@ -28,7 +28,7 @@
     /// Deadline that leafs get while it lies ahead; after it they get `deadline`. A leaf that
     /// cannot answer by its deadline drops the request from its queue.
     pub(crate) answer_by: Instant,
-    /// Every way of the request to a leaf or to another daemon is recorded here before it is taken.
+    /// Has each dispatch of the request to a leaf or another daemon, from before its first byte is sent.
     pub(crate) ledger: RunLedger,
     /// Set when a leaf gets the request.
     pub(crate) identity: OnceLock<Arc<RequestIdentity>>,
@@ -80,7 +80,7 @@
         self.deadline.saturating_duration_since(now)
     }
 
-    /// Returns the request for a leaf, with its record in the ledger.
+    /// Records a dispatch to a leaf and returns it with the request to send.
     ///
     /// # Errors
     ///
@@ -95,6 +95,7 @@
         Ok((request, dispatch))
     }
 
+    /// Returns the request for a leaf; `None` if its head cannot be encoded.
     fn for_leaf(&self, leaf: &str, now: Instant) -> Option<Request<Full<Bytes>>> {
         let leaf_deadline = if now < self.answer_by {
             self.answer_by.min(self.deadline)
