Bound the connections and the answers of operators and readiness checks

Cause: both addresses were served by `axum::serve`, which bounds neither connections nor heads, and answers to operators were in no account. Clients there took the descriptors and the memory that callers need.

Change: one `HttpServer` serves the callers of teams, the operators of both modes and the readiness checks. `ClientGroups` gives each of them places and memory that no other group can take: 16 connections for operators, with a sixteenth of the memory for answers, and 16 for readiness checks. Slow clients of a group are disconnected when it is under pressure, as before.

--- /dev/null
+++ b/crates/client-connections/src/client_groups.rs
@@ -0,0 +1,56 @@
+use std::sync::Arc;
+
+use medlarpin_core::client_pressure::ClientLimits;
+use medlarpin_core::prelude::Clock;
+
+use crate::clients::{ClientCounts, Clients};
+
+/// The clients of a process by the address that they use. Each group has connections and memory that no other
+/// group can take.
+#[derive(Debug, Clone)]
+pub struct ClientGroups {
+    /// Callers. Their memory also holds the results that other daemons have asked for.
+    pub callers: Clients,
+    /// Operators.
+    pub operators: Clients,
+    /// The load balancer's readiness checks.
+    pub readiness_checks: Clients,
+}
+
+impl ClientGroups {
+    /// Creates the groups of a process with this memory; reads the descriptor limit of the process.
+    #[must_use]
+    pub fn new(memory_bytes: usize, clock: &Arc<dyn Clock>) -> Self {
+        let group = |limits| Clients::with_limits(limits, Arc::clone(clock));
+        Self {
+            callers: Clients::new(memory_bytes, Arc::clone(clock)),
+            operators: group(ClientLimits::for_operators(memory_bytes)),
+            readiness_checks: group(ClientLimits::for_readiness_checks(memory_bytes)),
+        }
+    }
+
+    /// Disconnects slow clients of the groups that are under pressure.
+    pub fn disconnect_slow(&self) {
+        for group in self.all() {
+            // The counts have the number.
+            let _ = group.disconnect_slow();
+        }
+    }
+
+    /// Returns what has been done to the clients of all groups so far.
+    #[must_use]
+    pub fn counts(&self) -> ClientCounts {
+        let groups = self.all().map(Clients::counts);
+        groups
+            .into_iter()
+            .fold(ClientCounts::default(), |sum, group| ClientCounts {
+                disconnected: sum.disconnected + group.disconnected,
+                connections_refused: sum.connections_refused + group.connections_refused,
+                denied: sum.denied + group.denied,
+            })
+    }
+
+    fn all(&self) -> [&Clients; 3] {
+        [&self.callers, &self.operators, &self.readiness_checks]
+    }
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use client_connections::HttpServer;
 use config_service::PlatformClient;
 use displaydoc::Display;
 use medlarpin_core::prelude::*;
@@ -44,7 +45,7 @@
     query_address: SocketAddr,
     operator_address: SocketAddr,
     peer_listener: JoinHandle<()>,
-    slow_callers: JoinHandle<()>,
+    slow_clients: JoinHandle<()>,
     /// Cancelled to shut the HTTP servers down after their requests in flight.
     close_servers: CancellationToken,
     servers: Vec<JoinHandle<()>>,
@@ -80,20 +81,25 @@
         start_background_tasks(&state);
         let close_servers = CancellationToken::new();
         let servers = vec![
-            tokio::spawn(entry::serve_callers(
-                query,
-                entry::router(Arc::clone(&state)),
-                shared.clients.clone(),
-                close_servers.clone(),
-            )),
             serve(
-                operator,
-                operators::router(Arc::clone(&shared)),
+                HttpServer {
+                    listener: query,
+                    router: entry::router(Arc::clone(&state)),
+                    clients: shared.clients.callers.clone(),
+                },
+                &close_servers,
+            ),
+            serve(
+                HttpServer {
+                    listener: operator,
+                    router: operators::router(Arc::clone(&shared)),
+                    clients: shared.clients.operators.clone(),
+                },
                 &close_servers,
             ),
         ];
-        let slow_callers = entry::disconnect_slow_callers(shared.clients.clone());
-        let slow_callers = tokio::spawn(slow_callers);
+        let slow_clients = entry::disconnect_slow_clients(shared.clients.clone());
+        let slow_clients = tokio::spawn(slow_clients);
         let peer_listener = tokio::spawn(accept_peers(Arc::clone(&state), rpc));
         log::info!(target: ENTRY, "Listening for callers on {query_address}.");
         Ok(Self {
@@ -101,7 +107,7 @@
             query_address,
             operator_address,
             peer_listener,
-            slow_callers,
+            slow_clients,
             close_servers,
             servers,
         })
@@ -156,7 +162,7 @@
         // The connections may still be writing the last replies.
         tokio::time::sleep(FINAL_FLUSH_DELAY).await;
         self.peer_listener.abort();
-        self.slow_callers.abort();
+        self.slow_clients.abort();
         let state = Arc::clone(&self.state);
         // Joining the worker threads blocks, so it runs on the blocking pool.
         if tokio::task::spawn_blocking(move || state.workers.stop())
@@ -192,18 +198,11 @@
     Ok((listener, address))
 }
 
-fn serve(
-    listener: TcpListener,
-    router: axum::Router,
-    close_servers: &CancellationToken,
-) -> JoinHandle<()> {
-    let close_servers = close_servers.clone().cancelled_owned();
-    tokio::spawn(async move {
-        let server = axum::serve(listener, router).with_graceful_shutdown(close_servers);
-        if let Err(error) = server.await {
-            log::error!(target: ENTRY, "The HTTP server failed: {error}.");
-        }
-    })
+fn serve(server: HttpServer, close_servers: &CancellationToken) -> JoinHandle<()> {
+    let accept_failed = |error: &io::Error| {
+        log::warn!(target: ENTRY, "Failed to accept a connection: {error}.");
+    };
+    tokio::spawn(server.run(close_servers.clone(), accept_failed))
 }
 
 async fn accept_peers(state: Arc<AppState>, listener: TcpListener) {
@@ -211,7 +210,7 @@
         match listener.accept().await {
             Ok((stream, _peer)) => {
                 // A connection beyond the bound closes at once.
-                let Some(place) = state.shared.clients.open_peer() else {
+                let Some(place) = state.shared.clients.callers.open_peer() else {
                     continue;
                 };
                 let prepared = stream.set_nodelay(true).and_then(|()| stream.into_std());
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -41,7 +41,12 @@
 ) -> Response {
     let shared = &state.shared;
     let arrived_at = shared.clock.now();
-    let body = read_body(&shared.clients, body, shared.settings.body_limit_bytes).await;
+    let body = read_body(
+        &shared.clients.callers,
+        body,
+        shared.settings.body_limit_bytes,
+    )
+    .await;
     client.is_served();
     match parse_query(shared, &headers, body, arrived_at) {
         Ok((query, ticket)) => answer_query(&state, query, ticket, arrived_at).await,
@@ -59,7 +64,12 @@
     body: Body,
 ) -> Response {
     let shared = &state.shared;
-    let body = read_body(&shared.clients, body, shared.settings.body_limit_bytes).await;
+    let body = read_body(
+        &shared.clients.callers,
+        body,
+        shared.settings.body_limit_bytes,
+    )
+    .await;
     let parsed = check_body(&headers, body)
         .and_then(|body| parse_body::<TicketBody>(&body))
         .and_then(|body| {
@@ -160,7 +170,7 @@
     let shared = &state.shared;
     // Without room for the answer, no leaf gets the query.
     let expected_bytes = shared.answer_size.expected_bytes();
-    let Some(room) = shared.clients.reserve(expected_bytes).await else {
+    let Some(room) = shared.clients.callers.reserve(expected_bytes).await else {
         let body = no_room_answer(&query);
         shared.record_recent_answer(&body);
         return answer_response(shared, &body);
--- a/crates/daemon/src/operators/dump.rs
+++ b/crates/daemon/src/operators/dump.rs
@@ -231,8 +231,8 @@
 }
 
 fn dump_clients(shared: &Shared) -> ClientsDump {
-    let clients = &shared.clients;
-    let (limits, counts) = (clients.limits(), clients.counts());
+    let clients = &shared.clients.callers;
+    let (limits, counts) = (clients.limits(), shared.clients.counts());
     ClientsDump {
         held_bytes: clients.used_bytes(),
         held_bytes_max: limits.held_bytes_max,
--- a/crates/daemon/src/operators/http.rs
+++ b/crates/daemon/src/operators/http.rs
@@ -7,6 +7,7 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
+use client_connections::hold_answers;
 
 use crate::logging::{CONFIG, ENTRY};
 use crate::operators::dump;
@@ -14,7 +15,8 @@
 
 /// Builds the router of the operator endpoints.
 pub fn router(shared: Arc<Shared>) -> Router {
-    Router::new()
+    let clients = shared.clients.operators.clone();
+    let router = Router::new()
         .route("/metrics", get(metrics))
         .route("/ready", get(ready))
         .route("/live", get(live))
@@ -22,7 +24,8 @@
         .route("/trace", get(trace))
         .route("/trace/start", post(start_trace))
         .route("/trace/stop", post(stop_trace))
-        .with_state(shared)
+        .with_state(shared);
+    hold_answers(router, clients)
 }
 
 async fn metrics(State(shared): State<Arc<Shared>>) -> Response {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwap;
-use client_connections::{AnswerSize, Clients};
+use client_connections::{AnswerSize, ClientGroups};
 use medlarpin_core::outlier::EJECTION_TIME;
 use medlarpin_core::pause::{PauseDetector, Paused};
 use medlarpin_core::prelude::*;
@@ -43,9 +43,9 @@
     pub settings: DaemonSettings,
     /// The clock that every decision uses.
     pub clock: Arc<dyn Clock>,
-    /// The connections of callers, and the memory for bytes that are held for others. It has locks of its
+    /// The connections of clients, and the memory for bytes that are held for others. It has locks of its
     /// own, held for one call and never with another table.
-    pub clients: Clients,
+    pub clients: ClientGroups,
     /// The expected size of an answer.
     pub answer_size: AnswerSize,
     /// When the daemon started.
@@ -125,7 +125,7 @@
         };
         let memory_bytes = usize::try_from(settings.memory_mb).unwrap_or(usize::MAX) << 20;
         Self {
-            clients: Clients::new(memory_bytes, Arc::clone(&clock)),
+            clients: ClientGroups::new(memory_bytes, &clock),
             answer_size: AnswerSize::default(),
             started_at: now,
             incarnation,
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -282,6 +282,11 @@
         .await;
     }
 
+    /// Returns the address at which other daemons reach a daemon.
+    pub fn rpc_address(&self, daemon: usize) -> SocketAddr {
+        self.daemons[daemon].lock().ports.rpc
+    }
+
     /// Returns the address of a daemon's operator endpoints.
     pub fn operator_address(&self, daemon: usize) -> SocketAddr {
         self.operator_addresses[daemon]
--- a/crates/daemon/tests/slow_readers/mod.rs
+++ b/crates/daemon/tests/slow_readers/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses only a part of this module")]
 
+pub mod fixture;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/crates/daemon/tests/slow_readers_routes.rs
+++ b/crates/daemon/tests/slow_readers_routes.rs
@@ -4,26 +4,17 @@
 mod slow_readers;
 
 use std::net::SocketAddr;
-use std::path::Path;
 use std::pin::Pin;
-use std::process::{Child, Command, Stdio};
 use std::task::{Context, Poll};
-use std::time::Duration;
 
-use bytes::Bytes;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
-use http_body_util::{BodyExt, Full};
-use hyper::{Request, StatusCode};
-use hyper_util::rt::TokioIo;
-use platform_stand_in::{FakeLeaf, FakeStore, RawServer, RawStep};
-use serde_json::{Value, json};
-use stand_ins::server::reserve_port;
-use tokio::net::{TcpListener, TcpStream};
+use hyper::StatusCode;
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
-use tokio::time::timeout;
 use tokio_util::compat::TokioAsyncWriteCompatExt;
 use wire::peer_capnp::route_peer;
 
+use crate::slow_readers::fixture::{Fixture, Setup, head};
 use crate::slow_readers::{Bounds, Crowd, ONE_AT_A_TIME, Reading, Script, check_served, watch};
 
 /// Memory of the VM in MiB, as in the daemon's settings.
@@ -40,141 +31,18 @@
 /// Length of the bodies that callers send, which is the published limit.
 const BODY_BYTES: usize = 262_144;
 
-/// A daemon with its store and leafs; dropping it ends the process.
-struct Fixture {
-    process: Child,
-    query: SocketAddr,
-    peer: SocketAddr,
-    _store: FakeStore,
-    _leafs: (FakeLeaf, RawServer),
-    /// Accepts connections and reads nothing from them.
-    _deaf: TcpListener,
-}
-
-impl Drop for Fixture {
-    fn drop(&mut self) {
-        // Fails if the process has already exited.
-        let _ = self.process.kill();
-        let _ = self.process.wait();
-    }
-}
-
-impl Fixture {
-    async fn start(name: &str) -> Self {
-        let store = FakeStore::start().unwrap();
-        let good = FakeLeaf::start("g0", [7; 16]).unwrap();
-        store.put("servers/g0", &good.entry("good", "ready", 1));
-        let head = format!(
-            "HTTP/1.1 200 OK\r\nx-medlarpin-request-id: {{id}}\r\nx-medlarpin-server-stamp: s\r\ncontent-length: {LONG_BYTES}\r\n\r\n"
-        );
-        let steps = vec![RawStep::Send(head), RawStep::Send("x".repeat(LONG_BYTES))];
-        let long = RawServer::start(steps).unwrap();
-        store.put("servers/l0", &long.entry("long"));
-        let deaf = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let mut entry = long.entry("deaf");
-        entry["address"] = deaf.local_addr().unwrap().to_string().into();
-        store.put("servers/d0", &entry);
-        // Items that other daemons fetch; their service has no route.
-        for number in 0..400 {
-            let mut entry = long.entry("unused");
-            entry["address"] = format!("127.0.0.1:{}", 20_000 + number).into();
-            store.put(&format!("servers/unused-{number}"), &entry);
-        }
-        store.put("op/config", &config());
-        let (reserved_query, query) = reserve_port().unwrap();
-        let (reserved_readiness, readiness) = reserve_port().unwrap();
-        let (reserved_peer, peer) = reserve_port().unwrap();
-        let text = json!({
-            "vm": "vm-1", "failure_domain": "z1", "region": "r1",
-            "query_address": query, "readiness_address": readiness, "peer_address": peer,
-            "operator_address": "127.0.0.1:0", "store_address": store.address(),
-            "drain_s": 3, "shutdown_grace_s": 6,
-            "repeat_ratio": 0.2, "repeat_window_s": 10, "repeat_slack": 129,
-            "memory_mb": MEMORY_MB, "first_start": true,
-        });
-        let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.jsonc"));
-        std::fs::write(&file, text.to_string()).expect("the settings are written");
-        let process = Command::new("sh")
-            .args(["-c", "ulimit -n $0 && exec \"$@\""])
-            .arg(DESCRIPTORS.to_string())
-            .arg(env!("CARGO_BIN_EXE_medlarpind"))
-            .arg("--platform")
-            .arg(&file)
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("the daemon starts");
-        let fixture = Self {
-            process,
-            query,
-            peer,
-            _store: store,
-            _leafs: (good, long),
-            _deaf: deaf,
-        };
-        check_served(name, async || {
-            fixture.get("/one/1").await == Some(StatusCode::OK)
-        })
-        .await;
-        drop((reserved_query, reserved_readiness, reserved_peer));
-        fixture
-    }
-
-    /// Sends an ordinary request on a connection of its own.
-    async fn get(&self, path: &str) -> Option<StatusCode> {
-        let exchange = async {
-            let stream = TcpStream::connect(self.query).await.ok()?;
-            let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream));
-            let (mut sender, connection) = handshake.await.ok()?;
-            let connection = tokio::spawn(connection);
-            let request = Request::get(path)
-                .header("host", "a.example")
-                .header("x-medlarpin-request-id", "ordinary")
-                .header("x-medlarpin-deadline-ms", "800")
-                .body(Full::new(Bytes::new()))
-                .expect("a valid request");
-            let response = sender.send_request(request).await.ok()?;
-            let status = response.status();
-            response.into_body().collect().await.ok()?;
-            connection.abort();
-            Some(status)
-        };
-        timeout(Duration::from_secs(5), exchange).await.ok()?
-    }
-}
-
-/// Publishes the services `good`, `long` and `deaf`, each with a route.
-fn config() -> Value {
-    let route = |name: &str, service: &str| {
-        json!({
-            "name": name, "host": "a.example", "prefix": format!("/{name}/"), "type": "idempotent",
-            "timeoutMs": 3_000, "targetLatencyMs": 2_000, "priority": 1, "attempts": 1,
-            "service": service,
-        })
-    };
-    let service = |name: &str| json!({"name": name, "healthPath": "/health", "maxConns": 6_000});
-    json!({
-        "version": 1,
-        "routes": [route("one", "good"), route("long", "long"), route("deaf", "deaf")],
-        "services": [service("good"), service("long"), service("deaf")],
-        "limits": {
-            "maxHeaderBytes": 16_384, "maxBodyBytes": BODY_BYTES,
-            "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000,
-        },
-    })
-}
-
-/// Returns the head of a request up to the last line.
-fn head(method: &str, path: &str, more: &str) -> String {
-    format!(
-        "{method} {path} HTTP/1.1\r\nhost: a.example\r\nx-medlarpin-request-id: r1\r\nx-medlarpin-deadline-ms: 3000\r\n{more}\r\n"
-    )
-}
+const SETUP: Setup = Setup {
+    memory_mb: MEMORY_MB,
+    descriptors: DESCRIPTORS,
+    long_bytes: LONG_BYTES,
+    body_bytes: BODY_BYTES,
+};
 
 /// Connects a crowd, watches the process, and checks that it serves an ordinary caller while the crowd is
 /// connected and after it has left.
 async fn check(name: &str, clients: usize, script: &Script) {
     let _guard = ONE_AT_A_TIME.lock().await;
-    let fixture = Fixture::start(name).await;
+    let fixture = Fixture::start(name, SETUP).await;
     let crowd = Crowd::start(fixture.query, clients, script);
     watch(name, fixture.process.id(), &crowd, BOUNDS).await;
     let is_answered = async || fixture.get("/one/1").await == Some(StatusCode::OK);
@@ -311,7 +179,7 @@
     local.block_on(&runtime, async {
         let name = "unread-results";
         let _guard = ONE_AT_A_TIME.lock().await;
-        let fixture = Fixture::start(name).await;
+        let fixture = Fixture::start(name, SETUP).await;
         let mut peers = JoinSet::new();
         for _ in 0..20 {
             peers.spawn_local(call_without_reading(fixture.peer));
@@ -328,7 +196,7 @@
 async fn abandoned_connections_of_daemons() {
     let name = "abandoned-daemons";
     let _guard = ONE_AT_A_TIME.lock().await;
-    let fixture = Fixture::start(name).await;
+    let fixture = Fixture::start(name, SETUP).await;
     let crowd = Crowd::start(fixture.peer, 1_300, &Script::once(""));
     watch(name, fixture.process.id(), &crowd, BOUNDS).await;
     let is_answered = async || fixture.get("/one/1").await == Some(StatusCode::OK);
@@ -339,7 +207,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_single_long_answer_is_served() {
     let _guard = ONE_AT_A_TIME.lock().await;
-    let fixture = Fixture::start("single-long").await;
+    let fixture = Fixture::start("single-long", SETUP).await;
     assert_eq!(fixture.get("/long/1").await, Some(StatusCode::OK));
     assert_eq!(fixture.get("/one/1").await, Some(StatusCode::OK));
 }
--- a/crates/medlarpin-core/src/client_pressure.rs
+++ b/crates/medlarpin-core/src/client_pressure.rs
@@ -18,6 +18,10 @@
 const PEER_DESCRIPTOR_DIVISOR: usize = 4;
 /// Connections that are accepted in any case.
 const CONNECTIONS_MIN: usize = 16;
+/// Divisor of the memory of a process; the quotient is for answers to operators.
+const OPERATOR_MEMORY_DIVISOR: usize = 16;
+/// Divisor of the memory of a process; the quotient is for answers to readiness checks, which have no body.
+const READINESS_MEMORY_DIVISOR: usize = 256;
 /// Time for which the daemon waits for a client before the client can be disconnected. A round trip and the
 /// retransmission of a lost segment take less.
 pub const CLIENT_WAIT_MIN: Duration = Duration::from_secs(1);
@@ -48,6 +52,26 @@
             }),
         }
     }
+
+    /// Returns the limits for operators, who have a few connections and memory of their own.
+    #[must_use]
+    pub fn for_operators(memory_bytes: usize) -> Self {
+        Self::for_few(memory_bytes / OPERATOR_MEMORY_DIVISOR)
+    }
+
+    /// Returns the limits for the load balancer's readiness checks.
+    #[must_use]
+    pub fn for_readiness_checks(memory_bytes: usize) -> Self {
+        Self::for_few(memory_bytes / READINESS_MEMORY_DIVISOR)
+    }
+
+    fn for_few(held_bytes_max: usize) -> Self {
+        Self {
+            held_bytes_max,
+            connections_max: CONNECTIONS_MIN,
+            peers_max: 0,
+        }
+    }
 }
 
 impl ClientLimits {
--- a/crates/medlarpin-core/tests/client_pressure.rs
+++ b/crates/medlarpin-core/tests/client_pressure.rs
@@ -113,3 +113,19 @@
     check(512, Some(2_870), 128, 1_435, 717);
     check(48, Some(1_024), 12, 384, 256);
 }
+
+/// Guards against operators and readiness checks that share the limits of callers.
+#[test]
+fn operators_and_readiness_checks_have_few_connections() {
+    let check = |limits: ClientLimits, held_kb: usize| {
+        let expected = ClientLimits {
+            held_bytes_max: held_kb << 10,
+            connections_max: 16,
+            peers_max: 0,
+        };
+        assert_eq!(limits, expected);
+    };
+    check(ClientLimits::for_operators(112 << 20), 7 << 10);
+    check(ClientLimits::for_operators(48 << 20), 3 << 10);
+    check(ClientLimits::for_readiness_checks(112 << 20), 448);
+}
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -200,6 +200,7 @@
     let progress = || connection.progress_limit.restart();
     let body = shared
         .clients
+        .callers
         .read(body, ANSWER_BYTES_MAX, Some(&request.room), progress);
     let body = body.await.map_err(|error| match error {
         BodyError::BrokenOff => LeafFailure::BrokenOff,
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -116,7 +116,7 @@
     arrived_at: Instant,
 ) -> Result<CallerRequest, Refusal> {
     let time_left = caller.time_left.unwrap_or(route.timeout).min(route.timeout);
-    let clients = &shared.clients;
+    let clients = &shared.clients.callers;
     let read = clients.read(body, config.limits.body_bytes, None, || {});
     let body = match timeout(time_left, read).await {
         Ok(read) => read.map_err(|error| match error {
--- a/crates/router/src/client_checks.rs
+++ b/crates/router/src/client_checks.rs
@@ -1,4 +1,4 @@
-//! Disconnects slow callers under pressure, and reports it.
+//! Disconnects slow clients under pressure, and reports it.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,7 +20,7 @@
     loop {
         for _ in 0..CHECKS_PER_LINE {
             sleep(CHECK_INTERVAL).await;
-            let _ = shared.clients.disconnect_slow();
+            shared.clients.disconnect_slow();
         }
         let counts = shared.clients.counts();
         if counts != logged {
@@ -28,8 +28,8 @@
                 disconnected: counts.disconnected - logged.disconnected,
                 connections_refused: counts.connections_refused - logged.connections_refused,
                 denied: counts.denied - logged.denied,
-                held_bytes: shared.clients.used_bytes(),
-                connections: shared.clients.open_count(),
+                held_bytes: shared.clients.callers.used_bytes(),
+                connections: shared.clients.callers.open_count(),
             }
             .log();
             logged = counts;
--- a/crates/router/src/client_metrics.rs
+++ b/crates/router/src/client_metrics.rs
@@ -1,4 +1,4 @@
-use client_connections::Clients;
+use client_connections::ClientGroups;
 use prometheus::{IntGauge, Registry};
 
 /// Gauges of the memory and the connections of clients, updated when metrics are requested.
@@ -27,7 +27,7 @@
             caller_connections: gauge("medlarpin_caller_connections", "Callers' connections")?,
             clients_disconnected: gauge(
                 "medlarpin_clients_disconnected",
-                "Slow callers disconnected since the start, for lack of room",
+                "Slow clients disconnected since the start, for lack of room",
             )?,
             connections_refused: gauge(
                 "medlarpin_connections_refused",
@@ -41,12 +41,15 @@
     }
 
     /// Sets the gauges to the present state.
-    pub(crate) fn update(&self, clients: &Clients) {
+    pub(crate) fn update(&self, clients: &ClientGroups) {
         let counts = clients.counts();
         let set =
             |gauge: &IntGauge, value: u64| gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
-        set(&self.held_bytes, clients.used_bytes() as u64);
-        set(&self.caller_connections, clients.open_count() as u64);
+        set(&self.held_bytes, clients.callers.used_bytes() as u64);
+        set(
+            &self.caller_connections,
+            clients.callers.open_count() as u64,
+        );
         set(&self.clients_disconnected, counts.disconnected);
         set(&self.connections_refused, counts.connections_refused);
         set(&self.room_denied, counts.denied);
--- a/crates/router/src/connections.rs
+++ b/crates/router/src/connections.rs
@@ -116,7 +116,7 @@
     /// Serves a connection in a task of its own, and counts it until it is closed. If too many are open, it
     /// closes at once.
     fn serve(self: Arc<Self>, stream: TcpStream, shared: Arc<Shared>) {
-        let Some(client) = shared.clients.open() else {
+        let Some(client) = shared.clients.callers.open() else {
             return;
         };
         let open = OpenGuard::new(Arc::clone(&self));
--- a/crates/router/src/delegation.rs
+++ b/crates/router/src/delegation.rs
@@ -336,8 +336,8 @@
     let time_left = Duration::from_millis(params.get_time_left_ms().into());
     let arrived_at = now.checked_sub(age).unwrap_or(now);
     let body = params.get_body()?;
-    let mut memory = shared.clients.hold();
-    let mut room = shared.clients.hold();
+    let mut memory = shared.clients.callers.hold();
+    let mut room = shared.clients.callers.hold();
     let answer_bytes = shared.route_state(&route).answer_size.expected_bytes();
     if !memory.try_grow(body.len()) || !room.try_grow(answer_bytes) {
         return Ok(None);
--- a/crates/router/src/evacuations/tests.rs
+++ b/crates/router/src/evacuations/tests.rs
@@ -128,7 +128,7 @@
             id: HeaderValue::from_static("r1"),
             head,
             body: Bytes::new(),
-            room: self.shared.clients.hold().into(),
+            room: self.shared.clients.callers.hold().into(),
             arrived_at: now,
             deadline: now + Duration::from_secs(1),
             answer_by: now + Duration::from_secs(1),
--- a/crates/router/src/leaf_probe.rs
+++ b/crates/router/src/leaf_probe.rs
@@ -207,9 +207,11 @@
         }
     }
     // An answer with a body would be taken for that of the next request.
-    let body = shared
-        .clients
-        .read(response.into_body(), HEALTH_BODY_BYTES_MAX, None, || {});
+    let body =
+        shared
+            .clients
+            .callers
+            .read(response.into_body(), HEALTH_BODY_BYTES_MAX, None, || {});
     let read = timeout(HEALTH_CHECK_TIMEOUT, body).await;
     matches!(read, Ok(Ok(_))).then_some(HealthAnswer {
         connection,
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use client_connections::Clients;
+use client_connections::ClientGroups;
 use prometheus::{
     Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -181,7 +181,7 @@
     }
 
     /// Encodes all metrics in the Prometheus text format.
-    pub(crate) fn encode(&self, clients: &Clients) -> Result<String, prometheus::Error> {
+    pub(crate) fn encode(&self, clients: &ClientGroups) -> Result<String, prometheus::Error> {
         self.clients.update(clients);
         TextEncoder::new().encode_to_string(&self.registry.gather())
     }
--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -8,6 +8,7 @@
 use axum::http::StatusCode;
 use axum::routing::get;
 use axum::{Json, Router};
+use client_connections::hold_answers;
 use medlarpin_core::routing::{LoadStatement, RateAccess, RequestRate, Unreachable};
 use serde::Serialize;
 
@@ -45,7 +46,13 @@
     /// Open connections of callers, and their limit.
     caller_connections: usize,
     caller_connections_max: usize,
-    /// Since the start: slow callers disconnected for lack of room, connections closed at once, and requests,
+    /// Open connections of operators, and their limit.
+    operator_connections: usize,
+    operator_connections_max: usize,
+    /// Open connections of readiness checks, and their limit.
+    readiness_connections: usize,
+    readiness_connections_max: usize,
+    /// Since the start: slow clients disconnected for lack of room, connections closed at once, and requests,
     /// answers and results that found no room.
     clients_disconnected: u64,
     connections_refused: u64,
@@ -133,10 +140,12 @@
 
 /// Returns the operators' endpoints.
 pub(crate) fn endpoint(shared: Arc<Shared>) -> Router {
-    Router::new()
+    let clients = shared.clients.operators.clone();
+    let router = Router::new()
         .route("/metrics", get(metrics))
         .route("/state", get(state))
-        .with_state(shared)
+        .with_state(shared);
+    hold_answers(router, clients)
 }
 
 async fn metrics(State(shared): State<Arc<Shared>>) -> Result<String, (StatusCode, String)> {
@@ -188,7 +197,7 @@
             .collect()
     });
     let published = &shared.published_items;
-    let (limits, counts) = (shared.clients.limits(), shared.clients.counts());
+    let (limits, counts) = (shared.clients.callers.limits(), shared.clients.counts());
     Json(StateDump {
         vm: shared.settings.load().vm.to_string(),
         is_ready: shared.is_ready(),
@@ -198,10 +207,14 @@
         quarantined_requests: shared.crash_memory.quarantines(now).len(),
         silent_losses: shared.crash_memory.silent_losses(now),
         handed_over_requests: shared.metrics.handed_over.get(),
-        held_bytes: shared.clients.used_bytes(),
+        held_bytes: shared.clients.callers.used_bytes(),
         held_bytes_max: limits.held_bytes_max,
-        caller_connections: shared.clients.open_count(),
+        caller_connections: shared.clients.callers.open_count(),
         caller_connections_max: limits.connections_max,
+        operator_connections: shared.clients.operators.open_count(),
+        operator_connections_max: shared.clients.operators.limits().connections_max,
+        readiness_connections: shared.clients.readiness_checks.open_count(),
+        readiness_connections_max: shared.clients.readiness_checks.limits().connections_max,
         clients_disconnected: counts.disconnected,
         connections_refused: counts.connections_refused,
         room_denied: counts.denied,
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -92,7 +92,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 // A connection beyond the bound closes at once.
-                let Some(place) = shared.clients.open_peer() else {
+                let Some(place) = shared.clients.callers.open_peer() else {
                     continue;
                 };
                 let stream = PeerStream::new(stream, place);
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,12 +1,15 @@
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use client_connections::HttpServer;
 use medlarpin_core::prelude::Clock;
 use settings::RouterSettings;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
 
 use crate::build_info::COMMIT;
 use crate::client_checks::disconnect_slow_callers;
@@ -111,10 +114,16 @@
         ));
         let connections = Arc::new(Connections::new());
         tokio::spawn(Arc::clone(&connections).accept(query_listener, Arc::clone(&shared)));
-        let readiness_endpoint = readiness::endpoint(Arc::clone(&shared));
-        tokio::spawn(async move { axum::serve(readiness_listener, readiness_endpoint).await });
-        let operator_endpoint = operators::endpoint(Arc::clone(&shared));
-        tokio::spawn(async move { axum::serve(operator_listener, operator_endpoint).await });
+        tokio::spawn(serve(HttpServer {
+            listener: readiness_listener,
+            router: readiness::endpoint(Arc::clone(&shared)),
+            clients: shared.clients.readiness_checks.clone(),
+        }));
+        tokio::spawn(serve(HttpServer {
+            listener: operator_listener,
+            router: operators::endpoint(Arc::clone(&shared)),
+            clients: shared.clients.operators.clone(),
+        }));
         if let Some((listener, _)) = peer_listener {
             spawn_local(peers::accept(listener, Arc::clone(&shared)));
             let exchanging = Arc::clone(&shared);
@@ -229,6 +238,17 @@
     listener.local_addr().unwrap_or(requested)
 }
 
+/// Serves an address until the process exits.
+async fn serve(server: HttpServer) {
+    let accept_failed = |error: &io::Error| {
+        Event::AcceptFailed {
+            error: &error.to_string(),
+        }
+        .log();
+    };
+    server.run(CancellationToken::new(), accept_failed).await;
+}
+
 async fn listen(clients: &'static str, address: SocketAddr) -> Result<TcpListener, RouterError> {
     TcpListener::bind(address)
         .await
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use client_connections::Clients;
+use client_connections::ClientGroups;
 use medlarpin_core::prelude::{Clock, FailureDomain, LeafId, ServiceName};
 use medlarpin_core::routing::{
     ConfigCheck, DaemonList, DelegateSelector, HandoverSelector, KnownDaemon, ProcessStart,
@@ -62,9 +62,9 @@
     /// Whether the configuration was compared with that of another daemon since the start.
     pub(crate) config_check: Mutex<ConfigCheck>,
     pub(crate) leafs: LeafTable,
-    /// The connections of callers, and the memory for all bodies that are held for callers, leafs and other
+    /// The connections of clients, and the memory for all bodies that are held for clients, leafs and other
     /// daemons.
-    pub(crate) clients: Clients,
+    pub(crate) clients: ClientGroups,
     /// True once the complete list of leafs has been read.
     pub(crate) leafs_loaded: AtomicBool,
     /// The planned stop, once the daemon has been asked to stop.
@@ -133,7 +133,7 @@
             settings: ArcSwap::from_pointee(settings),
             config: ArcSwapOption::empty(),
             leafs,
-            clients: Clients::new(memory_bytes, Arc::clone(&clock)),
+            clients: ClientGroups::new(memory_bytes, &clock),
             clock,
             leafs_loaded: AtomicBool::new(false),
             planned_stop: PlannedStop::new(),
