Take memory for messages of other daemons before they arrive

Cause: Cap'n Proto allocates the length that the first words of a message state, before the message has arrived and before anyone sees it: up to 16 MB (teams: 64 MB) for each connection. A request of another daemon stayed in memory as part of its message while it was served, in addition to its copy.

Change: the new crate `peer-rpc` wraps both sides of connections between daemons, in both modes. It reads the segment table, takes memory for the stated length from an account of an eighth of the memory, and only then passes the table on; the memory stays attached to the message until the RPC system drops it. Without room nothing more is read from the connection. A message that can never have room, or has not arrived within 3 s, ends its connection; all calls time out earlier. A single message may take half of the account. Handlers drop the message once they have decoded it.

--- a/crates/client-connections/src/client_groups.rs
+++ b/crates/client-connections/src/client_groups.rs
@@ -15,6 +15,9 @@
     pub operators: Clients,
     /// The load balancer's readiness checks.
     pub readiness_checks: Clients,
+    /// Messages of other daemons, from the time when they begin to arrive until they are no longer used. The
+    /// connections of other daemons are counted by `callers`, and so are their results.
+    pub messages: Clients,
 }
 
 impl ClientGroups {
@@ -26,6 +29,10 @@
             callers: Clients::new(memory_bytes, Arc::clone(clock)),
             operators: group(ClientLimits::for_operators(memory_bytes)),
             readiness_checks: group(ClientLimits::for_readiness_checks(memory_bytes)),
+            messages: Clients::for_messages(
+                ClientLimits::message_bytes_max(memory_bytes),
+                Arc::clone(clock),
+            ),
         }
     }
 
@@ -50,7 +57,12 @@
             })
     }
 
-    fn all(&self) -> [&Clients; 3] {
-        [&self.callers, &self.operators, &self.readiness_checks]
+    fn all(&self) -> [&Clients; 4] {
+        [
+            &self.callers,
+            &self.operators,
+            &self.readiness_checks,
+            &self.messages,
+        ]
     }
 }
--- a/crates/client-connections/src/clients.rs
+++ b/crates/client-connections/src/clients.rs
@@ -83,11 +83,27 @@
     /// Creates an account with these limits.
     #[must_use]
     pub fn with_limits(limits: ClientLimits, clock: Arc<dyn Clock>) -> Self {
+        let memory = MemoryBudget::new(limits.held_bytes_max);
+        Self::with_memory(limits, memory, clock)
+    }
+
+    /// Creates the account for messages of other daemons, which accepts no connections of its own.
+    #[must_use]
+    pub fn for_messages(bytes_max: usize, clock: Arc<dyn Clock>) -> Self {
+        let limits = ClientLimits {
+            held_bytes_max: bytes_max,
+            connections_max: 0,
+            peers_max: 0,
+        };
+        Self::with_memory(limits, MemoryBudget::for_messages(bytes_max), clock)
+    }
+
+    fn with_memory(limits: ClientLimits, memory: MemoryBudget, clock: Arc<dyn Clock>) -> Self {
         Self(Arc::new(Inner {
             started_at: clock.now(),
             clock,
             limits,
-            memory: Mutex::new(MemoryBudget::new(limits.held_bytes_max)),
+            memory: Mutex::new(memory),
             returned: Notify::new(),
             waiting: AtomicUsize::new(0),
             open: Mutex::default(),
@@ -182,26 +198,41 @@
             return true;
         }
         let is_granted = self.disconnect_slow() > 0 && {
-            let _waiting = WaitGuard::new(&self.0.waiting);
-            let wait = async {
-                loop {
-                    let returned = self.0.returned.notified();
-                    tokio::pin!(returned);
-                    returned.as_mut().enable();
-                    if memory.try_grow(more_bytes) {
-                        return;
-                    }
-                    returned.await;
-                }
-            };
-            timeout(RELIEF_TIME, wait).await.is_ok()
+            timeout(RELIEF_TIME, self.wait_for_room(memory, more_bytes))
+                .await
+                .is_ok()
         };
         if !is_granted {
-            self.0.denied.fetch_add(1, Ordering::Relaxed);
+            self.record_denied();
         }
         is_granted
     }
 
+    /// Takes more memory once there is room for it.
+    pub async fn wait_for_room(&self, memory: &mut HeldMemory, more_bytes: usize) {
+        let _waiting = WaitGuard::new(&self.0.waiting);
+        loop {
+            let returned = self.0.returned.notified();
+            tokio::pin!(returned);
+            returned.as_mut().enable();
+            if memory.try_grow(more_bytes) {
+                return;
+            }
+            returned.await;
+        }
+    }
+
+    /// Returns the memory that a single holder may have while there is no other, in bytes.
+    #[must_use]
+    pub fn holder_bytes_max(&self) -> usize {
+        self.0.memory.lock().holder_bytes_max()
+    }
+
+    /// Counts a part of the memory that was denied.
+    pub fn record_denied(&self) {
+        self.0.denied.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Reads a whole body of at most `bytes_max`; calls `on_progress` for each chunk. The memory comes from
     /// the room, if there is one, before more is taken.
     ///
--- a/crates/daemon/src/peers/pool.rs
+++ b/crates/daemon/src/peers/pool.rs
@@ -4,16 +4,16 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use capnp_rpc::rpc_twoparty_capnp;
+use client_connections::Clients;
 use displaydoc::Display;
-use futures::AsyncReadExt;
 use medlarpin_core::ownership::GroupId;
 use medlarpin_core::prelude::*;
 use medlarpin_core::settings_tree::TransferTree;
+use peer_rpc::Endpoint;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::OnceCell;
-use tokio_util::compat::TokioAsyncReadCompatExt;
 use wire::peer_capnp::{TeamLimit, peer};
 use wire::{
     Batch, BatchReply, CallerAnswer, CallerQuery, GroupHistory, HeartbeatMessage, WireError,
@@ -80,13 +80,23 @@
 }
 
 /// Cached RPC connections, one for each peer address.
-#[derive(Default)]
 pub struct PeerPool {
+    /// Memory for the messages of peers.
+    messages: Clients,
     /// Sorted by address.
     cells: RefCell<Vec<(SocketAddr, ClientCell)>>,
 }
 
 impl PeerPool {
+    /// Creates a pool without connections, whose incoming messages take memory of `messages`.
+    #[must_use]
+    pub fn new(messages: Clients) -> Self {
+        Self {
+            messages,
+            cells: RefCell::default(),
+        }
+    }
+
     /// Sends a batch of shard requests to a gatherer.
     ///
     /// # Errors
@@ -248,7 +258,9 @@
         send: impl AsyncFnOnce(peer::Client) -> Result<T, PeerError>,
     ) -> Result<T, PeerError> {
         let cell = self.cell(address);
-        let connection = cell.get_or_try_init(|| connect(address)).await;
+        let connection = cell
+            .get_or_try_init(|| connect(address, &self.messages))
+            .await;
         let connection = connection.inspect_err(|_| self.evict(address, &cell))?;
         let client = connection.client.clone();
         let result = match tokio::time::timeout(timeout, send(client)).await {
@@ -298,11 +310,11 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("PeerPool")
             .field("connections", &self.cells.borrow().len())
-            .finish()
+            .finish_non_exhaustive()
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<PeerConnection, PeerError> {
+async fn connect(address: SocketAddr, messages: &Clients) -> Result<PeerConnection, PeerError> {
     let failed = |kind| PeerError::Connect { address, kind };
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
@@ -311,14 +323,12 @@
     stream
         .set_nodelay(true)
         .map_err(|error| failed(error.kind()))?;
-    let (reader, writer) = stream.compat().split();
-    let network = twoparty::VatNetwork::new(
-        futures::io::BufReader::new(reader),
-        futures::io::BufWriter::new(writer),
-        rpc_twoparty_capnp::Side::Client,
-        capnp::message::ReaderOptions::default(),
-    );
-    let mut system = RpcSystem::new(Box::new(network), None);
+    let endpoint = Endpoint {
+        stream,
+        side: rpc_twoparty_capnp::Side::Client,
+        options: capnp::message::ReaderOptions::default(),
+    };
+    let mut system = endpoint.into_rpc_system(None, messages);
     let client: peer::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
     let is_closed = Rc::new(Cell::new(false));
     let is_closed_setter = Rc::clone(&is_closed);
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -4,11 +4,10 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use capnp_rpc::rpc_twoparty_capnp;
 use client_connections::{PeerPlace, PeerStream};
-use futures::AsyncReadExt;
 use medlarpin_core::prelude::*;
-use tokio_util::compat::TokioAsyncReadCompatExt;
+use peer_rpc::Endpoint;
 use wire::peer_capnp::{TeamLimit, peer};
 use wire::{Batch, CallerQuery, WireError};
 
@@ -28,15 +27,14 @@
         }
     };
     let stream = PeerStream::new(stream, place);
-    let (reader, writer) = stream.compat().split();
-    let network = twoparty::VatNetwork::new(
-        futures::io::BufReader::new(reader),
-        futures::io::BufWriter::new(writer),
-        rpc_twoparty_capnp::Side::Server,
-        capnp::message::ReaderOptions::default(),
-    );
+    let endpoint = Endpoint {
+        stream,
+        side: rpc_twoparty_capnp::Side::Server,
+        options: capnp::message::ReaderOptions::default(),
+    };
+    let messages = worker.shared.clients.messages.clone();
     let client: peer::Client = capnp_rpc::new_client(PeerService { worker });
-    let system = RpcSystem::new(Box::new(network), Some(client.client));
+    let system = endpoint.into_rpc_system(Some(client.client), &messages);
     if let Err(error) = system.await {
         log::debug!(target: GOSSIP, "Accepted peer connection failed: {error}.");
     }
@@ -59,6 +57,8 @@
         mut results: peer::GatherResults,
     ) -> Result<(), capnp::Error> {
         let batch = Batch::read(params.get()?.get_batch()?).map_err(|error| reject(&error))?;
+        // The message takes memory, which the batch no longer needs.
+        drop(params);
         let shared = Arc::clone(&self.worker.shared);
         let _in_flight = shared.lifecycle.track_request();
         let reply = gather(Rc::clone(&self.worker), batch).await;
@@ -73,6 +73,7 @@
     ) -> Result<(), capnp::Error> {
         let query =
             CallerQuery::read(params.get()?.get_query()?).map_err(|error| reject(&error))?;
+        drop(params);
         let shared = Arc::clone(&self.worker.shared);
         let _in_flight = shared.lifecycle.track_request();
         let answer = run_forwarded(&self.worker, query).await;
--- a/crates/daemon/src/workers.rs
+++ b/crates/daemon/src/workers.rs
@@ -140,8 +140,8 @@
     mut jobs: mpsc::UnboundedReceiver<Job>,
 ) {
     let worker = Rc::new(Worker {
+        peers: PeerPool::new(shared.clients.messages.clone()),
         shared,
-        peers: PeerPool::default(),
     });
     let local = LocalSet::new();
     local.block_on(runtime, async move {
--- a/crates/medlarpin-core/src/client_pressure.rs
+++ b/crates/medlarpin-core/src/client_pressure.rs
@@ -18,6 +18,9 @@
 const PEER_DESCRIPTOR_DIVISOR: usize = 4;
 /// Connections that are accepted in any case.
 const CONNECTIONS_MIN: usize = 16;
+/// Divisor of the memory of a process; the quotient is for messages of other daemons. A single message may take
+/// half of it, as much as a single answer may take of the memory for callers.
+const MESSAGE_MEMORY_DIVISOR: usize = 8;
 /// Divisor of the memory of a process; the quotient is for answers to operators.
 const OPERATOR_MEMORY_DIVISOR: usize = 16;
 /// Divisor of the memory of a process; the quotient is for answers to readiness checks, which have no body.
@@ -65,6 +68,12 @@
         Self::for_few(memory_bytes / READINESS_MEMORY_DIVISOR)
     }
 
+    /// Returns the memory for messages of other daemons, in bytes.
+    #[must_use]
+    pub fn message_bytes_max(memory_bytes: usize) -> usize {
+        memory_bytes / MESSAGE_MEMORY_DIVISOR
+    }
+
     fn for_few(held_bytes_max: usize) -> Self {
         Self {
             held_bytes_max,
--- a/crates/medlarpin-core/src/routing/memory_budget.rs
+++ b/crates/medlarpin-core/src/routing/memory_budget.rs
@@ -1,6 +1,8 @@
 /// Part of the free memory that a single holder may have. Some holders that grow without end thus
 /// always leave room for many small ones.
 const FREE_PART_DIVISOR: usize = 4;
+/// The same for messages, which are few and arrive whole.
+const FREE_PART_DIVISOR_OF_MESSAGES: usize = 2;
 
 /// Memory that many holders share, such as the answers that are being read.
 ///
@@ -9,6 +11,8 @@
 #[derive(Debug, Clone)]
 pub struct MemoryBudget {
     limit_bytes: usize,
+    /// A single holder may have this part of the free memory.
+    free_part_divisor: usize,
     /// At most `limit_bytes`, unless memory was taken that was in use already.
     used_bytes: usize,
 }
@@ -19,14 +23,31 @@
     pub fn new(limit_bytes: usize) -> Self {
         Self {
             limit_bytes,
+            free_part_divisor: FREE_PART_DIVISOR,
             used_bytes: 0,
         }
     }
 
+    /// Creates a budget for messages of other daemons, of which nothing is used.
+    #[must_use]
+    pub fn for_messages(limit_bytes: usize) -> Self {
+        Self {
+            free_part_divisor: FREE_PART_DIVISOR_OF_MESSAGES,
+            ..Self::new(limit_bytes)
+        }
+    }
+
+    /// Returns the memory that a single holder may have while there is no other, in bytes.
+    #[must_use]
+    pub fn holder_bytes_max(&self) -> usize {
+        self.limit_bytes / self.free_part_divisor
+    }
+
     /// Takes `more_bytes` for a holder that has `held_bytes`; returns false if it may not have them.
     pub fn try_grow(&mut self, held_bytes: usize, more_bytes: usize) -> bool {
         let free_bytes = self.limit_bytes.saturating_sub(self.used_bytes);
-        let is_granted = held_bytes.saturating_add(more_bytes) <= free_bytes / FREE_PART_DIVISOR;
+        let is_granted =
+            held_bytes.saturating_add(more_bytes) <= free_bytes / self.free_part_divisor;
         if is_granted {
             self.used_bytes += more_bytes;
         }
--- a/crates/router/src/config_sync.rs
+++ b/crates/router/src/config_sync.rs
@@ -85,7 +85,7 @@
     if theirs <= ConfigVersion(shared.config_version()) {
         return Ok(ConfigFetch::NotNeeded);
     }
-    let item = peers::fetch_config(daemon).await?;
+    let item = peers::fetch_config(shared, daemon).await?;
     match item.decode() {
         Some(Change::Config(config)) => {
             Event::ConfigFromDaemon {
--- a/crates/router/src/crash_reports.rs
+++ b/crates/router/src/crash_reports.rs
@@ -9,7 +9,7 @@
 use medlarpin_core::canary::{
     LossKind, LossVerdict, LostLeafSign, NeighbourSign, QUARANTINE_DURATION,
 };
-use medlarpin_core::prelude::{Clock, FailureDomain, Fingerprint, LeafId};
+use medlarpin_core::prelude::{FailureDomain, Fingerprint, LeafId};
 use medlarpin_core::routing::{RESEND_DELAY, ReportDelivery};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
@@ -214,7 +214,7 @@
 
 /// Sends reports to a daemon; returns true if it has them.
 async fn send_logged(daemon: SocketAddr, reports: Vec<CrashReport>, shared: &Shared) -> bool {
-    let sent = send(daemon, &reports, &*shared.clock).await;
+    let sent = send(shared, daemon, &reports).await;
     if let Err(error) = &sent {
         Event::DaemonUnreachable { daemon, error }.log();
     }
@@ -223,10 +223,10 @@
 
 /// Passes reports that started a quarantine on to all daemons, until the process ends.
 pub(crate) async fn pass_on(shared: Arc<Shared>, reports: mpsc::Receiver<CrashReport>) {
-    let clock = Arc::clone(&shared.clock);
+    let sender = Arc::clone(&shared);
     flooding::pass_on(shared, reports, |daemon, batch| {
-        let clock = Arc::clone(&clock);
-        async move { send(daemon, &batch, &*clock).await }
+        let shared = Arc::clone(&sender);
+        async move { send(&shared, daemon, &batch).await }
     })
     .await;
 }
@@ -323,25 +323,25 @@
 /// Sends reports of leafs that have ended and of silent ones, which a daemon of an older release must not take for
 /// the former.
 async fn send(
+    shared: &Shared,
     daemon: SocketAddr,
     reports: &[CrashReport],
-    clock: &dyn Clock,
 ) -> Result<(), PeerError> {
     let (silent, ended): (Vec<_>, Vec<_>) = reports
         .iter()
         .cloned()
         .partition(|report| report.silent_at.is_some());
-    peers::call(daemon, async |client| {
+    peers::call(shared, daemon, async |client| {
         if !ended.is_empty() {
             let mut request = client.report_crashes_request();
             let list = request.get().init_reports(len_u32(&ended));
-            write_reports(&ended, clock.now(), list);
+            write_reports(&ended, shared.now(), list);
             request.send().promise.await?;
         }
         if !silent.is_empty() {
             let mut request = client.report_silent_leafs_request();
             let list = request.get().init_reports(len_u32(&silent));
-            write_reports(&silent, clock.now(), list);
+            write_reports(&silent, shared.now(), list);
             request.send().promise.await?;
         }
         Ok(())
--- a/crates/router/src/delegation.rs
+++ b/crates/router/src/delegation.rs
@@ -177,7 +177,7 @@
     is_proven: bool,
     shared: &Shared,
 ) -> DelegationOutcome {
-    let Some(client) = pool.client(daemon, &*shared.clock).await else {
+    let Some(client) = pool.client(daemon, shared).await else {
         return DelegationOutcome::not_reached();
     };
     match call_serve_request(&client, request, is_proven, shared).await {
@@ -254,11 +254,14 @@
 pub(crate) async fn answer_serve_request(
     shared: &Arc<Shared>,
     connection: &PeerResults,
-    params: route_peer::serve_request_params::Reader<'_>,
+    params: route_peer::ServeRequestParams,
     mut results: route_peer::ServeRequestResults,
 ) -> Result<(), capnp::Error> {
     results.get().set_config_version(shared.config_version());
-    let (request, route) = match decode_query(shared, params) {
+    let decoded = decode_query(shared, params.get()?);
+    // The message takes memory, which the request no longer needs.
+    drop(params);
+    let (request, route) = match decoded {
         Ok(Some(query)) => query,
         Ok(None) => return Ok(()),
         Err(error) => return Err(capnp::Error::failed(error.to_string())),
--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -307,7 +307,7 @@
         let now = self.shared.now();
         let followed = match self.followed.take() {
             Some(followed) if followed.can_serve(daemon, now) => followed,
-            _ => FollowedDaemon::connect(daemon, now).await?,
+            _ => FollowedDaemon::connect(&self.shared, daemon).await?,
         };
         let published = &self.shared.published_items;
         // Changes alone would leave out the evacuations that began before.
--- a/crates/router/src/discovery/tests.rs
+++ b/crates/router/src/discovery/tests.rs
@@ -5,7 +5,8 @@
 use std::rc::Rc;
 
 use capnp_rpc::rpc_twoparty_capnp::Side;
-use medlarpin_core::prelude::SystemClock;
+use client_connections::ClientGroups;
+use medlarpin_core::prelude::{Clock, SystemClock};
 use tokio::net::TcpListener;
 use tokio::task::{LocalSet, spawn_local};
 use wire::peer_capnp::{published_item, route_peer};
@@ -57,7 +58,10 @@
         spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let client: route_peer::Client = capnp_rpc::new_client(daemon.clone());
-                spawn_local(peers::rpc_system(stream, Side::Server, Some(client.client)));
+                let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+                let clients = ClientGroups::new(64 << 20, &clock);
+                let client = Some(client.client);
+                spawn_local(peers::rpc_system(stream, Side::Server, client, &clients));
             }
         });
         address
--- a/crates/router/src/first_items.rs
+++ b/crates/router/src/first_items.rs
@@ -54,15 +54,15 @@
             _ = asks.tick() => if asked.len() < ASKED_MAX
                 && let Some(daemon) = peers::next_peer(shared)
             {
-                asked.push(fetch(daemon));
+                asked.push(fetch(shared, daemon));
             },
         }
     }
 }
 
 /// Fetches the items of a daemon; `None` if it cannot be reached or has none yet.
-async fn fetch(daemon: SocketAddr) -> Option<ItemsOfDaemon> {
-    match peers::fetch_items(daemon).await {
+async fn fetch(shared: &Shared, daemon: SocketAddr) -> Option<ItemsOfDaemon> {
+    match peers::fetch_items(shared, daemon).await {
         Ok(fetched) if fetched.revision > StoreRevision::default() => {
             if !fetched.has_evacuations {
                 Event::DaemonLacksEvacuations { daemon }.log();
--- a/crates/router/src/leaf_permits.rs
+++ b/crates/router/src/leaf_permits.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use medlarpin_core::prelude::Clock;
 use medlarpin_core::routing::{RateAccess, StatedRate};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
@@ -85,13 +84,13 @@
 
 impl LeafPermitTask {
     /// Asks until the process ends. The connections are bound to this task's thread.
-    pub(crate) async fn run(mut self, clock: Arc<dyn Clock>) {
+    pub(crate) async fn run(mut self, shared: Arc<Shared>) {
         let pool = Rc::new(PeerPool::default());
         while let Some(question) = self.questions.recv().await {
             let pool = Rc::clone(&pool);
-            let clock = Arc::clone(&clock);
+            let shared = Arc::clone(&shared);
             spawn_local(async move {
-                let asked = ask(&pool, question.issuer, &question.known, &*clock);
+                let asked = ask(&pool, question.issuer, &question.known, &shared);
                 let answer = timeout(PERMIT_TIMEOUT, asked).await;
                 let answer = answer.unwrap_or(Err(PeerError::TimedOut(PERMIT_TIMEOUT)));
                 if answer.is_err() {
@@ -108,18 +107,18 @@
     pool: &PeerPool,
     issuer: SocketAddr,
     known: &LeafRateReport,
-    clock: &dyn Clock,
+    shared: &Shared,
 ) -> Result<PermitAnswer, PeerError> {
-    let client = pool.client(issuer, clock).await;
+    let client = pool.client(issuer, shared).await;
     let client = client.ok_or(PeerError::TimedOut(PERMIT_TIMEOUT))?;
     let mut request = client.permit_leaf_request_request();
-    write_report(known, clock.now(), request.get().init_rate());
+    write_report(known, shared.now(), request.get().init_rate());
     let response = request.send().promise.await?;
     let reply = response.get()?;
     let wait = Duration::from_millis(reply.get_wait_ms().into());
     Ok(PermitAnswer {
         wait: (!reply.get_is_permitted()).then_some(wait),
-        known: read_report(reply.get_known_rate()?, clock.now())?,
+        known: read_report(reply.get_known_rate()?, shared.now())?,
     })
 }
 
--- a/crates/router/src/leaf_rate_reports.rs
+++ b/crates/router/src/leaf_rate_reports.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use medlarpin_core::prelude::{Clock, LeafId};
+use medlarpin_core::prelude::LeafId;
 use medlarpin_core::routing::{RateStatement, RequestRate, StatedRate};
 use tokio::sync::mpsc;
 use wire::peer_capnp::{leaf_rate, route_peer};
@@ -53,10 +53,10 @@
 
 /// Passes reports on until the process ends.
 pub(crate) async fn pass_on(shared: Arc<Shared>, reports: mpsc::Receiver<LeafRateReport>) {
-    let clock = Arc::clone(&shared.clock);
+    let sender = Arc::clone(&shared);
     flooding::pass_on(shared, reports, move |daemon, batch| {
-        let clock = Arc::clone(&clock);
-        async move { send(daemon, &batch, &*clock).await }
+        let shared = Arc::clone(&sender);
+        async move { send(&shared, daemon, &batch).await }
     })
     .await;
 }
@@ -121,14 +121,14 @@
 }
 
 async fn send(
+    shared: &Shared,
     daemon: SocketAddr,
     reports: &[LeafRateReport],
-    clock: &dyn Clock,
 ) -> Result<(), PeerError> {
-    peers::call(daemon, async |client| {
+    peers::call(shared, daemon, async |client| {
         let mut request = client.report_leaf_rates_request();
         let mut list = request.get().init_rates(len_u32(reports));
-        let now = clock.now();
+        let now = shared.now();
         for (index, report) in (0..).zip(reports) {
             write_report(report, now, list.reborrow().get(index));
         }
--- a/crates/router/src/peer_pool.rs
+++ b/crates/router/src/peer_pool.rs
@@ -2,11 +2,11 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use medlarpin_core::prelude::Clock;
 use tokio::time::timeout;
 use wire::peer_capnp::route_peer;
 
 use crate::peers::{CONNECTION_REUSE_TIME, PeerConnection};
+use crate::shared::Shared;
 
 /// Time limit for opening a connection to another daemon; a VM that no longer exists never answers.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(40);
@@ -28,9 +28,9 @@
     pub(crate) async fn client(
         &self,
         daemon: SocketAddr,
-        clock: &dyn Clock,
+        shared: &Shared,
     ) -> Option<route_peer::Client> {
-        let now = clock.now();
+        let now = shared.now();
         if let Ok(index) = self.position(daemon) {
             let pooled = &self.connections.borrow()[index].1;
             if !pooled.peer.is_closed()
@@ -39,7 +39,11 @@
                 return Some(pooled.peer.client.clone());
             }
         }
-        let opened = timeout(CONNECT_TIMEOUT, PeerConnection::open(daemon)).await;
+        let opened = timeout(
+            CONNECT_TIMEOUT,
+            PeerConnection::open(daemon, &shared.clients),
+        )
+        .await;
         let peer = opened.ok()?.ok()?;
         let client = peer.client.clone();
         let pooled = PooledConnection {
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -6,20 +6,19 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
-use client_connections::{PeerResults, PeerStream};
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp};
+use client_connections::{ClientGroups, PeerResults, PeerStream};
 use displaydoc::Display;
-use futures::AsyncReadExt;
 use medlarpin_core::canary::QUARANTINE_DURATION;
 use medlarpin_core::prelude::{Clock, Fingerprint};
 use medlarpin_core::routing::{ConfigVersion, KnownDaemon, StoreRevision};
+use peer_rpc::Endpoint;
 use platform::Item;
 use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
-use tokio_util::compat::TokioAsyncReadCompatExt;
 use wire::peer_capnp::{kept_evacuation, known_daemon, published_item, quarantine, route_peer};
 
 use crate::config_sync;
@@ -102,7 +101,7 @@
                 };
                 let client: route_peer::Client = capnp_rpc::new_client(service);
                 let side = rpc_twoparty_capnp::Side::Server;
-                let rpc_system = rpc_system(stream, side, Some(client.client));
+                let rpc_system = rpc_system(stream, side, Some(client.client), &shared.clients);
                 // A peer that closes its connection already has its answers.
                 spawn_local(async move { timeout(CONNECTION_LIFETIME, rpc_system).await });
             }
@@ -153,9 +152,12 @@
 }
 
 /// Fetches all items that another daemon has.
-pub(crate) async fn fetch_items(peer: SocketAddr) -> Result<FetchedItems, PeerError> {
+pub(crate) async fn fetch_items(
+    shared: &Shared,
+    peer: SocketAddr,
+) -> Result<FetchedItems, PeerError> {
     let call = async {
-        let client = connect(peer).await?;
+        let client = connect(peer, &shared.clients).await?;
         let response = client.published_items_request().send().promise.await?;
         let reply = response.get()?;
         Ok(FetchedItems {
@@ -171,8 +173,8 @@
 }
 
 /// Fetches the item of the configuration that another daemon has in force.
-pub(crate) async fn fetch_config(peer: SocketAddr) -> Result<Item, PeerError> {
-    call(peer, async |client| {
+pub(crate) async fn fetch_config(shared: &Shared, peer: SocketAddr) -> Result<Item, PeerError> {
+    call(shared, peer, async |client| {
         let response = client.published_config_request().send().promise.await?;
         Ok(Item::config(response.get()?.get_value()?.into()))
     })
@@ -188,12 +190,12 @@
 
 impl FollowedDaemon {
     /// Connects to a daemon.
-    pub(crate) async fn connect(daemon: SocketAddr, now: Instant) -> Result<Self, PeerError> {
-        let client = with_timeout(FOLLOW_RESPONSE_MARGIN, connect(daemon)).await?;
+    pub(crate) async fn connect(shared: &Shared, daemon: SocketAddr) -> Result<Self, PeerError> {
+        let client = with_timeout(FOLLOW_RESPONSE_MARGIN, connect(daemon, &shared.clients)).await?;
         Ok(Self {
             daemon,
             client,
-            opened_at: now,
+            opened_at: shared.now(),
         })
     }
 
@@ -242,7 +244,7 @@
 
 /// Exchanges what both daemons know; returns the version of the other one's configuration.
 async fn greet(shared: &Shared, peer: SocketAddr) -> Result<ConfigVersion, PeerError> {
-    let client = connect(peer).await?;
+    let client = connect(peer, &shared.clients).await?;
     let mut request = client.greet_request();
     let known = sample_daemons(shared);
     if let Some(daemons) = &shared.daemons {
@@ -281,10 +283,14 @@
 
 /// Connects to a daemon and calls it once.
 pub(crate) async fn call<T>(
+    shared: &Shared,
     peer: SocketAddr,
     act: impl AsyncFnOnce(route_peer::Client) -> Result<T, PeerError>,
 ) -> Result<T, PeerError> {
-    with_timeout(RPC_TIMEOUT, async { act(connect(peer).await?).await }).await
+    with_timeout(RPC_TIMEOUT, async {
+        act(connect(peer, &shared.clients).await?).await
+    })
+    .await
 }
 
 async fn with_timeout<T>(
@@ -296,8 +302,11 @@
         .unwrap_or(Err(PeerError::TimedOut(limit)))
 }
 
-async fn connect(peer: SocketAddr) -> Result<route_peer::Client, PeerError> {
-    Ok(PeerConnection::open(peer).await?.client)
+async fn connect(
+    peer: SocketAddr,
+    clients: &ClientGroups,
+) -> Result<route_peer::Client, PeerError> {
+    Ok(PeerConnection::open(peer, clients).await?.client)
 }
 
 /// An RPC connection to another daemon; a background task drives it.
@@ -307,10 +316,10 @@
 }
 
 impl PeerConnection {
-    pub(crate) async fn open(peer: SocketAddr) -> Result<Self, PeerError> {
+    pub(crate) async fn open(peer: SocketAddr, clients: &ClientGroups) -> Result<Self, PeerError> {
         let stream = TcpStream::connect(peer).await?;
         stream.set_nodelay(true)?;
-        let mut rpc_system = rpc_system(stream, rpc_twoparty_capnp::Side::Client, None);
+        let mut rpc_system = rpc_system(stream, rpc_twoparty_capnp::Side::Client, None, clients);
         let client = rpc_system.bootstrap(rpc_twoparty_capnp::Side::Server);
         let is_closed = Rc::new(Cell::new(false));
         let closed = Rc::clone(&is_closed);
@@ -333,16 +342,16 @@
     stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
     side: rpc_twoparty_capnp::Side,
     bootstrap: Option<capnp::capability::Client>,
+    clients: &ClientGroups,
 ) -> Rpc {
-    let (reader, writer) = stream.compat().split();
-    let network = twoparty::VatNetwork::new(
-        futures::io::BufReader::new(reader),
-        futures::io::BufWriter::new(writer),
+    let options = *capnp::message::ReaderOptions::new()
+        .traversal_limit_in_words(Some(MESSAGE_BYTES_MAX / WORD_BYTES));
+    let endpoint = Endpoint {
+        stream,
         side,
-        *capnp::message::ReaderOptions::new()
-            .traversal_limit_in_words(Some(MESSAGE_BYTES_MAX / WORD_BYTES)),
-    );
-    RpcSystem::new(Box::new(network), bootstrap)
+        options,
+    };
+    endpoint.into_rpc_system(bootstrap, &clients.messages)
 }
 
 /// The RPC service that a daemon offers to the others.
@@ -424,7 +433,7 @@
         params: route_peer::ServeRequestParams,
         results: route_peer::ServeRequestResults,
     ) -> Result<(), capnp::Error> {
-        delegation::answer_serve_request(&self.shared, &self.results, params.get()?, results).await
+        delegation::answer_serve_request(&self.shared, &self.results, params, results).await
     }
 
     async fn report_crashes(
@@ -475,15 +484,17 @@
 
     async fn published_changes(
         self: Rc<Self>,
-        params: route_peer::PublishedChangesParams,
+        message: route_peer::PublishedChangesParams,
         mut results: route_peer::PublishedChangesResults,
     ) -> Result<(), capnp::Error> {
-        let params = params.get()?;
+        let params = message.get()?;
         let since = StoreRevision {
             era: params.get_after_era(),
             number: params.get_after_revision(),
         };
         let wait = Duration::from_millis(params.get_wait_ms().into()).min(FOLLOW_WAIT);
+        // The message takes memory, which the wait does not need.
+        drop(message);
         let update = self.wait_for_update(since, wait).await;
         let silence = update.current_at.map_or(Duration::MAX, |at| {
             self.shared.now().saturating_duration_since(at)
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -95,7 +95,7 @@
             Metrics::new()?,
         ));
         spawn_local(delegation_task.run(Arc::clone(&shared)));
-        spawn_local(leaf_permit_task.run(clock));
+        spawn_local(leaf_permit_task.run(Arc::clone(&shared)));
         spawn_local(leaf_rate_reports::pass_on(
             Arc::clone(&shared),
             leaf_rate_queue,
