Reserve memory for connections to leafs before a request is sent

Cause: the buffers of connections to leafs were in no account, and their number followed the leafs and their connection limits alone, whatever memory and descriptors there were.

Change: the buffers take an eighth of the memory. Before a request is sent, it reserves what connections to all its leafs need, from the length of its head and the read buffers that the route has needed lately; without room idle connections are closed, the longest idle first, and otherwise the request is refused with 503 before any leaf has got it. A connection takes its part of that, and keeps it until it is closed. Connections of callers, of other daemons and to leafs share 13/16 of the descriptors; when these are short, idle connections to leafs are closed.

--- a/crates/client-connections/src/client.rs
+++ b/crates/client-connections/src/client.rs
@@ -6,6 +6,7 @@
 use tokio::sync::Notify;
 
 use crate::clients::Clients;
+use crate::sockets::OpenSocket;
 
 /// The progress of a connection; read by the search for slow clients.
 #[derive(Debug)]
@@ -173,22 +174,28 @@
 
 /// Counts a connection as open until it is dropped, even if its task panics.
 #[derive(Debug)]
-pub struct OpenClient(Client);
+pub struct OpenClient {
+    client: Client,
+    _socket: OpenSocket,
+}
 
 impl OpenClient {
-    pub(crate) fn new(clients: Clients, state: Arc<ClientState>) -> Self {
-        Self(Client { clients, state })
+    pub(crate) fn new(clients: Clients, state: Arc<ClientState>, socket: OpenSocket) -> Self {
+        Self {
+            client: Client { clients, state },
+            _socket: socket,
+        }
     }
 
     /// Returns the connection for the code that serves its requests.
     #[must_use]
     pub fn client(&self) -> &Client {
-        &self.0
+        &self.client
     }
 }
 
 impl Drop for OpenClient {
     fn drop(&mut self) {
-        self.0.clients.close(self.0.state.number);
+        self.client.clients.close(self.client.state.number);
     }
 }
--- a/crates/client-connections/src/client_groups.rs
+++ b/crates/client-connections/src/client_groups.rs
@@ -3,7 +3,8 @@
 use medlarpin_core::client_pressure::ClientLimits;
 use medlarpin_core::prelude::Clock;
 
-use crate::clients::{ClientCounts, Clients};
+use crate::clients::{ClientCounts, Clients, descriptor_limit};
+use crate::sockets::Sockets;
 
 /// The clients of a process by the address that they use. Each group has connections and memory that no other
 /// group can take.
@@ -18,6 +19,10 @@
     /// Messages of other daemons, from the time when they begin to arrive until they are no longer used. The
     /// connections of other daemons are counted by `callers`, and so are their results.
     pub messages: Clients,
+    /// Buffers of connections to leafs.
+    pub leafs: Clients,
+    /// Descriptors of the connections of callers, of other daemons and to leafs.
+    pub sockets: Sockets,
 }
 
 impl ClientGroups {
@@ -25,14 +30,25 @@
     #[must_use]
     pub fn new(memory_bytes: usize, clock: &Arc<dyn Clock>) -> Self {
         let group = |limits| Clients::with_limits(limits, Arc::clone(clock));
+        let descriptors = descriptor_limit();
+        let sockets = Sockets::new(ClientLimits::sockets_max(descriptors));
         Self {
-            callers: Clients::new(memory_bytes, Arc::clone(clock)),
+            callers: Clients::with_sockets(
+                ClientLimits::new(memory_bytes, descriptors),
+                sockets.clone(),
+                Arc::clone(clock),
+            ),
             operators: group(ClientLimits::for_operators(memory_bytes)),
             readiness_checks: group(ClientLimits::for_readiness_checks(memory_bytes)),
             messages: Clients::for_messages(
                 ClientLimits::message_bytes_max(memory_bytes),
                 Arc::clone(clock),
             ),
+            leafs: Clients::for_leafs(
+                ClientLimits::leaf_bytes_max(memory_bytes),
+                Arc::clone(clock),
+            ),
+            sockets,
         }
     }
 
@@ -57,12 +73,13 @@
             })
     }
 
-    fn all(&self) -> [&Clients; 4] {
+    fn all(&self) -> [&Clients; 5] {
         [
             &self.callers,
             &self.operators,
             &self.readiness_checks,
             &self.messages,
+            &self.leafs,
         ]
     }
 }
--- a/crates/client-connections/src/clients.rs
+++ b/crates/client-connections/src/clients.rs
@@ -19,6 +19,7 @@
 use crate::client::{ClientState, OpenClient};
 use crate::held_memory::{BodyError, HeldMemory, Room};
 use crate::peer_stream::PeerPlace;
+use crate::sockets::Sockets;
 
 /// Minimum interval between two searches for slow clients, which look at every connection.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(20);
@@ -45,6 +46,8 @@
     clock: Arc<dyn Clock>,
     started_at: Instant,
     limits: ClientLimits,
+    /// Descriptors of the connections of callers and other daemons.
+    sockets: Sockets,
     memory: Mutex<MemoryBudget>,
     /// Notified when a part of the memory returns while `waiting` is not 0.
     returned: Notify,
@@ -75,34 +78,59 @@
     /// Creates the account of a process with this memory; reads the descriptor limit of the process.
     #[must_use]
     pub fn new(memory_bytes: usize, clock: Arc<dyn Clock>) -> Self {
-        let descriptors = getrlimit(Resource::Nofile).current;
-        let descriptors = descriptors.and_then(|limit| usize::try_from(limit).ok());
-        Self::with_limits(ClientLimits::new(memory_bytes, descriptors), clock)
+        Self::with_limits(ClientLimits::new(memory_bytes, descriptor_limit()), clock)
     }
 
     /// Creates an account with these limits.
     #[must_use]
     pub fn with_limits(limits: ClientLimits, clock: Arc<dyn Clock>) -> Self {
+        Self::with_sockets(limits, Sockets::new(usize::MAX), clock)
+    }
+
+    /// Creates an account whose connections share descriptors with others.
+    pub(crate) fn with_sockets(
+        limits: ClientLimits,
+        sockets: Sockets,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
         let memory = MemoryBudget::new(limits.held_bytes_max);
-        Self::with_memory(limits, memory, clock)
+        Self::with_memory(limits, sockets, memory, clock)
     }
 
-    /// Creates the account for messages of other daemons, which accepts no connections of its own.
+    /// Creates the account for messages of other daemons, which accepts no connections of its own. A single message
+    /// may take half of it.
     #[must_use]
     pub fn for_messages(bytes_max: usize, clock: Arc<dyn Clock>) -> Self {
+        Self::for_memory(MemoryBudget::with_free_part(bytes_max, 2), bytes_max, clock)
+    }
+
+    /// Creates the account for the buffers of connections to leafs, which accepts no connections of its own. A
+    /// single request may take all of it, as it needs connections to all its leafs at the same time.
+    #[must_use]
+    pub fn for_leafs(bytes_max: usize, clock: Arc<dyn Clock>) -> Self {
+        Self::for_memory(MemoryBudget::with_free_part(bytes_max, 1), bytes_max, clock)
+    }
+
+    fn for_memory(memory: MemoryBudget, bytes_max: usize, clock: Arc<dyn Clock>) -> Self {
         let limits = ClientLimits {
             held_bytes_max: bytes_max,
             connections_max: 0,
             peers_max: 0,
         };
-        Self::with_memory(limits, MemoryBudget::for_messages(bytes_max), clock)
+        Self::with_memory(limits, Sockets::new(usize::MAX), memory, clock)
     }
 
-    fn with_memory(limits: ClientLimits, memory: MemoryBudget, clock: Arc<dyn Clock>) -> Self {
+    fn with_memory(
+        limits: ClientLimits,
+        sockets: Sockets,
+        memory: MemoryBudget,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
         Self(Arc::new(Inner {
             started_at: clock.now(),
             clock,
             limits,
+            sockets,
             memory: Mutex::new(memory),
             returned: Notify::new(),
             waiting: AtomicUsize::new(0),
@@ -149,25 +177,27 @@
     #[must_use]
     pub fn open(&self) -> Option<OpenClient> {
         let mut open = self.0.open.lock();
-        if open.len() >= self.0.limits.connections_max {
+        let has_place = open.len() < self.0.limits.connections_max;
+        let Some(socket) = self.0.sockets.open().filter(|_| has_place) else {
             drop(open);
             self.0.connections_refused.fetch_add(1, Ordering::Relaxed);
             return None;
-        }
+        };
         let number = self.0.next_number.fetch_add(1, Ordering::Relaxed);
         let state = Arc::new(ClientState::new(number, self.now_ms()));
         open.push(Arc::clone(&state));
         drop(open);
-        Some(OpenClient::new(self.clone(), state))
+        Some(OpenClient::new(self.clone(), state, socket))
     }
 
     /// Counts a connection that another daemon has opened until the result is dropped; `None` if too many are
     /// open, in which case the connection must be closed at once.
     #[must_use]
     pub fn open_peer(&self) -> Option<PeerPlace> {
-        let place = PeerPlace::new(self.clone());
+        let socket = self.0.sockets.open();
+        let place = PeerPlace::new(self.clone(), socket);
         let before = self.0.peers.fetch_add(1, Ordering::Relaxed);
-        if before >= self.0.limits.peers_max {
+        if before >= self.0.limits.peers_max || !place.has_socket() {
             self.0.connections_refused.fetch_add(1, Ordering::Relaxed);
             return None;
         }
@@ -197,15 +227,11 @@
         if memory.try_grow(more_bytes) {
             return true;
         }
-        let is_granted = self.disconnect_slow() > 0 && {
-            timeout(RELIEF_TIME, self.wait_for_room(memory, more_bytes))
-                .await
-                .is_ok()
-        };
-        if !is_granted {
-            self.record_denied();
+        if self.disconnect_slow() > 0 {
+            return self.wait_for_relief(memory, more_bytes).await;
         }
-        is_granted
+        self.record_denied();
+        false
     }
 
     /// Takes more memory once there is room for it.
@@ -290,16 +316,34 @@
         Ok(memory.into_bytes(bytes))
     }
 
-    /// Disconnects slow clients if there is pressure; returns their number.
+    /// Returns true if it is time for another search for what can be closed to make room, and begins it.
     #[must_use]
-    pub fn disconnect_slow(&self) -> usize {
+    pub fn start_search(&self) -> bool {
         let now_ms = self.now_ms();
         let searched_ms = self.0.searched_ms.load(Ordering::Relaxed);
         let is_due = u128::from(now_ms.saturating_sub(searched_ms)) >= SEARCH_INTERVAL.as_millis();
-        if !is_due {
+        if is_due {
+            self.0.searched_ms.store(now_ms, Ordering::Relaxed);
+        }
+        is_due
+    }
+
+    /// Waits a moment for memory that is about to return; returns false, and counts a denial, if there is no room.
+    pub async fn wait_for_relief(&self, memory: &mut HeldMemory, more_bytes: usize) -> bool {
+        let waited = timeout(RELIEF_TIME, self.wait_for_room(memory, more_bytes)).await;
+        if waited.is_err() {
+            self.record_denied();
+        }
+        waited.is_ok()
+    }
+
+    /// Disconnects slow clients if there is pressure; returns their number.
+    #[must_use]
+    pub fn disconnect_slow(&self) -> usize {
+        if !self.start_search() {
             return 0;
         }
-        self.0.searched_ms.store(now_ms, Ordering::Relaxed);
+        let now_ms = self.now_ms();
         let held_bytes = self.used_bytes();
         let open = self.0.open.lock();
         // The memory of clients that are being disconnected is about to return.
@@ -370,6 +414,12 @@
     }
 }
 
+/// Returns the descriptor limit of the process; `None` if there is none or it is unknown.
+pub(crate) fn descriptor_limit() -> Option<usize> {
+    let descriptors = getrlimit(Resource::Nofile).current;
+    descriptors.and_then(|limit| usize::try_from(limit).ok())
+}
+
 /// Counts a task as waiting for memory until it is dropped.
 struct WaitGuard<'a>(&'a AtomicUsize);
 
--- a/crates/client-connections/src/held_memory.rs
+++ b/crates/client-connections/src/held_memory.rs
@@ -39,11 +39,22 @@
     }
 
     /// Counts bytes that exist already, also beyond the limit.
-    pub(crate) fn take(&mut self, bytes: usize) {
+    pub fn take(&mut self, bytes: usize) {
         self.clients.take(bytes);
         self.bytes += bytes;
     }
 
+    /// Returns true if more memory is used than there is, as some was in use before it was counted.
+    #[must_use]
+    pub fn is_overdrawn(&self) -> bool {
+        self.clients.used_bytes() > self.clients.limits().held_bytes_max
+    }
+
+    /// Adds another part of the same memory.
+    pub fn merge(&mut self, mut other: Self) {
+        self.bytes += std::mem::take(&mut other.bytes);
+    }
+
     /// Returns a number of bytes, or all if there are fewer.
     pub fn shrink(&mut self, bytes: usize) {
         let returned = bytes.min(self.bytes);
@@ -93,6 +104,14 @@
     }
 }
 
+impl HeldMemory {
+    /// Returns the number of bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+}
+
 impl Room {
     /// Moves up to `bytes` to another part of the memory; returns the number moved.
     pub(crate) fn move_to(&self, memory: &mut HeldMemory, bytes: usize) -> usize {
@@ -103,6 +122,14 @@
         moved
     }
 
+    /// Takes up to `bytes` out of the room.
+    #[must_use]
+    pub fn split(&self, bytes: usize) -> HeldMemory {
+        let mut memory = self.0.lock().clients.hold();
+        self.move_to(&mut memory, bytes);
+        memory
+    }
+
     /// Attaches memory to an answer that exists already: from the room, and more if the answer is larger, also
     /// beyond the limit.
     #[must_use]
--- a/crates/client-connections/src/lib.rs
+++ b/crates/client-connections/src/lib.rs
@@ -14,6 +14,7 @@
 mod held_memory;
 mod http_server;
 mod peer_stream;
+mod sockets;
 
 pub use answer_size::AnswerSize;
 pub use client::{Client, OpenClient};
@@ -24,3 +25,4 @@
 pub use held_memory::{BodyError, HeldMemory, Room};
 pub use http_server::HttpServer;
 pub use peer_stream::{PeerPlace, PeerResults, PeerRoom, PeerStream};
+pub use sockets::{OpenSocket, Sockets};
--- a/crates/client-connections/src/peer_stream.rs
+++ b/crates/client-connections/src/peer_stream.rs
@@ -13,6 +13,7 @@
 use crate::client_stream::UNSENT_BYTES_MAX;
 use crate::clients::Clients;
 use crate::held_memory::HeldMemory;
+use crate::sockets::OpenSocket;
 
 /// Time after which a daemon that accepts no byte of its results is disconnected. All calls between daemons
 /// time out earlier, so that it would not use the results.
@@ -20,18 +21,26 @@
 
 /// Counts a connection of another daemon as open until it is dropped.
 #[derive(Debug)]
-pub struct PeerPlace(Clients);
+pub struct PeerPlace {
+    clients: Clients,
+    /// `None` if there is no descriptor, in which case the connection is closed at once.
+    socket: Option<OpenSocket>,
+}
 
 impl PeerPlace {
     /// The caller counts the connection.
-    pub(crate) fn new(clients: Clients) -> Self {
-        Self(clients)
+    pub(crate) fn new(clients: Clients, socket: Option<OpenSocket>) -> Self {
+        Self { clients, socket }
+    }
+
+    pub(crate) fn has_socket(&self) -> bool {
+        self.socket.is_some()
     }
 }
 
 impl Drop for PeerPlace {
     fn drop(&mut self) {
-        self.0.close_peer();
+        self.clients.close_peer();
     }
 }
 
@@ -107,7 +116,7 @@
         let _ = SockRef::from(&stream).set_tcp_notsent_lowat(UNSENT_BYTES_MAX);
         Self {
             stream,
-            results: PeerResults(Arc::new(Mutex::new(place.0.hold()))),
+            results: PeerResults(Arc::new(Mutex::new(place.clients.hold()))),
             unread: None,
             reader: None,
             _place: place,
--- a/crates/client-connections/tests/clients.rs
+++ b/crates/client-connections/tests/clients.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use client_connections::{BodyError, Clients, OpenClient, PeerPlace};
+use client_connections::{BodyError, Clients, OpenClient, PeerPlace, Room, Sockets};
 use http_body_util::Full;
 use medlarpin_core::client_pressure::ClientLimits;
 use medlarpin_core::prelude::ManualClock;
@@ -140,3 +140,38 @@
         task.abort();
     }
 }
+
+/// Guards against connections of several kinds that together take more descriptors than there are.
+#[tokio::test]
+async fn connections_share_descriptors() {
+    let sockets = Sockets::new(2);
+    let first = sockets.open().unwrap();
+    let second = sockets.open().unwrap();
+    assert!(sockets.are_short());
+    assert!(sockets.open().is_none());
+    assert_eq!(sockets.open_count(), 2);
+    drop((first, second));
+    assert_eq!(sockets.open_count(), 0);
+    assert!(sockets.open().is_some());
+}
+
+/// Guards against a request to many leafs that is refused although there is room, and against room that is lost.
+#[tokio::test]
+async fn room_for_leafs_is_split_among_connections() {
+    let leafs = Clients::for_leafs(1_000, Arc::new(ManualClock::new()));
+    let mut memory = leafs.hold();
+    assert!(memory.try_grow(1_000));
+    let room = Room::from(memory);
+    let mut part = room.split(300);
+    assert_eq!((part.bytes(), leafs.used_bytes()), (300, 1_000));
+    part.shrink(100);
+    assert_eq!((part.bytes(), leafs.used_bytes()), (200, 900));
+    let rest = room.split(5_000);
+    assert_eq!(rest.bytes(), 700);
+    part.merge(rest);
+    assert_eq!((part.bytes(), leafs.used_bytes()), (900, 900));
+    part.take(200);
+    assert!(part.is_overdrawn());
+    drop((part, room));
+    assert_eq!(leafs.used_bytes(), 0);
+}
--- a/crates/daemon/tests/peer_crowds.rs
+++ b/crates/daemon/tests/peer_crowds.rs
@@ -25,6 +25,7 @@
     descriptors: 1_024,
     long_bytes: 256 << 10,
     body_bytes: 262_144,
+    shards: 0,
 };
 const ROUTES_BOUNDS: Bounds = Bounds {
     resident_mb: ROUTES.memory_mb,
--- a/crates/daemon/tests/slow_readers/fixture.rs
+++ b/crates/daemon/tests/slow_readers/fixture.rs
@@ -28,8 +28,15 @@
     pub long_bytes: usize,
     /// Published limit of callers' bodies.
     pub body_bytes: usize,
+    /// Number of shards of the route `many`, each with one leaf; without shards there is no such route.
+    pub shards: usize,
 }
 
+/// Length of a shard's part of the answers of the route `many`.
+const PART_BYTES: usize = 20_000;
+/// Time that its leafs work.
+const PART_TIME: Duration = Duration::from_millis(500);
+
 /// A daemon with its store and leafs; dropping it ends the process.
 pub struct Fixture {
     pub process: Child,
@@ -38,7 +45,7 @@
     pub operator: SocketAddr,
     pub readiness: SocketAddr,
     _store: FakeStore,
-    _leafs: (FakeLeaf, RawServer),
+    _leafs: (FakeLeaf, RawServer, RawServer),
     /// Accepts connections and reads nothing from them.
     _deaf: TcpListener,
 }
@@ -56,15 +63,7 @@
         let store = FakeStore::start().unwrap();
         let good = FakeLeaf::start("g0", [7; 16]).unwrap();
         store.put("servers/g0", &good.entry("good", "ready", 1));
-        let long_bytes = setup.long_bytes;
-        let head = format!(
-            "HTTP/1.1 200 OK\r\nx-medlarpin-request-id: {{id}}\r\nx-medlarpin-server-stamp: s\r\ncontent-length: {long_bytes}\r\n\r\n"
-        );
-        let steps = vec![
-            RawStep::Send(head),
-            RawStep::Send("x".repeat(setup.long_bytes)),
-        ];
-        let long = RawServer::start(steps).unwrap();
+        let long = RawServer::start(answer(setup.long_bytes)).unwrap();
         store.put("servers/l0", &long.entry("long"));
         let deaf = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let mut entry = long.entry("deaf");
@@ -76,7 +75,19 @@
             entry["address"] = format!("127.0.0.1:{}", 20_000 + number).into();
             store.put(&format!("servers/unused-{number}"), &entry);
         }
-        store.put("op/config", &config(setup.body_bytes));
+        let part = RawServer::start_choosing(|id| {
+            if id.is_empty() {
+                return answer(0);
+            }
+            let mut steps = vec![RawStep::Pause(PART_TIME)];
+            steps.extend(answer(PART_BYTES));
+            steps
+        })
+        .unwrap();
+        for name in shard_names(setup.shards) {
+            store.put(&format!("servers/{name}"), &part.entry(&name));
+        }
+        store.put("op/config", &config(setup));
         let (reserved_query, query) = reserve_port().unwrap();
         let (reserved_readiness, readiness) = reserve_port().unwrap();
         let (reserved_peer, peer) = reserve_port().unwrap();
@@ -107,7 +118,7 @@
             operator,
             readiness,
             _store: store,
-            _leafs: (good, long),
+            _leafs: (good, long, part),
             _deaf: deaf,
         };
         check_served(name, async || {
@@ -151,8 +162,22 @@
     }
 }
 
-/// Publishes the services `good`, `long` and `deaf`, each with a route.
-fn config(body_bytes: usize) -> Value {
+/// Returns the steps of a leaf that answers with a body of this length.
+fn answer(length: usize) -> Vec<RawStep> {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nx-medlarpin-request-id: {{id}}\r\nx-medlarpin-server-stamp: s\r\ncontent-length: {length}\r\n\r\n"
+    );
+    vec![RawStep::Send(head), RawStep::Send("x".repeat(length))]
+}
+
+fn shard_names(shards: usize) -> Vec<String> {
+    (0..shards)
+        .map(|number| format!("shard-{number}"))
+        .collect()
+}
+
+/// Publishes the services `good`, `long` and `deaf` and the shards, each with a route, the shards with one in common.
+fn config(setup: Setup) -> Value {
     let route = |name: &str, service: &str| {
         json!({
             "name": name, "host": "a.example", "prefix": format!("/{name}/"), "type": "idempotent",
@@ -161,12 +186,27 @@
         })
     };
     let service = |name: &str| json!({"name": name, "healthPath": "/health", "maxConns": 6_000});
+    let mut routes = vec![
+        route("one", "good"),
+        route("long", "long"),
+        route("deaf", "deaf"),
+    ];
+    let mut services = vec![service("good"), service("long"), service("deaf")];
+    let shards = shard_names(setup.shards);
+    if !shards.is_empty() {
+        services.extend(shards.iter().map(|name| service(name)));
+        routes.push(json!({
+            "name": "many", "host": "a.example", "prefix": "/many/", "type": "idempotent",
+            "timeoutMs": 3_000, "targetLatencyMs": 2_000, "priority": 1, "attempts": 1,
+            "fanout": shards, "topK": 10, "minCoverage": 0.75,
+        }));
+    }
     json!({
         "version": 1,
-        "routes": [route("one", "good"), route("long", "long"), route("deaf", "deaf")],
-        "services": [service("good"), service("long"), service("deaf")],
+        "routes": routes,
+        "services": services,
         "limits": {
-            "maxHeaderBytes": 16_384, "maxBodyBytes": body_bytes,
+            "maxHeaderBytes": 16_384, "maxBodyBytes": setup.body_bytes,
             "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000,
         },
     })
--- a/crates/daemon/tests/slow_readers_routes.rs
+++ b/crates/daemon/tests/slow_readers_routes.rs
@@ -36,6 +36,7 @@
     descriptors: DESCRIPTORS,
     long_bytes: LONG_BYTES,
     body_bytes: BODY_BYTES,
+    shards: 0,
 };
 
 /// Connects a crowd, watches the process, and checks that it serves an ordinary caller while the crowd is
--- a/crates/leaf-stream/src/stream.rs
+++ b/crates/leaf-stream/src/stream.rs
@@ -2,9 +2,11 @@
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
+use client_connections::HeldMemory;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::buffer_memory::BufferMemory;
 use crate::progress_limit::ProgressLimit;
 
 /// A connection to a leaf that fails if the leaf sends too many bytes without progress.
@@ -12,6 +14,8 @@
 pub struct LeafStream {
     stream: TcpStream,
     progress_limit: ProgressLimit,
+    /// `None` if nothing counts the buffers.
+    buffers: Option<BufferMemory>,
 }
 
 impl LeafStream {
@@ -22,9 +26,18 @@
         let limited = Self {
             stream,
             progress_limit: progress_limit.clone(),
+            buffers: None,
         };
         (limited, progress_limit)
     }
+
+    /// Lets the buffers of the connection take this memory, and more as they grow; returns the handle for its user.
+    #[must_use]
+    pub fn count_buffers(&mut self, memory: HeldMemory) -> BufferMemory {
+        let buffers = BufferMemory::new(memory);
+        self.buffers = Some(buffers.clone());
+        buffers
+    }
 }
 
 impl AsyncRead for LeafStream {
@@ -34,6 +47,9 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
+        if let Some(buffers) = &self.buffers {
+            buffers.reads_into(buf.remaining());
+        }
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         if self.progress_limit.count(buf.filled().len() - before) {
             Poll::Ready(Ok(()))
--- a/crates/medlarpin-core/src/client_pressure.rs
+++ b/crates/medlarpin-core/src/client_pressure.rs
@@ -18,9 +18,14 @@
 const PEER_DESCRIPTOR_DIVISOR: usize = 4;
 /// Connections that are accepted in any case.
 const CONNECTIONS_MIN: usize = 16;
-/// Divisor of the memory of a process; the quotient is for messages of other daemons. A single message may take
-/// half of it, as much as a single answer may take of the memory for callers.
+/// Divisor of the memory of a process; the quotient is for messages of other daemons.
 const MESSAGE_MEMORY_DIVISOR: usize = 8;
+/// Divisor of the memory of a process; the quotient is for the buffers of connections to leafs.
+const LEAF_MEMORY_DIVISOR: usize = 8;
+/// Part of the descriptor limit that is for connections of callers, of other daemons and to leafs, which share it.
+/// The rest is for operators, readiness checks, connections that the daemon opens to other daemons and to the
+/// store, and files.
+const SOCKET_PART: (usize, usize) = (13, 16);
 /// Divisor of the memory of a process; the quotient is for answers to operators.
 const OPERATOR_MEMORY_DIVISOR: usize = 16;
 /// Divisor of the memory of a process; the quotient is for answers to readiness checks, which have no body.
@@ -74,6 +79,19 @@
         memory_bytes / MESSAGE_MEMORY_DIVISOR
     }
 
+    /// Returns the memory for the buffers of connections to leafs, in bytes.
+    #[must_use]
+    pub fn leaf_bytes_max(memory_bytes: usize) -> usize {
+        memory_bytes / LEAF_MEMORY_DIVISOR
+    }
+
+    /// Returns the number of connections of callers, of other daemons and to leafs, all together.
+    #[must_use]
+    pub fn sockets_max(descriptors: Option<usize>) -> usize {
+        let (part, whole) = SOCKET_PART;
+        descriptors.map_or(usize::MAX, |limit| limit / whole * part)
+    }
+
     fn for_few(held_bytes_max: usize) -> Self {
         Self {
             held_bytes_max,
--- a/crates/medlarpin-core/src/routing/memory_budget.rs
+++ b/crates/medlarpin-core/src/routing/memory_budget.rs
@@ -1,8 +1,6 @@
 /// Part of the free memory that a single holder may have. Some holders that grow without end thus
 /// always leave room for many small ones.
 const FREE_PART_DIVISOR: usize = 4;
-/// The same for messages, which are few and arrive whole.
-const FREE_PART_DIVISOR_OF_MESSAGES: usize = 2;
 
 /// Memory that many holders share, such as the answers that are being read.
 ///
@@ -28,11 +26,11 @@
         }
     }
 
-    /// Creates a budget for messages of other daemons, of which nothing is used.
+    /// Creates a budget of which nothing is used and of whose free memory a single holder may have this part.
     #[must_use]
-    pub fn for_messages(limit_bytes: usize) -> Self {
+    pub fn with_free_part(limit_bytes: usize, free_part_divisor: usize) -> Self {
         Self {
-            free_part_divisor: FREE_PART_DIVISOR_OF_MESSAGES,
+            free_part_divisor,
             ..Self::new(limit_bytes)
         }
     }
--- a/crates/medlarpin-core/tests/client_pressure.rs
+++ b/crates/medlarpin-core/tests/client_pressure.rs
@@ -129,3 +129,13 @@
     check(ClientLimits::for_operators(48 << 20), 3 << 10);
     check(ClientLimits::for_readiness_checks(112 << 20), 448);
 }
+
+/// Guards against connections to leafs that leave no descriptor to the rest of the process.
+#[test]
+fn sockets_leave_a_part_of_the_descriptors() {
+    assert_eq!(ClientLimits::sockets_max(Some(1_024)), 832);
+    assert_eq!(ClientLimits::sockets_max(Some(2_870)), 2_327);
+    assert_eq!(ClientLimits::sockets_max(None), usize::MAX);
+    assert_eq!(ClientLimits::leaf_bytes_max(112 << 20), 14 << 20);
+    assert_eq!(ClientLimits::message_bytes_max(112 << 20), 14 << 20);
+}
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -54,6 +54,7 @@
             Err(LeafFailure::Shed) => load.shed(now),
             Err(
                 LeafFailure::ConnectionLimit
+                | LeafFailure::NoMemory
                 | LeafFailure::Paused
                 | LeafFailure::Evacuated
                 | LeafFailure::Cold
@@ -112,8 +113,14 @@
     let connections_max = shared.connections_max(&leaf.entry.service);
     let request_hash = request.identity().id_hash;
     let mut connection = leaf
-        .acquire(request_hash, connections_max, at_most_once, shared.now())
+        .acquire(request_hash, connections_max, at_most_once, shared)
         .await?;
+    if let Some(room) = request.leaf_room.get()
+        && let Err(failure) = room.cover(shared, &connection.buffers)
+    {
+        leaf.release(connection, None, shared.now());
+        return Err(failure);
+    }
     let mut is_counted = false;
     loop {
         // The leaf may have asked for no requests while the connection was being opened.
@@ -164,7 +171,7 @@
                     return Err(LeafFailure::Connect);
                 }
                 drop(on_wire);
-                connection = leaf.open_new(connections_max).await?;
+                connection = leaf.open_new(connections_max, shared).await?;
             }
         }
     }
@@ -224,6 +231,9 @@
         };
         LeafRates::new(shared).record_statement(leaf, statement);
     }
+    if let Some(room) = request.leaf_room.get() {
+        room.record(&connection.buffers);
+    }
     leaf.release(connection, head.idle_timeout, shared.now());
     if head.not_executed {
         return Err(LeafFailure::Shed);
--- a/crates/router/src/attempt_result.rs
+++ b/crates/router/src/attempt_result.rs
@@ -22,6 +22,8 @@
     Connect,
     /// All connections that this daemon may open to the leaf are in use.
     ConnectionLimit,
+    /// There is no memory for the buffers of a connection.
+    NoMemory,
     /// The leaf asked for no requests before this one was sent.
     Paused,
     /// The leaf's failure domain was evacuated before the request was sent.
@@ -50,6 +52,7 @@
         match self {
             Self::Connect => "connect",
             Self::ConnectionLimit => "connection_limit",
+            Self::NoMemory => "no_memory",
             Self::Paused => "paused",
             Self::Evacuated => "evacuated",
             Self::Cold => "cold",
@@ -68,6 +71,7 @@
         match self {
             Self::Connect
             | Self::ConnectionLimit
+            | Self::NoMemory
             | Self::Paused
             | Self::Evacuated
             | Self::Cold
@@ -84,6 +88,7 @@
             Self::BrokenOff | Self::TooLarge | Self::Foreign | Self::NotAllowed => true,
             Self::Connect
             | Self::ConnectionLimit
+            | Self::NoMemory
             | Self::Paused
             | Self::Evacuated
             | Self::Cold
--- a/crates/router/src/caller_request.rs
+++ b/crates/router/src/caller_request.rs
@@ -11,6 +11,7 @@
 use medlarpin_core::routing::{Dispatch, RunLedger};
 
 use crate::attempt_result::LeafFailure;
+use crate::leaf_room::LeafRoom;
 
 /// A caller's request with its complete body.
 #[derive(Debug)]
@@ -30,6 +31,8 @@
     pub(crate) answer_by: Instant,
     /// Has each dispatch of the request to a leaf or another daemon, from before its first byte is sent.
     pub(crate) ledger: RunLedger,
+    /// Set before a leaf of this daemon gets the request.
+    pub(crate) leaf_room: OnceLock<LeafRoom>,
     /// Set when a leaf gets the request.
     pub(crate) identity: OnceLock<Arc<RequestIdentity>>,
 }
@@ -75,6 +78,18 @@
         })
     }
 
+    /// Returns the approximate length of the head that a leaf gets.
+    pub(crate) fn head_bytes(&self) -> usize {
+        /// Separators of a line of the head.
+        const LINE_BYTES: usize = 4;
+        /// The first line without the path, and the headers that are added.
+        const ADDED_BYTES: usize = 160;
+        let path = self.head.uri.path_and_query();
+        let headers = self.head.headers.iter();
+        let lines = headers.map(|(name, value)| name.as_str().len() + value.len() + LINE_BYTES);
+        ADDED_BYTES + path.map_or(0, |path| path.as_str().len()) + lines.sum::<usize>()
+    }
+
     /// Returns the time until the deadline.
     pub(crate) fn time_left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -137,6 +137,7 @@
         deadline: arrived_at + time_left,
         answer_by: answer_by(route, arrived_at),
         ledger: RunLedger::new(route.repeatability),
+        leaf_room: OnceLock::new(),
         identity: OnceLock::new(),
     })
 }
--- a/crates/router/src/client_checks.rs
+++ b/crates/router/src/client_checks.rs
@@ -7,6 +7,7 @@
 use tokio::time::sleep;
 
 use crate::event::Event;
+use crate::leaf_room::close_idle_connections;
 use crate::shared::Shared;
 
 /// Interval between two searches for slow callers.
@@ -21,6 +22,9 @@
         for _ in 0..CHECKS_PER_LINE {
             sleep(CHECK_INTERVAL).await;
             shared.clients.disconnect_slow();
+            if shared.clients.sockets.are_short() {
+                let _ = close_idle_connections(&shared);
+            }
         }
         let counts = shared.clients.counts();
         if counts != logged {
--- a/crates/router/src/delegation.rs
+++ b/crates/router/src/delegation.rs
@@ -354,6 +354,7 @@
         deadline: (now + time_left).min(arrived_at + route.timeout),
         answer_by: answer_by(&route, arrived_at),
         ledger: RunLedger::new(route.repeatability),
+        leaf_room: OnceLock::new(),
         identity: OnceLock::new(),
     };
     if params.get_is_proven() {
--- a/crates/router/src/delegation/tests.rs
+++ b/crates/router/src/delegation/tests.rs
@@ -20,6 +20,7 @@
         deadline: now + Duration::from_secs(1),
         answer_by: now + Duration::from_secs(1),
         ledger: RunLedger::new(Repeatability::AtMostOnce),
+        leaf_room: OnceLock::new(),
         identity: OnceLock::new(),
     })
 }
--- a/crates/router/src/evacuations/tests.rs
+++ b/crates/router/src/evacuations/tests.rs
@@ -133,6 +133,7 @@
             deadline: now + Duration::from_secs(1),
             answer_by: now + Duration::from_secs(1),
             ledger: RunLedger::new(Repeatability::Idempotent),
+            leaf_room: OnceLock::new(),
             identity: OnceLock::new(),
         });
         let proof = ProofKey::new(&request, &[ServiceName::new("a")]);
@@ -180,7 +181,7 @@
 async fn a_health_check_is_not_written_after_an_evacuation() {
     for is_evacuated in [false, true] {
         let fixture = Fixture::start().await;
-        let connection = fixture.leaf.open_new(2).await.unwrap();
+        let connection = fixture.leaf.open_new(2, &fixture.shared).await.unwrap();
         if is_evacuated {
             fixture.evacuate();
         }
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -118,6 +118,10 @@
             last: Some(LeafFailure::Shed | LeafFailure::ConnectionLimit),
             ..
         } => Refusal::LeafsFull,
+        ServiceFailure {
+            last: Some(LeafFailure::NoMemory),
+            ..
+        } => Refusal::OutOfMemory,
         ServiceFailure {
             rate_wait: Some(wait),
             ..
--- a/crates/router/src/handover.rs
+++ b/crates/router/src/handover.rs
@@ -15,6 +15,7 @@
 use crate::delegation::DelegationOutcome;
 use crate::event::Event;
 use crate::forward::forward;
+use crate::leaf_room::LeafRoom;
 use crate::refusal::Refusal;
 use crate::route_state::RouteState;
 use crate::scatter::gather;
@@ -57,6 +58,9 @@
     request: &Arc<CallerRequest>,
 ) -> Result<Answer, Refusal> {
     let state: Arc<RouteState> = shared.route_state(route);
+    let leaf_room = LeafRoom::reserve(shared, route, &state, request).await?;
+    // Already set only if the request was here before, in which case it has its room.
+    let _ = request.leaf_room.set(leaf_room);
     let shared = Arc::clone(shared);
     let service = match &route.target {
         RouteTarget::Scatter(scatter) => {
--- a/crates/router/src/leaf.rs
+++ b/crates/router/src/leaf.rs
@@ -5,10 +5,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use client_connections::HeldMemory;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
-use leaf_stream::{LeafStream, ProgressLimit};
+use leaf_stream::{BufferMemory, LeafStream, ProgressLimit};
 use medlarpin_core::routing::{
     LeafEntry, LeafLoad, LeafPhase, LeafRateLimit, LeafWarmUp, LoadStatement, RateAccess,
     RateStatement, RequestRate, StatedLoad, StatedRate,
@@ -21,7 +22,9 @@
 use crate::attempt_result::LeafFailure;
 use crate::carried_requests::CarriedRequests;
 use crate::event::Event;
+use crate::leaf_room::close_idle_connections;
 use crate::leaf_runs::LeafRuns;
+use crate::shared::Shared;
 
 /// Time limit for opening a connection. A SYN is sent again only after a second, so a longer
 /// wait would rarely help.
@@ -47,7 +50,7 @@
 /// Why no connection to a leaf could be opened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum OpenError {
-    /// All connections that this daemon may open to the leaf are in use.
+    /// All connections that this daemon may open, to the leaf or at all, are in use.
     Limit,
     /// Nothing listens at the leaf's address.
     Refused,
@@ -69,6 +72,7 @@
 struct IdleConnection {
     sender: Sender,
     progress_limit: ProgressLimit,
+    buffers: BufferMemory,
     carried: CarriedRequests,
     idle_since: Instant,
     use_until: Instant,
@@ -79,6 +83,8 @@
 pub(crate) struct LeafConnection {
     pub(crate) sender: Sender,
     pub(crate) progress_limit: ProgressLimit,
+    /// Memory of the connection's buffers.
+    pub(crate) buffers: BufferMemory,
     /// The requests that the connection has carried. It must not carry one of them again: a late copy of the
     /// earlier answer would be accepted as the new one, as both have the request's identifier.
     pub(crate) carried: CarriedRequests,
@@ -325,14 +331,14 @@
         request: u64,
         connections_max: u32,
         at_most_once: bool,
-        now: Instant,
+        shared: &Shared,
     ) -> Result<LeafConnection, LeafFailure> {
-        if let Some(connection) = self.take_idle(request, at_most_once, now) {
+        if let Some(connection) = self.take_idle(request, at_most_once, shared.now()) {
             return Ok(connection);
         }
         // Idle connections that are left have carried the request.
         let is_replaced = self.close_idle_at_limit(connections_max);
-        self.open_new(connections_max.saturating_add(is_replaced.into()))
+        self.open_new(connections_max.saturating_add(is_replaced.into()), shared)
             .await
     }
 
@@ -340,8 +346,9 @@
     pub(crate) async fn open_new(
         &self,
         connections_max: u32,
+        shared: &Shared,
     ) -> Result<LeafConnection, LeafFailure> {
-        Ok(self.open(connections_max).await?)
+        Ok(self.open(connections_max, shared).await?)
     }
 
     /// Opens a connection for a health check, also while `connections_max` are open: a busy daemon nearly
@@ -349,9 +356,10 @@
     pub(crate) async fn open_for_check(
         &self,
         connections_max: u32,
+        shared: &Shared,
     ) -> Result<LeafConnection, OpenError> {
         self.close_idle_at_limit(connections_max);
-        self.open(connections_max.saturating_add(1)).await
+        self.open(connections_max.saturating_add(1), shared).await
     }
 
     /// Closes the connection that has been idle for the longest time if `connections_max` are open; returns
@@ -369,14 +377,24 @@
     }
 
     /// Opens a connection unless `connections_max` are open.
-    pub(crate) async fn open(&self, connections_max: u32) -> Result<LeafConnection, OpenError> {
+    pub(crate) async fn open(
+        &self,
+        connections_max: u32,
+        shared: &Shared,
+    ) -> Result<LeafConnection, OpenError> {
         if self.link.open.fetch_add(1, Ordering::Relaxed) >= connections_max {
             self.link.open.fetch_sub(1, Ordering::Relaxed);
             return Err(OpenError::Limit);
         }
         let guard = OpenConnectionGuard(Arc::clone(&self.link));
-        let opened = timeout(CONNECT_TIMEOUT, open(self.entry.address)).await;
-        let (sender, connection, progress_limit) = match opened {
+        let Some(socket) = shared.clients.sockets.open() else {
+            // The next attempt may find a descriptor.
+            let _ = close_idle_connections(shared);
+            return Err(OpenError::Limit);
+        };
+        let memory = shared.clients.leafs.hold();
+        let opened = timeout(CONNECT_TIMEOUT, open(self.entry.address, memory)).await;
+        let (sender, connection, (progress_limit, buffers)) = match opened {
             Ok(Ok(opened)) => opened,
             Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
                 return Err(OpenError::Refused);
@@ -386,11 +404,12 @@
         tokio::spawn(async move {
             // The error also reaches the request that uses the connection, which reports it.
             let _ = connection.await;
-            drop(guard);
+            drop((guard, socket));
         });
         Ok(LeafConnection {
             sender,
             progress_limit,
+            buffers,
             carried: CarriedRequests::default(),
             is_reused: false,
         })
@@ -407,16 +426,18 @@
         let LeafConnection {
             sender,
             progress_limit,
+            buffers,
             carried,
             ..
         } = connection;
         let use_for = idle_timeout.map_or(IDLE_USE_DEFAULT, |idle| idle.mul_f64(IDLE_USE_FRACTION));
-        if sender.is_closed() || use_for.is_zero() {
+        if sender.is_closed() || use_for.is_zero() || buffers.is_overdrawn() {
             return;
         }
         self.link.idle.lock().push(IdleConnection {
             sender,
             progress_limit,
+            buffers,
             carried,
             idle_since: now,
             use_until: now + use_for,
@@ -431,6 +452,18 @@
             .retain(|connection| now < connection.use_until && !connection.sender.is_closed());
     }
 
+    /// Adds the times since which connections have been idle.
+    pub(crate) fn collect_idle_since(&self, times: &mut Vec<Instant>) {
+        let idle = self.link.idle.lock();
+        times.extend(idle.iter().map(|connection| connection.idle_since));
+    }
+
+    /// Closes the connections that have been idle since then or longer.
+    pub(crate) fn close_idle_since(&self, at: Instant) {
+        let is_kept = |connection: &IdleConnection| connection.idle_since > at;
+        self.link.idle.lock().retain(is_kept);
+    }
+
     /// Closes all idle connections.
     pub(crate) fn close_idle(&self) {
         self.link.idle.lock().clear();
@@ -502,6 +535,7 @@
                 return Some(LeafConnection {
                     sender: connection.sender,
                     progress_limit: connection.progress_limit,
+                    buffers: connection.buffers,
                     carried: connection.carried,
                     is_reused: true,
                 });
@@ -513,7 +547,13 @@
 
 type Connection = hyper::client::conn::http1::Connection<TokioIo<LeafStream>, Full<Bytes>>;
 
-async fn open(address: SocketAddr) -> io::Result<(Sender, Connection, ProgressLimit)> {
+/// What the user of a connection controls of its stream.
+type StreamHandles = (ProgressLimit, BufferMemory);
+
+async fn open(
+    address: SocketAddr,
+    memory: HeldMemory,
+) -> io::Result<(Sender, Connection, StreamHandles)> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let socket = SockRef::from(&stream);
@@ -523,11 +563,12 @@
         .with_retries(2);
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-    let (stream, progress_limit) = LeafStream::new(stream);
+    let (mut stream, progress_limit) = LeafStream::new(stream);
+    let buffers = stream.count_buffers(memory);
     let (sender, connection) = hyper::client::conn::http1::Builder::new()
         .max_buf_size(READ_BUFFER_BYTES_MAX)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
-    Ok((sender, connection, progress_limit))
+    Ok((sender, connection, (progress_limit, buffers)))
 }
--- a/crates/router/src/leaf_probe.rs
+++ b/crates/router/src/leaf_probe.rs
@@ -138,7 +138,7 @@
 
 async fn probe(shared: &Shared, leaf: &Leaf, how: Unreachable) {
     let connections_max = shared.connections_max(&leaf.entry.service);
-    let opened = leaf.open_new(connections_max).await.ok();
+    let opened = leaf.open_new(connections_max, shared).await.ok();
     let connection = match (opened, how) {
         (Some(connection), Unreachable::Refused) => Some(connection),
         (Some(connection), Unreachable::Silent) => {
--- a/crates/router/src/leaf_table.rs
+++ b/crates/router/src/leaf_table.rs
@@ -260,6 +260,23 @@
         self.by_service.store(Arc::new(by_service));
     }
 
+    /// Closes the half of the idle connections that have been idle for the longest time.
+    pub(crate) fn close_longest_idle(&self) {
+        let leafs = self.all();
+        let mut times = Vec::new();
+        for leaf in &leafs {
+            leaf.collect_idle_since(&mut times);
+        }
+        let middle = times.len() / 2;
+        if times.is_empty() {
+            return;
+        }
+        let (_, at, _) = times.select_nth_unstable(middle);
+        for leaf in leafs {
+            leaf.close_idle_since(*at);
+        }
+    }
+
     /// Closes the connections that have been idle for too long to be reused.
     pub(crate) fn close_expired_idle(&self, now: Instant) {
         for leaf in self.all() {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -35,6 +35,7 @@
 mod leaf_probe;
 mod leaf_rate_reports;
 mod leaf_rates;
+mod leaf_room;
 mod leaf_runs;
 mod leaf_table;
 mod loss_check;
--- a/crates/router/src/loss_check.rs
+++ b/crates/router/src/loss_check.rs
@@ -37,7 +37,7 @@
         let rates = LeafRates::new(shared);
         rates.cold_wait_until(leaf, shared.now()).is_some()
     };
-    let connection = match leaf.open_for_check(connections_max).await {
+    let connection = match leaf.open_for_check(connections_max, shared).await {
         Ok(connection) => connection,
         Err(OpenError::Refused) => return LostLeafSign::Refuses,
         Err(OpenError::Limit | OpenError::Unreachable) => return LostLeafSign::Silent,
--- a/crates/router/src/route_state.rs
+++ b/crates/router/src/route_state.rs
@@ -13,6 +13,8 @@
     pub(crate) traffic_split: Mutex<WeightedRoundRobin>,
     /// Memory that the answers to one request take.
     pub(crate) answer_size: AnswerSize,
+    /// Read buffer of a connection that carries one of the route's requests to a leaf.
+    pub(crate) read_buffer_size: AnswerSize,
 }
 
 impl RouteState {
@@ -22,6 +24,7 @@
             latency: Mutex::new(RouteLatency::new(route.target_latency, now)),
             traffic_split: Mutex::default(),
             answer_size: AnswerSize::default(),
+            read_buffer_size: AnswerSize::default(),
         }
     }
 }
