Bound what all groups of clients take together

Cause: each group of clients stayed within its part of the memory, but the parts of all groups, the connections and the process itself were more than the VM has. Crowds of several conducts at the same time, each of which was borne alone, exceeded the memory.

Change: the accounts of callers, operators, readiness checks, messages and leafs take at most three eighths of the memory together. Each has a guaranteed part (an eighth for callers, a sixteenth each for the others), and can take more, up to its own limit, while the others leave it. An operator's answer may take all of the operators' part: a state dump at the design size is larger than a quarter of it.

--- a/crates/client-connections/src/client_groups.rs
+++ b/crates/client-connections/src/client_groups.rs
@@ -2,12 +2,17 @@
 
 use medlarpin_core::client_pressure::ClientLimits;
 use medlarpin_core::prelude::Clock;
+use medlarpin_core::routing::MemoryBudget;
 
+use crate::account::Account;
 use crate::clients::{ClientCounts, Clients, descriptor_limit};
+use crate::common_memory::CommonMemory;
 use crate::sockets::Sockets;
 
-/// The clients of a process by the address that they use. Each group has connections and memory that no other
-/// group can take.
+/// What a process holds for others, by whom it is held for.
+///
+/// Each group has connections and a part of the memory that no other group can take. What all of them take together
+/// is less than the sum of their limits, so that a group can use what the others leave.
 #[derive(Debug, Clone)]
 pub struct ClientGroups {
     /// Callers. Their memory also holds the results that other daemons have asked for.
@@ -29,23 +34,38 @@
     /// Creates the groups of a process with this memory; reads the descriptor limit of the process.
     #[must_use]
     pub fn new(memory_bytes: usize, clock: &Arc<dyn Clock>) -> Self {
-        let group = |limits| Clients::with_limits(limits, Arc::clone(clock));
         let descriptors = descriptor_limit();
         let sockets = Sockets::new(ClientLimits::sockets_max(descriptors));
+        let common = CommonMemory::new(ClientLimits::total_bytes_max(memory_bytes));
+        let account = |budget: MemoryBudget, guaranteed_bytes: usize| {
+            Account::new(budget, guaranteed_bytes, common.clone())
+        };
+        let callers = ClientLimits::new(memory_bytes, descriptors);
+        let callers_memory = account(
+            MemoryBudget::new(callers.held_bytes_max),
+            ClientLimits::callers_guaranteed_bytes(memory_bytes),
+        );
+        // Their few connections need no descriptors of the common ones, and their memory is all theirs. A single
+        // state dump of a large fleet may take most of it.
+        let few = |limits: ClientLimits| {
+            let budget = MemoryBudget::with_free_part(limits.held_bytes_max, 1);
+            let memory = account(budget, limits.held_bytes_max);
+            Clients::with_memory(limits, Sockets::new(usize::MAX), memory, Arc::clone(clock))
+        };
+        let guaranteed_bytes = ClientLimits::guaranteed_bytes(memory_bytes);
+        let messages_max = ClientLimits::message_bytes_max(memory_bytes);
+        let messages = account(Clients::message_budget(messages_max), guaranteed_bytes);
+        let leafs_max = ClientLimits::leaf_bytes_max(memory_bytes);
+        let leafs = account(Clients::leaf_budget(leafs_max), guaranteed_bytes);
         Self {
-            callers: Clients::with_sockets(
-                ClientLimits::new(memory_bytes, descriptors),
+            operators: few(ClientLimits::for_operators(memory_bytes)),
+            readiness_checks: few(ClientLimits::for_readiness_checks(memory_bytes)),
+            messages: Clients::for_memory(messages_max, messages, Arc::clone(clock)),
+            leafs: Clients::for_memory(leafs_max, leafs, Arc::clone(clock)),
+            callers: Clients::with_memory(
+                callers,
                 sockets.clone(),
-                Arc::clone(clock),
-            ),
-            operators: group(ClientLimits::for_operators(memory_bytes)),
-            readiness_checks: group(ClientLimits::for_readiness_checks(memory_bytes)),
-            messages: Clients::for_messages(
-                ClientLimits::message_bytes_max(memory_bytes),
-                Arc::clone(clock),
-            ),
-            leafs: Clients::for_leafs(
-                ClientLimits::leaf_bytes_max(memory_bytes),
+                callers_memory,
                 Arc::clone(clock),
             ),
             sockets,
@@ -64,13 +84,12 @@
     #[must_use]
     pub fn counts(&self) -> ClientCounts {
         let groups = self.all().map(Clients::counts);
-        groups
-            .into_iter()
-            .fold(ClientCounts::default(), |sum, group| ClientCounts {
-                disconnected: sum.disconnected + group.disconnected,
-                connections_refused: sum.connections_refused + group.connections_refused,
-                denied: sum.denied + group.denied,
-            })
+        let add = |sum: ClientCounts, group: ClientCounts| ClientCounts {
+            disconnected: sum.disconnected + group.disconnected,
+            connections_refused: sum.connections_refused + group.connections_refused,
+            denied: sum.denied + group.denied,
+        };
+        groups.into_iter().fold(ClientCounts::default(), add)
     }
 
     fn all(&self) -> [&Clients; 5] {
--- a/crates/client-connections/src/clients.rs
+++ b/crates/client-connections/src/clients.rs
@@ -16,6 +16,7 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use crate::account::Account;
 use crate::client::{ClientState, OpenClient};
 use crate::held_memory::{BodyError, HeldMemory, Room};
 use crate::peer_stream::PeerPlace;
@@ -48,7 +49,7 @@
     limits: ClientLimits,
     /// Descriptors of the connections of callers and other daemons.
     sockets: Sockets,
-    memory: Mutex<MemoryBudget>,
+    memory: Mutex<Account>,
     /// Notified when a part of the memory returns while `waiting` is not 0.
     returned: Notify,
     /// Number of tasks that wait for `returned`.
@@ -84,34 +85,35 @@
     /// Creates an account with these limits.
     #[must_use]
     pub fn with_limits(limits: ClientLimits, clock: Arc<dyn Clock>) -> Self {
-        Self::with_sockets(limits, Sockets::new(usize::MAX), clock)
-    }
-
-    /// Creates an account whose connections share descriptors with others.
-    pub(crate) fn with_sockets(
-        limits: ClientLimits,
-        sockets: Sockets,
-        clock: Arc<dyn Clock>,
-    ) -> Self {
-        let memory = MemoryBudget::new(limits.held_bytes_max);
-        Self::with_memory(limits, sockets, memory, clock)
+        let memory = Account::separate(MemoryBudget::new(limits.held_bytes_max));
+        Self::with_memory(limits, Sockets::new(usize::MAX), memory, clock)
     }
 
     /// Creates the account for messages of other daemons, which accepts no connections of its own. A single message
     /// may take half of it.
     #[must_use]
     pub fn for_messages(bytes_max: usize, clock: Arc<dyn Clock>) -> Self {
-        Self::for_memory(MemoryBudget::with_free_part(bytes_max, 2), bytes_max, clock)
+        let memory = Account::separate(Self::message_budget(bytes_max));
+        Self::for_memory(bytes_max, memory, clock)
     }
 
     /// Creates the account for the buffers of connections to leafs, which accepts no connections of its own. A
     /// single request may take all of it, as it needs connections to all its leafs at the same time.
     #[must_use]
     pub fn for_leafs(bytes_max: usize, clock: Arc<dyn Clock>) -> Self {
-        Self::for_memory(MemoryBudget::with_free_part(bytes_max, 1), bytes_max, clock)
+        let memory = Account::separate(Self::leaf_budget(bytes_max));
+        Self::for_memory(bytes_max, memory, clock)
+    }
+
+    pub(crate) fn message_budget(bytes_max: usize) -> MemoryBudget {
+        MemoryBudget::with_free_part(bytes_max, 2)
+    }
+
+    pub(crate) fn leaf_budget(bytes_max: usize) -> MemoryBudget {
+        MemoryBudget::with_free_part(bytes_max, 1)
     }
 
-    fn for_memory(memory: MemoryBudget, bytes_max: usize, clock: Arc<dyn Clock>) -> Self {
+    pub(crate) fn for_memory(bytes_max: usize, memory: Account, clock: Arc<dyn Clock>) -> Self {
         let limits = ClientLimits {
             held_bytes_max: bytes_max,
             connections_max: 0,
@@ -120,10 +122,10 @@
         Self::with_memory(limits, Sockets::new(usize::MAX), memory, clock)
     }
 
-    fn with_memory(
+    pub(crate) fn with_memory(
         limits: ClientLimits,
         sockets: Sockets,
-        memory: MemoryBudget,
+        memory: Account,
         clock: Arc<dyn Clock>,
     ) -> Self {
         Self(Arc::new(Inner {
--- a/crates/client-connections/src/lib.rs
+++ b/crates/client-connections/src/lib.rs
@@ -5,11 +5,13 @@
 //! stays attached to the bytes until their last reference is dropped. [`ClientStream`] measures the progress of
 //! a caller and [`PeerStream`] bounds the results that another daemon does not read.
 
+mod account;
 mod answer_size;
 mod client;
 mod client_groups;
 mod client_stream;
 mod clients;
+mod common_memory;
 mod held_answers;
 mod held_memory;
 mod http_server;
--- /dev/null
+++ b/crates/client-connections/tests/client_groups.rs
@@ -0,0 +1,49 @@
+//! Tests of the memory that the groups of clients share.
+
+use std::sync::Arc;
+
+use client_connections::{ClientGroups, Clients, HeldMemory};
+use medlarpin_core::prelude::{Clock, SystemClock};
+
+const MEMORY_BYTES: usize = 16 << 20;
+/// A sixteenth of the memory.
+const PART_BYTES: usize = 1 << 20;
+const STEP_BYTES: usize = 4 << 10;
+
+/// Takes memory by many small holders until there is none; returns them.
+fn take_all(group: &Clients) -> Vec<HeldMemory> {
+    let mut holders = Vec::new();
+    loop {
+        let mut memory = group.hold();
+        if !memory.try_grow(STEP_BYTES) {
+            return holders;
+        }
+        holders.push(memory);
+    }
+}
+
+/// Guards against a group that takes the guaranteed part of another one, and against groups that together take more
+/// than there is.
+#[test]
+fn groups_leave_each_other_their_parts() {
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let check = |order: [usize; 3], expected_parts: [usize; 4]| {
+        let groups = ClientGroups::new(MEMORY_BYTES, &clock);
+        let all = [&groups.callers, &groups.messages, &groups.leafs];
+        let held: Vec<_> = order.iter().map(|index| take_all(all[*index])).collect();
+        let operators = take_all(&groups.operators);
+        let used = [all[0], all[1], all[2], &groups.operators].map(Clients::used_bytes);
+        for (used_bytes, parts) in used.into_iter().zip(expected_parts) {
+            let expected_bytes = parts * PART_BYTES;
+            // The last small holders find no room, and readiness checks have a little.
+            let is_near =
+                used_bytes <= expected_bytes && used_bytes + PART_BYTES / 4 > expected_bytes;
+            assert!(is_near, "{order:?}: {used:?} for {expected_parts:?}");
+        }
+        drop((held, operators));
+        assert_eq!(all.map(Clients::used_bytes), [0; 3], "{order:?}");
+    };
+    check([0, 1, 2], [3, 1, 1, 1]);
+    check([1, 2, 0], [2, 2, 1, 1]);
+    check([2, 0, 1], [2, 1, 2, 1]);
+}
--- /dev/null
+++ b/crates/daemon/tests/mixed_crowds.rs
@@ -0,0 +1,114 @@
+//! Crowds of several conducts at the same time, at all addresses of a daemon: the process lives within its memory and
+//! its descriptors, and callers, operators and readiness checks are served. One test at a time.
+
+mod slow_readers;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyper::StatusCode;
+
+use crate::slow_readers::fixture::{Fixture, Setup, head};
+use crate::slow_readers::{Bounds, Crowd, ONE_AT_A_TIME, Reading, Script, check_served, watch};
+
+const SETUP: Setup = Setup {
+    memory_mb: 64,
+    descriptors: 1_024,
+    long_bytes: 256 << 10,
+    body_bytes: 262_144,
+    shards: 40,
+};
+const BOUNDS: Bounds = Bounds {
+    resident_mb: SETUP.memory_mb,
+    descriptors: SETUP.descriptors - 100,
+};
+/// Time after which clients leave that come again.
+const STAY: Duration = Duration::from_millis(50);
+
+/// Conducts of callers, each with the number of clients.
+fn callers() -> Vec<(usize, Script)> {
+    let long = head("GET", "/long/1", "");
+    let body = |path: &str, sent: usize| {
+        let more = format!("content-length: {}\r\n", SETUP.body_bytes);
+        head("POST", path, &more) + &"x".repeat(sent)
+    };
+    vec![
+        (150, Script::once(&long)),
+        (
+            100,
+            Script {
+                reading: Reading::ByteEachSecond,
+                ..Script::once(&long)
+            },
+        ),
+        (100, Script::pipelined(&head("GET", "/one/1", ""))),
+        (50, Script::pipelined(&head("GET", "/many/1", ""))),
+        (
+            100,
+            Script {
+                returns_after: Some(STAY),
+                ..Script::once(&long)
+            },
+        ),
+        (
+            100,
+            Script {
+                trickles: true,
+                ..Script::once(&body("/one/1", SETUP.body_bytes - 1_000))
+            },
+        ),
+        (100, Script::once(&body("/deaf/1", SETUP.body_bytes))),
+        (
+            100,
+            Script::once(&format!(
+                "GET /one/1 HTTP/1.1\r\nx-filler: {}",
+                "x".repeat(15_000)
+            )),
+        ),
+        (100, Script::once("")),
+    ]
+}
+
+/// Conducts at the other addresses.
+fn others(fixture: &Fixture) -> Vec<(SocketAddr, usize, Script)> {
+    let state = "GET /state HTTP/1.1\r\nhost: a.example\r\n\r\n";
+    let long_head = format!("GET / HTTP/1.1\r\nx-filler: {}", "x".repeat(300_000));
+    // A message of one segment of 300,000 bytes that breaks off.
+    let mut message = vec![0; 299_000];
+    message[4..8].copy_from_slice(&37_500_u32.to_le_bytes());
+    let message = Script {
+        start: message.into(),
+        ..Script::once("")
+    };
+    vec![
+        (fixture.operator, 100, Script::pipelined(state)),
+        (fixture.readiness, 100, Script::once(&long_head)),
+        (fixture.peer, 100, message),
+    ]
+}
+
+/// Guards against limits that hold for each conduct alone, but not for all together.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_conducts_at_the_same_time() {
+    let name = "mixed";
+    let _guard = ONE_AT_A_TIME.lock().await;
+    let fixture = Fixture::start(name, SETUP).await;
+    let mut crowds: Vec<Crowd> = callers()
+        .into_iter()
+        .map(|(clients, script)| Crowd::start(fixture.query, clients, &script))
+        .collect();
+    for (address, clients, script) in others(&fixture) {
+        crowds.push(Crowd::start(address, clients, &script));
+    }
+    watch(name, fixture.process.id(), &crowds[0], BOUNDS).await;
+    let check_all = async || {
+        let is_ok =
+            async |address, path| Fixture::get_from(address, path).await == Some(StatusCode::OK);
+        check_served(name, async || is_ok(fixture.query, "/one/1").await).await;
+        check_served(name, async || is_ok(fixture.operator, "/state").await).await;
+        check_served(name, async || is_ok(fixture.readiness, "/api/ready").await).await;
+    };
+    check_all().await;
+    drop(crowds);
+    check_all().await;
+}
--- a/crates/daemon/tests/slow_readers/mod.rs
+++ b/crates/daemon/tests/slow_readers/mod.rs
@@ -48,6 +48,8 @@
     /// Sent at one byte per second after the rest.
     pub trickles: bool,
     pub reading: Reading,
+    /// Time after which the client resets its connection and opens another one; `None` if it stays.
+    pub returns_after: Option<Duration>,
 }
 
 impl Script {
@@ -58,6 +60,7 @@
             repeated: Arc::from([]),
             trickles: false,
             reading: Reading::Never,
+            returns_after: None,
         }
     }
 
@@ -87,9 +90,17 @@
         for _ in 0..clients {
             let (script, connected) = (script.clone(), Arc::clone(&crowd.connected));
             crowd.clients.spawn(async move {
-                if let Some(stream) = connect(address).await {
-                    connected.fetch_add(1, Ordering::Relaxed);
-                    play(stream, &script).await;
+                loop {
+                    if let Some(stream) = connect(address).await {
+                        connected.fetch_add(1, Ordering::Relaxed);
+                        let Some(stay) = script.returns_after else {
+                            return play(stream, &script).await;
+                        };
+                        // With unread bytes, the closed connection is reset.
+                        let _ = timeout(stay, play(stream, &script)).await;
+                    } else if script.returns_after.is_none() {
+                        return;
+                    }
                 }
             });
         }
--- a/crates/medlarpin-core/src/client_pressure.rs
+++ b/crates/medlarpin-core/src/client_pressure.rs
@@ -22,6 +22,14 @@
 const MESSAGE_MEMORY_DIVISOR: usize = 8;
 /// Divisor of the memory of a process; the quotient is for the buffers of connections to leafs.
 const LEAF_MEMORY_DIVISOR: usize = 8;
+/// Part of the memory that all of these may take together. It is more than the sum of their guaranteed parts, and
+/// less than that of their limits.
+const TOTAL_MEMORY_PART: (usize, usize) = (3, 8);
+/// Divisor of the memory of a process; the quotient is guaranteed to callers.
+const CALLERS_GUARANTEED_DIVISOR: usize = 8;
+/// Divisor of the memory of a process; the quotient is guaranteed each to messages of other daemons and to the
+/// buffers of connections to leafs.
+const GUARANTEED_DIVISOR: usize = 16;
 /// Part of the descriptor limit that is for connections of callers, of other daemons and to leafs, which share it.
 /// The rest is for operators, readiness checks, connections that the daemon opens to other daemons and to the
 /// store, and files.
@@ -85,6 +93,26 @@
         memory_bytes / LEAF_MEMORY_DIVISOR
     }
 
+    /// Returns the memory that callers, operators, readiness checks, messages and buffers take together, in bytes.
+    #[must_use]
+    pub fn total_bytes_max(memory_bytes: usize) -> usize {
+        let (part, whole) = TOTAL_MEMORY_PART;
+        memory_bytes / whole * part
+    }
+
+    /// Returns the memory that callers can always take, in bytes.
+    #[must_use]
+    pub fn callers_guaranteed_bytes(memory_bytes: usize) -> usize {
+        memory_bytes / CALLERS_GUARANTEED_DIVISOR
+    }
+
+    /// Returns the memory that messages of other daemons can always take, and the buffers of connections to leafs
+    /// as much again, in bytes.
+    #[must_use]
+    pub fn guaranteed_bytes(memory_bytes: usize) -> usize {
+        memory_bytes / GUARANTEED_DIVISOR
+    }
+
     /// Returns the number of connections of callers, of other daemons and to leafs, all together.
     #[must_use]
     pub fn sockets_max(descriptors: Option<usize>) -> usize {
