Take an answer whose status no answer has for a failure of the leaf

Cause: a leaf's status was passed on as the HTTP library read it. It refuses 000 and whatever is not three digits from 100, but accepts 101 and 600 to 999. Callers saw 600 or 999 with the body, and 101 without it, on a connection on which nothing was switched.

Change: `ANSWER_STATUSES` has the statuses of RFC 9110, 15, without the informational ones. The rule is applied where a leaf's head is decoded, so for single and gathered requests, and also to health checks, to answers that another daemon passes on, and to the leaf protocol for teams. Another status is a failure of a leaf that may have run the request.

The checks on health checks, on the team side and on the answers of other daemons have no test that failed before.

--- a/crates/daemon/src/leafs/attempt.rs
+++ b/crates/daemon/src/leafs/attempt.rs
@@ -199,7 +199,7 @@
                 self.slot.record_connection_lost();
                 return AttemptOutcome::Lost;
             }
-            Err(ExchangeError::Body | ExchangeError::Request(_)) => {
+            Err(ExchangeError::Status(_) | ExchangeError::Body | ExchangeError::Request(_)) => {
                 return AttemptOutcome::InvalidReply;
             }
         };
--- a/crates/daemon/src/leafs/protocol.rs
+++ b/crates/daemon/src/leafs/protocol.rs
@@ -4,6 +4,7 @@
 use displaydoc::Display;
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, StatusCode};
+use medlarpin_core::answer::ANSWER_STATUSES;
 use medlarpin_core::prelude::*;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -137,6 +138,8 @@
     NotSent,
     /// connection lost: {0}
     Lost(hyper::Error),
+    /// no reply has the status {0}
+    Status(StatusCode),
     /// reply body is truncated or larger than the limit
     Body,
     /// cannot build the request: {0}
@@ -176,6 +179,9 @@
             }
         })?;
     let status = response.status();
+    if !ANSWER_STATUSES.contains(&status.as_u16()) {
+        return Err(ExchangeError::Status(status));
+    }
     connection.progress_limit.restart();
     let mut body = response.into_body();
     // Tiny chunks, if they were kept one by one, would take many times their size.
--- a/crates/medlarpin-core/src/answer.rs
+++ b/crates/medlarpin-core/src/answer.rs
@@ -1,7 +1,12 @@
 //! Outcomes of shards and queries, and their reasons.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
+/// Statuses that the answer to a request can have: those of RFC 9110, 15, without the informational ones, which
+/// precede an answer. Another number is a failure of the sender, which may have run the request.
+pub const ANSWER_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Why a shard is not covered by the query's answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum UncoveredReason {
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -61,7 +61,12 @@
                 | LeafFailure::Encoding
                 | LeafFailure::NotAllowed,
             ) => {}
-            Err(LeafFailure::BrokenOff | LeafFailure::Foreign | LeafFailure::TooLarge) => {
+            Err(
+                LeafFailure::BrokenOff
+                | LeafFailure::Status
+                | LeafFailure::Foreign
+                | LeafFailure::TooLarge,
+            ) => {
                 load.answer_lost(now);
             }
             Err(LeafFailure::Connect) => load.failed(now),
@@ -197,7 +202,8 @@
     connection: LeafConnection,
 ) -> AttemptResult {
     let (parts, body) = response.into_parts();
-    let head = platform::parse_leaf_head(parts.status, &parts.headers, &request.id);
+    let head = platform::parse_leaf_head(parts.status, &parts.headers, &request.id)
+        .map_err(|_status| LeafFailure::Status)?;
     if !head.matches_request {
         return Err(LeafFailure::Foreign);
     }
--- a/crates/router/src/attempt_result.rs
+++ b/crates/router/src/attempt_result.rs
@@ -38,6 +38,8 @@
     BrokenOff,
     /// The answer exceeds the limit, or the memory that the answers in progress leave.
     TooLarge,
+    /// No answer has such a status.
+    Status,
     /// The answer has the identifier of another request or none, or no signature.
     Foreign,
     /// The request cannot be encoded as an HTTP request to a leaf.
@@ -60,6 +62,7 @@
             Self::OtherLeaf => "other_leaf",
             Self::BrokenOff => "broken_off",
             Self::TooLarge => "too_large",
+            Self::Status => "status",
             Self::Foreign => "foreign",
             Self::Encoding => "encoding",
             Self::NotAllowed => "not_allowed",
@@ -78,14 +81,16 @@
             | Self::OtherLeaf
             | Self::Encoding
             | Self::NotAllowed => true,
-            Self::Shed | Self::BrokenOff | Self::TooLarge | Self::Foreign => false,
+            Self::Shed | Self::BrokenOff | Self::TooLarge | Self::Status | Self::Foreign => false,
         }
     }
 
     /// Returns true if the leaf may have run the request.
     pub(crate) fn may_have_run(self) -> bool {
         match self {
-            Self::BrokenOff | Self::TooLarge | Self::Foreign | Self::NotAllowed => true,
+            Self::BrokenOff | Self::TooLarge | Self::Status | Self::Foreign | Self::NotAllowed => {
+                true
+            }
             Self::Connect
             | Self::ConnectionLimit
             | Self::NoMemory
--- a/crates/router/src/delegation.rs
+++ b/crates/router/src/delegation.rs
@@ -12,6 +12,7 @@
 use hyper::{Request, Response};
 use medlarpin_core::ids::LeafId;
 use medlarpin_core::routing::{ConfigVersion, HINTS_MAX, Route, RunLedger};
+use platform::LeafHeadError;
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
@@ -76,6 +77,8 @@
     Text(#[from] std::str::Utf8Error),
     /// the RPC has an invalid HTTP head: {0}
     Http(#[from] hyper::http::Error),
+    /// the RPC has an invalid status: {0}
+    Status(#[from] LeafHeadError),
     /// the task of the RPC ended before its result was known
     Aborted,
 }
@@ -244,6 +247,8 @@
         *headers = read_headers(reply.get_headers()?)?;
     }
     let answer = answer.body(Full::new(body))?;
+    // The other daemon may be of an older release, which passes on any number.
+    platform::check_answer_status(answer.status())?;
     Ok((DelegationOutcome::Answered(answer), config_version))
 }
 
--- a/crates/router/src/leaf_probe.rs
+++ b/crates/router/src/leaf_probe.rs
@@ -199,6 +199,7 @@
         connection.sender.send_request(request),
     );
     let response = answered.await.ok()?.ok()?;
+    platform::check_answer_status(response.status()).ok()?;
     let answered_by = platform::health_check_leaf(response.headers());
     if answered_by.as_ref().is_none_or(|id| *id == leaf.entry.id) {
         leaf.record_stated_load(platform::stated_load(response.headers()), shared.now());
