--- a/crates/daemon/tests/mixed_crowds.rs
+++ b/crates/daemon/tests/mixed_crowds.rs
@@ -7,9 +7,12 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
+use tokio::time::{sleep, timeout};
 
 use crate::slow_readers::fixture::{Fixture, Setup, head};
-use crate::slow_readers::{Bounds, Crowd, ONE_AT_A_TIME, Reading, Script, check_served, watch};
+use crate::slow_readers::{
+    Bounds, Crowd, ONE_AT_A_TIME, Reading, Script, WAIT_LIMIT, check_served, watch,
+};
 
 const SETUP: Setup = Setup {
     memory_mb: 64,
@@ -87,19 +90,23 @@
     ]
 }
 
+/// Starts the clients of all conducts.
+fn start_all(fixture: &Fixture) -> Vec<Crowd> {
+    let of_callers = callers().into_iter();
+    of_callers
+        .map(|(clients, script)| (fixture.query, clients, script))
+        .chain(others(fixture))
+        .map(|(address, clients, script)| Crowd::start(address, clients, &script))
+        .collect()
+}
+
 /// Guards against limits that hold for each conduct alone, but not for all together.
 #[tokio::test(flavor = "multi_thread")]
 async fn all_conducts_at_the_same_time() {
     let name = "mixed";
     let _guard = ONE_AT_A_TIME.lock().await;
     let fixture = Fixture::start(name, SETUP).await;
-    let mut crowds: Vec<Crowd> = callers()
-        .into_iter()
-        .map(|(clients, script)| Crowd::start(fixture.query, clients, &script))
-        .collect();
-    for (address, clients, script) in others(&fixture) {
-        crowds.push(Crowd::start(address, clients, &script));
-    }
+    let crowds = start_all(&fixture);
     watch(name, fixture.process.id(), &crowds[0], BOUNDS).await;
     let check_all = async || {
         let is_ok =
@@ -112,3 +119,45 @@
     drop(crowds);
     check_all().await;
 }
+
+/// Guards against memory that changes of the configuration take beside a crowd.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_conducts_while_the_configuration_changes() {
+    let name = "mixed-changes";
+    let _guard = ONE_AT_A_TIME.lock().await;
+    let fixture = Fixture::start(name, SETUP).await;
+    let crowds = start_all(&fixture);
+    let changes = async {
+        for version in 2.. {
+            fixture.publish(version);
+            sleep(Duration::from_millis(200)).await;
+        }
+    };
+    tokio::select! {
+        () = watch(name, fixture.process.id(), &crowds[0], BOUNDS) => {}
+        () = changes => {}
+    }
+    let is_answered = async || fixture.get("/one/1").await == Some(StatusCode::OK);
+    check_served(name, is_answered).await;
+}
+
+/// Guards against a process that does not end because of clients that stay.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_conducts_while_the_daemon_stops() {
+    let name = "mixed-stop";
+    let _guard = ONE_AT_A_TIME.lock().await;
+    let mut fixture = Fixture::start(name, SETUP).await;
+    let _crowds = start_all(&fixture);
+    sleep(Duration::from_secs(2)).await;
+    fixture.terminate();
+    let ended = async {
+        loop {
+            if let Ok(Some(status)) = fixture.process.try_wait() {
+                return status;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let status = timeout(WAIT_LIMIT, ended).await.expect("the process ends");
+    assert!(status.success(), "{status}");
+}
--- a/crates/daemon/tests/slow_readers/fixture.rs
+++ b/crates/daemon/tests/slow_readers/fixture.rs
@@ -44,7 +44,8 @@
     pub peer: SocketAddr,
     pub operator: SocketAddr,
     pub readiness: SocketAddr,
-    _store: FakeStore,
+    store: FakeStore,
+    setup: Setup,
     _leafs: (FakeLeaf, RawServer, RawServer),
     /// Accepts connections and reads nothing from them.
     _deaf: TcpListener,
@@ -87,7 +88,7 @@
         for name in shard_names(setup.shards) {
             store.put(&format!("servers/{name}"), &part.entry(&name));
         }
-        store.put("op/config", &config(setup));
+        store.put("op/config", &config(setup, 1));
         let (reserved_query, query) = reserve_port().unwrap();
         let (reserved_readiness, readiness) = reserve_port().unwrap();
         let (reserved_peer, peer) = reserve_port().unwrap();
@@ -117,7 +118,8 @@
             peer,
             operator,
             readiness,
-            _store: store,
+            store,
+            setup,
             _leafs: (good, long, part),
             _deaf: deaf,
         };
@@ -134,6 +136,18 @@
         fixture
     }
 
+    /// Publishes the same configuration under another version.
+    pub fn publish(&self, version: u64) {
+        self.store.put("op/config", &config(self.setup, version));
+    }
+
+    /// Asks the process to stop, as the platform does.
+    pub fn terminate(&self) {
+        let process = self.process.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &process]).status();
+        assert!(sent.is_ok_and(|status| status.success()));
+    }
+
     /// Sends an ordinary request on a connection of its own.
     pub async fn get(&self, path: &str) -> Option<StatusCode> {
         Self::get_from(self.query, path).await
@@ -177,7 +191,7 @@
 }
 
 /// Publishes the services `good`, `long` and `deaf` and the shards, each with a route, the shards with one in common.
-fn config(setup: Setup) -> Value {
+fn config(setup: Setup, version: u64) -> Value {
     let route = |name: &str, service: &str| {
         json!({
             "name": name, "host": "a.example", "prefix": format!("/{name}/"), "type": "idempotent",
@@ -202,7 +216,7 @@
         }));
     }
     json!({
-        "version": 1,
+        "version": version,
         "routes": routes,
         "services": services,
         "limits": {
--- a/crates/daemon/tests/slow_readers/mod.rs
+++ b/crates/daemon/tests/slow_readers/mod.rs
@@ -180,11 +180,18 @@
     pub descriptors: usize,
 }
 
+/// Returns the time for which a crowd is watched: `CROWD_HOLD_S` seconds if it is set, for long runs by hand.
+fn hold_time() -> Duration {
+    let seconds = std::env::var("CROWD_HOLD_S").ok();
+    let seconds = seconds.and_then(|seconds| seconds.parse().ok());
+    seconds.map_or(HOLD_TIME, Duration::from_secs)
+}
+
 /// Watches a process while the crowd is connected, and prints and checks its largest use.
 pub async fn watch(name: &str, process: u32, crowd: &Crowd, bounds: Bounds) {
     let before = Usage::read(process).expect("the process runs");
     let mut peak = before;
-    let until = Instant::now() + HOLD_TIME;
+    let until = Instant::now() + hold_time();
     while Instant::now() < until {
         let Some(usage) = Usage::read(process) else {
             panic!("{name}: the process has ended, last use {peak:?}");
--- a/crates/router/src/delegation/tests.rs
+++ b/crates/router/src/delegation/tests.rs
@@ -1,4 +1,5 @@
-//! Tests of what the outcome of a hand-over says about whether the other daemon got the request.
+//! Tests of what the outcome of a hand-over says about whether the other daemon got the request, and of what is passed
+//! on of its answer.
 
 use bytes::Bytes;
 use client_connections::Clients;
@@ -6,6 +7,36 @@
 use medlarpin_core::routing::Repeatability;
 
 use super::*;
+use crate::crash_memory::CrashMemory;
+use crate::leaf_permits::LeafPermits;
+use crate::leaf_rate_reports::LeafRateReports;
+use crate::metrics::Metrics;
+
+const SETTINGS: &str = r#"{
+    "vm": "vm-1", "failure_domain": "z1", "region": "r1",
+    "query_address": "127.0.0.1:0", "readiness_address": "127.0.0.1:0",
+    "operator_address": "127.0.0.1:0", "store_address": "127.0.0.1:9", "seed_addresses": [],
+    "drain_s": 3, "shutdown_grace_s": 6, "repeat_ratio": 0.2, "repeat_window_s": 10,
+    "repeat_slack": 10, "cpu_share": 1.0,
+}"#;
+
+/// A daemon that answers each request with a status.
+struct AnsweringDaemon {
+    status: u16,
+}
+
+impl route_peer::Server for AnsweringDaemon {
+    async fn serve_request(
+        self: Rc<Self>,
+        _params: route_peer::ServeRequestParams,
+        mut results: route_peer::ServeRequestResults,
+    ) -> Result<(), capnp::Error> {
+        let mut reply = results.get();
+        reply.set_is_served(true);
+        reply.set_status(self.status);
+        Ok(())
+    }
+}
 
 fn request() -> Arc<CallerRequest> {
     let clock = Arc::new(SystemClock);
@@ -51,3 +82,32 @@
         "{outcome:?}"
     );
 }
+
+/// Guards against a number that is no status of an answer, which a daemon of an older release passes on.
+#[tokio::test]
+async fn only_statuses_of_answers_are_passed_on() {
+    let settings = settings::parse_router(SETTINGS, "settings").unwrap();
+    let shared = Shared::new(
+        settings,
+        None,
+        Arc::new(SystemClock),
+        CrashMemory::new().0,
+        Delegations::new().0,
+        LeafRateReports::new().0,
+        LeafPermits::new().0,
+        Metrics::new().unwrap(),
+    );
+    let check = async |status: u16, expected: bool| {
+        let client: route_peer::Client = capnp_rpc::new_client(AnsweringDaemon { status });
+        let answered = call_serve_request(&client, &request(), false, &shared).await;
+        assert_eq!(answered.is_ok(), expected, "{status}: {answered:?}");
+    };
+    check(0, false).await;
+    check(99, false).await;
+    check(101, false).await;
+    check(200, true).await;
+    check(599, true).await;
+    check(600, false).await;
+    check(999, false).await;
+    check(1_000, false).await;
+}
