--- a/crates/daemon/tests/leaf_crowds.rs
+++ b/crates/daemon/tests/leaf_crowds.rs
@@ -6,19 +6,11 @@
 use hyper::StatusCode;
 
 use crate::slow_readers::fixture::{Fixture, Setup, head};
-use crate::slow_readers::{Bounds, Crowd, ONE_AT_A_TIME, Script, check_served, watch};
+use crate::slow_readers::{Crowd, ONE_AT_A_TIME, Script, watch};
 
-/// The limits of `slow_readers_routes.rs`.
 const SETUP: Setup = Setup {
-    memory_mb: 48,
-    descriptors: 1_024,
-    long_bytes: 256 << 10,
-    body_bytes: 262_144,
     shards: 40,
-};
-const BOUNDS: Bounds = Bounds {
-    resident_mb: SETUP.memory_mb,
-    descriptors: SETUP.descriptors - 100,
+    ..Setup::SMALL
 };
 /// Length of a long head, which is inside the published limit.
 const HEAD_BYTES: usize = 15_000;
@@ -28,15 +20,11 @@
     let fixture = Fixture::start(name, SETUP).await;
     assert_eq!(fixture.get("/many/1").await, Some(StatusCode::OK));
     let crowd = Crowd::start(fixture.query, clients, script);
-    watch(name, fixture.process.id(), &crowd, BOUNDS).await;
-    let is_answered = async || fixture.get("/one/1").await == Some(StatusCode::OK);
-    check_served(name, is_answered).await;
+    watch(name, fixture.process.id(), &crowd, SETUP.bounds()).await;
+    fixture.check_caller_served(name).await;
     drop(crowd);
-    check_served(name, is_answered).await;
-    check_served(name, async || {
-        fixture.get("/many/1").await == Some(StatusCode::OK)
-    })
-    .await;
+    fixture.check_caller_served(name).await;
+    fixture.check_ok(name, fixture.query, "/many/1").await;
 }
 
 /// Guards against connections to leafs that take the descriptors, and against their buffers.
--- a/crates/daemon/tests/mixed_crowds.rs
+++ b/crates/daemon/tests/mixed_crowds.rs
@@ -6,24 +6,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hyper::StatusCode;
 use tokio::time::{sleep, timeout};
 
 use crate::slow_readers::fixture::{Fixture, Setup, head};
-use crate::slow_readers::{
-    Bounds, Crowd, ONE_AT_A_TIME, Reading, Script, WAIT_LIMIT, check_served, watch,
-};
+use crate::slow_readers::{Crowd, ONE_AT_A_TIME, Reading, Script, WAIT_LIMIT, watch};
 
 const SETUP: Setup = Setup {
     memory_mb: 64,
-    descriptors: 1_024,
-    long_bytes: 256 << 10,
-    body_bytes: 262_144,
     shards: 40,
-};
-const BOUNDS: Bounds = Bounds {
-    resident_mb: SETUP.memory_mb,
-    descriptors: SETUP.descriptors - 100,
+    ..Setup::SMALL
 };
 /// Time after which clients leave that come again.
 const STAY: Duration = Duration::from_millis(50);
@@ -107,17 +98,10 @@
     let _guard = ONE_AT_A_TIME.lock().await;
     let fixture = Fixture::start(name, SETUP).await;
     let crowds = start_all(&fixture);
-    watch(name, fixture.process.id(), &crowds[0], BOUNDS).await;
-    let check_all = async || {
-        let is_ok =
-            async |address, path| Fixture::get_from(address, path).await == Some(StatusCode::OK);
-        check_served(name, async || is_ok(fixture.query, "/one/1").await).await;
-        check_served(name, async || is_ok(fixture.operator, "/state").await).await;
-        check_served(name, async || is_ok(fixture.readiness, "/api/ready").await).await;
-    };
-    check_all().await;
+    watch(name, fixture.process.id(), &crowds[0], SETUP.bounds()).await;
+    fixture.check_all_served(name).await;
     drop(crowds);
-    check_all().await;
+    fixture.check_all_served(name).await;
 }
 
 /// Guards against memory that changes of the configuration take beside a crowd.
@@ -134,11 +118,10 @@
         }
     };
     tokio::select! {
-        () = watch(name, fixture.process.id(), &crowds[0], BOUNDS) => {}
+        () = watch(name, fixture.process.id(), &crowds[0], SETUP.bounds()) => {}
         () = changes => {}
     }
-    let is_answered = async || fixture.get("/one/1").await == Some(StatusCode::OK);
-    check_served(name, is_answered).await;
+    fixture.check_caller_served(name).await;
 }
 
 /// Guards against a process that does not end because of clients that stay.
--- a/crates/daemon/tests/operator_crowds.rs
+++ b/crates/daemon/tests/operator_crowds.rs
@@ -3,35 +3,14 @@
 
 mod fleet;
 mod slow_readers;
+mod teams_crowd;
 
 use std::net::SocketAddr;
 
-use hyper::StatusCode;
-
-use crate::fleet::Fleet;
-use crate::fleet::config::{FleetConfig, query};
 use crate::slow_readers::fixture::{Fixture, Setup};
-use crate::slow_readers::{Bounds, Crowd, ONE_AT_A_TIME, Reading, Script, check_served, watch};
-
-/// The daemon that serves published routes, with the limits of `slow_readers_routes.rs`.
-const ROUTES: Setup = Setup {
-    memory_mb: 48,
-    descriptors: 1_024,
-    long_bytes: 256 << 10,
-    body_bytes: 262_144,
-    shards: 0,
-};
-const ROUTES_BOUNDS: Bounds = Bounds {
-    resident_mb: ROUTES.memory_mb,
-    descriptors: ROUTES.descriptors - 100,
-};
-/// Memory of the VM of a daemon that serves teams, in MiB, as in `slow_readers_teams.rs`.
-const TEAMS_MEMORY_MB: u64 = 64;
-const TEAMS_DESCRIPTORS: usize = 1_024;
-const TEAMS_BOUNDS: Bounds = Bounds {
-    resident_mb: TEAMS_MEMORY_MB,
-    descriptors: TEAMS_DESCRIPTORS - 100,
-};
+use crate::slow_readers::{Crowd, ONE_AT_A_TIME, Reading, Script, watch};
+
+const SETUP: Setup = Setup::SMALL;
 
 fn get(path: &str) -> String {
     format!("GET {path} HTTP/1.1\r\nhost: a.example\r\n\r\n")
@@ -50,42 +29,17 @@
     script: &Script,
 ) {
     let _guard = ONE_AT_A_TIME.lock().await;
-    let fixture = Fixture::start(name, ROUTES).await;
+    let fixture = Fixture::start(name, SETUP).await;
     let crowd = Crowd::start(address(&fixture), clients, script);
-    watch(name, fixture.process.id(), &crowd, ROUTES_BOUNDS).await;
-    let check_all = async || {
-        let is_ok =
-            async |address, path| Fixture::get_from(address, path).await == Some(StatusCode::OK);
-        check_served(name, async || is_ok(fixture.query, "/one/1").await).await;
-        check_served(name, async || is_ok(fixture.operator, "/state").await).await;
-        check_served(name, async || is_ok(fixture.readiness, "/api/ready").await).await;
-    };
-    check_all().await;
+    watch(name, fixture.process.id(), &crowd, SETUP.bounds()).await;
+    fixture.check_all_served(name).await;
     drop(crowd);
-    check_all().await;
+    fixture.check_all_served(name).await;
 }
 
 /// Connects a crowd to the operators' address of a daemon that serves teams.
 async fn check_teams(name: &str, clients: usize, script: &Script) {
-    let _guard = ONE_AT_A_TIME.lock().await;
-    let mut config = FleetConfig::new();
-    config.daemons = 1;
-    config.descriptors = Some(TEAMS_DESCRIPTORS);
-    config.set("memory_mb", TEAMS_MEMORY_MB.into());
-    let fleet = Fleet::start(config).await;
-    let crowd = Crowd::start(fleet.operator_address(0), clients, script);
-    watch(name, fleet.process_id(0), &crowd, TEAMS_BOUNDS).await;
-    let check_all = async || {
-        let is_answered = async || {
-            let reply = fleet.try_query(0, &query("ordinary", 2_000)).await;
-            reply.is_some_and(|reply| reply.outcome() == "complete")
-        };
-        check_served(name, is_answered).await;
-        check_served(name, async || fleet.state(0).await.is_some()).await;
-    };
-    check_all().await;
-    drop(crowd);
-    check_all().await;
+    teams_crowd::check(name, |fleet| fleet.operator_address(0), clients, script).await;
 }
 
 /// Guards against connections to the operators' address that take all descriptors.
--- a/crates/daemon/tests/peer_crowds.rs
+++ b/crates/daemon/tests/peer_crowds.rs
@@ -3,41 +3,21 @@
 
 mod fleet;
 mod slow_readers;
+mod teams_crowd;
 
 use std::net::SocketAddr;
 
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use futures::AsyncReadExt;
-use hyper::StatusCode;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio_util::compat::TokioAsyncReadCompatExt;
 use wire::peer_capnp::route_peer;
 
-use crate::fleet::Fleet;
-use crate::fleet::config::{FleetConfig, query};
 use crate::slow_readers::fixture::{Fixture, Setup};
-use crate::slow_readers::{Bounds, Crowd, ONE_AT_A_TIME, Script, check_served, watch};
-
-/// The daemon that serves published routes, with the limits of `slow_readers_routes.rs`.
-const ROUTES: Setup = Setup {
-    memory_mb: 48,
-    descriptors: 1_024,
-    long_bytes: 256 << 10,
-    body_bytes: 262_144,
-    shards: 0,
-};
-const ROUTES_BOUNDS: Bounds = Bounds {
-    resident_mb: ROUTES.memory_mb,
-    descriptors: ROUTES.descriptors - 100,
-};
-/// Memory of the VM of a daemon that serves teams, in MiB, as in `slow_readers_teams.rs`.
-const TEAMS_MEMORY_MB: u64 = 64;
-const TEAMS_DESCRIPTORS: usize = 1_024;
-const TEAMS_BOUNDS: Bounds = Bounds {
-    resident_mb: TEAMS_MEMORY_MB,
-    descriptors: TEAMS_DESCRIPTORS - 100,
-};
+use crate::slow_readers::{Crowd, ONE_AT_A_TIME, Script, watch};
+
+const SETUP: Setup = Setup::SMALL;
 /// Size of the unit in which Cap'n Proto counts.
 const WORD_BYTES: usize = 8;
 
@@ -62,33 +42,20 @@
     }
 }
 
+/// Connects a crowd to a daemon that serves published routes.
 async fn check_routes(name: &str, clients: usize, script: &Script) {
     let _guard = ONE_AT_A_TIME.lock().await;
-    let fixture = Fixture::start(name, ROUTES).await;
+    let fixture = Fixture::start(name, SETUP).await;
     let crowd = Crowd::start(fixture.peer, clients, script);
-    watch(name, fixture.process.id(), &crowd, ROUTES_BOUNDS).await;
-    let is_answered = async || fixture.get("/one/1").await == Some(StatusCode::OK);
-    check_served(name, is_answered).await;
+    watch(name, fixture.process.id(), &crowd, SETUP.bounds()).await;
+    fixture.check_caller_served(name).await;
     drop(crowd);
-    check_served(name, is_answered).await;
+    fixture.check_caller_served(name).await;
 }
 
+/// Connects a crowd to a daemon that serves teams.
 async fn check_teams(name: &str, clients: usize, script: &Script) {
-    let _guard = ONE_AT_A_TIME.lock().await;
-    let mut config = FleetConfig::new();
-    config.daemons = 1;
-    config.descriptors = Some(TEAMS_DESCRIPTORS);
-    config.set("memory_mb", TEAMS_MEMORY_MB.into());
-    let fleet = Fleet::start(config).await;
-    let crowd = Crowd::start(fleet.rpc_address(0), clients, script);
-    watch(name, fleet.process_id(0), &crowd, TEAMS_BOUNDS).await;
-    let is_answered = async || {
-        let reply = fleet.try_query(0, &query("ordinary", 2_000)).await;
-        reply.is_some_and(|reply| reply.outcome() == "complete")
-    };
-    check_served(name, is_answered).await;
-    drop(crowd);
-    check_served(name, is_answered).await;
+    teams_crowd::check(name, |fleet| fleet.rpc_address(0), clients, script).await;
 }
 
 /// Guards against memory for the announced length of messages that break off.
@@ -144,7 +111,7 @@
     );
     let mut rpc = RpcSystem::new(Box::new(network), None);
     let client: route_peer::Client = rpc.bootstrap(rpc_twoparty_capnp::Side::Server);
-    let body = vec![b'x'; ROUTES.body_bytes];
+    let body = vec![b'x'; SETUP.body_bytes];
     let calls: Vec<_> = (0..CALLS)
         .map(|number| {
             let mut call = client.serve_request_request();
@@ -182,15 +149,14 @@
     local.block_on(&runtime, async {
         let name = "peer-bodies";
         let _guard = ONE_AT_A_TIME.lock().await;
-        let fixture = Fixture::start(name, ROUTES).await;
+        let fixture = Fixture::start(name, SETUP).await;
         let mut peers = JoinSet::new();
         for _ in 0..20 {
             peers.spawn_local(hand_over_bodies(fixture.peer));
         }
         let nobody = Crowd::start(fixture.query, 0, &Script::once(""));
-        watch(name, fixture.process.id(), &nobody, ROUTES_BOUNDS).await;
-        let is_answered = async || fixture.get("/one/1").await == Some(StatusCode::OK);
-        check_served(name, is_answered).await;
+        watch(name, fixture.process.id(), &nobody, SETUP.bounds()).await;
+        fixture.check_caller_served(name).await;
     });
 }
 
--- a/crates/daemon/tests/slow_readers/fixture.rs
+++ b/crates/daemon/tests/slow_readers/fixture.rs
@@ -15,7 +15,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
-use super::check_served;
+use super::{Bounds, check_served};
 
 /// Limits of the daemon, and the size of what clients and leafs send.
 #[derive(Debug, Clone, Copy)]
@@ -32,6 +32,26 @@
     pub shards: usize,
 }
 
+impl Setup {
+    /// A VM that is smaller than any in use, so that a small crowd shows a missing bound. It has the limits of
+    /// `slow_readers_routes.rs`.
+    pub const SMALL: Self = Self {
+        memory_mb: 48,
+        descriptors: 1_024,
+        long_bytes: 256 << 10,
+        body_bytes: 262_144,
+        shards: 0,
+    };
+
+    /// Returns the bounds of the process: the VM's memory, and a part of the descriptors that stays free.
+    pub const fn bounds(self) -> Bounds {
+        Bounds {
+            resident_mb: self.memory_mb,
+            descriptors: self.descriptors - 100,
+        }
+    }
+}
+
 /// Length of a shard's part of the answers of the route `many`.
 const PART_BYTES: usize = 20_000;
 /// Time that its leafs work.
@@ -136,6 +156,24 @@
         fixture
     }
 
+    /// Checks that an ordinary caller is answered.
+    pub async fn check_caller_served(&self, name: &str) {
+        self.check_ok(name, self.query, "/one/1").await;
+    }
+
+    /// Checks that an ordinary caller, an operator and a readiness check are answered.
+    pub async fn check_all_served(&self, name: &str) {
+        self.check_caller_served(name).await;
+        self.check_ok(name, self.operator, "/state").await;
+        self.check_ok(name, self.readiness, "/api/ready").await;
+    }
+
+    /// Checks that a path is served with 200.
+    pub async fn check_ok(&self, name: &str, address: SocketAddr, path: &str) {
+        let is_ok = async || Self::get_from(address, path).await == Some(StatusCode::OK);
+        check_served(name, is_ok).await;
+    }
+
     /// Publishes the same configuration under another version.
     pub fn publish(&self, version: u64) {
         self.store.put("op/config", &config(self.setup, version));
