--- a/crates/daemon/tests/slow_readers_routes.rs
+++ b/crates/daemon/tests/slow_readers_routes.rs
@@ -212,3 +212,19 @@
     assert_eq!(fixture.get("/long/1").await, Some(StatusCode::OK));
     assert_eq!(fixture.get("/one/1").await, Some(StatusCode::OK));
 }
+
+/// Guards against limits that refuse a long answer of a leaf in calm, on the smallest VM in use.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_of_a_sixteenth_of_the_memory_is_served() {
+    let setup = Setup {
+        memory_mb: 112,
+        descriptors: 2_870,
+        long_bytes: 7_000_000,
+        ..SETUP
+    };
+    let _guard = ONE_AT_A_TIME.lock().await;
+    let fixture = Fixture::start("single-longest", setup).await;
+    for _ in 0..3 {
+        assert_eq!(fixture.get("/long/1").await, Some(StatusCode::OK));
+    }
+}
