--- a/crates/client-connections/src/held_memory.rs
+++ b/crates/client-connections/src/held_memory.rs
@@ -28,6 +28,12 @@
         Self { clients, bytes: 0 }
     }
 
+    /// Returns the number of bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Takes more memory; returns false if there is no room for it.
     #[must_use]
     pub fn try_grow(&mut self, more_bytes: usize) -> bool {
@@ -104,14 +110,6 @@
     }
 }
 
-impl HeldMemory {
-    /// Returns the number of bytes.
-    #[must_use]
-    pub fn bytes(&self) -> usize {
-        self.bytes
-    }
-}
-
 impl Room {
     /// Moves up to `bytes` to another part of the memory; returns the number moved.
     pub(crate) fn move_to(&self, memory: &mut HeldMemory, bytes: usize) -> usize {
--- a/crates/router/src/leaf_table.rs
+++ b/crates/router/src/leaf_table.rs
@@ -267,10 +267,10 @@
         for leaf in &leafs {
             leaf.collect_idle_since(&mut times);
         }
-        let middle = times.len() / 2;
         if times.is_empty() {
             return;
         }
+        let middle = times.len() / 2;
         let (_, at, _) = times.select_nth_unstable(middle);
         for leaf in leafs {
             leaf.close_idle_since(*at);
