Disconnect slow callers by the memory that the other groups leave

Cause: callers were disconnected from half of their own limit on. While the other groups use the common memory, callers have just that half, so that slow callers could keep all of it and ordinary requests were refused for as long.

Change: pressure is measured against the memory that the group can reach at present: its limit, or what it has and the common memory that is free.

Evidence: `slow_callers_are_disconnected_when_others_use_the_common_memory` failed before.

--- a/crates/client-connections/src/account.rs
+++ b/crates/client-connections/src/account.rs
@@ -62,6 +62,14 @@
         self.budget.used_bytes()
     }
 
+    /// Returns the memory that the account could use at present, as far as the other accounts leave it, in bytes.
+    pub(crate) fn reachable_bytes(&self) -> usize {
+        let commitment = self.commitment(self.budget.used_bytes());
+        commitment
+            .saturating_add(self.common.free_bytes())
+            .min(self.budget.limit_bytes())
+    }
+
     /// Returns the memory that a single holder may have while there is no other, in bytes.
     pub(crate) fn holder_bytes_max(&self) -> usize {
         self.budget.holder_bytes_max()
--- a/crates/client-connections/src/clients.rs
+++ b/crates/client-connections/src/clients.rs
@@ -346,7 +346,16 @@
             return 0;
         }
         let now_ms = self.now_ms();
-        let held_bytes = self.used_bytes();
+        let (held_bytes, reachable_bytes) = {
+            let memory = self.0.memory.lock();
+            (memory.used_bytes(), memory.reachable_bytes())
+        };
+        // The other groups may leave less than the limit, of which the clients would then never use enough to be
+        // disconnected.
+        let limits = ClientLimits {
+            held_bytes_max: reachable_bytes,
+            ..self.0.limits
+        };
         let open = self.0.open.lock();
         // The memory of clients that are being disconnected is about to return.
         let leaving = open.iter().filter(|client| client.is_disconnected());
@@ -357,7 +366,7 @@
             held_bytes: held_bytes.saturating_sub(leaving_bytes),
             connections: open.len() - leaving_count,
         };
-        if !self.0.limits.is_exceeded_in_part(used) {
+        if !limits.is_exceeded_in_part(used) {
             return 0;
         }
         let staying: Vec<&Arc<ClientState>> = open
@@ -368,7 +377,7 @@
             .iter()
             .map(|client| client.progress(now_ms))
             .collect();
-        let chosen = clients_to_disconnect(self.0.limits, used, &progress);
+        let chosen = clients_to_disconnect(limits, used, &progress);
         for position in &chosen {
             staying[*position].disconnect();
         }
--- a/crates/client-connections/src/common_memory.rs
+++ b/crates/client-connections/src/common_memory.rs
@@ -37,6 +37,12 @@
         self.0.committed_bytes.fetch_add(bytes, Ordering::Relaxed);
     }
 
+    /// Returns the memory that is not committed, in bytes.
+    pub(crate) fn free_bytes(&self) -> usize {
+        let committed_bytes = self.0.committed_bytes.load(Ordering::Relaxed);
+        self.0.total_bytes.saturating_sub(committed_bytes)
+    }
+
     /// Returns committed memory.
     pub(crate) fn release(&self, bytes: usize) {
         self.0.committed_bytes.fetch_sub(bytes, Ordering::Relaxed);
--- a/crates/client-connections/tests/client_groups.rs
+++ b/crates/client-connections/tests/client_groups.rs
@@ -1,9 +1,10 @@
 //! Tests of the memory that the groups of clients share.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use client_connections::{ClientGroups, Clients, HeldMemory};
-use medlarpin_core::prelude::{Clock, SystemClock};
+use medlarpin_core::prelude::{Clock, ManualClock, SystemClock};
 
 const MEMORY_BYTES: usize = 16 << 20;
 /// A sixteenth of the memory.
@@ -47,3 +48,39 @@
     check([1, 2, 0], [2, 2, 1, 1]);
     check([2, 0, 1], [2, 1, 2, 1]);
 }
+
+/// Guards against slow callers that keep all memory which the other groups leave, as it is less than the limit at
+/// which they would be disconnected.
+#[tokio::test]
+async fn slow_callers_are_disconnected_when_others_use_the_common_memory() {
+    const ANSWER_BYTES: usize = 64 << 10;
+    let clock = Arc::new(ManualClock::new());
+    let shared_clock: Arc<dyn Clock> = Arc::<ManualClock>::clone(&clock);
+    let groups = ClientGroups::new(MEMORY_BYTES, &shared_clock);
+    let leafs = take_all(&groups.leafs);
+    let callers = &groups.callers;
+    let mut slow = Vec::new();
+    while let Some(room) = callers.reserve(ANSWER_BYTES).await {
+        let open = callers.open().unwrap();
+        open.client().sends();
+        open.client().receives(ANSWER_BYTES);
+        slow.push((open, room.attach(vec![7; ANSWER_BYTES])));
+    }
+    assert_eq!(slow.len(), 2 * PART_BYTES / ANSWER_BYTES);
+    clock.advance(Duration::from_secs(2));
+    let tasks: Vec<_> = slow
+        .into_iter()
+        .map(|(open, answer)| {
+            tokio::spawn(async move {
+                open.client().disconnected().await;
+                drop((open, answer));
+            })
+        })
+        .collect();
+    assert!(callers.reserve(ANSWER_BYTES).await.is_some());
+    assert!(callers.counts().disconnected > 0);
+    for task in tasks {
+        task.abort();
+    }
+    drop(leafs);
+}
--- a/crates/medlarpin-core/src/routing/memory_budget.rs
+++ b/crates/medlarpin-core/src/routing/memory_budget.rs
@@ -62,6 +62,12 @@
         self.used_bytes = self.used_bytes.saturating_sub(held_bytes);
     }
 
+    /// Returns the memory that all holders may have together, in bytes.
+    #[must_use]
+    pub fn limit_bytes(&self) -> usize {
+        self.limit_bytes
+    }
+
     /// Returns the memory in use, in bytes.
     #[must_use]
     pub fn used_bytes(&self) -> usize {
