Let large holders leave room for small ones in what a group can reach

Cause: the largest holder of a group was limited by the group's own limit, also while the other groups left it less. The fault came with the common bound of this issue.

Change: a holder may have a part of the free memory that its group can reach. So that callers reach their whole limit in calm, as before this issue, the other groups have a thirty-second of the memory each guaranteed, and all groups together take 11/32.

--- a/crates/client-connections/src/account.rs
+++ b/crates/client-connections/src/account.rs
@@ -29,12 +29,15 @@
 
     /// Takes `more_bytes` for a holder that has `held_bytes`; returns false if it may not have them.
     pub(crate) fn try_grow(&mut self, held_bytes: usize, more_bytes: usize) -> bool {
+        let reachable_bytes = self.reachable_bytes();
         let commitment = self.commitment(self.budget.used_bytes().saturating_add(more_bytes));
         let more_committed = commitment - self.commitment(self.budget.used_bytes());
         if !self.common.try_commit(more_committed) {
             return false;
         }
-        let is_granted = self.budget.try_grow(held_bytes, more_bytes);
+        let is_granted = self
+            .budget
+            .try_grow_within(reachable_bytes, held_bytes, more_bytes);
         if !is_granted {
             self.common.release(more_committed);
         }
--- a/crates/client-connections/src/client_groups.rs
+++ b/crates/client-connections/src/client_groups.rs
@@ -45,18 +45,21 @@
             MemoryBudget::new(callers.held_bytes_max),
             ClientLimits::callers_guaranteed_bytes(memory_bytes),
         );
-        // Their few connections need no descriptors of the common ones, and their memory is all theirs. A single
-        // state dump of a large fleet may take most of it.
+        let others_guaranteed_bytes = ClientLimits::others_guaranteed_bytes(memory_bytes);
+        // Their few connections need no descriptors of the common ones. A single state dump of a large fleet may take
+        // most of their memory.
         let few = |limits: ClientLimits| {
             let budget = MemoryBudget::with_free_part(limits.held_bytes_max, 1);
-            let memory = account(budget, limits.held_bytes_max);
+            let memory = account(budget, limits.held_bytes_max.min(others_guaranteed_bytes));
             Clients::with_memory(limits, Sockets::new(usize::MAX), memory, Arc::clone(clock))
         };
-        let guaranteed_bytes = ClientLimits::guaranteed_bytes(memory_bytes);
         let messages_max = ClientLimits::message_bytes_max(memory_bytes);
-        let messages = account(Clients::message_budget(messages_max), guaranteed_bytes);
+        let messages = account(
+            Clients::message_budget(messages_max),
+            others_guaranteed_bytes,
+        );
         let leafs_max = ClientLimits::leaf_bytes_max(memory_bytes);
-        let leafs = account(Clients::leaf_budget(leafs_max), guaranteed_bytes);
+        let leafs = account(Clients::leaf_budget(leafs_max), others_guaranteed_bytes);
         Self {
             operators: few(ClientLimits::for_operators(memory_bytes)),
             readiness_checks: few(ClientLimits::for_readiness_checks(memory_bytes)),
--- a/crates/medlarpin-core/src/client_pressure.rs
+++ b/crates/medlarpin-core/src/client_pressure.rs
@@ -24,12 +24,12 @@
 const LEAF_MEMORY_DIVISOR: usize = 8;
 /// Part of the memory that all of these may take together. It is more than the sum of their guaranteed parts, and
 /// less than that of their limits.
-const TOTAL_MEMORY_PART: (usize, usize) = (3, 8);
+const TOTAL_MEMORY_PART: (usize, usize) = (11, 32);
 /// Divisor of the memory of a process; the quotient is guaranteed to callers.
 const CALLERS_GUARANTEED_DIVISOR: usize = 8;
-/// Divisor of the memory of a process; the quotient is guaranteed each to messages of other daemons and to the
-/// buffers of connections to leafs.
-const GUARANTEED_DIVISOR: usize = 16;
+/// Divisor of the memory of a process; the quotient is guaranteed each to operators, to messages of other daemons and
+/// to the buffers of connections to leafs.
+const OTHERS_GUARANTEED_DIVISOR: usize = 32;
 /// Part of the descriptor limit that is for connections of callers, of other daemons and to leafs, which share it.
 /// The rest is for operators, readiness checks, connections that the daemon opens to other daemons and to the
 /// store, and files.
@@ -106,11 +106,11 @@
         memory_bytes / CALLERS_GUARANTEED_DIVISOR
     }
 
-    /// Returns the memory that messages of other daemons can always take, and the buffers of connections to leafs
-    /// as much again, in bytes.
+    /// Returns the memory that operators can always take, and messages of other daemons and the buffers of connections
+    /// to leafs each as much again, in bytes.
     #[must_use]
-    pub fn guaranteed_bytes(memory_bytes: usize) -> usize {
-        memory_bytes / GUARANTEED_DIVISOR
+    pub fn others_guaranteed_bytes(memory_bytes: usize) -> usize {
+        memory_bytes / OTHERS_GUARANTEED_DIVISOR
     }
 
     /// Returns the number of connections of callers, of other daemons and to leafs, all together.
--- a/crates/medlarpin-core/src/routing/memory_budget.rs
+++ b/crates/medlarpin-core/src/routing/memory_budget.rs
@@ -43,7 +43,19 @@
 
     /// Takes `more_bytes` for a holder that has `held_bytes`; returns false if it may not have them.
     pub fn try_grow(&mut self, held_bytes: usize, more_bytes: usize) -> bool {
-        let free_bytes = self.limit_bytes.saturating_sub(self.used_bytes);
+        self.try_grow_within(self.limit_bytes, held_bytes, more_bytes)
+    }
+
+    /// Like [`Self::try_grow`], while only `reachable_bytes` of the limit can be used. Holders then leave each other
+    /// room within these.
+    pub fn try_grow_within(
+        &mut self,
+        reachable_bytes: usize,
+        held_bytes: usize,
+        more_bytes: usize,
+    ) -> bool {
+        let limit_bytes = self.limit_bytes.min(reachable_bytes);
+        let free_bytes = limit_bytes.saturating_sub(self.used_bytes);
         let is_granted =
             held_bytes.saturating_add(more_bytes) <= free_bytes / self.free_part_divisor;
         if is_granted {
