Create the daemon of the router's unit tests in one place

Cause: three test files spelled out the same settings and the same empty parts of `Shared`, and a fourth is to come.

Change: `test_daemon` creates it.

--- a/crates/router/src/delegation/tests.rs
+++ b/crates/router/src/delegation/tests.rs
@@ -7,18 +7,7 @@
 use medlarpin_core::routing::Repeatability;
 
 use super::*;
-use crate::crash_memory::CrashMemory;
-use crate::leaf_permits::LeafPermits;
-use crate::leaf_rate_reports::LeafRateReports;
-use crate::metrics::Metrics;
-
-const SETTINGS: &str = r#"{
-    "vm": "vm-1", "failure_domain": "z1", "region": "r1",
-    "query_address": "127.0.0.1:0", "readiness_address": "127.0.0.1:0",
-    "operator_address": "127.0.0.1:0", "store_address": "127.0.0.1:9", "seed_addresses": [],
-    "drain_s": 3, "shutdown_grace_s": 6, "repeat_ratio": 0.2, "repeat_window_s": 10,
-    "repeat_slack": 10, "cpu_share": 1.0,
-}"#;
+use crate::test_daemon::{self, SETTINGS};
 
 /// A daemon that answers each request with a status.
 struct AnsweringDaemon {
@@ -86,17 +75,7 @@
 /// Guards against a number that is no status of an answer, which a daemon of an older release passes on.
 #[tokio::test]
 async fn only_statuses_of_answers_are_passed_on() {
-    let settings = settings::parse_router(SETTINGS, "settings").unwrap();
-    let shared = Shared::new(
-        settings,
-        None,
-        Arc::new(SystemClock),
-        CrashMemory::new().0,
-        Delegations::new().0,
-        LeafRateReports::new().0,
-        LeafPermits::new().0,
-        Metrics::new().unwrap(),
-    );
+    let shared = test_daemon::shared(SETTINGS);
     let check = async |status: u16, expected: bool| {
         let client: route_peer::Client = capnp_rpc::new_client(AnsweringDaemon { status });
         let answered = call_serve_request(&client, &request(), false, &shared).await;
--- a/crates/router/src/discovery/tests.rs
+++ b/crates/router/src/discovery/tests.rs
@@ -12,12 +12,8 @@
 use wire::peer_capnp::{published_item, route_peer};
 
 use super::*;
-use crate::crash_memory::CrashMemory;
-use crate::delegation::Delegations;
-use crate::leaf_permits::LeafPermits;
-use crate::leaf_rate_reports::LeafRateReports;
-use crate::metrics::Metrics;
 use crate::peers;
+use crate::test_daemon;
 
 const LEAF: (&str, &str) = (
     "servers/a0",
@@ -122,19 +118,8 @@
         "repeat_slack": 10, "cpu_share": 1.0}}"#,
         seeds.join(", ")
     );
-    let settings = settings::parse_router(&text, "settings").unwrap();
-    let own = settings.peer_address;
-    let shared = Shared::new(
-        settings,
-        own,
-        Arc::new(SystemClock),
-        CrashMemory::new().0,
-        Delegations::new().0,
-        LeafRateReports::new().0,
-        LeafPermits::new().0,
-        Metrics::new().unwrap(),
-    );
-    Discovery::new(Arc::new(shared))
+    let shared = test_daemon::shared(&text);
+    Discovery::new(shared)
 }
 
 fn item((key, value): (&str, &str)) -> Item {
--- a/crates/router/src/evacuations/tests.rs
+++ b/crates/router/src/evacuations/tests.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use hyper::Request;
 use hyper::header::HeaderValue;
-use medlarpin_core::prelude::{ServiceName, SystemClock};
+use medlarpin_core::prelude::ServiceName;
 use medlarpin_core::routing::{LeafDirectory, ObservationTime, Repeatability, RunLedger};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
@@ -17,22 +17,12 @@
 use crate::attempt_result::LeafFailure;
 use crate::call_evidence::CallEvidence;
 use crate::caller_request::CallerRequest;
-use crate::crash_memory::CrashMemory;
-use crate::delegation::Delegations;
 use crate::leaf::Leaf;
-use crate::leaf_permits::LeafPermits;
 use crate::leaf_probe::check_health;
-use crate::leaf_rate_reports::LeafRateReports;
 use crate::proof_key::ProofKey;
 use crate::shared::Shared;
+use crate::test_daemon::{self, SETTINGS};
 
-const SETTINGS: &str = r#"{
-    "vm": "vm-1", "failure_domain": "z9", "region": "r1",
-    "query_address": "127.0.0.1:0", "readiness_address": "127.0.0.1:0",
-    "operator_address": "127.0.0.1:0", "store_address": "127.0.0.1:9", "seed_addresses": [],
-    "drain_s": 3, "shutdown_grace_s": 6, "repeat_ratio": 0.2, "repeat_window_s": 10,
-    "repeat_slack": 10, "cpu_share": 1.0,
-}"#;
 const CONFIG: &str = r#"{"version": 1, "limits": {"maxHeaderBytes": 1000, "maxBodyBytes": 1000,
     "headerTimeoutMs": 1000, "idleTimeoutMs": 1000}}"#;
 
@@ -46,17 +36,7 @@
 
 impl Fixture {
     async fn start() -> Self {
-        let settings = settings::parse_router(SETTINGS, "settings").unwrap();
-        let shared = Arc::new(Shared::new(
-            settings,
-            None,
-            Arc::new(SystemClock),
-            CrashMemory::new().0,
-            Delegations::new().0,
-            LeafRateReports::new().0,
-            LeafPermits::new().0,
-            Metrics::new().unwrap(),
-        ));
+        let shared = test_daemon::shared(SETTINGS);
         let config = platform::parse_config(CONFIG.as_bytes()).unwrap();
         shared.config.store(Some(Arc::new(config)));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -57,6 +57,8 @@
 mod shared;
 mod stdout_log;
 mod supervised;
+#[cfg(test)]
+mod test_daemon;
 mod unlisted_leafs;
 mod unverified_report;
 
--- /dev/null
+++ b/crates/router/src/test_daemon.rs
@@ -0,0 +1,37 @@
+//! A daemon without tasks, for unit tests.
+
+use std::sync::Arc;
+
+use medlarpin_core::prelude::SystemClock;
+
+use crate::crash_memory::CrashMemory;
+use crate::delegation::Delegations;
+use crate::leaf_permits::LeafPermits;
+use crate::leaf_rate_reports::LeafRateReports;
+use crate::metrics::Metrics;
+use crate::shared::Shared;
+
+/// Settings of a VM in the failure domain `z9` that knows no other daemon.
+pub(crate) const SETTINGS: &str = r#"{
+    "vm": "vm-1", "failure_domain": "z9", "region": "r1",
+    "query_address": "127.0.0.1:0", "readiness_address": "127.0.0.1:0",
+    "operator_address": "127.0.0.1:0", "store_address": "127.0.0.1:9", "seed_addresses": [],
+    "drain_s": 3, "shutdown_grace_s": 6, "repeat_ratio": 0.2, "repeat_window_s": 10,
+    "repeat_slack": 10, "cpu_share": 1.0,
+}"#;
+
+/// Creates what the tasks of a daemon share. It has not heard of anything so far.
+pub(crate) fn shared(settings: &str) -> Arc<Shared> {
+    let settings = settings::parse_router(settings, "settings").unwrap();
+    let own_address = settings.peer_address;
+    Arc::new(Shared::new(
+        settings,
+        own_address,
+        Arc::new(SystemClock),
+        CrashMemory::new().0,
+        Delegations::new().0,
+        LeafRateReports::new().0,
+        LeafPermits::new().0,
+        Metrics::new().unwrap(),
+    ))
+}
