Return the places of idle connections when they are closed

Nearly all got a 503 with `Retry-After: 0.600`, "no leaf could be reached", although their leaf was idle.

Change: a connection has a `ConnectionPlace`. The pool returns it when it closes an idle connection; the task returns it when the connection ends otherwise. A connection that replaces an idle one needs no extra place any more.

Evidence: `connections_that_the_pool_closes_leave_their_places` fails without the change and passes with it.

--- a/crates/router/src/leaf.rs
+++ b/crates/router/src/leaf.rs
@@ -21,11 +21,16 @@
 
 use crate::attempt_result::LeafFailure;
 use crate::carried_requests::CarriedRequests;
+use crate::connection_place::ConnectionPlace;
 use crate::event::Event;
+use crate::idle_place::IdlePlace;
 use crate::leaf_room::close_idle_connections;
 use crate::leaf_runs::LeafRuns;
 use crate::shared::Shared;
 
+#[cfg(test)]
+mod tests;
+
 /// Time limit for opening a connection. A SYN is sent again only after a second, so a longer
 /// wait would rarely help.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -73,6 +78,7 @@
     sender: Sender,
     progress_limit: ProgressLimit,
     buffers: BufferMemory,
+    place: IdlePlace,
     carried: CarriedRequests,
     idle_since: Instant,
     use_until: Instant,
@@ -85,6 +91,7 @@
     pub(crate) progress_limit: ProgressLimit,
     /// Memory of the connection's buffers.
     pub(crate) buffers: BufferMemory,
+    place: Arc<ConnectionPlace>,
     /// The requests that the connection has carried. It must not carry one of them again: a late copy of the
     /// earlier answer would be accepted as the new one, as both have the request's identifier.
     pub(crate) carried: CarriedRequests,
@@ -112,7 +119,7 @@
     /// Ordered by last use, the most recent one last.
     idle: Mutex<Vec<IdleConnection>>,
     /// Number of open connections, both idle and in use.
-    open: AtomicU32,
+    open: Arc<AtomicU32>,
     /// True while a probe is in progress.
     is_probed: AtomicBool,
     /// True while the failure domain that the newest entry names is evacuated.
@@ -120,16 +127,6 @@
     runs: Arc<LeafRuns>,
 }
 
-/// Decrements the number of open connections when it is dropped.
-#[derive(Debug)]
-struct OpenConnectionGuard(Arc<LeafLink>);
-
-impl Drop for OpenConnectionGuard {
-    fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Marks a leaf as being probed until it is dropped, also by a probe that panics.
 #[derive(Debug)]
 pub(crate) struct ProbeGuard(Arc<LeafLink>);
@@ -337,9 +334,8 @@
             return Ok(connection);
         }
         // Idle connections that are left have carried the request.
-        let is_replaced = self.close_idle_at_limit(connections_max);
-        self.open_new(connections_max.saturating_add(is_replaced.into()), shared)
-            .await
+        self.close_idle_at_limit(connections_max);
+        self.open_new(connections_max, shared).await
     }
 
     /// Like [`Self::open`], for a request.
@@ -362,18 +358,15 @@
         self.open(connections_max.saturating_add(1), shared).await
     }
 
-    /// Closes the connection that has been idle for the longest time if `connections_max` are open; returns
-    /// true if there was one. It counts as open for a moment longer.
-    fn close_idle_at_limit(&self, connections_max: u32) -> bool {
+    /// Closes the connection that has been idle for the longest time, if there is one and `connections_max` are open.
+    fn close_idle_at_limit(&self, connections_max: u32) {
         if self.open_connections() < connections_max {
-            return false;
+            return;
         }
         let mut idle = self.link.idle.lock();
-        if idle.is_empty() {
-            return false;
+        if !idle.is_empty() {
+            idle.remove(0);
         }
-        idle.remove(0);
-        true
     }
 
     /// Opens a connection unless `connections_max` are open.
@@ -382,11 +375,8 @@
         connections_max: u32,
         shared: &Shared,
     ) -> Result<LeafConnection, OpenError> {
-        if self.link.open.fetch_add(1, Ordering::Relaxed) >= connections_max {
-            self.link.open.fetch_sub(1, Ordering::Relaxed);
-            return Err(OpenError::Limit);
-        }
-        let guard = OpenConnectionGuard(Arc::clone(&self.link));
+        let place = ConnectionPlace::take(&self.link.open, connections_max);
+        let place = place.ok_or(OpenError::Limit)?;
         let Some(socket) = shared.clients.sockets.open() else {
             // The next attempt may find a descriptor.
             let _ = close_idle_connections(shared);
@@ -401,15 +391,18 @@
             }
             Ok(Err(_)) | Err(_) => return Err(OpenError::Unreachable),
         };
+        let task_place = Arc::clone(&place);
         tokio::spawn(async move {
             // The error also reaches the request that uses the connection, which reports it.
             let _ = connection.await;
-            drop((guard, socket));
+            task_place.give_back();
+            drop(socket);
         });
         Ok(LeafConnection {
             sender,
             progress_limit,
             buffers,
+            place,
             carried: CarriedRequests::default(),
             is_reused: false,
         })
@@ -427,9 +420,11 @@
             sender,
             progress_limit,
             buffers,
+            place,
             carried,
             ..
         } = connection;
+        let place = IdlePlace::new(place);
         let use_for = idle_timeout.map_or(IDLE_USE_DEFAULT, |idle| idle.mul_f64(IDLE_USE_FRACTION));
         if sender.is_closed() || use_for.is_zero() || buffers.is_overdrawn() {
             return;
@@ -438,6 +433,7 @@
             sender,
             progress_limit,
             buffers,
+            place,
             carried,
             idle_since: now,
             use_until: now + use_for,
@@ -536,6 +532,7 @@
                     sender: connection.sender,
                     progress_limit: connection.progress_limit,
                     buffers: connection.buffers,
+                    place: connection.place.reuse(),
                     carried: connection.carried,
                     is_reused: true,
                 });
