Pass reports on to the next daemon in the order of addresses

Cause: each daemon passes a report on once, to four others chosen at random. With nine daemons each of the other eight misses one daemon with a probability of 1/2, so that in some 3% of floods a daemon is chosen by none; in a large fleet nearly 2% of the daemons are. They learned of changes only from the leafs, and of requests under which leafs were lost only by chance.

Change: one of the four is the next daemon in the order of addresses. A daemon then gets each report that the one before it knows.

Evidence: `reports_reach_all_daemons` fails if all four are chosen at random, and passes with the change.

--- a/crates/medlarpin-core/src/routing/daemon_list.rs
+++ b/crates/medlarpin-core/src/routing/daemon_list.rs
@@ -1,6 +1,9 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
 use super::{
     CAPACITY_RATIO_MIN, ColdLeafBound, KnownDaemon, RateAccess, RequestRate, is_dense,
     reserve_parts,
@@ -231,6 +234,27 @@
             .map(|(daemon, _)| *daemon)
     }
 
+    /// Returns the daemons to which this one passes a report on: at most `count`, chosen at random
+    /// but for the first, which is the next one in the order of addresses.
+    ///
+    /// Each daemon passes a report on once. Random choices alone leave out a few daemons; with the
+    /// order of addresses, a daemon gets each report that the one before it knows.
+    #[must_use]
+    pub fn report_receivers(&self, count: usize, seed: u64, now: Instant) -> Vec<SocketAddr> {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut others: Vec<SocketAddr> = self.others(now).map(|daemon| daemon.address).collect();
+        let mut receivers = Vec::with_capacity(count);
+        if !others.is_empty() && count > 0 {
+            let next = others.partition_point(|address| *address < self.own.address);
+            receivers.push(others.remove(next % others.len()));
+        }
+        while receivers.len() < count && !others.is_empty() {
+            let index = random.random_range(0..others.len());
+            receivers.push(others.swap_remove(index));
+        }
+        receivers
+    }
+
     /// Returns true if this daemon has heard from none of the others of late, so that what they know
     /// does not reach it.
     #[must_use]
--- a/crates/medlarpin-core/tests/routing_daemons.rs
+++ b/crates/medlarpin-core/tests/routing_daemons.rs
@@ -7,6 +7,8 @@
     DEFAULT_DAEMON_COUNT, DISCOVERY_TIME, DaemonList, ISOLATED_AFTER, KnownDaemon,
     LIMIT_SILENCE_TIMEOUT, ProcessStart, SILENCE_TIMEOUT,
 };
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 
 const WINDOW: Duration = Duration::from_secs(10);
 /// Retries of a service in a window, over all daemons together.
@@ -220,3 +222,50 @@
     let list = DaemonList::new(daemon(0), alone);
     assert!(!list.is_isolated(start + ISOLATED_AFTER * 2));
 }
+
+/// Returns the lists of daemons that all know each other.
+fn complete_lists(count: u8, at: Instant) -> Vec<DaemonList> {
+    let complete_list = |own: u8| {
+        let mut list = DaemonList::new(daemon(own), started(at));
+        for number in 0..count {
+            list.record_contact(daemon(number), Duration::ZERO, at);
+        }
+        list
+    };
+    (0..count).map(complete_list).collect()
+}
+
+/// Guards against daemons that never get a report, as no other daemon happens to choose them.
+#[test]
+fn reports_reach_all_daemons() {
+    let start = Instant::now();
+    let check = |lists: &[DaemonList], seed: u64| {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut is_reached = vec![false; lists.len()];
+        let first = random.random_range(0..lists.len());
+        is_reached[first] = true;
+        let mut passing_on = vec![first];
+        while let Some(sender) = passing_on.pop() {
+            let receivers = lists[sender].report_receivers(4, random.random(), start);
+            assert_eq!(receivers.len(), (lists.len() - 1).min(4));
+            for receiver in receivers {
+                let is_receiver = |list: &DaemonList| list.own().address == receiver;
+                let index = lists.iter().position(is_receiver);
+                let index = index.expect("a known daemon");
+                assert_ne!(index, sender, "seed {seed}");
+                if !is_reached[index] {
+                    is_reached[index] = true;
+                    passing_on.push(index);
+                }
+            }
+        }
+        let missed = is_reached.iter().filter(|is_reached| !**is_reached).count();
+        assert_eq!(missed, 0, "of {} daemons, seed {seed}", lists.len());
+    };
+    for count in [1, 2, 9, 100] {
+        let lists = complete_lists(count, start);
+        for seed in 0..200 {
+            check(&lists, seed);
+        }
+    }
+}
--- a/crates/router/src/flooding.rs
+++ b/crates/router/src/flooding.rs
@@ -13,7 +13,7 @@
 use crate::shared::Shared;
 
 /// Number of daemons to which each daemon passes a report on. With four, a report reaches nearly all
-/// daemons within a few hops.
+/// daemons within a few hops, and the others from those before them in the order of addresses.
 const RECEIVERS: usize = 4;
 /// Time for which reports are collected before they are sent, which bounds the number of messages
 /// when many leafs change at once.
@@ -53,19 +53,11 @@
     }
 }
 
-/// Returns the daemons to which a batch is sent: some of the known ones, chosen at random.
+/// Returns the daemons to which a batch is sent.
 fn receivers(shared: &Shared) -> Vec<SocketAddr> {
     let Some(daemons) = &shared.daemons else {
         return Vec::new();
     };
-    let mut others: Vec<SocketAddr> = daemons
-        .lock()
-        .others(shared.now())
-        .map(|daemon| daemon.address)
-        .collect();
-    while others.len() > RECEIVERS {
-        let index = rand::random_range(0..others.len());
-        others.swap_remove(index);
-    }
-    others
+    let daemons = daemons.lock();
+    daemons.report_receivers(RECEIVERS, rand::random(), shared.now())
 }
