Bound the replies to the queries of teams

Seen: 400 callers that pipeline queries with answers of 240 KB and read nothing took 175 to 188 MB of a VM of 64 MB, and 200 with answers of 768 KB took 249 MB. The crowds of slow readers had only played short answers of teams.

Cause: room was reserved for an answer of the size of a recent one, but an answer could exceed it without asking, and replies of leafs, rows and JSON texts were in no account. Each leaf request also had a copy of the query's text.

Change: `QueryMemory` counts a query's replies from the first byte on, in the account of callers, each copy as a holder of its own. A reply that finds no room is dropped; its shard is not covered, may have run and is not tried again. Rows move into the answer instead of being copied, the JSON text is written into a buffer of its size, and batches and leaf requests share the text of the query. A stated length above the limit of a reply fails at once.

--- a/crates/client-connections/src/held_memory.rs
+++ b/crates/client-connections/src/held_memory.rs
@@ -61,6 +61,15 @@
         self.bytes += std::mem::take(&mut other.bytes);
     }
 
+    /// Moves up to `bytes` to a part of its own.
+    #[must_use]
+    pub fn split(&mut self, bytes: usize) -> Self {
+        let mut part = self.clients.hold();
+        part.bytes = bytes.min(self.bytes);
+        self.bytes -= part.bytes;
+        part
+    }
+
     /// Returns a number of bytes, or all if there are fewer.
     pub fn shrink(&mut self, bytes: usize) {
         let returned = bytes.min(self.bytes);
@@ -123,19 +132,16 @@
     /// Takes up to `bytes` out of the room.
     #[must_use]
     pub fn split(&self, bytes: usize) -> HeldMemory {
-        let mut memory = self.0.lock().clients.hold();
-        self.move_to(&mut memory, bytes);
-        memory
+        self.0.lock().split(bytes)
     }
 
     /// Attaches memory to an answer that exists already: from the room, and more if the answer is larger, also
     /// beyond the limit.
     #[must_use]
     pub fn attach(&self, bytes: Vec<u8>) -> Bytes {
-        let mut memory = self.0.lock().clients.hold();
         let capacity = bytes.capacity();
-        let moved = self.move_to(&mut memory, capacity);
-        memory.take(capacity - moved);
+        let mut memory = self.split(capacity);
+        memory.take(capacity - memory.bytes());
         memory.into_bytes(bytes)
     }
 }
--- a/crates/daemon/src/entry/answer.rs
+++ b/crates/daemon/src/entry/answer.rs
@@ -7,6 +7,11 @@
 
 use crate::entry::request::Query;
 
+/// Length of the JSON text of a row besides the row itself, at most.
+const ROW_FRAME_BYTES: usize = 32;
+/// Length of the JSON text of an answer besides its rows and lists of shards, roughly.
+const BODY_FRAME_BYTES: usize = 512;
+
 /// One row of an answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RowBody {
@@ -137,7 +142,7 @@
 
     /// Creates the body of a query's merged answer.
     #[must_use]
-    pub fn of_merge(query: &Query, merge: &Merge, extra_leaf_requests: u32) -> Self {
+    pub fn of_merge(query: &Query, merge: Merge, extra_leaf_requests: u32) -> Self {
         let outcome = merge.outcome();
         let mut body = Self::without_rows(query.request, &query.team, &query.service, outcome);
         body.extra_leaf_requests = extra_leaf_requests;
@@ -152,9 +157,9 @@
             reason: entry.reason.as_str().to_owned(),
         });
         body.uncovered = uncovered.collect();
-        let rows = merge.rows().map(|(shard, row)| RowBody {
+        let rows = merge.into_rows().map(|(shard, row)| RowBody {
             shard: shard.0,
-            row: row.to_owned(),
+            row,
         });
         body.rows = rows.collect();
         body
@@ -163,8 +168,16 @@
     /// Serialises the body as JSON.
     #[must_use]
     pub fn to_json(&self) -> Vec<u8> {
+        // Enough for a body without escaped characters, so that long ones are not copied as they grow.
+        let rows_bytes: usize = self
+            .rows
+            .iter()
+            .map(|row| row.row.len() + ROW_FRAME_BYTES)
+            .sum();
+        let mut json = Vec::with_capacity(BODY_FRAME_BYTES + rows_bytes);
         // The body holds only strings, numbers and lists, which always serialise.
-        serde_json::to_vec(self).unwrap_or_default()
+        let is_written = serde_json::to_writer(&mut json, self).is_ok();
+        if is_written { json } else { Vec::new() }
     }
 }
 
--- a/crates/daemon/src/entry/group.rs
+++ b/crates/daemon/src/entry/group.rs
@@ -14,6 +14,7 @@
 use crate::gather::gather;
 use crate::logging::ENTRY;
 use crate::peers::PeerError;
+use crate::query_memory::{QueryMemory, cover_rows};
 use crate::routes::{Holder, ServiceRoutes};
 use crate::shared::Shared;
 use crate::workers::Worker;
@@ -134,7 +135,7 @@
                 request: query.request,
                 team: query.team.clone(),
                 service: query.service.clone(),
-                query: query.text.clone(),
+                query: Arc::clone(&query.text),
                 version,
                 time_left: Duration::ZERO,
                 idempotent: query.idempotent,
@@ -150,9 +151,15 @@
 
     /// Sends the batch to the group's holders in order of rank until one replies, and returns one
     /// result for each shard.
-    pub async fn run(self, worker: Rc<Worker>, deadline: Instant) -> BatchReply {
+    pub async fn run(
+        self,
+        worker: Rc<Worker>,
+        memory: Arc<QueryMemory>,
+        deadline: Instant,
+    ) -> BatchReply {
         let mut call = HolderCalls {
             worker,
+            memory,
             batch: self.batch,
             deadline,
             may_be_running: false,
@@ -182,6 +189,7 @@
 
 struct HolderCalls {
     worker: Rc<Worker>,
+    memory: Arc<QueryMemory>,
     batch: Batch,
     deadline: Instant,
     /// True if a holder that did not answer may have received the batch.
@@ -203,12 +211,14 @@
         }
         self.batch.time_left = time_left.saturating_sub(REPLY_MARGIN);
         if vm == shared.local_vm() {
-            let reply = gather(Rc::clone(&self.worker), self.batch.clone()).await;
+            let memory = Arc::clone(&self.memory);
+            let reply = gather(Rc::clone(&self.worker), self.batch.clone(), memory).await;
             return self.classify_reply(reply);
         }
         let result = self.call_remote(address, others, time_left).await;
         match result {
-            Ok(reply) => {
+            Ok(mut reply) => {
+                cover_rows(&self.memory, &mut reply);
                 shared
                     .metrics
                     .batches
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -9,7 +9,7 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::post;
 use bytes::Bytes;
-use client_connections::{Client, Room};
+use client_connections::Client;
 use medlarpin_core::prelude::*;
 use serde::Serialize;
 use tokio::sync::oneshot;
@@ -18,6 +18,7 @@
 use crate::entry::body::read_body;
 use crate::entry::request::{Query, QueryBody, RequestError, TicketBody, check_query, parse_body};
 use crate::entry::{run, ticketed};
+use crate::query_memory::QueryMemory;
 use crate::shared::{AppState, Shared};
 
 /// Time after which a query that found no room may be tried again: slow callers are disconnected after a second
@@ -170,7 +171,9 @@
     let shared = &state.shared;
     // Without room for the answer, no leaf gets the query.
     let expected_bytes = shared.answer_size.expected_bytes();
-    let Some(room) = shared.clients.callers.reserve(expected_bytes).await else {
+    let callers = &shared.clients.callers;
+    let memory = QueryMemory::reserve(callers, query.text.len(), expected_bytes).await;
+    let Some(memory) = memory.map(Arc::new) else {
         let body = no_room_answer(&query);
         shared.record_recent_answer(&body);
         return answer_response(shared, &body);
@@ -185,10 +188,11 @@
         },
     );
     let (sender, receiver) = oneshot::channel();
+    let query_memory = Arc::clone(&memory);
     state.workers.spawn(move |worker| async move {
         match ticket {
-            Some(ticket) => ticketed::run(&worker, query, &ticket, sender).await,
-            None => run::run_for_caller(&worker, query, sender).await,
+            Some(ticket) => ticketed::run(&worker, query, &ticket, query_memory, sender).await,
+            None => run::run_for_caller(&worker, query, &query_memory, sender).await,
         }
     });
     // The sender is dropped without an answer only if the worker's task panicked or was cancelled.
@@ -200,7 +204,7 @@
                 body.elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
             }
             shared.record_answer(&body, elapsed);
-            held_answer_response(shared, &body, &room)
+            held_answer_response(shared, &body, &memory)
         }
         Err(error) => error_response(shared, &error),
     }
@@ -216,8 +220,8 @@
 }
 
 /// Returns an answer that holds its part of the memory until the caller has read it.
-fn held_answer_response(shared: &Shared, body: &AnswerBody, room: &Room) -> Response {
-    let bytes = room.attach(body.to_json());
+fn held_answer_response(shared: &Shared, body: &AnswerBody, memory: &QueryMemory) -> Response {
+    let bytes = memory.attach(body.to_json());
     shared.answer_size.record(bytes.len());
     encoded_answer_response(shared, body, bytes)
 }
--- a/crates/daemon/src/entry/request.rs
+++ b/crates/daemon/src/entry/request.rs
@@ -1,5 +1,7 @@
 //! Parses and validates callers' requests.
 
+use std::sync::Arc;
+
 use axum::http::StatusCode;
 use displaydoc::Display;
 use medlarpin_core::prelude::*;
@@ -146,7 +148,7 @@
     /// Service to search.
     pub service: ServiceName,
     /// Query text, 1 to [`QUERY_LIMIT_BYTES`] bytes.
-    pub text: String,
+    pub text: Arc<str>,
     /// Shards to search, sorted and without duplicates; empty means all.
     pub shards: Vec<ShardId>,
     /// When the caller stops waiting.
@@ -216,7 +218,7 @@
         request,
         team: team.name.clone(),
         service: ServiceName::new(&body.service),
-        text: body.query,
+        text: body.query.into(),
         shards,
         deadline: now + Duration::from_millis(deadline_ms),
         idempotent: body.ticket.is_none(),
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -22,6 +22,7 @@
 use crate::entry::permit::TeamPermit;
 use crate::entry::request::{Query, RequestError};
 use crate::logging::ENTRY;
+use crate::query_memory::QueryMemory;
 use crate::view::ServiceView;
 use crate::workers::Worker;
 
@@ -41,10 +42,11 @@
 pub async fn run_for_caller(
     worker: &Rc<Worker>,
     query: Query,
+    memory: &Arc<QueryMemory>,
     mut sender: oneshot::Sender<QueryResult>,
 ) {
     let body = tokio::select! {
-        body = run_query(worker, &query) => body,
+        body = run_query(worker, &query, memory) => body,
         () = sender.closed() => return,
     };
     // Fails only if the caller has disconnected.
@@ -52,8 +54,12 @@
 }
 
 /// Runs a query and returns the body of its answer.
-pub async fn run_query(worker: &Rc<Worker>, query: &Query) -> AnswerBody {
-    match try_run(worker, query).await {
+pub async fn run_query(
+    worker: &Rc<Worker>,
+    query: &Query,
+    memory: &Arc<QueryMemory>,
+) -> AnswerBody {
+    match try_run(worker, query, memory).await {
         Ok(body) => body,
         Err(refusal) => {
             let outcome = Outcome::NotRun {
@@ -65,14 +71,18 @@
     }
 }
 
-async fn try_run(worker: &Rc<Worker>, query: &Query) -> Result<AnswerBody, Refusal> {
+async fn try_run(
+    worker: &Rc<Worker>,
+    query: &Query,
+    memory: &Arc<QueryMemory>,
+) -> Result<AnswerBody, Refusal> {
     let shared = &worker.shared;
     let started_at = shared.clock.now();
     check_pause(worker, started_at)?;
     let clearance = check_quarantine(worker, query, started_at)?;
     let _permit = TeamPermit::acquire(shared, query)?;
     let total_time = query.deadline.saturating_duration_since(started_at);
-    let mut run = QueryRun::pin(worker, query)?;
+    let mut run = QueryRun::pin(worker, query, memory)?;
     let needs_canary = shared.settings.canary && clearance != Clearance::Proven;
     run.query_shards(needs_canary).await;
     if run.should_restart(total_time)
@@ -89,7 +99,7 @@
     run.record_overload();
     Ok(AnswerBody::of_merge(
         query,
-        &run.merge,
+        run.merge,
         run.extra_leaf_requests,
     ))
 }
@@ -116,6 +126,7 @@
 struct QueryRun<'a> {
     worker: &'a Rc<Worker>,
     query: &'a Query,
+    memory: &'a Arc<QueryMemory>,
     service: Arc<ServiceView>,
     map: Arc<ShardMap>,
     routes: Rc<QueryRoutes>,
@@ -125,7 +136,11 @@
 }
 
 impl<'a> QueryRun<'a> {
-    fn pin(worker: &'a Rc<Worker>, query: &'a Query) -> Result<Self, Refusal> {
+    fn pin(
+        worker: &'a Rc<Worker>,
+        query: &'a Query,
+        memory: &'a Arc<QueryMemory>,
+    ) -> Result<Self, Refusal> {
         let refusal = |reason| Refusal {
             reason,
             retry_after: UNSERVABLE_RETRY_AFTER,
@@ -147,6 +162,7 @@
         Ok(Self {
             worker,
             query,
+            memory,
             service: Arc::clone(service),
             merge: Merge::new(query.request, map.version(), &requested_shards(query, &map)),
             map,
@@ -226,7 +242,9 @@
         self.worker.shared.metrics.canaries.inc();
         let call = self.prepare_call(batch, true);
         let deadline = self.query.deadline;
-        let reply = call.run(Rc::clone(self.worker), deadline).await;
+        let reply = call
+            .run(Rc::clone(self.worker), Arc::clone(self.memory), deadline)
+            .await;
         let covered = reply
             .results
             .iter()
@@ -287,7 +305,7 @@
         let deadline = self.query.deadline;
         let running = calls
             .into_iter()
-            .map(|call| call.run(Rc::clone(self.worker), deadline));
+            .map(|call| call.run(Rc::clone(self.worker), Arc::clone(self.memory), deadline));
         let mut running: FuturesUnordered<_> = running.collect();
         loop {
             let now = shared.clock.now();
--- a/crates/daemon/src/entry/ticketed.rs
+++ b/crates/daemon/src/entry/ticketed.rs
@@ -17,6 +17,7 @@
 use crate::entry::request::{Query, RequestError};
 use crate::entry::run::{QueryResult, run_query};
 use crate::logging::ENTRY;
+use crate::query_memory::QueryMemory;
 use crate::shared::Shared;
 use crate::workers::Worker;
 
@@ -66,11 +67,12 @@
     worker: &Rc<Worker>,
     query: Query,
     ticket: &str,
+    memory: Arc<QueryMemory>,
     sender: oneshot::Sender<QueryResult>,
 ) {
     let result = match ticket.parse::<Ticket>() {
         Ok(ticket) if ticket.issuer == *worker.shared.local_vm() => {
-            run_as_issuer(worker, query, ticket).await
+            run_as_issuer(worker, query, ticket, memory).await
         }
         Ok(ticket) => forward_to_issuer(worker, &query, &ticket).await,
         Err(error) => Err(RequestError::TicketMalformed(error.to_string())),
@@ -87,13 +89,16 @@
         request: forwarded.request,
         team: forwarded.team,
         service: forwarded.service,
-        text: forwarded.query,
+        text: forwarded.query.into(),
         shards: forwarded.shards,
         deadline: now + forwarded.time_left,
         idempotent: false,
     };
     let result = match ticket {
-        Ok(ticket) => run_as_issuer(worker, query, ticket).await,
+        Ok(ticket) => {
+            let memory = QueryMemory::new(&worker.shared.clients.callers);
+            run_as_issuer(worker, query, ticket, Arc::new(memory)).await
+        }
         Err(error) => Err(RequestError::TicketMalformed(error.to_string())),
     };
     match result {
@@ -108,7 +113,12 @@
     }
 }
 
-async fn run_as_issuer(worker: &Rc<Worker>, query: Query, ticket: Ticket) -> QueryResult {
+async fn run_as_issuer(
+    worker: &Rc<Worker>,
+    query: Query,
+    ticket: Ticket,
+    memory: Arc<QueryMemory>,
+) -> QueryResult {
     let shared = Arc::clone(&worker.shared);
     // A ticket is bound to one exact request, so the fingerprint includes the requested shards.
     let fingerprint = ticket_fingerprint(&query);
@@ -131,7 +141,9 @@
             .lock()
             .redeem(&ticket, &query.team, fingerprint, now);
         match outcome {
-            RedeemOutcome::MayRun => return Ok(run_and_record(worker, query, ticket).await),
+            RedeemOutcome::MayRun => {
+                return Ok(run_and_record(worker, query, ticket, memory).await);
+            }
             RedeemOutcome::Running => {
                 let time_left = query.deadline.saturating_duration_since(now);
                 if tokio::time::timeout(time_left, finished).await.is_err() {
@@ -159,14 +171,19 @@
 
 /// Runs the query to completion and records its outcome, even if the caller or the forwarding entry
 /// disconnects.
-async fn run_and_record(worker: &Rc<Worker>, query: Query, ticket: Ticket) -> AnswerBody {
+async fn run_and_record(
+    worker: &Rc<Worker>,
+    query: Query,
+    ticket: Ticket,
+    memory: Arc<QueryMemory>,
+) -> AnswerBody {
     let no_answer = unknown(&query, UnknownReason::NoAnswer);
     let worker = Rc::clone(worker);
     let run = tokio::task::spawn_local(async move {
         let shared = &worker.shared;
         let _in_flight = shared.lifecycle.track_request();
         let started_at = shared.clock.now();
-        let mut body = run_query(&worker, &query).await;
+        let mut body = run_query(&worker, &query, &memory).await;
         let now = shared.clock.now();
         let elapsed = now.saturating_duration_since(started_at);
         body.elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
@@ -216,7 +233,7 @@
         request: query.request,
         team: query.team.clone(),
         service: query.service.clone(),
-        query: query.text.clone(),
+        query: query.text.to_string(),
         shards: query.shards.clone(),
         time_left,
         ticket: ticket.to_string(),
--- a/crates/daemon/src/gather.rs
+++ b/crates/daemon/src/gather.rs
@@ -18,6 +18,7 @@
 
 use crate::leafs::LeafSlot;
 use crate::logging::GATHER;
+use crate::query_memory::QueryMemory;
 use crate::view::ServiceView;
 use crate::workers::Worker;
 
@@ -25,6 +26,7 @@
 #[derive(Debug)]
 struct BatchContext {
     worker: Rc<Worker>,
+    memory: Arc<QueryMemory>,
     batch: Batch,
     service: Arc<ServiceView>,
     fingerprint: Fingerprint,
@@ -40,7 +42,7 @@
 }
 
 /// Runs a batch and returns one result for each of its tasks.
-pub async fn gather(worker: Rc<Worker>, batch: Batch) -> BatchReply {
+pub async fn gather(worker: Rc<Worker>, batch: Batch, memory: Arc<QueryMemory>) -> BatchReply {
     let shared = Arc::clone(&worker.shared);
     let now = shared.clock.now();
     if shared.check_pause(now).is_err() {
@@ -66,6 +68,7 @@
         service: Arc::clone(service),
         fingerprint,
         batch,
+        memory,
         worker,
     });
     let mut reply = if context.batch.canary {
--- a/crates/daemon/src/gather/shard.rs
+++ b/crates/daemon/src/gather/shard.rs
@@ -1,6 +1,7 @@
 //! One shard of a batch: first request, failover, retry and hedge.
 
 use std::rc::Rc;
+use std::sync::Arc;
 
 use futures::StreamExt;
 use futures::future::LocalBoxFuture;
@@ -13,6 +14,7 @@
 
 use crate::gather::BatchContext;
 use crate::leafs::{AttemptOutcome, LeafRequest, NotSentReason, attempt};
+use crate::query_memory::cover_rows;
 
 /// Time subtracted from the deadline passed to another gatherer, so that its reply arrives in time.
 const REPLY_MARGIN: Duration = Duration::from_millis(2);
@@ -187,6 +189,10 @@
                 metrics.invalid_replies.inc();
                 self.continue_with(UncoveredReason::InvalidReply, self.retry_after_run())
             }
+            AttemptOutcome::NoMemory => {
+                self.may_have_run = true;
+                self.continue_with(UncoveredReason::InvalidReply, None)
+            }
             AttemptOutcome::DeadlinePassed => {
                 self.may_have_run = true;
                 self.continue_with(UncoveredReason::DeadlinePassed, None)
@@ -261,7 +267,7 @@
                 request: context.batch.request,
                 attempt: context.take_attempt_number(),
                 team: context.batch.team.clone(),
-                query: context.batch.query.clone(),
+                query: Arc::clone(&context.batch.query),
                 version: context.batch.version,
                 shard: id,
             };
@@ -272,7 +278,9 @@
             };
             let worker = &context.worker;
             let deadline = context.deadline;
-            let outcome = attempt(worker, &slot, request, context.weight, deadline, on_sent).await;
+            let memory = Arc::clone(&context.memory);
+            let weight = context.weight;
+            let outcome = attempt(worker, &slot, request, memory, weight, deadline, on_sent).await;
             let refused = matches!(
                 outcome,
                 AttemptOutcome::Refused | AttemptOutcome::NotSent(NotSentReason::QueueFull)
@@ -352,7 +360,8 @@
         .gather(*address, &batch, time_left)
         .await
     {
-        Ok(reply) => {
+        Ok(mut reply) => {
+            cover_rows(&context.memory, &mut reply);
             let requests = context.leaf_requests.get() + reply.leaf_requests;
             context.leaf_requests.set(requests);
             let outcome = reply.results.into_iter().find(|result| result.shard == id);
--- a/crates/daemon/src/leafs/attempt.rs
+++ b/crates/daemon/src/leafs/attempt.rs
@@ -13,6 +13,7 @@
 use crate::leafs::protocol::{CancelBody, ExchangeError, LeafReply, LeafRequest, exchange};
 use crate::leafs::slot::{Grant, LeafSlot};
 use crate::logging::LEAF;
+use crate::query_memory::QueryMemory;
 use crate::workers::Worker;
 
 /// How long after the deadline a late answer is still awaited, so that the request keeps its
@@ -54,6 +55,8 @@
     Lost,
     /// The reply cannot be used; the leaf may have run the request.
     InvalidReply,
+    /// There is no memory for the reply; the leaf may have run the request.
+    NoMemory,
     /// The deadline passed without an answer; the leaf may have run the request.
     DeadlinePassed,
 }
@@ -66,6 +69,7 @@
     worker: &Rc<Worker>,
     slot: &Arc<LeafSlot>,
     request: LeafRequest,
+    memory: Arc<QueryMemory>,
     weight: u32,
     deadline: Instant,
     on_sent: impl FnOnce(Duration),
@@ -94,6 +98,7 @@
     let request_in_flight = InFlightRequest {
         slot: Arc::clone(slot),
         request,
+        memory,
         permit,
         connection,
         deadline,
@@ -147,6 +152,8 @@
 struct InFlightRequest {
     slot: Arc<LeafSlot>,
     request: LeafRequest,
+    /// Memory of the query, which its replies use.
+    memory: Arc<QueryMemory>,
     permit: Permit,
     connection: Connection,
     deadline: Instant,
@@ -172,7 +179,8 @@
         let body = self.request.to_json(time_left);
         let connection = self.connection.sender()?;
         let authority = self.slot.connections.authority();
-        let reply = exchange(connection, Method::POST, "/search", authority, body);
+        let memory = Some(&*self.memory);
+        let reply = exchange(connection, Method::POST, "/search", authority, body, memory);
         tokio::pin!(reply);
         tokio::select! {
             result = &mut reply => Some(result),
@@ -199,6 +207,7 @@
                 self.slot.record_connection_lost();
                 return AttemptOutcome::Lost;
             }
+            Err(ExchangeError::NoMemory) => return AttemptOutcome::NoMemory,
             Err(ExchangeError::Status(_) | ExchangeError::Body | ExchangeError::Request(_)) => {
                 return AttemptOutcome::InvalidReply;
             }
@@ -264,7 +273,14 @@
         return;
     };
     let authority = slot.connections.authority();
-    let reply = exchange(sender, Method::POST, "/cancel", authority, body.into());
+    let reply = exchange(
+        sender,
+        Method::POST,
+        "/cancel",
+        authority,
+        body.into(),
+        None,
+    );
     let reply = tokio::time::timeout(LATE_ANSWER_TIMEOUT, reply).await;
     if matches!(reply, Ok(Ok(_))) {
         connection.recycle();
--- a/crates/daemon/src/leafs/maintenance.rs
+++ b/crates/daemon/src/leafs/maintenance.rs
@@ -57,7 +57,14 @@
         return;
     };
     let authority = slot.connections.authority();
-    let reply = exchange(sender, Method::GET, "/health", authority, Bytes::new());
+    let reply = exchange(
+        sender,
+        Method::GET,
+        "/health",
+        authority,
+        Bytes::new(),
+        None,
+    );
     let Ok(Ok((_status, body))) = tokio::time::timeout(HEALTH_TIMEOUT, reply).await else {
         return;
     };
--- a/crates/daemon/src/leafs/protocol.rs
+++ b/crates/daemon/src/leafs/protocol.rs
@@ -1,8 +1,11 @@
 //! The leaf protocol over HTTP: request and reply bodies, their validation and one exchange.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use displaydoc::Display;
 use http_body_util::{BodyExt, Full};
+use hyper::body::Body;
 use hyper::{Method, Request, StatusCode};
 use medlarpin_core::answer::ANSWER_STATUSES;
 use medlarpin_core::prelude::*;
@@ -10,6 +13,7 @@
 use thiserror::Error;
 
 use crate::leafs::connection::Sender;
+use crate::query_memory::QueryMemory;
 
 #[cfg(test)]
 mod tests;
@@ -27,7 +31,7 @@
     /// Team that sent the query.
     pub team: TeamName,
     /// Query text.
-    pub query: String,
+    pub query: Arc<str>,
     /// Index version to search.
     pub version: IndexVersion,
     /// Shard to search.
@@ -142,22 +146,26 @@
     Status(StatusCode),
     /// reply body is truncated or larger than the limit
     Body,
+    /// no memory is left for the reply
+    NoMemory,
     /// cannot build the request: {0}
     Request(#[from] hyper::http::Error),
 }
 
-/// Sends one HTTP request on a connection and reads the whole reply.
+/// Sends one HTTP request on a connection and reads the whole reply, which uses the memory of its
+/// query if there is one.
 ///
 /// # Errors
 ///
-/// Fails if the request cannot be built or sent, the connection is lost, or the reply is truncated
-/// or too large.
+/// Fails if the request cannot be built or sent, the connection is lost, or the reply is truncated,
+/// too large or finds no memory.
 pub async fn exchange(
     connection: &mut Sender,
     method: Method,
     path: &'static str,
     authority: &str,
     body: Bytes,
+    memory: Option<&QueryMemory>,
 ) -> Result<(StatusCode, Bytes), ExchangeError> {
     let request = Request::builder()
         .method(method)
@@ -184,6 +192,12 @@
     }
     connection.progress_limit.restart();
     let mut body = response.into_body();
+    let stated_bytes = body.size_hint().exact();
+    let stated_bytes =
+        stated_bytes.map_or(0, |length| usize::try_from(length).unwrap_or(usize::MAX));
+    if stated_bytes > REPLY_LIMIT_BYTES {
+        return Err(ExchangeError::Body);
+    }
     // Tiny chunks, if they were kept one by one, would take many times their size.
     let mut read = Vec::new();
     while let Some(frame) = body.frame().await {
@@ -194,6 +208,16 @@
         if read.len() + data.len() > REPLY_LIMIT_BYTES {
             return Err(ExchangeError::Body);
         }
+        let needed = read.len() + data.len();
+        if needed > read.capacity() {
+            let doubled = (2 * read.capacity()).min(REPLY_LIMIT_BYTES);
+            let capacity = needed.max(stated_bytes).max(doubled);
+            let more_bytes = capacity - read.capacity();
+            if memory.is_some_and(|memory| !memory.cover_reply(more_bytes)) {
+                return Err(ExchangeError::NoMemory);
+            }
+            read.reserve_exact(capacity - read.len());
+        }
         read.extend_from_slice(&data);
         connection.progress_limit.restart();
     }
--- a/crates/daemon/src/leafs/protocol/tests.rs
+++ b/crates/daemon/src/leafs/protocol/tests.rs
@@ -1,5 +1,7 @@
 //! Guards against a leaf's reply that makes the parser panic or is accepted for another request.
 
+use client_connections::Clients;
+use medlarpin_core::client_pressure::ClientLimits;
 use platform_stand_in::{RawServer, RawStep};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -16,12 +18,22 @@
     StatusCode::INTERNAL_SERVER_ERROR,
 ];
 
+/// Returns the memory of a query while queries and answers take at most `bytes`.
+fn memory_of(bytes: usize) -> QueryMemory {
+    let limits = ClientLimits {
+        held_bytes_max: bytes,
+        connections_max: 0,
+        peers_max: 0,
+    };
+    QueryMemory::new(&Clients::with_limits(limits, Arc::new(SystemClock)))
+}
+
 fn request() -> LeafRequest {
     LeafRequest {
         request: RequestId(0xabc),
         attempt: 2,
         team: "orders".into(),
-        query: "dulse".to_owned(),
+        query: "dulse".into(),
         version: IndexVersion(7),
         shard: ShardId(3),
     }
@@ -136,12 +148,27 @@
 
 /// Sends one request to a server that takes the given steps; the reply must not take long.
 async fn exchange_with(steps: &[RawStep]) -> Result<(StatusCode, Bytes), ExchangeError> {
+    exchange_within(steps, &memory_of(256 << 20)).await
+}
+
+/// Does the same with the memory of a query.
+async fn exchange_within(
+    steps: &[RawStep],
+    memory: &QueryMemory,
+) -> Result<(StatusCode, Bytes), ExchangeError> {
     let leaf = RawServer::start(steps.to_vec()).unwrap();
     let stream = TcpStream::connect(leaf.address()).await.unwrap();
     let (mut sender, driver) = Sender::handshake(stream).await.unwrap();
     tokio::spawn(driver);
     let body = Bytes::from_static(b"{}");
-    let exchanged = exchange(&mut sender, Method::POST, "/search", "leaf", body);
+    let exchanged = exchange(
+        &mut sender,
+        Method::POST,
+        "/search",
+        "leaf",
+        body,
+        Some(memory),
+    );
     tokio::time::timeout(Duration::from_secs(20), exchanged)
         .await
         .expect("the exchange ends")
@@ -197,3 +224,25 @@
     let (status, body) = exchange_with(&whole).await.unwrap();
     assert_eq!((status, &*body), (StatusCode::OK, &b"{}"[..]));
 }
+
+/// Guards against replies that take more memory than there is, whether or not they state their length, and against a
+/// stated length that takes memory beyond the limit of a reply.
+#[tokio::test]
+async fn replies_without_memory_fail() {
+    const BODY_BYTES: usize = 100_000;
+    let body = "x".repeat(BODY_BYTES);
+    let stated = format!("HTTP/1.1 200 OK\r\ncontent-length: {BODY_BYTES}\r\n\r\n{body}");
+    let unstated = format!(
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{BODY_BYTES:x}\r\n{body}\r\n0\r\n\r\n"
+    );
+    for text in [stated, unstated] {
+        let steps = [RawStep::Send(text)];
+        let result = exchange_within(&steps, &memory_of(16 * BODY_BYTES)).await;
+        assert_eq!(result.unwrap().1.len(), BODY_BYTES);
+        let result = exchange_within(&steps, &memory_of(4 * BODY_BYTES)).await;
+        assert!(matches!(result, Err(ExchangeError::NoMemory)), "{result:?}");
+    }
+    let huge = "HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\nx".to_owned();
+    let result = exchange_with(&[RawStep::Send(huge)]).await;
+    assert!(matches!(result, Err(ExchangeError::Body)), "{result:?}");
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod logging;
 mod operators;
 mod peers;
+mod query_memory;
 mod recorder;
 mod routes;
 mod shared;
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -15,6 +15,7 @@
 use crate::fleet::{answer_heartbeat, holder_histories};
 use crate::gather::gather;
 use crate::logging::GOSSIP;
+use crate::query_memory::QueryMemory;
 use crate::workers::Worker;
 
 /// Serves one accepted connection until it is closed.
@@ -61,7 +62,9 @@
         drop(params);
         let shared = Arc::clone(&self.worker.shared);
         let _in_flight = shared.lifecycle.track_request();
-        let reply = gather(Rc::clone(&self.worker), batch).await;
+        // The results take memory of their own once they are written.
+        let memory = Arc::new(QueryMemory::new(&shared.clients.callers));
+        let reply = gather(Rc::clone(&self.worker), batch, memory).await;
         reply.write(results.get().init_reply());
         Ok(())
     }
--- a/crates/daemon/tests/slow_readers_teams.rs
+++ b/crates/daemon/tests/slow_readers_teams.rs
@@ -124,3 +124,36 @@
     };
     check("slow-bodies", 400, &script).await;
 }
+
+/// Guards against long answers that nobody reads, from the replies of the leafs on. The stand-in's leafs repeat the
+/// text of a query in each of their rows, of which an answer has twelve.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_answers_that_are_not_read() {
+    let text = "long".repeat(5_000);
+    let request = post(&query(&text, 2_000).to_string());
+    check("long-answers", 400, &Script::pipelined(&request)).await;
+}
+
+/// Guards against the same with the longest queries that are accepted, whose answers take a large part of the memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn longest_answers_that_are_not_read() {
+    let text = "long".repeat(16_000);
+    let request = post(&query(&text, 2_000).to_string());
+    check("longest-answers", 200, &Script::pipelined(&request)).await;
+}
+
+/// Guards against a limit that a single long answer meets while there is nothing else.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_answer_is_served_in_calm() {
+    let _guard = ONE_AT_A_TIME.lock().await;
+    let mut config = FleetConfig::new();
+    config.daemons = 1;
+    config.set("body_limit_bytes", BODY_BYTES.into());
+    config.set("memory_mb", MEMORY_MB.into());
+    let fleet = Fleet::start(config).await;
+    let text = "long".repeat(16_000);
+    let reply = fleet.try_query(0, &query(&text, 5_000)).await;
+    let reply = reply.expect("an answer");
+    assert_eq!(reply.outcome(), "complete");
+    assert!(reply.text.len() > 12 * text.len());
+}
--- a/crates/medlarpin-core/src/coverage.rs
+++ b/crates/medlarpin-core/src/coverage.rs
@@ -196,6 +196,14 @@
         })
     }
 
+    /// Returns the rows as [`Self::rows`] does, without copying them.
+    pub fn into_rows(self) -> impl Iterator<Item = (ShardId, String)> {
+        self.shards.into_iter().flat_map(|(shard, state)| {
+            let rows = state.into_rows();
+            rows.into_iter().map(move |row| (shard, row))
+        })
+    }
+
     /// Returns the number of requested shards.
     #[must_use]
     pub fn requested_count(&self) -> usize {
--- a/crates/medlarpin-core/src/coverage/shard_state.rs
+++ b/crates/medlarpin-core/src/coverage/shard_state.rs
@@ -54,6 +54,13 @@
         }
     }
 
+    pub(super) fn into_rows(self) -> Vec<String> {
+        match self.outcome {
+            Some(ShardOutcome::Covered { rows }) => rows,
+            _ => Vec::new(),
+        }
+    }
+
     pub(super) fn uncovered_reason(&self) -> Option<UncoveredReason> {
         match &self.outcome {
             Some(ShardOutcome::Covered { .. }) => None,
--- a/crates/medlarpin-core/tests/coverage.rs
+++ b/crates/medlarpin-core/tests/coverage.rs
@@ -202,7 +202,10 @@
         let missing: Vec<_> = asked.iter().filter(|shard| !first_covered.contains_key(shard)).copied().map(ShardId).collect();
         prop_assert_eq!(merge.uncovered().iter().map(|shard| shard.shard).collect::<Vec<_>>(), missing);
         let rows: Vec<_> = first_covered.iter().flat_map(|(shard, rows)| rows.iter().map(|row| (ShardId(*shard), row.as_str()))).collect();
-        prop_assert_eq!(merge.rows().collect::<Vec<_>>(), rows);
+        prop_assert_eq!(merge.rows().collect::<Vec<_>>(), rows.clone());
+        let owned: Vec<_> = merge.clone().into_rows().collect();
+        let owned: Vec<_> = owned.iter().map(|(shard, row)| (*shard, row.as_str())).collect();
+        prop_assert_eq!(owned, rows);
         let ran = ran || answered != asked;
         let matches = match merge.outcome() {
             Outcome::Complete => first_covered.len() == asked.len(),
--- a/crates/wire/src/batch.rs
+++ b/crates/wire/src/batch.rs
@@ -1,5 +1,7 @@
 //! Batches of shard requests, which an entry daemon sends to a gatherer, and their replies.
 
+use std::sync::Arc;
+
 use medlarpin_core::plan::Alternatives;
 use medlarpin_core::prelude::*;
 
@@ -34,7 +36,7 @@
     /// Service to search.
     pub service: ServiceName,
     /// Query text.
-    pub query: String,
+    pub query: Arc<str>,
     /// Index version that the query is pinned to.
     pub version: IndexVersion,
     /// Time left until the caller's deadline.
@@ -76,7 +78,7 @@
             request: join_request_id(reader.get_request_id_high(), reader.get_request_id_low()),
             team: TeamName::new(reader.get_team()?.to_str()?),
             service: ServiceName::new(reader.get_service()?.to_str()?),
-            query: reader.get_query()?.to_string()?,
+            query: reader.get_query()?.to_str()?.into(),
             version: IndexVersion(reader.get_index_version()),
             time_left: Duration::from_micros(reader.get_time_left_us()),
             idempotent: reader.get_idempotent(),
--- a/crates/wire/tests/malformed_messages.rs
+++ b/crates/wire/tests/malformed_messages.rs
@@ -81,7 +81,7 @@
         request: RequestId(u128::MAX - 7),
         team: "orders".into(),
         service: "order-desk".into(),
-        query: "dulse é".to_owned(),
+        query: "dulse é".into(),
         version: IndexVersion(3),
         time_left: Duration::from_millis(250),
         idempotent: true,
--- a/crates/xtask/src/capacity/leaf_exchange.rs
+++ b/crates/xtask/src/capacity/leaf_exchange.rs
@@ -54,7 +54,14 @@
     let mut connection = pool.acquire().await.map_err(leaf_error)?;
     let sender = connection.sender().ok_or(CapacityError::NoService)?;
     let body = request.to_json(Duration::from_millis(280));
-    let reply = exchange(sender, Method::POST, "/search", pool.authority(), body);
+    let reply = exchange(
+        sender,
+        Method::POST,
+        "/search",
+        pool.authority(),
+        body,
+        None,
+    );
     let (status, body) = reply.await.map_err(leaf_error)?;
     connection.recycle();
     request.parse_reply(status, &body).map_err(leaf_error)?;
@@ -66,7 +73,7 @@
         request: RequestId(1),
         attempt: 0,
         team: "team-000".into(),
-        query: "recall batch 2291 Tiznit".to_owned(),
+        query: "recall batch 2291 Tiznit".into(),
         version: IndexVersion(7),
         shard: ShardId(3),
     }
--- a/crates/xtask/src/capacity/wire_batches.rs
+++ b/crates/xtask/src/capacity/wire_batches.rs
@@ -85,7 +85,7 @@
         request: RequestId(1),
         team: "team-000".into(),
         service: fixtures::SERVICE.into(),
-        query: "recall batch 2291 Tiznit".to_owned(),
+        query: "recall batch 2291 Tiznit".into(),
         version: IndexVersion(7),
         time_left: Duration::from_millis(280),
         idempotent: true,
