Play a crowd during evacuations, and test the statuses of health checks

Change: tests only. A fixture method evacuates the domain of all leafs.

The tests of the statuses fail on 101 if the checks are taken out.

--- a/crates/daemon/src/leafs/protocol/tests.rs
+++ b/crates/daemon/src/leafs/protocol/tests.rs
@@ -246,3 +246,22 @@
     let result = exchange_with(&[RawStep::Send(huge)]).await;
     assert!(matches!(result, Err(ExchangeError::Body)), "{result:?}");
 }
+
+/// Guards against a reply, also of a health check, whose status no reply has.
+#[tokio::test]
+async fn replies_have_statuses_of_answers() {
+    let reply = async |status: u16| {
+        let text = format!("HTTP/1.1 {status} X\r\ncontent-length: 2\r\n\r\n{{}}");
+        exchange_with(&[RawStep::Send(text)]).await
+    };
+    for status in [200, 404, 503, 599] {
+        assert_eq!(reply(status).await.unwrap().0.as_u16(), status);
+    }
+    for status in [101, 600, 999] {
+        let result = reply(status).await;
+        assert!(
+            matches!(result, Err(ExchangeError::Status(_))),
+            "{result:?}"
+        );
+    }
+}
--- a/crates/daemon/tests/mixed_crowds.rs
+++ b/crates/daemon/tests/mixed_crowds.rs
@@ -124,6 +124,31 @@
     fixture.check_caller_served(name).await;
 }
 
+/// Guards against memory and connections that evacuations leave behind beside a crowd.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_conducts_while_the_failure_domain_of_all_leafs_is_evacuated() {
+    let name = "mixed-evacuations";
+    let _guard = ONE_AT_A_TIME.lock().await;
+    let fixture = Fixture::start(name, SETUP).await;
+    let crowds = start_all(&fixture);
+    let evacuations = async {
+        loop {
+            for is_evacuated in [true, false] {
+                fixture.set_evacuated(is_evacuated);
+                sleep(Duration::from_secs(1)).await;
+            }
+        }
+    };
+    tokio::select! {
+        () = watch(name, fixture.process.id(), &crowds[0], SETUP.bounds()) => {}
+        () = evacuations => {}
+    }
+    fixture.set_evacuated(false);
+    fixture.check_all_served(name).await;
+    drop(crowds);
+    fixture.check_all_served(name).await;
+}
+
 /// Guards against a process that does not end because of clients that stay.
 #[tokio::test(flavor = "multi_thread")]
 async fn all_conducts_while_the_daemon_stops() {
--- a/crates/daemon/tests/slow_readers/fixture.rs
+++ b/crates/daemon/tests/slow_readers/fixture.rs
@@ -179,6 +179,15 @@
         self.store.put("op/config", &config(self.setup, version));
     }
 
+    /// Evacuates the failure domain of all leafs, or returns it to service.
+    pub fn set_evacuated(&self, is_evacuated: bool) {
+        if is_evacuated {
+            self.store.put("op/evacuate/z1", &json!({}));
+        } else {
+            self.store.delete("op/evacuate/z1");
+        }
+    }
+
     /// Asks the process to stop, as the platform does.
     pub fn terminate(&self) {
         let process = self.process.id().to_string();
--- a/crates/router/src/leaf/tests.rs
+++ b/crates/router/src/leaf/tests.rs
@@ -1,9 +1,14 @@
 use medlarpin_core::routing::{LeafDirectory, ObservationTime};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
 use super::*;
+use crate::leaf_probe::check_health;
 use crate::test_daemon::{self, SETTINGS};
 
+const CONFIG: &str = r#"{"version": 1, "limits": {"maxHeaderBytes": 1000, "maxBodyBytes": 1000,
+    "headerTimeoutMs": 1000, "idleTimeoutMs": 1000}}"#;
+
 /// A daemon with a leaf that accepts connections and sends nothing.
 struct Fixture {
     shared: Arc<Shared>,
@@ -115,3 +120,31 @@
     }
     panic!("{} connections", leaf.open_connections());
 }
+
+/// Guards against a leaf that counts as reachable by a health check whose status no answer has.
+#[tokio::test]
+async fn health_checks_have_statuses_of_answers() {
+    let check = async |status: u16, is_answered: bool| {
+        let fixture = Fixture::start().await;
+        let config = platform::parse_config(CONFIG.as_bytes()).unwrap();
+        fixture.shared.config.store(Some(Arc::new(config)));
+        let connection = fixture.leaf.open_new(1, &fixture.shared).await.unwrap();
+        let answer = async {
+            let (mut stream, _) = fixture.listener.accept().await.unwrap();
+            let mut head = [0; 1_024];
+            assert!(stream.read(&mut head).await.unwrap() > 0);
+            let text = format!("HTTP/1.1 {status} X\r\ncontent-length: 0\r\n\r\n");
+            stream.write_all(text.as_bytes()).await.unwrap();
+            stream
+        };
+        let health = check_health(&fixture.shared, &fixture.leaf, connection);
+        let (health, _stream) = tokio::join!(health, answer);
+        assert_eq!(health.is_some(), is_answered, "{status}");
+    };
+    for status in [200, 404, 503, 599] {
+        check(status, true).await;
+    }
+    for status in [101, 600, 999] {
+        check(status, false).await;
+    }
+}
