--- a/crates/daemon/src/query_memory.rs
+++ b/crates/daemon/src/query_memory.rs
@@ -8,7 +8,7 @@
 mod tests;
 
 /// Number of times that a row is in memory at most: in the buffer of the connection to the leaf, in
-/// the reply and in the result of its shard.
+/// the reply and in the result of its shard. Later it is in the answer and in its JSON text.
 const ROW_COPIES: usize = 3;
 
 /// Memory for the replies to one query and for its answer, from that of callers.
@@ -67,7 +67,7 @@
     }
 
     /// Uses memory for a part of a reply, and for the copies of its rows that follow; returns false
-    /// if there is none.
+    /// if there is none. The reply must then be dropped.
     #[must_use]
     pub fn cover_reply(&self, reply_bytes: usize) -> bool {
         let mut state = self.state.lock();
--- a/crates/medlarpin-core/src/answer.rs
+++ b/crates/medlarpin-core/src/answer.rs
@@ -25,7 +25,7 @@
     GathererLost,
     /// The query is quarantined because it crashed leafs.
     Quarantined,
-    /// The leaf's reply belonged to another request, version or shard.
+    /// The leaf's reply belonged to another request, version or shard, or found no memory.
     InvalidReply,
     /// The leaf's queue could not serve the request in time.
     QueueFull,
