Close idle connections to leafs in the periodic check again

From 7/8 of the descriptors on, the check that runs four times a second is to close idle connections to leafs. It never did: only a request that found no descriptor or no memory closed them, after its refusal.

Cause: `ClientGroups::disconnect_slow` also searched the accounts of messages and leafs, which have no clients. That counted as the search for idle connections, of which there is one in 20 ms at most, so that the check right after it was skipped.

Change: only the groups that have clients are searched.

Evidence: `a_search_for_slow_clients_is_none_for_idle_connections` fails without the change and passes with it.

--- a/crates/client-connections/src/client_groups.rs
+++ b/crates/client-connections/src/client_groups.rs
@@ -75,9 +75,9 @@
         }
     }
 
-    /// Disconnects slow clients of the groups that are under pressure.
+    /// Disconnects slow clients of the groups that are under pressure. Messages and leafs have no clients.
     pub fn disconnect_slow(&self) {
-        for group in self.all() {
+        for group in [&self.callers, &self.operators, &self.readiness_checks] {
             // The counts have the number.
             let _ = group.disconnect_slow();
         }
--- a/crates/client-connections/tests/client_groups.rs
+++ b/crates/client-connections/tests/client_groups.rs
@@ -142,3 +142,15 @@
         drop(held);
     }
 }
+
+/// Guards against the periodic search for slow clients that keeps the idle connections to leafs from being closed, as
+/// it counts as a search for those.
+#[test]
+fn a_search_for_slow_clients_is_none_for_idle_connections() {
+    let clock = Arc::new(ManualClock::new());
+    let shared_clock: Arc<dyn Clock> = Arc::<ManualClock>::clone(&clock);
+    let groups = ClientGroups::new(MEMORY_BYTES, &shared_clock);
+    clock.advance(Duration::from_secs(1));
+    groups.disconnect_slow();
+    assert!(groups.leafs.start_search());
+}
