Collect bodies and replies in the same buffer

Change: `BodyBuffer` has these rules, and both readers use it.

Evidence: the tests of `client-connections`, `peer-rpc`, `leaf-stream`, `router` and the unit tests of `daemon` pass; no expectation changed.

--- a/crates/client-connections/src/clients.rs
+++ b/crates/client-connections/src/clients.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use bytes::{Buf, Bytes};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use medlarpin_core::client_pressure::{
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 
 use crate::account::Account;
+use crate::body_buffer::BodyBuffer;
 use crate::client::{ClientState, OpenClient};
 use crate::held_memory::{BodyError, HeldMemory, Room};
 use crate::peer_stream::PeerPlace;
@@ -267,9 +268,6 @@
     /// A body for which room was reserved takes memory for its stated length at once. A caller's body takes it
     /// as it arrives, so that heads that announce long bodies take nothing.
     ///
-    /// The chunks are copied into one buffer: a peer that sends tiny ones would otherwise take many times
-    /// their size.
-    ///
     /// # Errors
     ///
     /// Fails if the connection breaks, or the body exceeds the limit or the memory.
@@ -284,38 +282,24 @@
         B: Body<Data = Bytes> + Unpin,
     {
         let mut memory = self.hold();
-        let mut bytes = Vec::new();
         let stated_bytes = room.and_then(|_| body.size_hint().exact());
-        let stated_bytes = stated_bytes.and_then(|length| usize::try_from(length).ok());
-        let stated_bytes = stated_bytes.unwrap_or_default();
-        if stated_bytes > bytes_max {
-            return Err(BodyError::TooLarge);
-        }
+        let mut buffer = BodyBuffer::new(bytes_max, stated_bytes)?;
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_error| BodyError::BrokenOff)?;
             let Ok(chunk) = frame.into_data() else {
                 continue;
             };
-            if chunk.remaining() > bytes_max - bytes.len() {
-                return Err(BodyError::TooLarge);
+            let mut more_bytes = buffer.missing_bytes(&chunk)?;
+            if let Some(room) = room {
+                more_bytes -= room.move_to(&mut memory, more_bytes);
             }
-            let needed = bytes.len() + chunk.remaining();
-            if needed > bytes.capacity() {
-                let doubled = (bytes.capacity() * 2).min(bytes_max);
-                let capacity = needed.max(doubled).max(stated_bytes);
-                let mut more_bytes = capacity - bytes.capacity();
-                if let Some(room) = room {
-                    more_bytes -= room.move_to(&mut memory, more_bytes);
-                }
-                if !self.grow(&mut memory, more_bytes).await {
-                    return Err(BodyError::OutOfMemory);
-                }
-                bytes.reserve_exact(capacity - bytes.len());
+            if !self.grow(&mut memory, more_bytes).await {
+                return Err(BodyError::OutOfMemory);
             }
-            bytes.extend_from_slice(&chunk);
+            buffer.push(&chunk);
             on_progress();
         }
-        Ok(memory.into_bytes(bytes))
+        Ok(memory.into_bytes(buffer.into_bytes()))
     }
 
     /// Returns true if it is time for another search for what can be closed to make room, and begins it.
--- a/crates/client-connections/src/lib.rs
+++ b/crates/client-connections/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod account;
 mod answer_size;
+mod body_buffer;
 mod client;
 mod client_groups;
 mod client_stream;
@@ -19,6 +20,7 @@
 mod sockets;
 
 pub use answer_size::AnswerSize;
+pub use body_buffer::BodyBuffer;
 pub use client::{Client, OpenClient};
 pub use client_groups::ClientGroups;
 pub use client_stream::ClientStream;
--- a/crates/daemon/src/leafs/protocol.rs
+++ b/crates/daemon/src/leafs/protocol.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use client_connections::{BodyBuffer, BodyError};
 use displaydoc::Display;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Body;
@@ -152,6 +153,15 @@
     Request(#[from] hyper::http::Error),
 }
 
+impl From<BodyError> for ExchangeError {
+    fn from(error: BodyError) -> Self {
+        match error {
+            BodyError::BrokenOff | BodyError::TooLarge => Self::Body,
+            BodyError::OutOfMemory => Self::NoMemory,
+        }
+    }
+}
+
 /// Sends one HTTP request on a connection and reads the whole reply, which uses the memory of its
 /// query if there is one.
 ///
@@ -192,36 +202,20 @@
     }
     connection.progress_limit.restart();
     let mut body = response.into_body();
-    let stated_bytes = body.size_hint().exact();
-    let stated_bytes =
-        stated_bytes.map_or(0, |length| usize::try_from(length).unwrap_or(usize::MAX));
-    if stated_bytes > REPLY_LIMIT_BYTES {
-        return Err(ExchangeError::Body);
-    }
-    // Tiny chunks, if they were kept one by one, would take many times their size.
-    let mut read = Vec::new();
+    let mut buffer = BodyBuffer::new(REPLY_LIMIT_BYTES, body.size_hint().exact())?;
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_error| ExchangeError::Body)?;
+        let frame = frame.map_err(|_error| BodyError::BrokenOff)?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if read.len() + data.len() > REPLY_LIMIT_BYTES {
-            return Err(ExchangeError::Body);
-        }
-        let needed = read.len() + data.len();
-        if needed > read.capacity() {
-            let doubled = (2 * read.capacity()).min(REPLY_LIMIT_BYTES);
-            let capacity = needed.max(stated_bytes).max(doubled);
-            let more_bytes = capacity - read.capacity();
-            if memory.is_some_and(|memory| !memory.cover_reply(more_bytes)) {
-                return Err(ExchangeError::NoMemory);
-            }
-            read.reserve_exact(capacity - read.len());
+        let more_bytes = buffer.missing_bytes(&data)?;
+        if memory.is_some_and(|memory| !memory.cover_reply(more_bytes)) {
+            return Err(ExchangeError::NoMemory);
         }
-        read.extend_from_slice(&data);
+        buffer.push(&data);
         connection.progress_limit.restart();
     }
-    Ok((status, read.into()))
+    Ok((status, buffer.into_bytes().into()))
 }
 
 /// A leaf's report of its own health.
