Share the calling daemons and the published leaf of the tests

Cause: two crowds of daemons that call had the same runtime and checks, and two test files of the router published the same leaf.

Change: `check_calling_daemons` and `test_daemon::publish_leaf`.

--- a/crates/daemon/tests/peer_crowds.rs
+++ b/crates/daemon/tests/peer_crowds.rs
@@ -10,11 +10,10 @@
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use futures::AsyncReadExt;
 use tokio::net::TcpStream;
-use tokio::task::JoinSet;
 use tokio_util::compat::TokioAsyncReadCompatExt;
 use wire::peer_capnp::route_peer;
 
-use crate::slow_readers::fixture::{Fixture, Setup};
+use crate::slow_readers::fixture::{Fixture, Setup, check_calling_daemons};
 use crate::slow_readers::{Crowd, ONE_AT_A_TIME, Script, watch};
 
 const SETUP: Setup = Setup::SMALL;
@@ -141,23 +140,7 @@
 /// Guards against bodies that are held twice, as a part of the message and for the leaf.
 #[test]
 fn handed_over_bodies_for_a_leaf_that_does_not_read() {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    let local = tokio::task::LocalSet::new();
-    local.block_on(&runtime, async {
-        let name = "peer-bodies";
-        let _guard = ONE_AT_A_TIME.lock().await;
-        let fixture = Fixture::start(name, SETUP).await;
-        let mut peers = JoinSet::new();
-        for _ in 0..20 {
-            peers.spawn_local(hand_over_bodies(fixture.peer));
-        }
-        let nobody = Crowd::start(fixture.query, 0, &Script::once(""));
-        watch(name, fixture.process.id(), &nobody, SETUP.bounds()).await;
-        fixture.check_caller_served(name).await;
-    });
+    check_calling_daemons("peer-bodies", SETUP, 20, hand_over_bodies);
 }
 
 /// Guards against announced messages at a daemon that serves teams.
--- a/crates/daemon/tests/slow_readers/fixture.rs
+++ b/crates/daemon/tests/slow_readers/fixture.rs
@@ -13,9 +13,10 @@
 use serde_json::{Value, json};
 use stand_ins::server::reserve_port;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
 use tokio::time::timeout;
 
-use super::{Bounds, check_served};
+use super::{Bounds, Crowd, ONE_AT_A_TIME, Script, check_served, watch};
 
 /// Limits of the daemon, and the size of what clients and leafs send.
 #[derive(Debug, Clone, Copy)]
@@ -279,3 +280,31 @@
         "{method} {path} HTTP/1.1\r\nhost: a.example\r\nx-medlarpin-request-id: r1\r\nx-medlarpin-deadline-ms: 3000\r\n{more}\r\n"
     )
 }
+
+/// Watches the process while other daemons `call` its address for them, and checks that it serves an ordinary caller
+/// meanwhile.
+pub fn check_calling_daemons<T>(
+    name: &str,
+    setup: Setup,
+    daemons: usize,
+    call: impl Fn(SocketAddr) -> T,
+) where
+    T: Future<Output = ()> + 'static,
+{
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, async {
+        let _guard = ONE_AT_A_TIME.lock().await;
+        let fixture = Fixture::start(name, setup).await;
+        let mut peers = JoinSet::new();
+        for _ in 0..daemons {
+            peers.spawn_local(call(fixture.peer));
+        }
+        let nobody = Crowd::start(fixture.query, 0, &Script::once(""));
+        watch(name, fixture.process.id(), &nobody, setup.bounds()).await;
+        fixture.check_caller_served(name).await;
+    });
+}
--- a/crates/daemon/tests/slow_readers_routes.rs
+++ b/crates/daemon/tests/slow_readers_routes.rs
@@ -10,11 +10,10 @@
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use hyper::StatusCode;
 use tokio::net::TcpStream;
-use tokio::task::JoinSet;
 use tokio_util::compat::TokioAsyncWriteCompatExt;
 use wire::peer_capnp::route_peer;
 
-use crate::slow_readers::fixture::{Fixture, Setup, head};
+use crate::slow_readers::fixture::{Fixture, Setup, check_calling_daemons, head};
 use crate::slow_readers::{Bounds, Crowd, ONE_AT_A_TIME, Reading, Script, check_served, watch};
 
 /// Memory of the VM in MiB, as in the daemon's settings.
@@ -172,24 +171,7 @@
 /// Guards against results of RPCs that wait for a daemon that does not read them.
 #[test]
 fn a_daemon_that_does_not_read_its_results() {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    let local = tokio::task::LocalSet::new();
-    local.block_on(&runtime, async {
-        let name = "unread-results";
-        let _guard = ONE_AT_A_TIME.lock().await;
-        let fixture = Fixture::start(name, SETUP).await;
-        let mut peers = JoinSet::new();
-        for _ in 0..20 {
-            peers.spawn_local(call_without_reading(fixture.peer));
-        }
-        let nobody = Crowd::start(fixture.query, 0, &Script::once(""));
-        watch(name, fixture.process.id(), &nobody, BOUNDS).await;
-        let is_answered = async || fixture.get("/one/1").await == Some(StatusCode::OK);
-        check_served(name, is_answered).await;
-    });
+    check_calling_daemons("unread-results", SETUP, 20, call_without_reading);
 }
 
 /// Guards against connections of other daemons that take all descriptors.
--- a/crates/router/src/evacuations/tests.rs
+++ b/crates/router/src/evacuations/tests.rs
@@ -8,7 +8,7 @@
 use hyper::Request;
 use hyper::header::HeaderValue;
 use medlarpin_core::prelude::ServiceName;
-use medlarpin_core::routing::{LeafDirectory, ObservationTime, Repeatability, RunLedger};
+use medlarpin_core::routing::{LeafDirectory, Repeatability, RunLedger};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 
@@ -23,9 +23,6 @@
 use crate::shared::Shared;
 use crate::test_daemon::{self, SETTINGS};
 
-const CONFIG: &str = r#"{"version": 1, "limits": {"maxHeaderBytes": 1000, "maxBodyBytes": 1000,
-    "headerTimeoutMs": 1000, "idleTimeoutMs": 1000}}"#;
-
 /// A daemon without tasks, and a leaf that reads and never answers.
 struct Fixture {
     shared: Arc<Shared>,
@@ -37,14 +34,9 @@
 impl Fixture {
     async fn start() -> Self {
         let shared = test_daemon::shared(SETTINGS);
-        let config = platform::parse_config(CONFIG.as_bytes()).unwrap();
-        shared.config.store(Some(Arc::new(config)));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let entry = format!(
-            r#"{{"service": "a", "address": "{}", "zone": "z1", "slots": 2, "state": "ready",
-            "warmupLeftMs": 0, "seq": 1, "born": 1}}"#,
-            listener.local_addr().unwrap()
-        );
+        let address = listener.local_addr().unwrap();
+        let (leaf, directory) = test_daemon::publish_leaf(&shared, address);
         let bytes_read = Arc::new(AtomicUsize::new(0));
         let counter = Arc::clone(&bytes_read);
         tokio::spawn(async move {
@@ -58,18 +50,6 @@
                 });
             }
         });
-        let mut directory = LeafDirectory::new(Duration::from_secs(1));
-        let observed = ObservationTime {
-            known_until: None,
-            now: shared.now(),
-            is_restored: false,
-        };
-        directory.publish(
-            platform::parse_leaf("a0", entry.as_bytes()).unwrap(),
-            observed,
-        );
-        shared.leafs.update(&directory, shared.now());
-        let leaf = shared.leafs.all().remove(0);
         Self {
             shared,
             directory,
--- a/crates/router/src/leaf/tests.rs
+++ b/crates/router/src/leaf/tests.rs
@@ -1,4 +1,3 @@
-use medlarpin_core::routing::{LeafDirectory, ObservationTime};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
@@ -6,9 +5,6 @@
 use crate::leaf_probe::check_health;
 use crate::test_daemon::{self, SETTINGS};
 
-const CONFIG: &str = r#"{"version": 1, "limits": {"maxHeaderBytes": 1000, "maxBodyBytes": 1000,
-    "headerTimeoutMs": 1000, "idleTimeoutMs": 1000}}"#;
-
 /// A daemon with a leaf that accepts connections and sends nothing.
 struct Fixture {
     shared: Arc<Shared>,
@@ -20,21 +16,8 @@
     async fn start() -> Self {
         let shared = test_daemon::shared(SETTINGS);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let entry = format!(
-            r#"{{"service": "a", "address": "{}", "zone": "z1", "slots": 2, "state": "ready",
-            "warmupLeftMs": 0, "seq": 1, "born": 1}}"#,
-            listener.local_addr().unwrap()
-        );
-        let mut directory = LeafDirectory::new(Duration::from_secs(1));
-        let observed = ObservationTime {
-            known_until: None,
-            now: shared.now(),
-            is_restored: false,
-        };
-        let entry = platform::parse_leaf("a0", entry.as_bytes()).unwrap();
-        directory.publish(entry, observed);
-        shared.leafs.update(&directory, shared.now());
-        let leaf = shared.leafs.all().remove(0);
+        let address = listener.local_addr().unwrap();
+        let (leaf, _) = test_daemon::publish_leaf(&shared, address);
         Self {
             shared,
             leaf,
@@ -126,8 +109,6 @@
 async fn health_checks_have_statuses_of_answers() {
     let check = async |status: u16, is_answered: bool| {
         let fixture = Fixture::start().await;
-        let config = platform::parse_config(CONFIG.as_bytes()).unwrap();
-        fixture.shared.config.store(Some(Arc::new(config)));
         let connection = fixture.leaf.open_new(1, &fixture.shared).await.unwrap();
         let answer = async {
             let (mut stream, _) = fixture.listener.accept().await.unwrap();
