review: keep the storms of case 11 inside the site file's doses

The versions came 0.125 s apart for 4 s, 32 a storm; both figures were within the site file's largest ones, but not together.

--- a/review/stand-ins-3/src/bin/case-11.rs
+++ b/review/stand-ins-3/src/bin/case-11.rs
@@ -25,10 +25,10 @@
 const MORE_ROUTES: usize = 420;
 /// Shards of the site's second set, over which these routes fan out.
 const SHARDS: usize = 30;
-/// A storm of configurations: its length, the time between two versions, and the pause after it.
-const STORM: Duration = Duration::from_secs(4);
-const VERSION_INTERVAL: Duration = Duration::from_millis(125);
-const STORM_PAUSE: Duration = Duration::from_secs(1);
+/// A storm of configurations, as in a day of the site file (`gap_s` 0.08 for 2 s), and the pause after it.
+const STORM_VERSIONS: u64 = 25;
+const VERSION_INTERVAL: Duration = Duration::from_millis(80);
+const STORM_PAUSE: Duration = Duration::from_millis(1_500);
 /// Interval at which leafs write their entries.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 const LENGTH: Duration = Duration::from_secs(95);
@@ -134,9 +134,8 @@
         tokio::spawn(async move {
             let mut version = 1;
             while has_trouble() {
-                let storm_began = Instant::now();
                 let mut ticks = interval(VERSION_INTERVAL);
-                while storm_began.elapsed() < STORM {
+                for _ in 0..STORM_VERSIONS {
                     ticks.tick().await;
                     version += 1;
                     let config = config(version, MORE_ROUTES);
